--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/network/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to callers, upstreams and peers."""
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
@@ -0,0 +1,293 @@
+"""An HTTP/1.1 client with a small pool of connections per address."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from enum import Enum
+
+import h11
+from returns.result import Failure, Result, Success
+
+from cicadatraild.network.http_transport import ConnectionEndedError, HttpTransport
+
+HEADER_LIMIT_BYTES = 32 * 1024
+"""Largest head of a response that is read."""
+
+IDLE_POOL_COUNT = 64
+"""Idle connections kept per address."""
+
+IDLE_LIMIT_S = 4.0
+"""Time after which an idle connection is not used again."""
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class ClientFault(Enum):
+    """Say how far a request got before it failed."""
+
+    NOT_SENT = "not-sent"
+    """No byte of the request left this process."""
+
+    NO_ANSWER = "no-answer"
+    """Bytes may have reached the server; what it did is not known."""
+
+    TRUNCATED = "truncated"
+    """The response stopped before its end."""
+
+
+class ClientError(Exception):
+    """Report a failed request and how far it got."""
+
+    def __init__(self, fault: ClientFault, reason: str) -> None:
+        super().__init__(f"{fault.value}: {reason}")
+        self.fault = fault
+        self.reason = reason
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Name an IP address and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class WholeResponse:
+    """Hold a response that was read to its end."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first value of a header, given in lower case."""
+        for key, value in self.headers:
+            if key == name:
+                return value.decode("latin-1")
+        return None
+
+
+class ClientExchange:
+    """Hold one request under way on its own connection.
+
+    A connection goes back to the pool only after the response was read to
+    its end, so that bytes of one response never reach another request.
+    """
+
+    __slots__ = ("_pool", "_transport", "address", "response", "sent")
+
+    def __init__(
+        self, pool: ConnectionPool, address: Address, transport: HttpTransport
+    ) -> None:
+        self.address = address
+        self.response: h11.Response | None = None
+        self.sent = False
+        self._pool = pool
+        self._transport = transport
+
+    async def send_head(self, method: str, target: str, headers: Headers) -> None:
+        """Send the request's head; from here on the request may have run.
+
+        Raises ClientError.
+        """
+        request = h11.Request(method=method, target=target, headers=list(headers))
+        self.sent = True
+        await self._send(request)
+
+    async def send_body(self, chunk: bytes) -> None:
+        """Send a part of the body; waits while the server is slow."""
+        await self._send(h11.Data(data=chunk))
+
+    async def end_body(self) -> None:
+        """End the request."""
+        await self._send(h11.EndOfMessage())
+
+    async def send_whole(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> None:
+        """Send a whole request in one write."""
+        request = h11.Request(method=method, target=target, headers=list(headers))
+        self.sent = True
+        events: list[h11.Event] = [request]
+        if body:
+            events.append(h11.Data(data=body))
+        await self._send(*events, h11.EndOfMessage())
+
+    async def read_head(self) -> h11.Response:
+        """Return the response's head. Raises ClientError."""
+        while True:
+            event = await self._next_event(ClientFault.NO_ANSWER)
+            if isinstance(event, h11.Response):
+                self.response = event
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise ClientError(ClientFault.NO_ANSWER, "the server closed")
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the response's body. Raises ClientError when it is cut."""
+        while True:
+            event = await self._next_event(ClientFault.TRUNCATED)
+            if isinstance(event, h11.EndOfMessage):
+                self._finish()
+                return
+            if not isinstance(event, h11.Data):
+                raise ClientError(ClientFault.TRUNCATED, "the server closed")
+            yield bytes(event.data)
+
+    @property
+    def server_closes(self) -> bool:
+        """Tell whether the server said that it closes the connection."""
+        return self._transport.http.their_state is h11.MUST_CLOSE
+
+    def abort(self) -> None:
+        """Drop the connection; harmless after the end of the exchange."""
+        if not self._pool.has(self.address, self._transport):
+            self._transport.abort()
+
+    def _finish(self) -> None:
+        http = self._transport.http
+        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+            self._transport.close()
+            return
+        http.start_next_cycle()
+        self._pool.give_back(self.address, self._transport)
+
+    async def _send(self, *events: h11.Event) -> None:
+        try:
+            await self._transport.send(*events)
+        except ConnectionEndedError as error:
+            raise ClientError(ClientFault.NO_ANSWER, "connection lost") from error
+
+    async def _next_event(self, fault: ClientFault) -> object:
+        try:
+            return await self._transport.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ClientError(fault, str(error)) from error
+
+
+@dataclass(slots=True)
+class _Idle:
+    transport: HttpTransport
+    since_s: float
+
+
+class ConnectionPool:
+    """Open connections and keep idle ones for the next request."""
+
+    __slots__ = ("_connect_timeout_s", "_idle")
+
+    def __init__(self, connect_timeout_s: float) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._idle: dict[Address, list[_Idle]] = {}
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        """Close all idle connections when ``stack`` closes."""
+        stack.callback(self._close)
+
+    async def start(self, address: Address) -> ClientExchange:
+        """Return an exchange on an idle or new connection.
+
+        Raises ClientError with NOT_SENT when none can be opened in time.
+        """
+        transport = self._take_idle(address) or await self._connect(address)
+        return ClientExchange(self, address, transport)
+
+    async def fetch(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        *,
+        headers: Headers = (),
+        body: bytes = b"",
+        timeout_s: float,
+        body_limit_bytes: int = 64 * 1024 * 1024,
+    ) -> Result[WholeResponse, ClientError]:
+        """Send a whole request and return the whole response."""
+        exchange: ClientExchange | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                exchange = await self.start(address)
+                response = await _exchange_whole(
+                    exchange, method, target, headers, body, body_limit_bytes
+                )
+                return Success(response)
+        except ClientError as error:
+            return Failure(error)
+        except TimeoutError:
+            sent = exchange is not None and exchange.sent
+            fault = ClientFault.NO_ANSWER if sent else ClientFault.NOT_SENT
+            return Failure(ClientError(fault, f"no answer in {timeout_s} s"))
+        finally:
+            if exchange is not None:
+                exchange.abort()
+
+    def has(self, address: Address, transport: HttpTransport) -> bool:
+        """Tell whether a connection is idle in the pool."""
+        entries = self._idle.get(address, ())
+        return any(entry.transport is transport for entry in entries)
+
+    def give_back(self, address: Address, transport: HttpTransport) -> None:
+        """Keep an idle connection for the next request."""
+        entries = self._idle.setdefault(address, [])
+        if transport.ended or len(entries) >= IDLE_POOL_COUNT:
+            transport.close()
+            return
+        entries.append(_Idle(transport, asyncio.get_running_loop().time()))
+
+    def _take_idle(self, address: Address) -> HttpTransport | None:
+        entries = self._idle.get(address, [])
+        now_s = asyncio.get_running_loop().time()
+        while entries:
+            entry = entries.pop()
+            if not entry.transport.ended and now_s - entry.since_s < IDLE_LIMIT_S:
+                return entry.transport
+            entry.transport.close()
+        return None
+
+    async def _connect(self, address: Address) -> HttpTransport:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, transport = await loop.create_connection(
+                    lambda: HttpTransport(h11.CLIENT, HEADER_LIMIT_BYTES),
+                    address.host,
+                    address.port,
+                )
+        except (OSError, TimeoutError) as error:
+            reason = f"cannot connect to {address}: {error!r}"
+            raise ClientError(ClientFault.NOT_SENT, reason) from error
+        return transport
+
+    def _close(self) -> None:
+        for entries in self._idle.values():
+            for entry in entries:
+                entry.transport.abort()
+        self._idle.clear()
+
+
+async def _exchange_whole(
+    exchange: ClientExchange,
+    method: str,
+    target: str,
+    headers: Headers,
+    body: bytes,
+    body_limit_bytes: int,
+) -> WholeResponse:
+    length = (b"Content-Length", str(len(body)).encode())
+    host = (b"Host", str(exchange.address).encode())
+    await exchange.send_whole(method, target, (host, length, *headers), body)
+    head = await exchange.read_head()
+    received = bytearray()
+    async for chunk in exchange.body():
+        received += chunk
+        if len(received) > body_limit_bytes:
+            raise ClientError(ClientFault.TRUNCATED, "the response is too large")
+    return WholeResponse(head.status_code, tuple(head.headers), bytes(received))
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
@@ -0,0 +1,266 @@
+"""An HTTP/1.1 server that hands each request to one handler."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+
+import h11
+
+from cicadatraild.network.http_transport import ConnectionEndedError, HttpTransport
+
+logger = logging.getLogger("cicadatrail.http")
+
+CLOSE_GRACE_S = 1.0
+"""Time that a finished connection may take to send its last bytes."""
+
+_NO_ROOM = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+    b"Cicadatrail-Outcome: not-run\r\nCicadatrail-Reason: too-many-connections\r\n"
+    b"Retry-After: 1\r\nConnection: close\r\n\r\n"
+)
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Bound what one caller may cost."""
+
+    header_limit_bytes: int = 16 * 1024
+    body_limit_bytes: int = 16 * 1024 * 1024
+    connection_limit_count: int = 1000
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 30.0
+
+
+class BodyTooLargeError(Exception):
+    """Report a request body over the limit."""
+
+
+class BodyIncompleteError(Exception):
+    """Report a request body that stopped early or came too slowly."""
+
+
+class HttpExchange:
+    """Give a handler one request and let it send the response.
+
+    The handler must call ``start`` and ``end``; a handler that is cancelled
+    or raises leaves a connection that is dropped, so that a cut response
+    never looks whole.
+    """
+
+    __slots__ = ("_limits", "_received_bytes", "_transport", "request", "started")
+
+    def __init__(
+        self, request: h11.Request, transport: HttpTransport, limits: HttpLimits
+    ) -> None:
+        self.request = request
+        self.started = False
+        self._transport = transport
+        self._limits = limits
+        self._received_bytes = 0
+
+    @property
+    def method(self) -> str:
+        """Return the request's method."""
+        return self.request.method.decode("ascii")
+
+    @property
+    def target(self) -> str:
+        """Return the request's target."""
+        return self.request.target.decode("ascii", "replace")
+
+    def header_values(self, name: bytes) -> tuple[str, ...]:
+        """Return every value of a header, given in lower case."""
+        return tuple(
+            value.decode("latin-1")
+            for key, value in self.request.headers
+            if key == name
+        )
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        Raises BodyTooLargeError over the limit, and BodyIncompleteError when
+        the caller stops sending or is silent for the idle timeout.
+        """
+        while True:
+            event = await self._next_body_event()
+            if isinstance(event, h11.EndOfMessage):
+                return
+            self._received_bytes += len(event.data)
+            if self._received_bytes > self._limits.body_limit_bytes:
+                raise BodyTooLargeError
+            yield bytes(event.data)
+
+    async def read_body(self) -> bytes:
+        """Return the whole body; raises as ``body`` does."""
+        return b"".join([chunk async for chunk in self.body()])
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the response's head."""
+        self.started = True
+        response = h11.Response(status_code=status, headers=list(headers))
+        await self._transport.send(response)
+
+    async def send(self, chunk: bytes) -> None:
+        """Send a part of the response's body; waits while the caller is slow."""
+        async with asyncio.timeout(self._limits.idle_timeout_s):
+            await self._transport.send(h11.Data(data=chunk))
+
+    async def end(self, trailers: Headers = ()) -> None:
+        """End the response."""
+        await self._transport.send(h11.EndOfMessage(headers=list(trailers)))
+
+    async def respond(
+        self, status: int, body: bytes = b"", headers: Headers = ()
+    ) -> None:
+        """Send a whole response in one write."""
+        self.started = True
+        length = (b"Content-Length", str(len(body)).encode())
+        response = h11.Response(status_code=status, headers=[length, *headers])
+        events: list[h11.Event] = [response]
+        if body and self.method != "HEAD":
+            events.append(h11.Data(data=body))
+        await self._transport.send(*events, h11.EndOfMessage())
+
+    async def _next_body_event(self) -> h11.Data | h11.EndOfMessage:
+        if self._transport.http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self._transport.send(go_on)
+        try:
+            async with asyncio.timeout(self._limits.idle_timeout_s):
+                event = await self._transport.next_event()
+        except (TimeoutError, h11.RemoteProtocolError) as error:
+            raise BodyIncompleteError(str(error)) from error
+        if isinstance(event, h11.Data | h11.EndOfMessage):
+            return event
+        raise BodyIncompleteError("the caller closed the connection")
+
+
+Handler = Callable[[HttpExchange], Awaitable[None]]
+
+
+class HttpServer:
+    """Serve connections on one address until it is closed."""
+
+    __slots__ = ("_connections", "_handler", "_limits", "_name", "draining")
+
+    def __init__(self, name: str, handler: Handler, limits: HttpLimits) -> None:
+        self._name = name
+        self._handler = handler
+        self._limits = limits
+        self._connections: set[asyncio.Task[None]] = set()
+        self.draining = False
+
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
+    async def listen(self, stack: AsyncExitStack, host: str, port: int) -> int:
+        """Listen until ``stack`` closes; return the port."""
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(self._new_transport, host, port)
+        stack.push_async_callback(self._close, server)
+        bound_port: int = server.sockets[0].getsockname()[1]
+        return bound_port
+
+    def _new_transport(self) -> HttpTransport:
+        return HttpTransport(h11.SERVER, self._limits.header_limit_bytes, self._made)
+
+    def _made(self, transport: HttpTransport) -> None:
+        if len(self._connections) >= self._limits.connection_limit_count:
+            transport.refuse(_NO_ROOM)
+            return
+        task = asyncio.get_running_loop().create_task(self._serve(transport))
+        self._connections.add(task)
+        task.add_done_callback(self._connections.discard)
+
+    async def _serve(self, transport: HttpTransport) -> None:
+        """Serve requests of one connection, one after the other."""
+        wait_s = self._limits.header_timeout_s
+        try:
+            while await self._serve_one(transport, wait_s):
+                wait_s = self._limits.idle_timeout_s
+            transport.close()
+        except (ConnectionEndedError, TimeoutError):
+            transport.abort()
+        except asyncio.CancelledError:
+            transport.abort()
+            raise
+        except Exception:
+            logger.exception("http %s: handler failed.", self._name)
+            transport.abort()
+
+    async def _serve_one(self, transport: HttpTransport, wait_s: float) -> bool:
+        """Serve one request; return whether another may follow."""
+        try:
+            request = await _read_head(transport, wait_s)
+        except h11.RemoteProtocolError as error:
+            await _refuse_malformed(transport, error)
+            return False
+        if request is None:
+            return False
+        exchange = HttpExchange(request, transport, self._limits)
+        await self._handle(exchange, transport)
+        http = transport.http
+        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+            return False
+        if self.draining:
+            return False
+        http.start_next_cycle()
+        return True
+
+    async def _handle(self, exchange: HttpExchange, transport: HttpTransport) -> None:
+        """Run the handler; cancel it when the caller is gone."""
+        if transport.ended:
+            raise ConnectionEndedError
+        task = asyncio.current_task()
+        assert task is not None
+        transport.on_end = task.cancel
+        try:
+            await self._handler(exchange)
+        finally:
+            transport.on_end = None
+
+    async def _close(self, server: asyncio.Server) -> None:
+        server.close()
+        for task in tuple(self._connections):
+            task.cancel()
+        if self._connections:
+            await asyncio.wait(tuple(self._connections), timeout=CLOSE_GRACE_S)
+
+
+async def _read_head(transport: HttpTransport, wait_s: float) -> h11.Request | None:
+    """Return the next request's head; None when there is none in time."""
+    try:
+        async with asyncio.timeout(wait_s):
+            event = await transport.next_event()
+    except TimeoutError:
+        return None
+    return event if isinstance(event, h11.Request) else None
+
+
+async def _refuse_malformed(
+    transport: HttpTransport, error: h11.RemoteProtocolError
+) -> None:
+    """Answer malformed input with a 4xx that names the fault."""
+    if transport.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    finding = {"place": "request", "fault": str(error)}
+    body = json.dumps({"findings": [finding]}).encode()
+    headers = [
+        (b"Content-Type", b"application/json"),
+        (b"Content-Length", str(len(body)).encode()),
+        (b"Cicadatrail-Outcome", b"not-run"),
+        (b"Connection", b"close"),
+    ]
+    status = error.error_status_hint if error.error_status_hint >= 400 else 400
+    response = h11.Response(status_code=status, headers=headers)
+    await transport.send(response, h11.Data(data=body), h11.EndOfMessage())
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
@@ -0,0 +1,189 @@
+"""One HTTP/1.1 connection on the loop, for either side, with back pressure."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Any, cast
+
+import h11
+
+READ_AHEAD_BYTES = 64 * 1024
+"""Unparsed bytes after which reading from the socket pauses."""
+
+WRITE_BUFFER_BYTES = 64 * 1024
+"""Unsent bytes after which writing waits for the other side."""
+
+
+class ConnectionEndedError(ConnectionError):
+    """Report that the other side is gone, so that nothing can be sent."""
+
+
+class HttpTransport(asyncio.Protocol):
+    """Carry h11 events over one connection.
+
+    ``on_end`` is called once, when the other side stops sending or the
+    connection is lost, so that a server can cancel work nobody waits for.
+    """
+
+    __slots__ = (
+        "_chunks",
+        "_chunks_bytes",
+        "_ended",
+        "_lost",
+        "_paused_reading",
+        "_read_waiter",
+        "_transport",
+        "_write_paused",
+        "_write_waiter",
+        "http",
+        "on_end",
+        "on_made",
+    )
+
+    def __init__(
+        self,
+        role: type[h11.CLIENT] | type[h11.SERVER],
+        header_limit_bytes: int,
+        on_made: Callable[[HttpTransport], None] | None = None,
+    ) -> None:
+        self.http = h11.Connection(role, max_incomplete_event_size=header_limit_bytes)
+        self.on_made = on_made
+        self.on_end: Callable[[], None] | None = None
+        self._transport: asyncio.Transport | None = None
+        self._chunks: deque[bytes] = deque()
+        self._chunks_bytes = 0
+        self._paused_reading = False
+        self._ended = False
+        self._lost = False
+        self._read_waiter: asyncio.Future[None] | None = None
+        self._write_paused = False
+        self._write_waiter: asyncio.Future[None] | None = None
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether the other side has stopped sending or is gone."""
+        return self._ended
+
+    @property
+    def peer_address(self) -> str:
+        """Return the other side's address as text, for logs only."""
+        if self._transport is None:
+            return "-"
+        return str(self._transport.get_extra_info("peername"))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport; called by the loop."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        if self.on_made is not None:
+            self.on_made(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep received bytes until they are parsed; called by the loop."""
+        self._chunks.append(data)
+        self._chunks_bytes += len(data)
+        if self._chunks_bytes > READ_AHEAD_BYTES and not self._paused_reading:
+            self._paused_reading = True
+            self._open_transport().pause_reading()
+        self._wake_reader()
+
+    def eof_received(self) -> bool:
+        """Note the end of what the other side sends; called by the loop."""
+        self._end()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note that the connection is gone; called by the loop."""
+        self._lost = True
+        if self._write_waiter is not None and not self._write_waiter.done():
+            self._write_waiter.set_result(None)
+        self._end()
+
+    def pause_writing(self) -> None:
+        """Hold back writers; called by the loop."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Let writers go on; called by the loop."""
+        self._write_paused = False
+        if self._write_waiter is not None and not self._write_waiter.done():
+            self._write_waiter.set_result(None)
+
+    async def next_event(self) -> Any:
+        """Return the next h11 event, or ``h11.PAUSED``.
+
+        Raises h11.RemoteProtocolError on malformed or truncated input.
+        """
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            await self._feed()
+
+    async def send(self, *events: h11.Event) -> None:
+        """Send events and wait while the other side is slow.
+
+        Raises ConnectionEndedError when the connection is lost.
+        """
+        if self._lost or self._transport is None:
+            raise ConnectionEndedError
+        data = b"".join(self.http.send(event) or b"" for event in events)
+        self._transport.write(data)
+        while self._write_paused and not self._lost:
+            self._write_waiter = asyncio.get_running_loop().create_future()
+            await self._write_waiter
+        if self._lost:
+            raise ConnectionEndedError
+
+    def refuse(self, response: bytes) -> None:
+        """Send a ready response and close, without reading anything."""
+        transport = self._open_transport()
+        transport.write(response)
+        transport.close()
+
+    def close(self) -> None:
+        """Close after what was written has been sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Drop the connection at once, unsent bytes included."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _feed(self) -> None:
+        """Give h11 the next bytes, waiting for some if there are none."""
+        while not self._chunks and not self._ended:
+            self._resume_reading()
+            self._read_waiter = asyncio.get_running_loop().create_future()
+            await self._read_waiter
+        if not self._chunks:
+            self.http.receive_data(b"")
+            return
+        chunk = self._chunks.popleft()
+        self._chunks_bytes -= len(chunk)
+        self.http.receive_data(chunk)
+
+    def _resume_reading(self) -> None:
+        if self._paused_reading and not self._lost:
+            self._paused_reading = False
+            self._open_transport().resume_reading()
+
+    def _open_transport(self) -> asyncio.Transport:
+        if self._transport is None:
+            raise ConnectionEndedError
+        return self._transport
+
+    def _wake_reader(self) -> None:
+        if self._read_waiter is not None and not self._read_waiter.done():
+            self._read_waiter.set_result(None)
+
+    def _end(self) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self._wake_reader()
+        if self.on_end is not None:
+            self.on_end()
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""What entry instances agree on through the log and peer links."""
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, logs, metrics and traces of the daemon."""
