--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/maintenance.py
@@ -0,0 +1,31 @@
+"""What the fold does with waves, moves and the conditions of workers."""
+
+from __future__ import annotations
+
+from cicadatrail_core.fold.maintenance_patches import (
+    abort_move,
+    abort_wave,
+    pause_wave,
+    resume_wave,
+    start_move,
+    start_wave,
+)
+from cicadatrail_core.fold.maintenance_records import (
+    apply_condition,
+    apply_move_drained,
+    apply_pause,
+    apply_step,
+)
+
+__all__ = [
+    "abort_move",
+    "abort_wave",
+    "apply_condition",
+    "apply_move_drained",
+    "apply_pause",
+    "apply_step",
+    "pause_wave",
+    "resume_wave",
+    "start_move",
+    "start_wave",
+]
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/maintenance_patches.py
@@ -0,0 +1,299 @@
+"""How the operations on waves and moves are checked and applied.
+
+Each function collects every finding under ``place``, such as
+``operations[2]``, and returns either all of them or the changed state.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import replace
+from types import MappingProxyType
+
+from returns.result import Failure, Result, Success
+
+from cicadatrail_core.fold.availability import (
+    active_move_of,
+    active_wave_of,
+    may_bring_in,
+    may_give_away,
+    may_take_out,
+    workers_of,
+)
+from cicadatrail_core.fold.maintenance_records import with_entry, with_move
+from cicadatrail_core.models.fleet import Worker
+from cicadatrail_core.models.maintenance import (
+    DomainOrder,
+    Move,
+    MoveStatus,
+    StepStatus,
+    Wave,
+    WaveProgress,
+    WaveStatus,
+)
+from cicadatrail_core.models.patches import (
+    AbortMove,
+    AbortWave,
+    PauseWave,
+    ResumeWave,
+    StartMove,
+    StartWave,
+)
+from cicadatrail_core.models.state import State
+from cicadatrail_core.utils.findings import Finding, Findings
+
+FINISHED_WAVES_KEPT_COUNT = 20
+"""Number of finished waves that the state remembers."""
+
+FINISHED_MOVES_KEPT_COUNT = 200
+"""Number of finished moves that the state remembers."""
+
+HOURS_PER_DAY = 24
+
+
+def start_wave(
+    state: State, operation: StartWave, place: str
+) -> Result[State, Findings]:
+    """Start a wave over the named workers, or over those that the pool holds."""
+    wave = operation.wave
+    findings = tuple(_wave_findings(state, wave, f"{place}.wave"))
+    if findings:
+        return Failure(findings)
+    worker_ids = wave.worker_ids or workers_by_place(state, wave.pool_id)
+    worker_ids = grouped_by_domain(state, worker_ids, wave.order)
+    progress = WaveProgress(
+        wave=replace(wave, worker_ids=worker_ids),
+        status=WaveStatus.RUNNING,
+        steps=tuple((worker_id, StepStatus.WAITING) for worker_id in worker_ids),
+    )
+    kept = _without_oldest_finished_waves(state)
+    return Success(replace(state, waves=with_entry(kept, wave.wave_id, progress)))
+
+
+def _wave_findings(state: State, wave: Wave, place: str) -> Iterator[Finding]:
+    if not wave.wave_id:
+        yield Finding(f"{place}.wave_id", "must not be empty")
+    if wave.wave_id in state.waves:
+        yield Finding(f"{place}.wave_id", f"wave {wave.wave_id!r} exists already")
+    yield from _target_findings(state, wave, place)
+    if wave.concurrency_limit_count < 1:
+        yield Finding(f"{place}.concurrency_limit_count", "must be at least 1")
+    if wave.failure_limit_count < 1:
+        yield Finding(f"{place}.failure_limit_count", "must be at least 1")
+    hours = wave.working_hours
+    if not 0 <= hours.start_hour < HOURS_PER_DAY:
+        yield Finding(f"{place}.working_hours.start_hour", "must be from 0 to 23")
+    if not 0 <= hours.end_hour <= HOURS_PER_DAY:
+        yield Finding(f"{place}.working_hours.end_hour", "must be from 0 to 24")
+    if hours.start_hour == hours.end_hour:
+        yield Finding(f"{place}.working_hours", "must span at least one hour")
+
+
+def _target_findings(state: State, wave: Wave, place: str) -> Iterator[Finding]:
+    if wave.pool_id and wave.pool_id not in state.pools:
+        yield Finding(f"{place}.pool_id", f"there is no pool {wave.pool_id!r}")
+    if wave.pool_id and wave.worker_ids:
+        yield Finding(f"{place}.worker_ids", "name a pool or workers, not both")
+    if not wave.pool_id and not wave.worker_ids:
+        yield Finding(f"{place}.pool_id", "name a pool or workers")
+    takes_pool = wave.pool_id in state.pools and not wave.worker_ids
+    if takes_pool and not workers_of(state, wave.pool_id):
+        yield Finding(f"{place}.pool_id", f"pool {wave.pool_id!r} has no worker")
+    seen: set[str] = set()
+    for index, worker_id in enumerate(wave.worker_ids):
+        if worker_id not in state.workers:
+            fault = f"there is no worker {worker_id!r}"
+            yield Finding(f"{place}.worker_ids[{index}]", fault)
+        if worker_id in seen:
+            fault = f"worker {worker_id!r} is named twice"
+            yield Finding(f"{place}.worker_ids[{index}]", fault)
+        seen.add(worker_id)
+
+
+def domain_of(worker: Worker, order: DomainOrder) -> tuple[str, ...]:
+    """Return the failure domain of a worker, at the level that ``order`` names."""
+    place = worker.place
+    match order:
+        case DomainOrder.RACK:
+            return (place.region, place.data_centre, place.rack)
+        case DomainOrder.DATA_CENTRE:
+            return (place.region, place.data_centre)
+
+
+def workers_by_place(state: State, pool_id: str) -> tuple[str, ...]:
+    """Return the pool's workers sorted by data centre, rack and id."""
+    return tuple(
+        sorted(
+            workers_of(state, pool_id),
+            key=lambda w: (*domain_of(state.workers[w], DomainOrder.RACK), w),
+        )
+    )
+
+
+def grouped_by_domain(
+    state: State, worker_ids: Iterable[str], order: DomainOrder
+) -> tuple[str, ...]:
+    """Return the workers with each domain together, the first named first."""
+    domains: dict[tuple[str, ...], list[str]] = {}
+    for worker_id in worker_ids:
+        domain = domain_of(state.workers[worker_id], order)
+        domains.setdefault(domain, []).append(worker_id)
+    return tuple(worker_id for group in domains.values() for worker_id in group)
+
+
+def _without_oldest_finished_waves(state: State) -> Mapping[str, WaveProgress]:
+    active_statuses = {StepStatus.DRAINING, StepStatus.MAINTAINING}
+    finished = [
+        wave_id
+        for wave_id, progress in state.waves.items()
+        if progress.status in (WaveStatus.DONE, WaveStatus.ABORTED)
+        and not any(step in active_statuses for _, step in progress.steps)
+    ]
+    dropped = set(finished[: max(0, len(finished) - FINISHED_WAVES_KEPT_COUNT)])
+    return {key: value for key, value in state.waves.items() if key not in dropped}
+
+
+def pause_wave(
+    state: State, operation: PauseWave, place: str
+) -> Result[State, Findings]:
+    """Pause a running wave."""
+    return _change_wave(
+        state, operation.wave_id, place, (WaveStatus.RUNNING,), _paused_by_operator
+    )
+
+
+def resume_wave(
+    state: State, operation: ResumeWave, place: str
+) -> Result[State, Findings]:
+    """Resume a paused wave; workers that failed in it wait for another try."""
+    return _change_wave(state, operation.wave_id, place, (WaveStatus.PAUSED,), _resumed)
+
+
+def abort_wave(
+    state: State, operation: AbortWave, place: str
+) -> Result[State, Findings]:
+    """Abort a wave: no further drain starts, begun workers are finished."""
+    unfinished = (WaveStatus.RUNNING, WaveStatus.PAUSED)
+    return _change_wave(state, operation.wave_id, place, unfinished, _aborted)
+
+
+def _paused_by_operator(progress: WaveProgress) -> WaveProgress:
+    return replace(
+        progress, status=WaveStatus.PAUSED, pause_reason="paused by an operator"
+    )
+
+
+def _resumed(progress: WaveProgress) -> WaveProgress:
+    steps = tuple(
+        (worker, StepStatus.WAITING if step is StepStatus.FAILED else step)
+        for worker, step in progress.steps
+    )
+    return replace(progress, status=WaveStatus.RUNNING, steps=steps, pause_reason="")
+
+
+def _aborted(progress: WaveProgress) -> WaveProgress:
+    return replace(progress, status=WaveStatus.ABORTED, pause_reason="")
+
+
+def _change_wave(
+    state: State,
+    wave_id: str,
+    place: str,
+    allowed: tuple[WaveStatus, ...],
+    change: Callable[[WaveProgress], WaveProgress],
+) -> Result[State, Findings]:
+    progress = state.waves.get(wave_id)
+    if progress is None:
+        return Failure((Finding(f"{place}.wave_id", f"there is no wave {wave_id!r}"),))
+    if progress.status not in allowed:
+        fault = f"wave {wave_id!r} is {progress.status.value}"
+        return Failure((Finding(f"{place}.wave_id", fault),))
+    changed = change(progress)
+    return Success(replace(state, waves=with_entry(state.waves, wave_id, changed)))
+
+
+def start_move(
+    state: State, operation: StartMove, place: str
+) -> Result[State, Findings]:
+    """Start to drain a worker that changes pool once it runs nothing."""
+    findings = tuple(_move_findings(state, operation, place))
+    findings = findings or tuple(_move_budget_findings(state, operation, place))
+    if findings:
+        return Failure(findings)
+    move = Move(
+        move_id=operation.move_id,
+        worker_id=operation.worker_id,
+        from_pool_id=operation.from_pool_id,
+        to_pool_id=operation.to_pool_id,
+    )
+    kept = replace(state, moves=_without_oldest_finished_moves(state))
+    return Success(replace(state, moves=with_move(kept, move)))
+
+
+def _move_findings(state: State, operation: StartMove, place: str) -> Iterator[Finding]:
+    worker_id = operation.worker_id
+    if not operation.move_id:
+        yield Finding(f"{place}.move_id", "must not be empty")
+    if operation.move_id in state.moves:
+        yield Finding(f"{place}.move_id", f"move {operation.move_id!r} exists already")
+    for field, pool_id in (
+        ("from_pool_id", operation.from_pool_id),
+        ("to_pool_id", operation.to_pool_id),
+    ):
+        if pool_id not in state.pools:
+            yield Finding(f"{place}.{field}", f"there is no pool {pool_id!r}")
+    if operation.from_pool_id == operation.to_pool_id:
+        yield Finding(f"{place}.to_pool_id", "must differ from from_pool_id")
+    if worker_id not in state.workers:
+        yield Finding(f"{place}.worker_id", f"there is no worker {worker_id!r}")
+        return
+    if state.pool_of.get(worker_id) != operation.from_pool_id:
+        fault = f"worker {worker_id!r} is in pool {state.pool_of.get(worker_id)!r}"
+        yield Finding(f"{place}.from_pool_id", fault)
+    if moving := active_move_of(state, worker_id):
+        fault = f"worker {worker_id!r} is in move {moving.move_id!r}"
+        yield Finding(f"{place}.worker_id", fault)
+    if progress := active_wave_of(state, worker_id):
+        fault = f"worker {worker_id!r} is in wave {progress.wave.wave_id!r}"
+        yield Finding(f"{place}.worker_id", fault)
+
+
+def _move_budget_findings(
+    state: State, operation: StartMove, place: str
+) -> Iterator[Finding]:
+    giving, receiving = operation.from_pool_id, operation.to_pool_id
+    if not may_take_out(state, operation.worker_id):
+        fault = f"a service of pool {giving!r} has no budget left"
+        yield Finding(f"{place}.from_pool_id", fault)
+    if not may_give_away(state, giving):
+        fault = f"pool {giving!r} would be left with no more workers than its budget"
+        yield Finding(f"{place}.from_pool_id", fault)
+    if not may_bring_in(state, operation.worker_id, receiving):
+        fault = f"a service of pool {receiving!r} has no budget for a worker that fails"
+        yield Finding(f"{place}.to_pool_id", fault)
+
+
+def _without_oldest_finished_moves(state: State) -> Mapping[str, Move]:
+    finished = [
+        move_id
+        for move_id, move in state.moves.items()
+        if move.status is not MoveStatus.DRAINING
+    ]
+    dropped = set(finished[: max(0, len(finished) - FINISHED_MOVES_KEPT_COUNT)])
+    kept = {key: value for key, value in state.moves.items() if key not in dropped}
+    return MappingProxyType(kept)
+
+
+def abort_move(
+    state: State, operation: AbortMove, place: str
+) -> Result[State, Findings]:
+    """Abort a draining move; the worker stays in its pool."""
+    move = state.moves.get(operation.move_id)
+    if move is None:
+        fault = f"there is no move {operation.move_id!r}"
+        return Failure((Finding(f"{place}.move_id", fault),))
+    if move.status is not MoveStatus.DRAINING:
+        fault = f"move {operation.move_id!r} is {move.status.value}"
+        return Failure((Finding(f"{place}.move_id", fault),))
+    aborted = replace(move, status=MoveStatus.ABORTED)
+    return Success(replace(state, moves=with_move(state, aborted)))
