--- a/packages/cicadatrail-node/src/cicadatraild/utils/__init__.py
+++ b/packages/cicadatrail-node/src/cicadatraild/utils/__init__.py
@@ -1,1 +1,1 @@
-"""Settings, logs, metrics and traces of the daemon."""
+"""Small helpers of the daemon without a domain of their own."""
