--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/availability.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/availability.py
@@ -6,6 +6,7 @@
 
 from cicadatrail_core.models.fleet import Service
 from cicadatrail_core.models.maintenance import (
+    Condition,
     Move,
     MoveStatus,
     StepStatus,
@@ -45,6 +46,15 @@
     return None
 
 
+def failed_in_wave(state: State, worker_id: str, step: StepStatus) -> bool:
+    """Tell whether a worker failed in its wave, during its step or after it."""
+    if step is StepStatus.FAILED:
+        return True
+    if step is not StepStatus.DONE:
+        return False
+    return state.conditions.get(worker_id) in (Condition.FAILED, Condition.EJECTED)
+
+
 def all_unavailable(state: State) -> frozenset[str]:
     """Return every worker of the fleet that is out of service.
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/maintenance_patches.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/maintenance_patches.py
@@ -15,6 +15,7 @@
 from cicadatrail_core.fold.availability import (
     active_move_of,
     active_wave_of,
+    failed_in_wave,
     may_bring_in,
     may_give_away,
     may_take_out,
@@ -177,21 +178,21 @@
     return _change_wave(state, operation.wave_id, place, unfinished, _aborted)
 
 
-def _paused_by_operator(progress: WaveProgress) -> WaveProgress:
+def _paused_by_operator(_state: State, progress: WaveProgress) -> WaveProgress:
     return replace(
         progress, status=WaveStatus.PAUSED, pause_reason="paused by an operator"
     )
 
 
-def _resumed(progress: WaveProgress) -> WaveProgress:
+def _resumed(state: State, progress: WaveProgress) -> WaveProgress:
     steps = tuple(
-        (worker, StepStatus.WAITING if step is StepStatus.FAILED else step)
+        (worker, StepStatus.WAITING if failed_in_wave(state, worker, step) else step)
         for worker, step in progress.steps
     )
     return replace(progress, status=WaveStatus.RUNNING, steps=steps, pause_reason="")
 
 
-def _aborted(progress: WaveProgress) -> WaveProgress:
+def _aborted(_state: State, progress: WaveProgress) -> WaveProgress:
     return replace(progress, status=WaveStatus.ABORTED, pause_reason="")
 
 
@@ -200,7 +201,7 @@
     wave_id: str,
     place: str,
     allowed: tuple[WaveStatus, ...],
-    change: Callable[[WaveProgress], WaveProgress],
+    change: Callable[[State, WaveProgress], WaveProgress],
 ) -> Result[State, Findings]:
     progress = state.waves.get(wave_id)
     if progress is None:
@@ -208,7 +209,7 @@
     if progress.status not in allowed:
         fault = f"wave {wave_id!r} is {progress.status.value}"
         return Failure((Finding(f"{place}.wave_id", fault),))
-    changed = change(progress)
+    changed = change(state, progress)
     return Success(replace(state, waves=with_entry(state.waves, wave_id, changed)))
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/maintenance_records.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/maintenance_records.py
@@ -106,6 +106,9 @@
             return True
         case StepStatus.DRAINING, StepStatus.DONE:
             return progress.wave.action is WaveAction.DRAIN
+        case StepStatus.DRAINING, StepStatus.WAITING:
+            # A stopped wave returns workers to service that it only drained.
+            return progress.status in (WaveStatus.PAUSED, WaveStatus.ABORTED)
         case StepStatus.MAINTAINING, StepStatus.DONE | StepStatus.FAILED:
             return True
         case _:
