--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/maintenance_patches.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/wave_operations.py
@@ -1,4 +1,4 @@
-"""How the operations on waves and moves are checked and applied.
+"""Operations on waves.
 
 Each function collects every finding under ``place``, such as
 ``operations[2]``, and returns either all of them or the changed state.
@@ -6,38 +6,27 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import replace
-from types import MappingProxyType
 
 from returns.result import Failure, Result, Success
 
 from cicadatrail_core.fold.availability import (
-    active_move_of,
-    active_wave_of,
     failed_in_wave,
-    may_bring_in,
-    may_give_away,
-    may_take_out,
     workers_of,
 )
-from cicadatrail_core.fold.maintenance_records import with_entry, with_move
-from cicadatrail_core.models.fleet import Worker
+from cicadatrail_core.fold.domains import grouped_by_domain, workers_by_place
+from cicadatrail_core.fold.maintenance_records import with_entry
 from cicadatrail_core.models.maintenance import (
-    DomainOrder,
-    Move,
-    MoveStatus,
     StepStatus,
     Wave,
     WaveProgress,
     WaveStatus,
 )
 from cicadatrail_core.models.patches import (
-    AbortMove,
     AbortWave,
     PauseWave,
     ResumeWave,
-    StartMove,
     StartWave,
 )
 from cicadatrail_core.models.state import State
@@ -46,9 +35,6 @@
 FINISHED_WAVES_KEPT_COUNT = 20
 """Number of finished waves that the state remembers."""
 
-FINISHED_MOVES_KEPT_COUNT = 200
-"""Number of finished moves that the state remembers."""
-
 HOURS_PER_DAY = 24
 
 
@@ -111,37 +97,6 @@
         seen.add(worker_id)
 
 
-def domain_of(worker: Worker, order: DomainOrder) -> tuple[str, ...]:
-    """Return the failure domain of a worker, at the level that ``order`` names."""
-    place = worker.place
-    match order:
-        case DomainOrder.RACK:
-            return (place.region, place.data_centre, place.rack)
-        case DomainOrder.DATA_CENTRE:
-            return (place.region, place.data_centre)
-
-
-def workers_by_place(state: State, pool_id: str) -> tuple[str, ...]:
-    """Return the pool's workers sorted by data centre, rack and id."""
-    return tuple(
-        sorted(
-            workers_of(state, pool_id),
-            key=lambda w: (*domain_of(state.workers[w], DomainOrder.RACK), w),
-        )
-    )
-
-
-def grouped_by_domain(
-    state: State, worker_ids: Iterable[str], order: DomainOrder
-) -> tuple[str, ...]:
-    """Return the workers with each domain together, the first named first."""
-    domains: dict[tuple[str, ...], list[str]] = {}
-    for worker_id in worker_ids:
-        domain = domain_of(state.workers[worker_id], order)
-        domains.setdefault(domain, []).append(worker_id)
-    return tuple(worker_id for group in domains.values() for worker_id in group)
-
-
 def _without_oldest_finished_waves(state: State) -> Mapping[str, WaveProgress]:
     active_statuses = {StepStatus.DRAINING, StepStatus.MAINTAINING}
     finished = [
@@ -211,90 +166,3 @@
         return Failure((Finding(f"{place}.wave_id", fault),))
     changed = change(state, progress)
     return Success(replace(state, waves=with_entry(state.waves, wave_id, changed)))
-
-
-def start_move(
-    state: State, operation: StartMove, place: str
-) -> Result[State, Findings]:
-    """Start to drain a worker that changes pool once it runs nothing."""
-    findings = tuple(_move_findings(state, operation, place))
-    findings = findings or tuple(_move_budget_findings(state, operation, place))
-    if findings:
-        return Failure(findings)
-    move = Move(
-        move_id=operation.move_id,
-        worker_id=operation.worker_id,
-        from_pool_id=operation.from_pool_id,
-        to_pool_id=operation.to_pool_id,
-    )
-    kept = replace(state, moves=_without_oldest_finished_moves(state))
-    return Success(replace(state, moves=with_move(kept, move)))
-
-
-def _move_findings(state: State, operation: StartMove, place: str) -> Iterator[Finding]:
-    worker_id = operation.worker_id
-    if not operation.move_id:
-        yield Finding(f"{place}.move_id", "must not be empty")
-    if operation.move_id in state.moves:
-        yield Finding(f"{place}.move_id", f"move {operation.move_id!r} exists already")
-    for field, pool_id in (
-        ("from_pool_id", operation.from_pool_id),
-        ("to_pool_id", operation.to_pool_id),
-    ):
-        if pool_id not in state.pools:
-            yield Finding(f"{place}.{field}", f"there is no pool {pool_id!r}")
-    if operation.from_pool_id == operation.to_pool_id:
-        yield Finding(f"{place}.to_pool_id", "must differ from from_pool_id")
-    if worker_id not in state.workers:
-        yield Finding(f"{place}.worker_id", f"there is no worker {worker_id!r}")
-        return
-    if state.pool_of.get(worker_id) != operation.from_pool_id:
-        fault = f"worker {worker_id!r} is in pool {state.pool_of.get(worker_id)!r}"
-        yield Finding(f"{place}.from_pool_id", fault)
-    if moving := active_move_of(state, worker_id):
-        fault = f"worker {worker_id!r} is in move {moving.move_id!r}"
-        yield Finding(f"{place}.worker_id", fault)
-    if progress := active_wave_of(state, worker_id):
-        fault = f"worker {worker_id!r} is in wave {progress.wave.wave_id!r}"
-        yield Finding(f"{place}.worker_id", fault)
-
-
-def _move_budget_findings(
-    state: State, operation: StartMove, place: str
-) -> Iterator[Finding]:
-    giving, receiving = operation.from_pool_id, operation.to_pool_id
-    if not may_take_out(state, operation.worker_id):
-        fault = f"a service of pool {giving!r} has no budget left"
-        yield Finding(f"{place}.from_pool_id", fault)
-    if not may_give_away(state, giving):
-        fault = f"pool {giving!r} would be left with no more workers than its budget"
-        yield Finding(f"{place}.from_pool_id", fault)
-    if not may_bring_in(state, operation.worker_id, receiving):
-        fault = f"a service of pool {receiving!r} has no budget for a worker that fails"
-        yield Finding(f"{place}.to_pool_id", fault)
-
-
-def _without_oldest_finished_moves(state: State) -> Mapping[str, Move]:
-    finished = [
-        move_id
-        for move_id, move in state.moves.items()
-        if move.status is not MoveStatus.DRAINING
-    ]
-    dropped = set(finished[: max(0, len(finished) - FINISHED_MOVES_KEPT_COUNT)])
-    kept = {key: value for key, value in state.moves.items() if key not in dropped}
-    return MappingProxyType(kept)
-
-
-def abort_move(
-    state: State, operation: AbortMove, place: str
-) -> Result[State, Findings]:
-    """Abort a draining move; the worker stays in its pool."""
-    move = state.moves.get(operation.move_id)
-    if move is None:
-        fault = f"there is no move {operation.move_id!r}"
-        return Failure((Finding(f"{place}.move_id", fault),))
-    if move.status is not MoveStatus.DRAINING:
-        fault = f"move {operation.move_id!r} is {move.status.value}"
-        return Failure((Finding(f"{place}.move_id", fault),))
-    aborted = replace(move, status=MoveStatus.ABORTED)
-    return Success(replace(state, moves=with_move(state, aborted)))
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/moves/buffers.py
@@ -0,0 +1,64 @@
+"""How many spare workers cover the loss of the largest failure domain."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+
+from cicadatrail_core.fold.availability import all_unavailable
+from cicadatrail_core.fold.domains import domain_of
+from cicadatrail_core.models.maintenance import DomainOrder, MoveStatus
+from cicadatrail_core.models.state import State
+
+Domain = tuple[str, ...]
+
+
+def expected_pools(state: State) -> dict[str, str]:
+    """Return the pool of each serving worker once the moves under way are done."""
+    unavailable = all_unavailable(state)
+    pool_of = {w: p for w, p in state.pool_of.items() if w not in unavailable}
+    for move in state.moves.values():
+        if move.status is not MoveStatus.DRAINING:
+            continue
+        if move.worker_id not in state.conditions:
+            pool_of[move.worker_id] = move.to_pool_id
+    return pool_of
+
+
+def serving_counts(pool_of: Mapping[str, str]) -> Counter[str]:
+    """Return the number of workers of each pool."""
+    return Counter(pool_of.values())
+
+
+def loss_buffer_count(
+    state: State,
+    pool_of: Mapping[str, str],
+    needed: Mapping[str, int],
+    order: DomainOrder,
+) -> int:
+    """Return how many workers of the spare pool the worst loss would call for.
+
+    One domain is lost at a time, so that all pools share one buffer: it is the
+    largest sum, over the domains, of what the pools would lack. A domain that
+    is lost already is met from the buffer, so that no further one is reserved.
+
+    Source: Meta's RAS shares buffers against correlated failure this way.
+    """
+    counts = serving_counts(pool_of)
+    lost: dict[Domain, Counter[str]] = {}
+    for worker_id, worker in state.workers.items():
+        members = lost.setdefault(domain_of(worker, order), Counter())
+        if worker_id in pool_of:
+            members[pool_of[worker_id]] += 1
+    if any(not members for members in lost.values()):
+        return 0
+    return max((_lack(members, counts, needed) for members in lost.values()), default=0)
+
+
+def _lack(
+    lost: Mapping[str, int], counts: Mapping[str, int], needed: Mapping[str, int]
+) -> int:
+    return sum(
+        max(0, needed.get(pool_id, 0) - (counts.get(pool_id, 0) - lost_count))
+        for pool_id, lost_count in lost.items()
+    )
--- a/packages/cicadatrail-core/src/cicadatrail_core/waves/planner.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/waves/planner.py
@@ -26,7 +26,7 @@
     ACTIVE_STEPS,
     failed_in_wave,
 )
-from cicadatrail_core.fold.maintenance_patches import domain_of
+from cicadatrail_core.fold.domains import domain_of
 from cicadatrail_core.models.maintenance import (
     DomainOrder,
     StepStatus,
