--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/apply.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/apply.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import msgpack
 from returns.result import Failure, Result, Success
@@ -11,19 +11,34 @@
 from cicadatrail_core.fold.patches import apply_patch
 from cicadatrail_core.models import records
 from cicadatrail_core.models.records import RECORD_FORMAT, Record
+from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import State
 from cicadatrail_core.utils import codec
 from cicadatrail_core.utils.findings import Finding, Findings
 
 
-def encode_record(record: Record) -> bytes:
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """Hold a record with its writer and the writer's own sequence number.
+
+    An append whose answer was lost is sent again; the sequence number lets
+    the fold drop what it has applied already.
+    """
+
+    writer: IncarnationId
+    sequence: int
+    record: Record
+
+
+def encode_record(envelope: Envelope) -> bytes:
     """Return a record as the log keeps it, with the format that it needs."""
-    body = codec.to_map(record, Record)
-    packed: bytes = msgpack.packb([RECORD_FORMAT, body], use_bin_type=True)
+    body = codec.to_map(envelope.record, Record)
+    frame = [RECORD_FORMAT, envelope.writer, envelope.sequence, body]
+    packed: bytes = msgpack.packb(frame, use_bin_type=True)
     return packed
 
 
-def decode_record(payload: bytes) -> Result[Record, Findings]:
+def decode_record(payload: bytes) -> Result[Envelope, Findings]:
     """Read a record; one of a newer format or unknown type is a finding."""
     if len(payload) > codec.MAX_MESSAGE_BYTES:
         return Failure((Finding("$", "is too long"),))
@@ -32,11 +47,14 @@
     except (ValueError, msgpack.exceptions.UnpackException, RecursionError) as error:
         return Failure((Finding("$", f"is not msgpack ({error})"),))
     match frame:
-        case [int(record_format), body] if record_format == RECORD_FORMAT:
-            return codec.from_map(body, Record)
-        case [int(record_format), _]:
+        case [int(record_format), *_] if record_format != RECORD_FORMAT:
             return Failure((Finding("$[0]", f"format {record_format} is unknown"),))
-    return Failure((Finding("$", "is no pair of format and record"),))
+        case [_, str(writer), int(sequence), body]:
+            read: Result[Record, Findings] = codec.from_map(body, Record)
+            return read.map(
+                lambda record: Envelope(IncarnationId(writer), sequence, record)
+            )
+    return Failure((Finding("$", "is no record"),))
 
 
 def fold_payload(state: State, offset: int, payload: bytes) -> State:
@@ -45,12 +63,27 @@
     Every instance skips the same ones, so that all reach the same state.
     """
     match decode_record(payload):
-        case Success(record):
-            return fold_record(state, offset, record)
+        case Success(envelope):
+            return _fold_envelope(state, offset, envelope)
     count = state.unreadable_count + 1
     return replace(state, next_offset=offset + 1, unreadable_count=count)
 
 
+def _fold_envelope(state: State, offset: int, envelope: Envelope) -> State:
+    """Fold a record unless its writer's sequence shows that it was folded."""
+    newest = state.writer_sequences.get(envelope.writer, 0)
+    if envelope.sequence <= newest:
+        return replace(state, next_offset=offset + 1)
+    changed = fold_record(state, offset, envelope.record)
+    sequences = {
+        writer: sequence
+        for writer, sequence in changed.writer_sequences.items()
+        if writer in changed.roster
+    }
+    sequences[envelope.writer] = envelope.sequence
+    return replace(changed, writer_sequences=sequences)
+
+
 def fold_record(state: State, offset: int, record: Record) -> State:
     """Apply a record at its offset; a record that is not valid changes nothing.
 
@@ -94,4 +127,13 @@
         case records.MoveDrainedRecord():
             return maintenance.apply_move_drained(state, record)
         case records.SnapshotRecord():
-            return state
+            return _note_snapshot(state, record)
+
+
+def _note_snapshot(state: State, record: records.SnapshotRecord) -> State:
+    """Note the newest snapshot whose last part is in the log."""
+    if record.part != record.part_count - 1:
+        return state
+    if not state.snapshot_offset < record.offset <= state.next_offset:
+        return state
+    return replace(state, snapshot_offset=record.offset)
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/fleet_operations.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/fleet_operations.py
@@ -56,9 +56,7 @@
         findings.append(Finding(f"{place}.pool_id", "a service still uses the pool"))
     if any(_is_target(move, pool_id) for move in state.moves.values()):
         findings.append(Finding(f"{place}.pool_id", "a worker is moving to the pool"))
-    return _result(
-        replace(state, pools=without_entry(state.pools, pool_id)), findings
-    )
+    return _result(replace(state, pools=without_entry(state.pools, pool_id)), findings)
 
 
 def put_service(state: State, operation: patches.PutService, place: str) -> Folded:
@@ -172,9 +170,7 @@
     worker = operation.worker
     at = f"{place}.worker"
     findings = _check_name(worker.worker_id, f"{at}.worker_id")
-    findings += _check_known(
-        state.pools, operation.pool_id, f"{place}.pool_id", "pool"
-    )
+    findings += _check_known(state.pools, operation.pool_id, f"{place}.pool_id", "pool")
     if worker.worker_id in state.workers:
         findings.append(Finding(f"{at}.worker_id", "is in the fleet already"))
     if not 0 < worker.port < 65536:
@@ -192,9 +188,7 @@
     return _result(changed, findings)
 
 
-def remove_worker(
-    state: State, operation: patches.RemoveWorker, place: str
-) -> Folded:
+def remove_worker(state: State, operation: patches.RemoveWorker, place: str) -> Folded:
     """Remove a worker that no move and no wave has begun on."""
     worker_id = operation.worker_id
     at = f"{place}.worker_id"
@@ -240,9 +234,7 @@
 
 def _is_in_open_wave(state: State, worker_id: str) -> bool:
     """Tell whether a wave has yet to finish with the worker."""
-    return any(
-        _has_open_step(progress, worker_id) for progress in state.waves.values()
-    )
+    return any(_has_open_step(progress, worker_id) for progress in state.waves.values())
 
 
 def _has_open_step(progress: WaveProgress, worker_id: str) -> bool:
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/state.py
@@ -75,7 +75,9 @@
     are found in ``waves`` and ``moves``; see ``fold.availability``.
     ``slots`` maps a team to the slots of each holder. ``roster_changes``
     reaches back to the oldest last pulse of any member. ``verdicts`` and
-    ``history`` keep the newest entries only.
+    ``history`` keep the newest entries only. ``writer_sequences`` holds the
+    newest sequence number folded from each member, ``snapshot_offset`` the
+    offset of the newest whole snapshot in the log.
     """
 
     next_offset: int = 0
@@ -103,3 +105,7 @@
     verdicts: Mapping[str, Accepted | Refused] = field(default_factory=_empty)
     history: tuple[HistoryEntry, ...] = ()
     unreadable_count: int = 0
+    writer_sequences: Mapping[IncarnationId, int] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
+    snapshot_offset: int = 0
--- a/packages/cicadatrail-core/src/cicadatrail_core/utils/codec.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/utils/codec.py
@@ -16,7 +16,7 @@
 from cattrs.strategies import configure_tagged_union
 from returns.result import Failure, Result, Success
 
-from cicadatrail_core.models.patches import Operation, Verdict
+from cicadatrail_core.models.patches import Accepted, Operation, Refused, Verdict
 from cicadatrail_core.models.records import Record
 from cicadatrail_core.models.rights import Right
 from cicadatrail_core.utils.findings import Finding, Findings
@@ -26,7 +26,7 @@
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 """Largest coded message or record that is decoded, in bytes."""
 
-_UNIONS: tuple[Any, ...] = (Right, Operation, Verdict, Record)
+_UNIONS: tuple[Any, ...] = (Right, Operation, Verdict, Accepted | Refused, Record)
 
 
 def kebab_case(name: str) -> str:
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/instance_list_client.py
@@ -0,0 +1,35 @@
+"""Client of the platform's instance list, over HTTP with JSON."""
+
+from __future__ import annotations
+
+from returns.result import Result
+
+from cicadatrail_core.models.platform import ListedInstance, PlatformError
+from cicadatraild.network.http_client import Address, ConnectionPool
+from cicadatraild.platform.json_calls import call_json
+
+TIMEOUT_S = 2.0
+"""Time that one poll of the list may take."""
+
+
+class HttpInstanceList:
+    """Ask for the list; see ``models.platform.InstanceList``."""
+
+    __slots__ = ("_address", "_pool")
+
+    def __init__(self, pool: ConnectionPool, address: Address) -> None:
+        self._pool = pool
+        self._address = address
+
+    async def list_instances(
+        self,
+    ) -> Result[tuple[ListedInstance, ...], PlatformError]:
+        """Return the list; it lags behind the truth."""
+        return await call_json(
+            self._pool,
+            self._address,
+            "GET",
+            "/instances",
+            tuple[ListedInstance, ...],
+            TIMEOUT_S,
+        )
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/maintenance_client.py
@@ -0,0 +1,51 @@
+"""Client of the platform's reboots and replacements, over HTTP with JSON."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from returns.result import Result
+
+from cicadatrail_core.models.maintenance import WaveAction
+from cicadatrail_core.models.platform import MaintenanceStatus, PlatformError
+from cicadatraild.network.http_client import Address, ConnectionPool
+from cicadatraild.platform.json_calls import call_json
+
+TIMEOUT_S = 2.0
+"""Time that one call of the maintenance service may take."""
+
+
+@dataclass(frozen=True, slots=True)
+class JobStatus:
+    """State how a maintenance job stands."""
+
+    status: MaintenanceStatus
+
+
+class HttpMaintenance:
+    """Reboot and replace instances; see ``models.platform.Maintenance``."""
+
+    __slots__ = ("_address", "_pool")
+
+    def __init__(self, pool: ConnectionPool, address: Address) -> None:
+        self._pool = pool
+        self._address = address
+
+    async def begin(
+        self, worker_id: str, action: WaveAction, job_id: str
+    ) -> Result[None, PlatformError]:
+        """Begin an action; repeating the same ``job_id`` is idempotent."""
+        target = f"/jobs/{worker_id}/{job_id}/{action.value}"
+        return await call_json(
+            self._pool, self._address, "POST", target, None, TIMEOUT_S
+        )
+
+    async def status(
+        self, worker_id: str, job_id: str
+    ) -> Result[MaintenanceStatus, PlatformError]:
+        """Return how a job stands."""
+        target = f"/jobs/{worker_id}/{job_id}"
+        read: Result[JobStatus, PlatformError] = await call_json(
+            self._pool, self._address, "GET", target, JobStatus, TIMEOUT_S
+        )
+        return read.map(lambda found: found.status)
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/worker_client.py
@@ -0,0 +1,77 @@
+"""Client of the control interface of workers, over HTTP with JSON."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from returns.result import Result
+
+from cicadatrail_core.models.fleet import Worker
+from cicadatrail_core.models.platform import PlatformError, TaskControl
+from cicadatrail_core.models.resources import Resources
+from cicadatrail_core.models.usage import TaskUsage, UsageReport
+from cicadatraild.network.http_client import Address, ConnectionPool
+from cicadatraild.platform.json_calls import call_json
+
+TIMEOUT_S = 2.0
+"""Time that one call of a worker's control interface may take."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedTask:
+    """Describe one running task as its worker reports it."""
+
+    task_id: str
+    holder: str
+    used: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerReport:
+    """Hold a worker's report, ``age_s`` old when it was sent."""
+
+    worker_id: str
+    age_s: float
+    leaving: bool
+    tasks: tuple[ReportedTask, ...]
+
+
+class HttpWorkerControl:
+    """Ask workers and act on tasks; see ``models.platform.WorkerControl``."""
+
+    __slots__ = ("_pool",)
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self._pool = pool
+
+    async def read_report(self, worker: Worker) -> Result[WorkerReport, PlatformError]:
+        """Return the worker's latest report with the holders of its tasks."""
+        return await call_json(
+            self._pool,
+            Address(worker.host, worker.port),
+            "GET",
+            "/_tasks",
+            WorkerReport,
+            TIMEOUT_S,
+        )
+
+    async def report(self, worker: Worker) -> Result[UsageReport, PlatformError]:
+        """Return the worker's latest usage report; it lags."""
+        read = await self.read_report(worker)
+        now_s = asyncio.get_running_loop().time()
+        return read.map(lambda found: usage_report(found, now_s))
+
+    async def control(
+        self, worker: Worker, task_id: str, action: TaskControl
+    ) -> Result[None, PlatformError]:
+        """Throttle, checkpoint or stop a task."""
+        target = f"/_tasks/{task_id}/{action.value}"
+        address = Address(worker.host, worker.port)
+        return await call_json(self._pool, address, "POST", target, None, TIMEOUT_S)
+
+
+def usage_report(found: WorkerReport, now_s: float) -> UsageReport:
+    """Return what a worker's report says of usage, on this loop's clock."""
+    tasks = tuple(TaskUsage(task.task_id, task.used) for task in found.tasks)
+    return UsageReport(found.worker_id, now_s - found.age_s, tasks)
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
@@ -0,0 +1,177 @@
+"""Follows the log and keeps the folded state of this instance."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections import deque
+from collections.abc import Callable
+
+from returns.result import Failure, Success
+
+from cicadatrail_core.fold.apply import decode_record, fold_payload
+from cicadatrail_core.fold.snapshots import SnapshotAssembler
+from cicadatrail_core.models.platform import LogPage, LogService
+from cicadatrail_core.models.records import SnapshotRecord
+from cicadatrail_core.models.state import State
+from cicadatraild.sharing.backoff import Backoff
+
+logger = logging.getLogger("cicadatrail.replica")
+
+READ_LIMIT_COUNT = 2_000
+"""Records asked for in one read."""
+
+READ_WAIT_S = 1.0
+"""Time that a read may wait for the first record."""
+
+TAIL_LIMIT_COUNT = 5_000
+"""Newest records kept to give to peers that can't read the log."""
+
+JOIN_SPAN_COUNT = 50_000
+"""Records before the tail in which a snapshot is looked for first."""
+
+BACKOFF_BASE_S = 0.05
+BACKOFF_LIMIT_S = 1.0
+
+Listener = Callable[[State], None]
+
+
+class Replica:
+    """Fold the log's records in order and tell listeners of each new state.
+
+    ``next_offset`` never falls: a page or snapshot that is older than the
+    state is passed over.
+    """
+
+    __slots__ = (
+        "_backoff",
+        "_listeners",
+        "_log",
+        "_tail",
+        "failing_since_s",
+        "folded_count",
+        "state",
+    )
+
+    def __init__(self, log: LogService, random_source: random.Random) -> None:
+        self._log = log
+        self._listeners: list[Listener] = []
+        self._tail: deque[tuple[int, bytes]] = deque(maxlen=TAIL_LIMIT_COUNT)
+        self._backoff = Backoff(BACKOFF_BASE_S, BACKOFF_LIMIT_S, random_source)
+        self.state = State()
+        self.folded_count = 0
+        self.failing_since_s: float | None = None
+
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener`` with the state after each change."""
+        self._listeners.append(listener)
+
+    def records_from(self, offset: int, limit_count: int) -> tuple[bytes, ...] | None:
+        """Return kept records from an offset; None when they are not all kept."""
+        if not self._tail or offset < self._tail[0][0]:
+            return None
+        start = offset - self._tail[0][0]
+        stop = min(len(self._tail), start + limit_count)
+        return tuple(self._tail[index][1] for index in range(start, stop))
+
+    def take_records(self, from_offset: int, payloads: tuple[bytes, ...]) -> None:
+        """Fold records from the log or a peer; those known are passed over."""
+        state = self.state
+        for offset, payload in enumerate(payloads, from_offset):
+            if offset != state.next_offset:
+                continue
+            state = fold_payload(state, offset, payload)
+            self._tail.append((offset, payload))
+            self.folded_count += 1
+        self._publish(state)
+
+    def take_snapshot(self, state: State) -> None:
+        """Adopt a newer state from a snapshot; an older one is passed over."""
+        if state.next_offset <= self.state.next_offset:
+            return
+        self._tail.clear()
+        self._publish(state)
+
+    async def run(self) -> None:
+        """Follow the log until cancelled."""
+        while True:
+            answer = await self._log.read(
+                self.state.next_offset, READ_LIMIT_COUNT, READ_WAIT_S
+            )
+            match answer:
+                case Success(page):
+                    self._note_success()
+                    await self._take_page(page)
+                case Failure(error):
+                    self._note_failure(error.reason)
+                    await asyncio.sleep(self._backoff.next_delay_s())
+
+    async def _take_page(self, page: LogPage) -> None:
+        behind_count = page.next_offset - self.state.next_offset
+        expired = page.first_offset > self.state.next_offset
+        if expired or behind_count > 2 * JOIN_SPAN_COUNT:
+            await self._catch_up(page.first_offset, page.next_offset)
+            return
+        self.take_records(page.from_offset, page.payloads)
+        # Lets callers' requests run between pages of a long log.
+        await asyncio.sleep(0)
+
+    async def _catch_up(self, first_offset: int, next_offset: int) -> None:
+        """Look for the newest snapshot, further back each time."""
+        span_count = JOIN_SPAN_COUNT
+        while True:
+            start = max(first_offset, next_offset - span_count)
+            found = await self._scan(start, next_offset)
+            if found is not None:
+                self.take_snapshot(found)
+                return
+            if start == first_offset:
+                logger.error("replica: the log holds no snapshot. Joining waits.")
+                await asyncio.sleep(READ_WAIT_S)
+                return
+            span_count *= 4
+
+    async def _scan(self, start: int, end: int) -> State | None:
+        """Return the newest whole snapshot between two offsets."""
+        assembler = SnapshotAssembler()
+        offset = start
+        while offset < end:
+            answer = await self._log.read(offset, READ_LIMIT_COUNT, 0.0)
+            if not isinstance(answer, Success):
+                self._note_failure(answer.failure().reason)
+                return assembler.newest
+            page = answer.unwrap()
+            if not page.payloads:
+                break
+            _collect_snapshots(assembler, page.payloads)
+            offset = page.from_offset + len(page.payloads)
+            await asyncio.sleep(0)
+        return assembler.newest
+
+    def _publish(self, state: State) -> None:
+        if state is self.state:
+            return
+        self.state = state
+        for listener in self._listeners:
+            listener(state)
+
+    def _note_success(self) -> None:
+        self._backoff.reset()
+        if self.failing_since_s is not None:
+            logger.info("replica: the log can be read again.")
+        self.failing_since_s = None
+
+    def _note_failure(self, reason: str) -> None:
+        if self.failing_since_s is None:
+            logger.warning("replica: reading the log failed: %s.", reason)
+            self.failing_since_s = asyncio.get_running_loop().time()
+
+
+def _collect_snapshots(
+    assembler: SnapshotAssembler, payloads: tuple[bytes, ...]
+) -> None:
+    for payload in payloads:
+        match decode_record(payload):
+            case Success(envelope) if isinstance(envelope.record, SnapshotRecord):
+                assembler.take(envelope.record)
