--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/holdings.py
@@ -0,0 +1,254 @@
+"""Who holds which right: what is unheld, what may be spent, how it changes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+from types import MappingProxyType
+from typing import assert_never
+
+from cicadatrail_core.models.rights import (
+    PARTITION_COUNT,
+    IncarnationId,
+    PartitionRight,
+    Right,
+    SlotRight,
+    WorkerRight,
+)
+from cicadatrail_core.models.state import State
+
+
+def unheld_slots(state: State, team_id: str) -> int:
+    """Return how many slots of a team nobody holds; 0 for an unknown team."""
+    team = state.teams.get(team_id)
+    if team is None:
+        return 0
+    held_count = sum(state.slots.get(team_id, {}).values())
+    return max(0, team.upper_limit_tasks - held_count)
+
+
+def unheld_rights(state: State) -> tuple[Right, ...]:
+    """Return every right that nobody holds, in a fixed order."""
+    return tuple(_iterate_unheld(state))
+
+
+def _iterate_unheld(state: State) -> Iterator[Right]:
+    for worker_id in sorted(state.workers):
+        if worker_id not in state.worker_holders:
+            yield WorkerRight(worker_id)
+    for team_id in sorted(state.teams):
+        slot_count = unheld_slots(state, team_id)
+        if slot_count > 0:
+            yield SlotRight(team_id, slot_count)
+    for partition in range(PARTITION_COUNT):
+        if partition not in state.partition_holders:
+            yield PartitionRight(partition)
+
+
+def rights_of(state: State, incarnation: IncarnationId) -> tuple[Right, ...]:
+    """Return what an incarnation holds, that of removed things included."""
+    return tuple(_iterate_rights_of(state, incarnation))
+
+
+def _iterate_rights_of(state: State, incarnation: IncarnationId) -> Iterator[Right]:
+    for worker_id, holder in sorted(state.worker_holders.items()):
+        if holder == incarnation:
+            yield WorkerRight(worker_id)
+    for team_id, slots in sorted(state.slots.items()):
+        if incarnation in slots:
+            yield SlotRight(team_id, slots[incarnation])
+    for partition, holder in sorted(state.partition_holders.items()):
+        if holder == incarnation:
+            yield PartitionRight(partition)
+
+
+def allowance(state: State, team_id: str, incarnation: IncarnationId) -> int:
+    """Return how many tasks of a team a holder may run by this state.
+
+    A holder keeps the slots that a lowered limit no longer covers, and they
+    stay charged, until it releases them: it may not have folded the change
+    yet. Slots are numbered per holder from 0. In the order of number, then of
+    holder, the first ``upper_limit_tasks`` may be spent. A release takes the
+    highest numbers, so nobody's allowance grows by more than the releaser has
+    stopped using, also for holders that have folded different offsets.
+    """
+    team = state.teams.get(team_id)
+    slots = state.slots.get(team_id, {})
+    held_count = slots.get(incarnation, 0)
+    if team is None or held_count == 0:
+        return 0
+    limit = team.upper_limit_tasks
+    if sum(slots.values()) <= limit:
+        return held_count
+    level = _full_level(tuple(slots.values()), limit)
+    spent_count = sum(min(count, level) for count in slots.values())
+    if held_count <= level:
+        return held_count
+    higher = sorted(holder for holder, count in slots.items() if count > level)
+    has_extra = higher.index(incarnation) < limit - spent_count
+    return level + 1 if has_extra else level
+
+
+def _full_level(counts: tuple[int, ...], limit: int) -> int:
+    """Return the highest number of slots for each that the limit covers."""
+    low, high = 0, max(counts)
+    while low < high:
+        middle = (low + high + 1) // 2
+        if sum(min(count, middle) for count in counts) <= limit:
+            low = middle
+        else:
+            high = middle - 1
+    return low
+
+
+def obsolete_rights(state: State, incarnation: IncarnationId) -> tuple[Right, ...]:
+    """Return what a holder should release, once it has stopped using it.
+
+    These are rights on removed workers and teams, and slots that a lowered
+    limit no longer covers.
+    """
+    return tuple(_iterate_obsolete(state, incarnation))
+
+
+def _iterate_obsolete(state: State, incarnation: IncarnationId) -> Iterator[Right]:
+    for worker_id, holder in sorted(state.worker_holders.items()):
+        if holder == incarnation and worker_id not in state.workers:
+            yield WorkerRight(worker_id)
+    for team_id, slots in sorted(state.slots.items()):
+        held_count = slots.get(incarnation, 0)
+        excess_count = held_count - allowance(state, team_id, incarnation)
+        if excess_count > 0:
+            yield SlotRight(team_id, excess_count)
+
+
+def drop_rights_of_removed(state: State) -> State:
+    """Drop rights on removed workers and teams that no member holds.
+
+    What a member holds stays charged to it until it releases it: it may not
+    have folded the removal yet, and the same name may be created again.
+    """
+    workers = {
+        worker_id: holder
+        for worker_id, holder in state.worker_holders.items()
+        if worker_id in state.workers or holder in state.roster
+    }
+    slots = {
+        team_id: counts
+        for team_id, counts in state.slots.items()
+        if team_id in state.teams or any(holder in state.roster for holder in counts)
+    }
+    if len(workers) == len(state.worker_holders) and len(slots) == len(state.slots):
+        return state
+    return replace(
+        state,
+        worker_holders=MappingProxyType(workers),
+        slots=MappingProxyType(slots),
+    )
+
+
+class HoldingsEditor:
+    """Change the holders of rights in a copy of a state."""
+
+    __slots__ = ("_partitions", "_slots", "_state", "_workers")
+
+    def __init__(self, state: State) -> None:
+        self._state = state
+        self._workers = dict(state.worker_holders)
+        self._slots = {team: dict(counts) for team, counts in state.slots.items()}
+        self._partitions = dict(state.partition_holders)
+
+    def claim(self, taker: IncarnationId, right: Right) -> None:
+        """Give the right to the taker as far as nobody holds it."""
+        match right:
+            case WorkerRight(worker_id):
+                if worker_id in self._state.workers:
+                    self._workers.setdefault(worker_id, taker)
+            case SlotRight(team_id, slot_count):
+                unheld_count = self._limit(team_id) - self._held_count(team_id)
+                self._add(team_id, taker, min(slot_count, unheld_count))
+            case PartitionRight(partition):
+                if 0 <= partition < PARTITION_COUNT:
+                    self._partitions.setdefault(partition, taker)
+            case _:
+                assert_never(right)
+
+    def transfer(
+        self, giver: IncarnationId, taker: IncarnationId, right: Right
+    ) -> None:
+        """Move the right as far as the giver holds it.
+
+        Slots stay where they are while more are held than the limit covers:
+        moving them would raise the taker's allowance before the others have
+        folded that theirs fell.
+        """
+        match right:
+            case WorkerRight(worker_id):
+                if self._workers.get(worker_id) == giver:
+                    self._workers[worker_id] = taker
+            case SlotRight(team_id, slot_count):
+                if self._held_count(team_id) > self._limit(team_id):
+                    return
+                taken_count = self._take(team_id, giver, slot_count)
+                self._add(team_id, taker, taken_count)
+            case PartitionRight(partition):
+                if self._partitions.get(partition) == giver:
+                    self._partitions[partition] = taker
+            case _:
+                assert_never(right)
+
+    def release(self, holder: IncarnationId, right: Right) -> None:
+        """Take the right from the holder as far as it holds it."""
+        match right:
+            case WorkerRight(worker_id):
+                if self._workers.get(worker_id) == holder:
+                    del self._workers[worker_id]
+            case SlotRight(team_id, slot_count):
+                self._take(team_id, holder, slot_count)
+            case PartitionRight(partition):
+                if self._partitions.get(partition) == holder:
+                    del self._partitions[partition]
+            case _:
+                assert_never(right)
+
+    def release_all(self, holder: IncarnationId) -> None:
+        """Take every right from the holder."""
+        for right in rights_of(self._state, holder):
+            self.release(holder, right)
+
+    def finish(self) -> State:
+        """Return the changed state."""
+        slots = {
+            team: MappingProxyType(counts)
+            for team, counts in self._slots.items()
+            if counts
+        }
+        return replace(
+            self._state,
+            worker_holders=MappingProxyType(self._workers),
+            slots=MappingProxyType(slots),
+            partition_holders=MappingProxyType(self._partitions),
+        )
+
+    def _limit(self, team_id: str) -> int:
+        team = self._state.teams.get(team_id)
+        return 0 if team is None else team.upper_limit_tasks
+
+    def _held_count(self, team_id: str) -> int:
+        return sum(self._slots.get(team_id, {}).values())
+
+    def _add(self, team_id: str, holder: IncarnationId, slot_count: int) -> None:
+        if slot_count <= 0:
+            return
+        counts = self._slots.setdefault(team_id, {})
+        counts[holder] = counts.get(holder, 0) + slot_count
+
+    def _take(self, team_id: str, holder: IncarnationId, slot_count: int) -> int:
+        counts = self._slots.get(team_id, {})
+        held_count = counts.get(holder, 0)
+        taken_count = max(0, min(slot_count, held_count))
+        if taken_count == 0:
+            return 0
+        counts[holder] = held_count - taken_count
+        if counts[holder] == 0:
+            del counts[holder]
+        return taken_count
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/membership.py
@@ -0,0 +1,207 @@
+"""Fold the records about entry instances and the rights that they hold."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import replace
+from types import MappingProxyType
+
+from cicadatrail_core.fold.holdings import HoldingsEditor, drop_rights_of_removed
+from cicadatrail_core.models.records import (
+    ClaimRecord,
+    FreeRecord,
+    JoinRecord,
+    LeaveRecord,
+    PulseRecord,
+    ReleaseRecord,
+    RetireAckRecord,
+    RetireRecord,
+    TransferRecord,
+)
+from cicadatrail_core.models.rights import IncarnationId
+from cicadatrail_core.models.state import Member, RosterChange, State
+from cicadatrail_core.rights.quorum import quorum_met
+
+__all__ = [
+    "apply_claim",
+    "apply_free",
+    "apply_join",
+    "apply_leave",
+    "apply_pulse",
+    "apply_release",
+    "apply_retire",
+    "apply_retire_ack",
+    "apply_transfer",
+    "drop_rights_of_removed",
+]
+
+
+def apply_join(state: State, offset: int, record: JoinRecord) -> State:
+    """Enter an incarnation in the roster; a repeated join changes nothing."""
+    if record.incarnation in state.roster:
+        return state
+    member = Member(
+        incarnation=record.incarnation,
+        instance_id=record.instance_id,
+        host=record.host,
+        peer_port=record.peer_port,
+        place=record.place,
+        joined_offset=offset,
+        last_pulse_offset=offset,
+        folded_offset=offset,
+    )
+    joined = _with_member(state, member)
+    return _with_roster_change(joined, offset, member.place.region)
+
+
+def apply_pulse(state: State, offset: int, record: PulseRecord) -> State:
+    """Note a pulse; one behind a retire record for its writer is void."""
+    member = state.roster.get(record.incarnation)
+    if member is None or member.retire_offset is not None:
+        return state
+    folded_offset = max(member.folded_offset, min(record.folded_offset, offset))
+    pulsed = replace(member, last_pulse_offset=offset, folded_offset=folded_offset)
+    return _trimmed(_with_member(state, pulsed), member.place.region)
+
+
+def apply_leave(state: State, offset: int, record: LeaveRecord) -> State:
+    """Strike out an incarnation that stated itself to be gone."""
+    return _without_member(state, offset, record.incarnation)
+
+
+def apply_retire(state: State, offset: int, record: RetireRecord) -> State:
+    """Mark an incarnation as retired; only the first such record counts."""
+    member = state.roster.get(record.incarnation)
+    if member is None or member.retire_offset is not None:
+        return state
+    return _with_member(state, replace(member, retire_offset=offset))
+
+
+def apply_retire_ack(state: State, offset: int, record: RetireAckRecord) -> State:
+    """Note that a supporter's grants to a retired incarnation have lapsed."""
+    member = state.roster.get(record.incarnation)
+    if member is None or member.retire_offset is None:
+        return state
+    if record.supporter in member.acknowledged_by:
+        return state
+    acknowledged_by = (*member.acknowledged_by, record.supporter)
+    return _with_member(state, replace(member, acknowledged_by=acknowledged_by))
+
+
+def apply_free(state: State, offset: int, record: FreeRecord) -> State:
+    """Free a retired incarnation's rights where the log bears the claim out."""
+    if not quorum_met(state, record.incarnation, record.gone):
+        return state
+    return _without_member(state, offset, record.incarnation)
+
+
+def apply_claim(state: State, offset: int, record: ClaimRecord) -> State:
+    """Give a member those of the rights that nobody holds at this offset."""
+    if not _may_receive(state, record.incarnation):
+        return state
+    editor = HoldingsEditor(state)
+    for right in record.rights:
+        editor.claim(record.incarnation, right)
+    return editor.finish()
+
+
+def apply_transfer(state: State, offset: int, record: TransferRecord) -> State:
+    """Move those of the rights that the giver holds to a member of the roster.
+
+    A giver that was retired may still hand over: it has stopped using them.
+    """
+    numbered = _with_sequence(state, record.giver, record.sequence)
+    if numbered is None:
+        return state
+    if record.giver == record.taker or not _may_receive(state, record.taker):
+        return numbered
+    editor = HoldingsEditor(numbered)
+    for right in record.rights:
+        editor.transfer(record.giver, record.taker, right)
+    return editor.finish()
+
+
+def apply_release(state: State, offset: int, record: ReleaseRecord) -> State:
+    """Take those of the rights that the holder holds, so that nobody does."""
+    numbered = _with_sequence(state, record.incarnation, record.sequence)
+    if numbered is None:
+        return state
+    editor = HoldingsEditor(numbered)
+    for right in record.rights:
+        editor.release(record.incarnation, right)
+    return editor.finish()
+
+
+def _may_receive(state: State, incarnation: IncarnationId) -> bool:
+    member = state.roster.get(incarnation)
+    return member is not None and member.retire_offset is None
+
+
+def _with_sequence(
+    state: State, incarnation: IncarnationId, sequence: int
+) -> State | None:
+    """Note the sequence; none when the record was applied or overtaken."""
+    member = state.roster.get(incarnation)
+    if member is None or sequence <= member.rights_sequence:
+        return None
+    return _with_member(state, replace(member, rights_sequence=sequence))
+
+
+def _with_member(state: State, member: Member) -> State:
+    roster = {**state.roster, member.incarnation: member}
+    return replace(state, roster=MappingProxyType(roster))
+
+
+def _without_member(state: State, offset: int, incarnation: IncarnationId) -> State:
+    member = state.roster.get(incarnation)
+    if member is None:
+        return state
+    editor = HoldingsEditor(state)
+    editor.release_all(incarnation)
+    freed = editor.finish()
+    roster = {key: value for key, value in freed.roster.items() if key != incarnation}
+    left = replace(freed, roster=MappingProxyType(roster))
+    return _with_roster_change(left, offset, member.place.region)
+
+
+def _with_roster_change(state: State, offset: int, region: str) -> State:
+    members = tuple(sorted(_members_of(state.roster, region)))
+    change = RosterChange(offset=offset, region=region, members=members)
+    changed = replace(state, roster_changes=(*state.roster_changes, change))
+    return _trimmed(changed, region)
+
+
+def _members_of(
+    roster: Mapping[IncarnationId, Member], region: str
+) -> list[IncarnationId]:
+    return [key for key, member in roster.items() if member.place.region == region]
+
+
+def _trimmed(state: State, region: str) -> State:
+    """Drop the region's rosters that no member can judge its support by."""
+    folded_offsets = [
+        member.folded_offset
+        for member in state.roster.values()
+        if member.place.region == region
+    ]
+    if not folded_offsets:
+        return _without_region(state, region)
+    oldest_offset = min(folded_offsets)
+    started = [
+        change.offset
+        for change in state.roster_changes
+        if change.region == region and change.offset <= oldest_offset
+    ]
+    if len(started) < 2:
+        return state
+    kept = tuple(
+        change
+        for change in state.roster_changes
+        if change.region != region or change.offset >= started[-1]
+    )
+    return replace(state, roster_changes=kept)
+
+
+def _without_region(state: State, region: str) -> State:
+    kept = tuple(change for change in state.roster_changes if change.region != region)
+    return replace(state, roster_changes=kept)
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/records.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/records.py
@@ -33,10 +33,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PulseRecord:
-    """Prove to its own writer that it has read the log up to here."""
+    """Prove to its own writer that it has read the log up to here.
+
+    ``folded_offset`` is the ``next_offset`` of the state that the writer had
+    folded when it sent this. From then on the writer judges its support by the
+    roster of that offset or of a later one, never of an earlier one.
+    """
 
     incarnation: IncarnationId
     sequence: int
+    folded_offset: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,19 +90,28 @@
 
 @dataclass(frozen=True, slots=True)
 class TransferRecord:
-    """Hand rights over for good; the giver has stopped using them."""
+    """Hand rights over for good; the giver has stopped using them.
+
+    ``sequence`` numbers the transfers and releases of one incarnation, so that
+    a record appended twice (its answer was lost) is applied once.
+    """
 
     giver: IncarnationId
     taker: IncarnationId
     rights: tuple[Right, ...]
+    sequence: int
 
 
 @dataclass(frozen=True, slots=True)
 class ReleaseRecord:
-    """Give up rights; the holder has stopped using them."""
+    """Give up rights; the holder has stopped using them.
+
+    ``sequence`` is counted together with that of its transfers.
+    """
 
     incarnation: IncarnationId
     rights: tuple[Right, ...]
+    sequence: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/state.py
@@ -33,8 +33,10 @@
     """Describe an incarnation of an entry instance in the roster.
 
     ``last_pulse_offset`` is the offset of its newest pulse (its join counts
-    as one). ``retire_offset`` is the offset of the first retire record for it,
-    and ``acknowledged_by`` names who has acknowledged that record.
+    as one). ``folded_offset`` is the oldest offset whose roster it may still
+    judge its support by. ``retire_offset`` is the offset of the first retire
+    record for it, and ``acknowledged_by`` names who has acknowledged that
+    record. ``rights_sequence`` is that of its newest transfer or release.
     """
 
     incarnation: IncarnationId
@@ -44,8 +46,10 @@
     place: Place
     joined_offset: int
     last_pulse_offset: int
+    folded_offset: int
     retire_offset: int | None = None
     acknowledged_by: tuple[IncarnationId, ...] = ()
+    rights_sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,8 +78,8 @@
     ``conditions`` holds only workers that are not serving. Draining workers
     are found in ``waves`` and ``moves``; see ``fold.availability``.
     ``slots`` maps a team to the slots of each holder. ``roster_changes``
-    reaches back to the oldest last pulse of any member. ``verdicts`` and
-    ``history`` keep the newest entries only.
+    reaches back, region by region, to the oldest ``folded_offset`` of its
+    members. ``verdicts`` and ``history`` keep the newest entries only.
     """
 
     next_offset: int = 0
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/quorum.py
@@ -0,0 +1,78 @@
+"""The part of the rule for freeing rights that the log itself shows."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator
+
+from cicadatrail_core.models.rights import IncarnationId
+from cicadatrail_core.models.state import Member, State
+
+
+def support_needed(roster_size_count: int) -> int:
+    """Return how many other members must support a holder in this roster."""
+    return roster_size_count // 2
+
+
+def acknowledgements_needed(roster_size_count: int) -> int:
+    """Return how many others must have acknowledged a retire record.
+
+    Together with :func:`support_needed` this exceeds the number of other
+    members, so that no holder finds enough support beside them.
+    """
+    return roster_size_count - roster_size_count // 2
+
+
+def rosters_between(
+    state: State, region: str, start_offset: int, end_offset: int
+) -> Iterator[tuple[IncarnationId, ...]]:
+    """Yield each roster of ``region`` in force from start until end offset.
+
+    The roster in force at ``start_offset`` is the newest that is not later.
+    A change at ``end_offset`` itself is left out.
+    """
+    in_force: tuple[IncarnationId, ...] | None = None
+    for change in state.roster_changes:
+        if change.region != region or change.offset >= end_offset:
+            continue
+        if change.offset <= start_offset:
+            in_force = change.members
+            continue
+        if in_force is not None:
+            yield in_force
+            in_force = None
+        yield change.members
+    if in_force is not None:
+        yield in_force
+
+
+def quorum_met(
+    state: State, incarnation: IncarnationId, gone: Collection[IncarnationId]
+) -> bool:
+    """Tell whether the log shows that no roster can support the incarnation.
+
+    ``gone`` names those whose death was proven for longer than the support
+    time. The check covers every roster that the incarnation may have folded
+    last: from its ``folded_offset`` up to the retire record.
+    """
+    member = state.roster.get(incarnation)
+    if member is None or member.retire_offset is None:
+        return False
+    if incarnation in gone:
+        return True
+    return _every_roster_refuses(state, member, member.retire_offset, gone)
+
+
+def _every_roster_refuses(
+    state: State,
+    member: Member,
+    retire_offset: int,
+    gone: Collection[IncarnationId],
+) -> bool:
+    refusing = {*member.acknowledged_by, *gone} - {member.incarnation}
+    rosters = rosters_between(
+        state, member.place.region, member.folded_offset, retire_offset
+    )
+    for roster in rosters:
+        if len(refusing.intersection(roster)) < acknowledgements_needed(len(roster)):
+            return False
+    return True
