--- a/features/standins/log_store.py
+++ b/features/standins/log_store.py
@@ -6,6 +6,7 @@
 import json
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
+from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import msgpack
@@ -88,7 +89,7 @@
             case "POST", "/append":
                 payloads = msgpack.unpackb(await exchange.read_body())
                 result = await self._store.append(payloads)
-                answer = result.map(lambda offset: {"first_offset": offset})
+                answer: Result[Any, PlatformError] = result.map(_offset_map)
             case "GET", "/records":
                 query = {name: int(v[0]) for name, v in parse_qs(parts.query).items()}
                 page = await self._store.read(
@@ -110,6 +111,10 @@
                 await exchange.respond(503 if error.maybe_done else 429)
 
 
+def _offset_map(offset: int) -> dict[str, int]:
+    return {"first_offset": offset}
+
+
 def _page_map(page: LogPage) -> dict[str, object]:
     return {
         "from_offset": page.from_offset,
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/backoff.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/backoff.py
@@ -28,6 +28,6 @@
 
     def next_delay_s(self) -> float:
         """Return the next delay, at least a tenth of its upper bound."""
-        bound_s = min(self._limit_s, self._base_s * 2**self._attempt)
+        bound_s = min(self._limit_s, self._base_s * float(2**self._attempt))
         self._attempt = min(self._attempt + 1, 30)
         return bound_s * self._random.uniform(0.1, 1.0)
