--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/utils/keys.py
@@ -0,0 +1,77 @@
+"""Keys that callers show and the hashes that are kept of them.
+
+A key reads ``ct_<key id>_<secret>``, so that its entry is found by its id
+before anything is hashed. Only a salt and ``sha256(salt + key)`` are kept; the
+secret has 32 random bytes, so no slow hash is needed against guessing.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cicadatrail_core.models.fleet import Key
+
+SECRET_BYTES = 32
+"""Length of the random part of a key."""
+
+SALT_BYTES = 16
+"""Length of the salt that is hashed with a key."""
+
+KEY_ID_BYTES = 8
+"""Length of the random bytes behind a key id."""
+
+_KEY = re.compile(r"ct_([0-9a-zA-Z-]{1,64})_([0-9a-f]{64})")
+
+
+@dataclass(frozen=True, slots=True)
+class IssuedKey:
+    """Hold a new key, to be shown once, and the entry that is recorded."""
+
+    text: str = field(repr=False)
+    entry: Key
+
+
+def new_key(team_id: str, random_bytes: Callable[[int], bytes]) -> IssuedKey:
+    """Make a key for a team; ``random_bytes`` must be fit for secrets."""
+    key_id = random_bytes(KEY_ID_BYTES).hex()
+    text = f"ct_{key_id}_{random_bytes(SECRET_BYTES).hex()}"
+    salt = random_bytes(SALT_BYTES)
+    return IssuedKey(text, Key(key_id, team_id, salt.hex(), _hash_hex(salt, text)))
+
+
+def key_id_of(key: str) -> str | None:
+    """Return the id that a key carries, or None if it is no key at all."""
+    found = _KEY.fullmatch(key)
+    return found.group(1) if found else None
+
+
+def key_matches(key: str, entry: Key) -> bool:
+    """Tell, in constant time, whether ``key`` is the one behind ``entry``.
+
+    A withdrawn entry and one with an unreadable salt match nothing.
+    """
+    try:
+        salt = bytes.fromhex(entry.salt_hex)
+    except ValueError:
+        return False
+    same = hmac.compare_digest(
+        _hash_hex(salt, key).encode(), entry.hash_hex.lower().encode()
+    )
+    return same and not entry.withdrawn
+
+
+def token_matches(token: str, sha256_hex: str) -> bool:
+    """Tell, in constant time, whether ``token`` has the given plain hash.
+
+    Operators' tokens are random and long, and are kept in the settings.
+    """
+    hashed = hashlib.sha256(token.encode(errors="surrogatepass")).hexdigest()
+    return hmac.compare_digest(hashed.encode(), sha256_hex.lower().encode())
+
+
+def _hash_hex(salt: bytes, key: str) -> str:
+    return hashlib.sha256(salt + key.encode(errors="surrogatepass")).hexdigest()
