--- a/features/standins/__main__.py
+++ b/features/standins/__main__.py
@@ -32,12 +32,11 @@
         await HttpServer(name, handler, HttpLimits()).listen(stack, host, port)
 
 
-async def main() -> None:
-    plan = json.loads(Path(sys.argv[1]).read_text())
+async def main(plan: dict[str, Any]) -> None:
     async with AsyncExitStack() as stack:
         await serve(stack, plan)
         await asyncio.Event().wait()
 
 
 if __name__ == "__main__":
-    asyncio.run(main())
+    asyncio.run(main(json.loads(Path(sys.argv[1]).read_text())))
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/peer_messages.py
@@ -0,0 +1,191 @@
+"""Messages between entry instances, on control links and forward streams."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cicadatrail_core.models.requests import TaskRequest
+from cicadatrail_core.models.resources import Resources
+from cicadatrail_core.models.rights import IncarnationId
+
+
+@dataclass(frozen=True, slots=True)
+class PoolRoom:
+    """State the largest free room on one worker of a pool, and waiting work."""
+
+    pool_id: str
+    largest_free: Resources
+    waiting_urgent_count: int
+    waiting_count: int
+
+
+@dataclass(frozen=True, slots=True)
+class TeamUse:
+    """State what a team uses at one instance, and the slots left there."""
+
+    team_id: str
+    used: Resources
+    free_slot_count: int
+    waiting_count: int
+    running_count: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Digest:
+    """Tell peers about once a second what its sender runs and has room for."""
+
+    incarnation: IncarnationId
+    next_offset: int
+    version: int
+    pools: tuple[PoolRoom, ...]
+    teams: tuple[TeamUse, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FetchRecords:
+    """Ask a peer for records of the log, when the log can't be read."""
+
+    from_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Records:
+    """Carry records of the log; empty when the peer has no newer ones."""
+
+    from_offset: int
+    payloads: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FetchSnapshot:
+    """Ask a peer for its state, to join while the log is down."""
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Carry a state as ``fold.snapshots.dump_state`` codes it."""
+
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class IdQuery:
+    """Ask a partition's holder whether a request id was seen; marks it seen."""
+
+    scoped_id: str
+    partition: int
+
+
+@dataclass(frozen=True, slots=True)
+class IdAnswer:
+    """Answer an id query.
+
+    ``verdict`` is one of first, running, done, unknown, refused. A done one
+    carries the recorded answer where it was small enough to keep.
+    """
+
+    verdict: str
+    recorded: bytes | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class IdOutcome:
+    """Tell a partition's holder how a request ended."""
+
+    scoped_id: str
+    partition: int
+    not_run: bool
+    recorded: bytes | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """Acknowledge a message that needs no other answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardOpen:
+    """Ask a peer to reserve a place for a request; nothing runs yet."""
+
+    request: TaskRequest
+    remaining_s: float
+    traceparent: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Reserved:
+    """State that a place and a slot are kept until the request follows."""
+
+    worker_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotReserved:
+    """State that the peer has no place; nothing ran."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardGo:
+    """Let the reserved request run; its body follows."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Abandon:
+    """Give the reserved place back; nothing ran."""
+
+
+@dataclass(frozen=True, slots=True)
+class BodyChunk:
+    """Carry a part of a body."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class BodyEnd:
+    """End a body."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyHead:
+    """Carry the head of the upstream's response; its body follows."""
+
+    request_id: str
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyNotRun:
+    """State that the request did not run, and why."""
+
+    request_id: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyUnknown:
+    """State that the request may have run, and why that is not known."""
+
+    request_id: str
+    reason: str
+
+
+ForwardMessage = (
+    ForwardOpen
+    | Reserved
+    | NotReserved
+    | ForwardGo
+    | Abandon
+    | BodyChunk
+    | BodyEnd
+    | ReplyHead
+    | ReplyNotRun
+    | ReplyUnknown
+)
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
@@ -141,10 +141,14 @@
                 raise ClientError(ClientFault.TRUNCATED, "the server closed")
             yield bytes(event.data)
 
-    @property
     def server_closes(self) -> bool:
-        """Tell whether the server said that it closes the connection."""
-        return self._transport.http.their_state is h11.MUST_CLOSE
+        """Tell whether the response says that the server closes."""
+        if self.response is None:
+            return False
+        return any(
+            name == b"connection" and b"close" in value.lower()
+            for name, value in self.response.headers
+        )
 
     def abort(self) -> None:
         """Drop the connection; harmless after the end of the exchange."""
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/network/peer_client.py
@@ -0,0 +1,275 @@
+"""Opens links to peers: one control link each, and pooled forward streams."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from cicadatrail_core.models.rights import IncarnationId
+from cicadatrail_core.utils import codec
+from cicadatraild.network.frames import FrameError, FrameStream, greet_as_client
+from cicadatraild.network.http_client import Address
+from cicadatraild.network.peer_server import CONTROL, FORWARD
+
+logger = logging.getLogger("cicadatrail.peer")
+
+CONNECT_TIMEOUT_S = 1.0
+"""Time for connecting and greeting."""
+
+UNSENT_LIMIT_BYTES = 1024 * 1024
+"""Unsent bytes after which messages to a slow peer are dropped."""
+
+IDLE_STREAM_COUNT = 64
+"""Idle forward streams kept per peer."""
+
+
+class LinkFault(Enum):
+    """Say why a link could not be opened or a call was not answered."""
+
+    REFUSED = "refused"
+    """The address refuses connections: no process listens there."""
+
+    OTHER_INCARNATION = "other-incarnation"
+    """Another incarnation answers at the address."""
+
+    SILENT = "silent"
+    """No answer came in time, or the link broke."""
+
+
+@dataclass(frozen=True, slots=True)
+class LinkError:
+    """Report a failed call to a peer."""
+
+    fault: LinkFault
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class LinkSettings:
+    """Hold what all links of an instance share."""
+
+    own_name: IncarnationId
+    cluster_key: bytes
+    limit_bytes: int
+    message_type: Any
+
+
+class PeerLink:
+    """Keep one control link to one incarnation and match answers to calls."""
+
+    __slots__ = (
+        "_calls",
+        "_connecting",
+        "_idle_streams",
+        "_next_call_id",
+        "_reader_task",
+        "_settings",
+        "_stream",
+        "address",
+        "message_count",
+        "name",
+        "on_fault",
+        "sent_bytes",
+    )
+
+    def __init__(
+        self,
+        name: IncarnationId,
+        address: Address,
+        settings: LinkSettings,
+        on_fault: Callable[[IncarnationId, LinkFault], None],
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.on_fault = on_fault
+        self.sent_bytes = 0
+        self.message_count = 0
+        self._settings = settings
+        self._stream: FrameStream | None = None
+        self._connecting = asyncio.Lock()
+        self._calls: dict[int, asyncio.Future[Any]] = {}
+        self._next_call_id = 0
+        self._reader_task: asyncio.Task[None] | None = None
+        self._idle_streams: list[FrameStream] = []
+
+    async def call(self, message: Any, timeout_s: float) -> Result[Any, LinkError]:
+        """Send a message and return its answer.
+
+        A late answer belongs to a call that is forgotten, and is dropped.
+        """
+        self._next_call_id += 1
+        call_id = self._next_call_id
+        answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        try:
+            async with asyncio.timeout(timeout_s):
+                stream = await self._control_stream()
+                if stream.unsent_bytes > UNSENT_LIMIT_BYTES:
+                    return Failure(LinkError(LinkFault.SILENT, "the peer is slow"))
+                self._calls[call_id] = answer
+                body = codec.to_map(message, self._settings.message_type)
+                self.sent_bytes += stream.write([call_id, body])
+                self.message_count += 1
+                return Success(await answer)
+        except _OpenError as error:
+            return Failure(error.error)
+        except (FrameError, TimeoutError) as error:
+            return Failure(LinkError(LinkFault.SILENT, repr(error)))
+        finally:
+            self._calls.pop(call_id, None)
+
+    async def open_forward(self) -> FrameStream:
+        """Return an idle or new forward stream. Raises FrameError."""
+        while self._idle_streams:
+            stream = self._idle_streams.pop()
+            if not stream.closing:
+                return stream
+        try:
+            return await self._open(FORWARD)
+        except _OpenError as error:
+            raise FrameError(error.error.reason) from error
+
+    def give_back(self, stream: FrameStream) -> None:
+        """Keep a forward stream whose last exchange ended cleanly."""
+        if stream.closing or len(self._idle_streams) >= IDLE_STREAM_COUNT:
+            stream.abort()
+            return
+        self._idle_streams.append(stream)
+
+    def close(self) -> None:
+        """Drop the link, its calls and its idle streams."""
+        if self._reader_task is not None:
+            self._reader_task.cancel()
+        if self._stream is not None:
+            self._stream.abort()
+        for stream in self._idle_streams:
+            stream.abort()
+        self._fail_calls("the link was closed")
+
+    async def _control_stream(self) -> FrameStream:
+        async with self._connecting:
+            if self._stream is None or self._stream.closing:
+                self._stream = await self._open(CONTROL)
+                if self._reader_task is not None:
+                    self._reader_task.cancel()
+                self._reader_task = asyncio.get_running_loop().create_task(
+                    self._read(self._stream)
+                )
+            return self._stream
+
+    async def _open(self, purpose: str) -> FrameStream:
+        """Connect and greet; raises _OpenError and tells of refusals."""
+        settings = self._settings
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    self.address.host, self.address.port
+                )
+                stream = FrameStream(reader, writer, settings.limit_bytes)
+                server = await _greet(stream, settings, purpose)
+        except ConnectionRefusedError as error:
+            raise self._fault(LinkFault.REFUSED, repr(error)) from error
+        except (OSError, TimeoutError, FrameError) as error:
+            raise self._fault(LinkFault.SILENT, repr(error)) from error
+        if server != self.name:
+            stream.abort()
+            raise self._fault(LinkFault.OTHER_INCARNATION, f"it is {server}")
+        return stream
+
+    def _fault(self, fault: LinkFault, reason: str) -> _OpenError:
+        self.on_fault(self.name, fault)
+        return _OpenError(LinkError(fault, reason))
+
+    async def _read(self, stream: FrameStream) -> None:
+        """Match answers to calls until the link ends."""
+        try:
+            while True:
+                self._take_answer(await stream.read())
+        except FrameError as error:
+            stream.abort()
+            self._fail_calls(str(error))
+
+    def _take_answer(self, frame: Any) -> None:
+        match frame:
+            case [int(call_id), body]:
+                pass
+            case _:
+                raise FrameError("an answer is no message")
+        waiter = self._calls.get(call_id)
+        if waiter is None or waiter.done():
+            return
+        match codec.from_map(body, self._settings.message_type):
+            case Success(answer):
+                waiter.set_result(answer)
+            case Failure(findings):
+                waiter.set_exception(FrameError(f"unreadable answer: {findings[0]}"))
+
+    def _fail_calls(self, reason: str) -> None:
+        for waiter in self._calls.values():
+            if not waiter.done():
+                waiter.set_exception(FrameError(reason))
+
+
+class _OpenError(Exception):
+    def __init__(self, error: LinkError) -> None:
+        super().__init__(error.reason)
+        self.error = error
+
+
+async def _greet(stream: FrameStream, settings: LinkSettings, purpose: str) -> str:
+    try:
+        return await greet_as_client(
+            stream, settings.cluster_key, purpose, settings.own_name
+        )
+    except BaseException:
+        stream.abort()
+        raise
+
+
+class PeerDirectory:
+    """Keep the links to the other members of the roster."""
+
+    __slots__ = ("_links", "_on_fault", "_settings")
+
+    def __init__(
+        self,
+        settings: LinkSettings,
+        on_fault: Callable[[IncarnationId, LinkFault], None],
+    ) -> None:
+        self._settings = settings
+        self._on_fault = on_fault
+        self._links: dict[IncarnationId, PeerLink] = {}
+
+    @property
+    def links(self) -> tuple[PeerLink, ...]:
+        """Return every link."""
+        return tuple(self._links.values())
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        """Close every link when ``stack`` closes."""
+        stack.callback(self._close)
+
+    def link(self, name: IncarnationId) -> PeerLink | None:
+        """Return the link to a member; None when there is no such member."""
+        return self._links.get(name)
+
+    def follow(self, members: dict[IncarnationId, Address]) -> None:
+        """Add and drop links so that they match the roster."""
+        for name in self._links.keys() - members.keys():
+            self._links.pop(name).close()
+        for name in members.keys() - self._links.keys():
+            if name != self._settings.own_name:
+                self._links[name] = PeerLink(
+                    name, members[name], self._settings, self._on_fault
+                )
+
+    def _close(self) -> None:
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/admin.py
@@ -0,0 +1,166 @@
+"""The operators' listener: patches, configuration, status and metrics."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import unquote, urlsplit
+
+from returns.result import Failure, Result, Success
+
+from cicadatrail_core.models.patches import Patch, UnknownVerdict, Verdict
+from cicadatrail_core.models.records import PatchRecord
+from cicadatrail_core.models.state import HistoryEntry, State
+from cicadatrail_core.models.status import (
+    ConfigurationView,
+    InstanceStatus,
+    verdict_http_status,
+    view_configuration,
+)
+from cicadatrail_core.utils import codec
+from cicadatrail_core.utils.findings import Finding, Findings
+from cicadatrail_core.utils.keys import token_matches
+from cicadatraild.network.http_server import (
+    BodyIncompleteError,
+    BodyTooLargeError,
+    HttpExchange,
+)
+from cicadatraild.sharing.appender import Appender
+from cicadatraild.sharing.replica import Replica
+
+logger = logging.getLogger("cicadatrail.admin")
+
+VERDICT_WAIT_S = 4.0
+"""Time that a patch may wait for its verdict before it is told as unknown."""
+
+VERDICT_POLL_S = 0.01
+
+_ADVICE = "ask again by the patch id, or send the same patch again"
+
+JSON = ((b"Content-Type", b"application/json"),)
+TEXT = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+
+
+class AdminApi:
+    """Answer operators who show the token."""
+
+    __slots__ = ("_appender", "_metrics", "_replica", "_status", "_token_sha256_hex")
+
+    def __init__(
+        self,
+        replica: Replica,
+        appender: Appender,
+        token_sha256_hex: str,
+        status: Callable[[], InstanceStatus],
+        metrics: Callable[[], bytes],
+    ) -> None:
+        self._replica = replica
+        self._appender = appender
+        self._token_sha256_hex = token_sha256_hex
+        self._status = status
+        self._metrics = metrics
+
+    async def serve(self, exchange: HttpExchange) -> None:
+        """Answer one request."""
+        path = urlsplit(exchange.target).path
+        parts = tuple(unquote(part) for part in path.split("/")[1:])
+        if exchange.method == "GET" and parts == ("metrics",):
+            await exchange.respond(200, self._metrics(), TEXT)
+            return
+        if not self._is_operator(exchange):
+            await _respond(exchange, 401, _findings_map("authorization", "is wrong"))
+            return
+        await self._serve_operator(exchange, parts)
+
+    async def _serve_operator(
+        self, exchange: HttpExchange, parts: tuple[str, ...]
+    ) -> None:
+        state = self._replica.state
+        match exchange.method, parts:
+            case "POST", ("patches",):
+                await self._take_patch(exchange)
+            case "GET", ("patches", patch_id):
+                await _respond_verdict(exchange, state.verdicts.get(patch_id))
+            case "GET", ("config",):
+                view = view_configuration(state)
+                await _respond(exchange, 200, codec.to_map(view, ConfigurationView))
+            case "GET", ("config", "history"):
+                await _respond(exchange, 200, _history_map(state))
+            case "GET", ("status",):
+                status = codec.to_map(self._status(), InstanceStatus)
+                await _respond(exchange, 200, status)
+            case _, ("patches" | "config" | "status", *_):
+                await _respond(exchange, 405, _findings_map("method", "is not served"))
+            case _:
+                await _respond(exchange, 404, _findings_map("path", "is not known"))
+
+    def _is_operator(self, exchange: HttpExchange) -> bool:
+        values = exchange.header_values(b"authorization")
+        if len(values) != 1 or not values[0].startswith("Bearer "):
+            return False
+        return token_matches(values[0][len("Bearer ") :], self._token_sha256_hex)
+
+    async def _take_patch(self, exchange: HttpExchange) -> None:
+        match await _read_patch(exchange):
+            case Success(patch):
+                await _respond_verdict(exchange, await self._submit(patch))
+            case Failure(findings):
+                await _respond(exchange, 400, _findings_list(findings))
+
+    async def _submit(self, patch: Patch) -> Verdict:
+        """Append the patch and wait for its verdict; it may come again."""
+        found = self._replica.state.verdicts.get(patch.patch_id)
+        if found is not None:
+            return found
+        if not self._appender.add(PatchRecord(patch)):
+            return UnknownVerdict(patch.patch_id, _ADVICE)
+        deadline_s = asyncio.get_running_loop().time() + VERDICT_WAIT_S
+        while asyncio.get_running_loop().time() < deadline_s:
+            found = self._replica.state.verdicts.get(patch.patch_id)
+            if found is not None:
+                logger.info(
+                    "admin: patch %s: %s.", patch.patch_id, type(found).__name__
+                )
+                return found
+            await asyncio.sleep(VERDICT_POLL_S)
+        return UnknownVerdict(patch.patch_id, _ADVICE)
+
+
+async def _read_patch(exchange: HttpExchange) -> Result[Patch, Findings]:
+    try:
+        raw = json.loads(await exchange.read_body())
+    except BodyTooLargeError:
+        return Failure((Finding("$", "is too long"),))
+    except (ValueError, RecursionError, BodyIncompleteError) as error:
+        return Failure((Finding("$", f"is not JSON ({error})"),))
+    return codec.from_map(raw, Patch)
+
+
+async def _respond_verdict(exchange: HttpExchange, verdict: Verdict | None) -> None:
+    if verdict is None:
+        await _respond(exchange, 404, _findings_map("patch_id", "has no verdict here"))
+        return
+    status = verdict_http_status(verdict)
+    await _respond(exchange, status, codec.to_map(verdict, Verdict))
+
+
+def _history_map(state: State) -> Any:
+    return codec.to_map(state.history, tuple[HistoryEntry, ...])
+
+
+def _findings_map(place: str, fault: str) -> dict[str, Any]:
+    return _findings_list((Finding(place, fault),))
+
+
+def _findings_list(findings: Findings) -> dict[str, Any]:
+    return {"findings": [{"place": f.place, "fault": f.fault} for f in findings]}
+
+
+async def _respond(exchange: HttpExchange, status: int, value: Any) -> None:
+    await exchange.respond(status, json.dumps(value).encode(), JSON)
+
+
+Serve = Callable[[HttpExchange], Awaitable[None]]
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
@@ -0,0 +1,116 @@
+"""Lets requests wait for their place, on top of the pure dispatcher."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Collection, Mapping
+
+from cicadatrail_core.models.requests import TaskRequest
+from cicadatrail_core.models.state import State
+from cicadatrail_core.placement.dispatcher import (
+    Dispatcher,
+    Placed,
+    Rejected,
+    TaskEnd,
+    Waiting,
+)
+
+EXPIRY_INTERVAL_S = 0.05
+"""Time between two looks for requests whose deadline passed."""
+
+Decision = Placed | Rejected
+
+
+class Desk:
+    """Hand each request its decision as soon as the dispatcher makes it."""
+
+    __slots__ = ("_decisions", "_placed", "dispatcher", "running_on")
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self.dispatcher = dispatcher
+        self._decisions: dict[str, asyncio.Future[Decision]] = {}
+        self._placed: dict[str, str] = {}
+        self.running_on: Counter[str] = Counter()
+
+    @property
+    def waiting_count(self) -> int:
+        """Return the number of requests that wait here."""
+        return len(self._decisions)
+
+    def configure(
+        self, state: State, workers: Collection[str], slots: Mapping[str, int]
+    ) -> None:
+        """Set what may be spent, and place what fits now."""
+        self.dispatcher.configure(state, workers, slots, _now_s())
+        self.place_waiting()
+
+    def submit(self, request: TaskRequest) -> Decision | asyncio.Future[Decision]:
+        """Return the decision, or a future of it while the request waits."""
+        answer = self.dispatcher.submit(request, _now_s())
+        if isinstance(answer, Placed):
+            self._note_start(answer)
+        if not isinstance(answer, Waiting):
+            return answer
+        decision: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
+        self._decisions[request.request_id] = decision
+        return decision
+
+    def reserve(self, request: TaskRequest) -> Placed | None:
+        """Place a peer's request at once or not at all."""
+        placed = self.dispatcher.try_place(request, _now_s())
+        if placed is not None:
+            self._note_start(placed)
+        return placed
+
+    def withdraw(self, request_id: str) -> bool:
+        """Take a waiting request out; tell whether it still waited."""
+        self._decisions.pop(request_id, None)
+        return self.dispatcher.cancel(request_id, _now_s())
+
+    def finish(self, request_id: str, ended: TaskEnd) -> None:
+        """Free a task's place and slot, and place what fits now."""
+        self._note_end(request_id)
+        self.dispatcher.finish(request_id, ended, _now_s())
+        self.place_waiting()
+
+    def place_waiting(self) -> None:
+        """Place waiting requests that fit now."""
+        if not self._decisions:
+            return
+        for placed in self.dispatcher.next_placements(_now_s()):
+            self._note_start(placed)
+            self._decide(placed.request.request_id, placed)
+
+    async def run(self) -> None:
+        """Refuse requests whose deadline passes, until cancelled."""
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            for rejected in self.dispatcher.expire(_now_s()):
+                self._decide(rejected.request_id, rejected)
+            self.place_waiting()
+
+    def _decide(self, request_id: str, decision: Decision) -> None:
+        future = self._decisions.pop(request_id, None)
+        if future is not None and not future.done():
+            future.set_result(decision)
+            return
+        if isinstance(decision, Placed):
+            self._note_end(request_id)
+            self.dispatcher.finish(request_id, TaskEnd.CANCELLED, _now_s())
+
+    def _note_start(self, placed: Placed) -> None:
+        self._placed[placed.request.request_id] = placed.worker_id
+        self.running_on[placed.worker_id] += 1
+
+    def _note_end(self, request_id: str) -> None:
+        worker_id = self._placed.pop(request_id, None)
+        if worker_id is None:
+            return
+        self.running_on[worker_id] -= 1
+        if not self.running_on[worker_id]:
+            del self.running_on[worker_id]
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/running.py
@@ -0,0 +1,82 @@
+"""Keeps places and slots charged until a task has surely ended."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from contextlib import AsyncExitStack
+
+from returns.result import Success
+
+from cicadatrail_core.models.fleet import Worker
+from cicadatrail_core.models.platform import TaskControl
+from cicadatrail_core.placement.dispatcher import Placed, TaskEnd
+from cicadatraild.platform.worker_client import HttpWorkerControl
+from cicadatraild.serving.desk import Desk
+
+logger = logging.getLogger("cicadatrail.tasks")
+
+CONFIRM_INTERVAL_S = 0.25
+"""Time between two attempts to stop a task that was given up."""
+
+LEASE_MARGIN_S = 1.0
+"""Time after the end of a task's lease when it surely has ended."""
+
+
+class GivenUpTasks:
+    """Stop tasks whose answer nobody waits for, then free what they took.
+
+    A worker goes on with a task when its connection breaks, so that the
+    team's slot stays charged until the worker says that the task is gone or
+    its lease has lapsed.
+    """
+
+    __slots__ = ("_control", "_desk", "_tasks")
+
+    def __init__(self, desk: Desk, control: HttpWorkerControl) -> None:
+        self._desk = desk
+        self._control = control
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def count(self) -> int:
+        """Return how many tasks are not confirmed to have ended."""
+        return len(self._tasks)
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        """Stop confirming when ``stack`` closes."""
+        stack.callback(self._close)
+
+    def give_up(self, placed: Placed, worker: Worker) -> None:
+        """Begin to stop a task."""
+        task = asyncio.get_running_loop().create_task(self._confirm(placed, worker))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def settled(self) -> None:
+        """Wait until every given-up task has ended."""
+        while self._tasks:
+            await asyncio.wait(tuple(self._tasks))
+
+    async def _confirm(self, placed: Placed, worker: Worker) -> None:
+        request_id = placed.request.request_id
+        lease_end_s = placed.request.deadline_s + LEASE_MARGIN_S
+        loop = asyncio.get_running_loop()
+        while loop.time() < lease_end_s:
+            if await self._is_stopped(worker, request_id):
+                break
+            await asyncio.sleep(CONFIRM_INTERVAL_S)
+        self._desk.finish(request_id, TaskEnd.CANCELLED)
+
+    async def _is_stopped(self, worker: Worker, request_id: str) -> bool:
+        """Stop the task and tell whether the worker no longer reports it."""
+        await self._control.control(worker, request_id, TaskControl.STOP)
+        report = await self._control.read_report(worker)
+        if not isinstance(report, Success):
+            return False
+        found = report.unwrap()
+        return all(task.task_id != request_id for task in found.tasks)
+
+    def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
