--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/holdings.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/holdings.py
@@ -215,6 +215,12 @@
         for right in rights_of(self._state, holder):
             self.release(holder, right)
 
+    def release_all_but_slots(self, holder: IncarnationId) -> None:
+        """Take every worker and partition from the holder."""
+        for right in rights_of(self._state, holder):
+            if not isinstance(right, SlotRight):
+                self.release(holder, right)
+
     def finish(self) -> State:
         """Return the changed state."""
         slots = {
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/membership.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/membership.py
@@ -20,7 +20,7 @@
 )
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import Member, RosterChange, State
-from cicadatrail_core.rights.quorum import quorum_met
+from cicadatrail_core.rights.quorum import loans_settled, quorum_met
 
 __all__ = [
     "apply_claim",
@@ -89,10 +89,21 @@
 
 
 def apply_free(state: State, offset: int, record: FreeRecord) -> State:
-    """Free a retired incarnation's rights where the log bears the claim out."""
+    """Free a retired incarnation's rights where the log bears the claim out.
+
+    Its workers and partitions come first. Its slots are freed, and it leaves
+    the roster, once no member can run a task on slots that it lent.
+    """
     if not quorum_met(state, record.incarnation, record.gone):
         return state
-    return _without_member(state, offset, record.incarnation)
+    if loans_settled(state, record.incarnation, record.gone):
+        return _without_member(state, offset, record.incarnation)
+    member = state.roster[record.incarnation]
+    if member.freed_offset is not None:
+        return state
+    editor = HoldingsEditor(state)
+    editor.release_all_but_slots(record.incarnation)
+    return _with_member(editor.finish(), replace(member, freed_offset=offset))
 
 
 def apply_claim(state: State, offset: int, record: ClaimRecord) -> State:
@@ -109,12 +120,16 @@
     """Move those of the rights that the giver holds to a member of the roster.
 
     A giver that was retired may still hand over: it has stopped using them.
+    Borrowed slots move only from a retired giver, which lends no more.
     """
-    numbered = _with_sequence(state, record.giver, record.sequence)
+    writer = record.taker if record.borrowed else record.giver
+    numbered = _with_sequence(state, writer, record.sequence)
     if numbered is None:
         return state
     if record.giver == record.taker or not _may_receive(state, record.taker):
         return numbered
+    if record.borrowed and not _is_retired(state, record.giver):
+        return numbered
     editor = HoldingsEditor(numbered)
     for right in record.rights:
         editor.transfer(record.giver, record.taker, right)
@@ -137,6 +152,11 @@
     return member is not None and member.retire_offset is None
 
 
+def _is_retired(state: State, incarnation: IncarnationId) -> bool:
+    member = state.roster.get(incarnation)
+    return member is not None and member.retire_offset is not None
+
+
 def _with_sequence(
     state: State, incarnation: IncarnationId, sequence: int
 ) -> State | None:
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/records.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/records.py
@@ -93,13 +93,16 @@
     """Hand rights over for good; the giver has stopped using them.
 
     ``sequence`` numbers the transfers and releases of one incarnation, so that
-    a record appended twice (its answer was lost) is applied once.
+    a record appended twice (its answer was lost) is applied once. Where
+    ``borrowed`` is set, the taker writes it, numbered as one of its own: it
+    keeps slots that the retired giver had lent to it.
     """
 
     giver: IncarnationId
     taker: IncarnationId
     rights: tuple[Right, ...]
     sequence: int
+    borrowed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/state.py
@@ -36,7 +36,9 @@
     as one). ``folded_offset`` is the oldest offset whose roster it may still
     judge its support by. ``retire_offset`` is the offset of the first retire
     record for it, and ``acknowledged_by`` names who has acknowledged that
-    record. ``rights_sequence`` is that of its newest transfer or release.
+    record. ``freed_offset`` is that of the first record that freed its workers
+    and partitions: from then on it runs nothing. ``rights_sequence`` is that
+    of its newest transfer or release.
     """
 
     incarnation: IncarnationId
@@ -49,6 +51,7 @@
     folded_offset: int
     retire_offset: int | None = None
     acknowledged_by: tuple[IncarnationId, ...] = ()
+    freed_offset: int | None = None
     rights_sequence: int = 0
 
 
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/freeing.py
@@ -0,0 +1,121 @@
+"""When a retired incarnation's rights may be freed."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Mapping
+
+from cicadatrail_core.models.records import FreeRecord
+from cicadatrail_core.models.rights import IncarnationId
+from cicadatrail_core.models.state import Member, State
+from cicadatrail_core.rights.quorum import loans_settled, quorum_met
+from cicadatrail_core.rights.timing import RightsTiming
+
+
+class Reclaimer:
+    """Watch retired incarnations and say when their rights may be freed.
+
+    An incarnation can't use its rights any more once ``support_wait_s`` has
+    passed since its retire record was read here and the quorum refuses it, or
+    once that time has passed since it was proven gone (its loans may last so
+    long). Its rights are freed when the leases of its tasks have lapsed too.
+    """
+
+    __slots__ = ("_incarnation", "_powerless_s", "_proposed_s", "_read_s", "_timing")
+
+    def __init__(self, incarnation: IncarnationId, timing: RightsTiming) -> None:
+        self._incarnation = incarnation
+        self._timing = timing
+        self._read_s: dict[IncarnationId, float] = {}
+        self._powerless_s: dict[IncarnationId, float] = {}
+        self._proposed_s: dict[IncarnationId, float] = {}
+
+    def records_due(
+        self,
+        state: State,
+        now_s: float,
+        gone_since_s: Mapping[IncarnationId, float],
+    ) -> tuple[FreeRecord, ...]:
+        """Return the free records to append now; one not folded is repeated.
+
+        ``gone_since_s`` tells when this instance had the proof that an
+        incarnation is gone. Call this after each fold and about once a second.
+        """
+        retired = [
+            member
+            for member in state.roster.values()
+            if member.retire_offset is not None
+        ]
+        self._forget_others({member.incarnation for member in retired})
+        records = []
+        for member in retired:
+            record = self._record_due(state, member, now_s, gone_since_s)
+            if record is not None:
+                records.append(record)
+        return tuple(records)
+
+    def _record_due(
+        self,
+        state: State,
+        member: Member,
+        now_s: float,
+        gone_since_s: Mapping[IncarnationId, float],
+    ) -> FreeRecord | None:
+        incarnation = member.incarnation
+        if incarnation == self._incarnation:
+            return None
+        self._read_s.setdefault(incarnation, now_s)
+        self._note_powerless(state, incarnation, now_s, gone_since_s)
+        powerless_s = self._powerless_s.get(incarnation, math.inf)
+        if now_s < powerless_s + self._timing.task_wait_s:
+            return None
+        ended_s = self._timing.support_wait_s + self._timing.task_wait_s
+        gone = _gone_for(gone_since_s, ended_s, now_s)
+        if not _would_free(state, member, gone):
+            return None
+        proposed_s = self._proposed_s.get(incarnation, -math.inf)
+        if now_s < proposed_s + self._timing.support_s:
+            return None
+        self._proposed_s[incarnation] = now_s
+        return FreeRecord(incarnation, self._incarnation, gone)
+
+    def _note_powerless(
+        self,
+        state: State,
+        incarnation: IncarnationId,
+        now_s: float,
+        gone_since_s: Mapping[IncarnationId, float],
+    ) -> None:
+        """Note when the incarnation was first known to be unable to spend."""
+        if incarnation in self._powerless_s:
+            return
+        wait_s = self._timing.support_wait_s
+        gone = _gone_for(gone_since_s, wait_s, now_s)
+        if incarnation not in gone and now_s < self._read_s[incarnation] + wait_s:
+            return
+        if quorum_met(state, incarnation, gone):
+            self._powerless_s[incarnation] = now_s
+
+    def _forget_others(self, retired: Collection[IncarnationId]) -> None:
+        for times_s in (self._read_s, self._powerless_s, self._proposed_s):
+            for incarnation in [key for key in times_s if key not in retired]:
+                del times_s[incarnation]
+
+
+def _gone_for(
+    gone_since_s: Mapping[IncarnationId, float], wait_s: float, now_s: float
+) -> tuple[IncarnationId, ...]:
+    return tuple(
+        sorted(
+            key for key, since_s in gone_since_s.items() if now_s >= since_s + wait_s
+        )
+    )
+
+
+def _would_free(state: State, member: Member, gone: Collection[IncarnationId]) -> bool:
+    """Tell whether the fold would change anything by such a record."""
+    if not quorum_met(state, member.incarnation, gone):
+        return False
+    if member.freed_offset is None:
+        return True
+    return loans_settled(state, member.incarnation, gone)
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/quorum.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/quorum.py
@@ -62,6 +62,28 @@
     return _every_roster_refuses(state, member, member.retire_offset, gone)
 
 
+def loans_settled(
+    state: State, incarnation: IncarnationId, gone: Collection[IncarnationId]
+) -> bool:
+    """Tell whether no task runs any more on slots that the incarnation lent.
+
+    It lends only to members that it has folded, so to none that joined after
+    its retire record. Each must have acknowledged, be gone, or run nothing.
+    """
+    lender = state.roster.get(incarnation)
+    if lender is None or lender.retire_offset is None:
+        return False
+    settled = {*lender.acknowledged_by, *gone, incarnation}
+    for member in state.roster.values():
+        if member.place.region != lender.place.region:
+            continue
+        if member.joined_offset > lender.retire_offset:
+            continue
+        if member.incarnation not in settled and member.freed_offset is None:
+            return False
+    return True
+
+
 def _every_roster_refuses(
     state: State,
     member: Member,
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/support.py
@@ -0,0 +1,154 @@
+"""The holder's side of support: whether it may use its rights now.
+
+Leases counted from the sending of the request follow Chubby's sequencing of
+lock holders (Burrows, 2006); the fencing is in the rule for freeing, since
+workers do none.
+"""
+
+from __future__ import annotations
+
+import math
+from heapq import nlargest
+
+from cicadatrail_core.models.records import PulseRecord
+from cicadatrail_core.models.rights import IncarnationId
+from cicadatrail_core.models.state import Member, State
+from cicadatrail_core.models.support import SupportReply, SupportRequest
+from cicadatrail_core.rights.quorum import support_needed
+from cicadatrail_core.rights.timing import RightsTiming
+
+
+class HolderSupport:
+    """Track the support of one incarnation on its own monotonic clock.
+
+    The holder may use its rights within ``support_s`` of the sending of a
+    pulse that it has read back, or of requests that floor(n/2) others of the
+    n members of its region's roster have granted.
+    """
+
+    __slots__ = (
+        "_granted_until_s",
+        "_incarnation",
+        "_joined_offset",
+        "_log_until_s",
+        "_next_number",
+        "_pulses_sent_s",
+        "_requests_sent_s",
+        "_timing",
+    )
+
+    def __init__(self, incarnation: IncarnationId, timing: RightsTiming) -> None:
+        self._incarnation = incarnation
+        self._timing = timing
+        self._joined_offset: int | None = None
+        self._log_until_s = -math.inf
+        self._granted_until_s: dict[IncarnationId, float] = {}
+        self._pulses_sent_s: dict[int, float] = {}
+        self._requests_sent_s: dict[int, float] = {}
+        self._next_number = 1
+
+    def start_pulse(self, state: State, now_s: float) -> PulseRecord:
+        """Return a pulse to append now; call immediately before sending it."""
+        sequence = self._take_number()
+        self._forget_old(self._pulses_sent_s, now_s)
+        self._pulses_sent_s[sequence] = now_s
+        return PulseRecord(self._incarnation, sequence, state.next_offset)
+
+    def note_pulse(self, record: PulseRecord) -> None:
+        """Note an own pulse read back from the log.
+
+        Call this only once every record before it has been folded into the
+        state that is passed to :meth:`may_spend`.
+        """
+        sent_s = self._pulses_sent_s.get(record.sequence)
+        if record.incarnation != self._incarnation or sent_s is None:
+            return
+        until_s = self._lease_end_s(sent_s)
+        self._log_until_s = max(self._log_until_s, until_s)
+
+    def start_request(self, state: State, now_s: float) -> SupportRequest | None:
+        """Return a request to send to every peer now; none before joining."""
+        member = self._own_member(state)
+        if member is None:
+            return None
+        number = self._take_number()
+        self._forget_old(self._requests_sent_s, now_s)
+        self._requests_sent_s[number] = now_s
+        return SupportRequest(self._incarnation, member.joined_offset, number)
+
+    def note_reply(self, reply: SupportReply, now_s: float) -> None:
+        """Note a reply; a denial, a late or a foreign one counts for nothing."""
+        sent_s = self._requests_sent_s.get(reply.number)
+        if reply.asker != self._incarnation or sent_s is None or not reply.granted:
+            return
+        until_s = self._lease_end_s(sent_s)
+        known_s = self._granted_until_s.get(reply.supporter, -math.inf)
+        self._granted_until_s[reply.supporter] = max(known_s, until_s)
+
+    def request_sent_s(self, number: int) -> float | None:
+        """Return when a request was sent; none for an old or foreign number."""
+        return self._requests_sent_s.get(number)
+
+    @property
+    def log_until_s(self) -> float:
+        """Return until when the newest pulse read back shows the log's tail."""
+        return self._log_until_s
+
+    def may_spend(self, state: State, now_s: float) -> bool:
+        """Tell whether the holder may use its rights at this moment.
+
+        Check this immediately before each send, with no await between.
+        """
+        return now_s < self.supported_until_s(state)
+
+    def supported_until_s(self, state: State) -> float:
+        """Return until when the holder is supported, as known by now."""
+        member = self._own_member(state)
+        if member is None or member.retire_offset is not None:
+            return -math.inf
+        return max(self._log_until_s, self._peers_until_s(state, member))
+
+    def _peers_until_s(self, state: State, member: Member) -> float:
+        region = member.place.region
+        others = [
+            other.incarnation
+            for other in state.roster.values()
+            if other.place.region == region and other.incarnation != self._incarnation
+        ]
+        needed_count = support_needed(len(others) + 1)
+        if needed_count == 0:
+            return math.inf
+        ends_s = [
+            self._granted_until_s[other]
+            for other in others
+            if other in self._granted_until_s
+        ]
+        if len(ends_s) < needed_count:
+            return -math.inf
+        return nlargest(needed_count, ends_s)[-1]
+
+    def _own_member(self, state: State) -> Member | None:
+        """Return the own entry, unless another join has made it anew."""
+        member = state.roster.get(self._incarnation)
+        if member is None:
+            return None
+        if self._joined_offset is None:
+            self._joined_offset = member.joined_offset
+        return member if member.joined_offset == self._joined_offset else None
+
+    def _lease_end_s(self, sent_s: float) -> float:
+        return sent_s + self._timing.support_s
+
+    def _take_number(self) -> int:
+        number = self._next_number
+        self._next_number += 1
+        return number
+
+    def _forget_old(self, sent_s: dict[int, float], now_s: float) -> None:
+        """Drop what can't extend support any more; dicts keep sending order."""
+        oldest_s = now_s - self._timing.support_s
+        while sent_s:
+            number = next(iter(sent_s))
+            if sent_s[number] >= oldest_s:
+                return
+            del sent_s[number]
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/supporter.py
@@ -0,0 +1,77 @@
+"""The supporter's side: whom it supports, and when it acknowledges a retirement."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection
+
+from cicadatrail_core.models.records import RetireAckRecord
+from cicadatrail_core.models.rights import IncarnationId
+from cicadatrail_core.models.state import Member, State
+from cicadatrail_core.models.support import SupportReply, SupportRequest
+from cicadatrail_core.rights.timing import RightsTiming
+
+
+class Supporter:
+    """Grant support to members of the region and remember when it lapses."""
+
+    __slots__ = ("_incarnation", "_lapses_s", "_timing")
+
+    def __init__(self, incarnation: IncarnationId, timing: RightsTiming) -> None:
+        self._incarnation = incarnation
+        self._timing = timing
+        self._lapses_s: dict[IncarnationId, float] = {}
+
+    def answer(
+        self, state: State, request: SupportRequest, now_s: float
+    ) -> SupportReply:
+        """Answer a request by the newest state that was folded here.
+
+        Support is granted unless a retire record for the asker was folded.
+        """
+        granted = self._may_grant(state, request)
+        if granted:
+            self._lapses_s[request.asker] = now_s + self._timing.support_wait_s
+        return SupportReply(
+            supporter=self._incarnation,
+            asker=request.asker,
+            number=request.number,
+            granted=granted,
+            folded_offset=state.next_offset,
+        )
+
+    def acknowledgements(
+        self,
+        state: State,
+        now_s: float,
+        unsettled_lenders: Collection[IncarnationId] = (),
+    ) -> tuple[RetireAckRecord, ...]:
+        """Return the acknowledgements to append now.
+
+        Leave out those whose granted support hasn't lapsed, and lenders on
+        whose slots tasks run here that the log doesn't charge to this member.
+        """
+        return tuple(
+            RetireAckRecord(member.incarnation, self._incarnation)
+            for member in state.roster.values()
+            if self._is_due(member)
+            and member.incarnation not in unsettled_lenders
+            and self._has_lapsed(member.incarnation, now_s)
+        )
+
+    def _may_grant(self, state: State, request: SupportRequest) -> bool:
+        own = state.roster.get(self._incarnation)
+        asker = state.roster.get(request.asker)
+        if own is None or asker is None or asker.retire_offset is not None:
+            return False
+        if asker.joined_offset != request.joined_offset:
+            return False
+        return asker.place.region == own.place.region
+
+    def _is_due(self, member: Member) -> bool:
+        if member.retire_offset is None or member.incarnation == self._incarnation:
+            return False
+        return self._incarnation not in member.acknowledged_by
+
+    def _has_lapsed(self, incarnation: IncarnationId, now_s: float) -> bool:
+        return now_s >= self._lapses_s.get(incarnation, -math.inf)
