--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line by ``python -m cicadatrail``."""
+
+import sys
+
+from cicadatrail.main import main
+
+sys.exit(main())
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one a module, imported only when they are run."""
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/change.py
@@ -0,0 +1,152 @@
+"""What the commands share that change the configuration by a patch."""
+
+from __future__ import annotations
+
+import os
+from abc import abstractmethod
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+from uuid import uuid4
+
+from cleo.helpers import option
+
+from cicadatrail.commands.base import SHARED_OPTIONS, AdminCommand
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from cicadatrail.network.admin import AdminClient
+    from cicadatrail.network.problems import Problem
+    from cicadatrail.utils.replies import Reply
+    from cicadatrail_core.models.patches import Operation, Patch, Refused, Verdict
+    from cicadatrail_core.models.status import ConfigurationView
+    from cicadatrail_core.utils.findings import Findings
+
+OPERATOR_VARIABLES = ("CICADATRAIL_OPERATOR", "USER", "LOGNAME")
+
+WAIT_OPTIONS = (
+    option("wait", description="Wait until each instance has reached the version."),
+    option(
+        "wait-limit-s",
+        description="Seconds to wait at most; then the exit code is 3.",
+        flag=False,
+        default="30",
+    ),
+)
+
+
+def operator_name() -> str:
+    """Return who is recorded as the operator of a patch."""
+    names = (os.environ.get(variable, "") for variable in OPERATOR_VARIABLES)
+    return next(filter(None, names), "")
+
+
+class ChangeCommand(AdminCommand):
+    """Makes a patch against the version in force, and submits it once.
+
+    If another operator's patch comes between, it is refused as stale.
+    """
+
+    shared_options = (*WAIT_OPTIONS, *SHARED_OPTIONS)
+
+    @abstractmethod
+    def plan(
+        self, configuration: ConfigurationView
+    ) -> Result[tuple[Operation, ...], Findings]:
+        """Return the operations that bring about what was asked for."""
+
+    async def act(self, client: AdminClient) -> Result[Reply, Problem]:
+        """Read the base version, plan, and submit."""
+        from returns.result import Failure
+
+        from cicadatrail.network.problems import BadInput
+
+        read = await client.read_configuration()
+        if isinstance(read, Failure):
+            return read
+        configuration = read.unwrap()
+        planned = self.plan(configuration)
+        if isinstance(planned, Failure):
+            return Failure(BadInput(planned.failure()))
+        patch = self.make_patch(configuration.version, planned.unwrap())
+        return await self.submit(client, patch)
+
+    def make_patch(
+        self, base_version: int, operations: tuple[Operation, ...], patch_id: str = ""
+    ) -> Patch:
+        """Return a patch of this operator, with a new id if none is given."""
+        from cicadatrail_core.models.patches import Patch
+
+        patch_id = patch_id or str(uuid4())
+        return Patch(patch_id, base_version, operations, operator_name())
+
+    async def submit(self, client: AdminClient, patch: Patch) -> Result[Reply, Problem]:
+        """Submit the patch, and wait for its version if that was asked for."""
+        from returns.result import Failure
+
+        from cicadatrail.network.problems import BadInput
+        from cicadatrail.utils.options import OptionReader
+
+        reader = OptionReader()
+        limit_s = reader.number("--wait-limit-s", self.option("wait-limit-s"))
+        if reader.findings:
+            return Failure(BadInput(tuple(reader.findings)))
+        self.note(f"patch {patch.patch_id} against version {patch.base_version}")
+        submitted = await client.submit(patch)
+        if isinstance(submitted, Failure):
+            return submitted
+        return await self._follow(client, patch, submitted.unwrap(), limit_s)
+
+    async def _follow(
+        self, client: AdminClient, patch: Patch, verdict: Verdict, limit_s: float
+    ) -> Result[Reply, Problem]:
+        from returns.result import Success
+
+        from cicadatrail.utils.replies import reply_to_verdict
+        from cicadatrail.utils.waiting import wait_for_verdict, wait_for_version
+        from cicadatrail_core.models.patches import Accepted, Refused, UnknownVerdict
+
+        if self.option("wait") and isinstance(verdict, UnknownVerdict):
+            verdict = await wait_for_verdict(client, verdict, limit_s)
+        reply = self.adorn(reply_to_verdict(verdict), verdict)
+        match verdict:
+            case Refused(stale=True):
+                return Success(await _tell_changes(client, patch, verdict, reply))
+            case Accepted(version=version) if self.option("wait"):
+                reach = await wait_for_version(client, version, limit_s, self.io)
+                return Success(_add_reach(reply, reach))
+        return Success(reply)
+
+    def adorn(self, reply: Reply, verdict: Verdict) -> Reply:
+        """Return the reply with what the command has to add to it."""
+        return reply
+
+
+async def _tell_changes(
+    client: AdminClient, patch: Patch, refused: Refused, reply: Reply
+) -> Reply:
+    """Add who changed what since the patch's base version."""
+    history = (await client.read_history()).value_or(())
+    known = {entry.patch_id: entry for entry in history}
+    changes = [f"  changed since: patch {name}" for name in refused.changed_since]
+    for index, patch_id in enumerate(refused.changed_since):
+        if patch_id in known:
+            entry = known[patch_id]
+            changes[index] += f" (version {entry.version}, by {entry.operator or '?'})"
+    return replace(reply, lines=(*reply.lines, *changes))
+
+
+def _add_reach(reply: Reply, reach: Any) -> Reply:
+    from cicadatrail.utils.exit_codes import ExitCode
+
+    document = {
+        **reply.document,
+        "reached": sorted(reach.reached),
+        "missing": sorted(reach.missing),
+    }
+    if not reach.missing:
+        line = f"in force at all {len(reach.reached)} instances"
+        return replace(reply, lines=(*reply.lines, line), document=document)
+    line = "not seen in force yet at: " + ", ".join(sorted(reach.missing))
+    lines = (*reply.lines, line)
+    return replace(reply, code=ExitCode.UNKNOWN, lines=lines, document=document)
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/team_list.py
@@ -0,0 +1,25 @@
+"""Lists the teams."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import TYPE_CHECKING
+
+from cicadatrail.commands.base import ListCommand
+
+if TYPE_CHECKING:
+    from cicadatrail_core.models.status import ConfigurationView
+
+
+class TeamListCommand(ListCommand):
+    """Lists the teams."""
+
+    name = "team list"
+    description = "Lists the teams with their shares and upper limits."
+    part = "teams"
+    header = ("TEAM", "SHARE WEIGHT", "UPPER LIMIT (TASKS)")
+
+    def rows(self, configuration: ConfigurationView) -> Iterable[Sequence[object]]:
+        """Return a row for each team."""
+        for team in configuration.teams:
+            yield team.team_id, f"{team.share_weight:g}", team.upper_limit_tasks
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/wave_resume.py
@@ -0,0 +1,37 @@
+"""Resumes a wave."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+
+from cicadatrail.commands.change import ChangeCommand
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from cicadatrail_core.models.patches import Operation
+    from cicadatrail_core.models.status import ConfigurationView
+    from cicadatrail_core.utils.findings import Findings
+
+
+class WaveResumeCommand(ChangeCommand):
+    """Resumes a wave."""
+
+    name = "wave resume"
+    description = "Resumes a paused wave."
+    arguments: ClassVar[list[Argument]] = [
+        argument("wave", description="Id of the wave."),
+    ]
+
+    def plan(
+        self, configuration: ConfigurationView
+    ) -> Result[tuple[Operation, ...], Findings]:
+        """Return the one operation of this command."""
+        from returns.result import Success
+
+        from cicadatrail_core.models.patches import ResumeWave
+
+        return Success((ResumeWave(self.argument("wave")),))
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/main.py
@@ -0,0 +1,115 @@
+"""The entry point: finds a command by its name and imports only that one."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable, Coroutine
+from importlib import import_module
+from typing import Any, Protocol, TypeVar
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.exceptions import CleoError
+from cleo.io.inputs.argv_input import ArgvInput
+from cleo.io.inputs.input import Input
+from cleo.io.outputs.output import Output, Type
+from cleo.loaders.factory_command_loader import FactoryCommandLoader
+
+from cicadatrail.utils.exit_codes import ExitCode
+
+T = TypeVar("T")
+
+VERSION = "0.1.0"
+
+HELP_LINES = (["--help"], ["-h"])
+"""Command lines that ask for the list of commands."""
+
+COMMANDS = (
+    "patch apply",
+    "patch verdict",
+    "config show",
+    "config history",
+    "team put",
+    "team remove",
+    "team list",
+    "key grant",
+    "key withdraw",
+    "key list",
+    "pool put",
+    "pool remove",
+    "pool list",
+    "move start",
+    "move abort",
+    "move list",
+    "wave start",
+    "wave pause",
+    "wave resume",
+    "wave abort",
+    "wave list",
+    "wave watch",
+    "status",
+)
+
+
+class Runner(Protocol):
+    """Runs a coroutine to its end and returns its result."""
+
+    def __call__(self, coroutine: Coroutine[Any, Any, T], /) -> T:
+        """Run ``coroutine``."""
+
+
+class OperatorApplication(Application):
+    """Runs commands, and their coroutines by ``run_coroutine``."""
+
+    def __init__(self, run_coroutine: Runner) -> None:
+        super().__init__("cicadatrail", VERSION)
+        self.run_coroutine = run_coroutine
+        self.auto_exits(False)
+        self.catch_exceptions(False)
+        factories = {name: _factory(name) for name in COMMANDS}
+        self.set_command_loader(FactoryCommandLoader(factories))
+
+    def run(
+        self,
+        input: Input | None = None,
+        output: Output | None = None,
+        error_output: Output | None = None,
+    ) -> int:
+        """Return the exit code; a wrong command line is bad input."""
+        try:
+            return super().run(input, output, error_output)
+        except CleoError as error:
+            io = self.create_io(input, output, error_output)
+            io.error_output.write_line(str(error), type=Type.RAW)
+            return ExitCode.BAD_INPUT
+
+
+def _factory(name: str) -> Callable[[], Command]:
+    """Return a function that imports and makes the command ``name``."""
+    module_name = name.replace(" ", "_")
+    class_name = name.title().replace(" ", "") + "Command"
+
+    def make() -> Command:
+        module = import_module(f"cicadatrail.commands.{module_name}")
+        command: Command = getattr(module, class_name)()
+        return command
+
+    return make
+
+
+def _run_coroutine(coroutine: Coroutine[Any, Any, T]) -> T:
+    import asyncio
+
+    return asyncio.run(coroutine)
+
+
+def main() -> int:
+    """Run the command line of this process; return its exit code."""
+    application = OperatorApplication(_run_coroutine)
+    if sys.argv[1:] in HELP_LINES:
+        return application.run(ArgvInput([sys.argv[0], "list"]))
+    return application.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/network/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the admin listeners."""
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/network/admin.py
@@ -0,0 +1,190 @@
+"""The admin API as typed calls that go on to another instance when one fails."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import quote
+
+from returns.result import Failure, Result, Success
+
+from cicadatrail.network.http import Answer, NoAnswer, Request, exchange
+from cicadatrail.network.problems import (
+    BadInput,
+    NoVerdict,
+    Problem,
+    Unreachable,
+    WrongToken,
+)
+from cicadatrail.utils.access import Access, Address
+from cicadatrail_core.models.patches import (
+    Accepted,
+    Patch,
+    Refused,
+    UnknownVerdict,
+    Verdict,
+)
+from cicadatrail_core.models.state import HistoryEntry
+from cicadatrail_core.models.status import (
+    ConfigurationView,
+    InstanceStatus,
+    verdict_http_status,
+)
+from cicadatrail_core.utils import codec
+from cicadatrail_core.utils.findings import Finding, Findings
+
+OK = 200
+BAD_REQUEST = 400
+UNAUTHORIZED = 401
+NOT_FOUND = 404
+
+_Outcome = Verdict | WrongToken | BadInput | NoVerdict | NoAnswer
+
+
+class AdminClient:
+    """Asks the given instances in turn until one answers."""
+
+    __slots__ = ("_access", "_timeout_s")
+
+    def __init__(self, access: Access, timeout_s: float) -> None:
+        self._access = access
+        self._timeout_s = timeout_s
+
+    @property
+    def addresses(self) -> tuple[Address, ...]:
+        """Return the instances that the operator named."""
+        return self._access.addresses
+
+    async def read_configuration(self) -> Result[ConfigurationView, Problem]:
+        """Return the configuration in force at the first that answers."""
+        return await self._read("/config", ConfigurationView)
+
+    async def read_history(self) -> Result[tuple[HistoryEntry, ...], Problem]:
+        """Return the accepted patches that are still remembered."""
+        return await self._read("/config/history", tuple[HistoryEntry, ...])
+
+    async def read_status(
+        self, address: Address | None = None
+    ) -> Result[InstanceStatus, Problem]:
+        """Return the status of ``address``, else of the first that answers."""
+        return await self._read("/status", InstanceStatus, address)
+
+    async def submit(self, patch: Patch) -> Result[Verdict, Problem]:
+        """Submit a patch; its id stays, so a repeat gets the first verdict.
+
+        A problem means that the patch was not taken. Once it may have been,
+        the answer is a verdict, and ``UnknownVerdict`` if none is known.
+        """
+        body = json.dumps(codec.to_map(patch, Patch)).encode()
+        request = Request("POST", "/patches", self._access.token, body)
+        outcomes = await self._ask_verdict(request, patch.patch_id)
+        lost = [item for item in outcomes if isinstance(item, NoAnswer) and item.sent]
+        decided = isinstance(outcomes[-1], Accepted | Refused)
+        if lost and not decided:
+            faults = "; ".join(str(_finding(item)) for item in lost)
+            return Success(
+                UnknownVerdict(patch.patch_id, f"no verdict came ({faults})")
+            )
+        return _conclude(outcomes)
+
+    async def read_verdict(self, patch_id: str) -> Result[Verdict, Problem]:
+        """Return the verdict of a patch that was submitted before."""
+        target = f"/patches/{quote(patch_id, safe='')}"
+        request = Request("GET", target, self._access.token)
+        return _conclude(await self._ask_verdict(request, patch_id))
+
+    async def _ask_verdict(self, request: Request, patch_id: str) -> list[_Outcome]:
+        """Ask instance after instance until one settles the matter."""
+        outcomes: list[_Outcome] = []
+        for address in self.addresses:
+            answered = await exchange(address, request, self._timeout_s)
+            if isinstance(answered, Failure):
+                outcomes.append(answered.failure())
+                continue
+            outcome = _read_outcome(answered.unwrap(), address, patch_id)
+            outcomes.append(outcome)
+            if not isinstance(outcome, NoAnswer | NoVerdict | UnknownVerdict):
+                break
+        return outcomes
+
+    async def _read(
+        self, target: str, as_type: Any, address: Address | None = None
+    ) -> Result[Any, Problem]:
+        findings: list[Finding] = []
+        for asked in (address,) if address else self.addresses:
+            request = Request("GET", target, self._access.token)
+            answered = await exchange(asked, request, self._timeout_s)
+            if isinstance(answered, Failure):
+                findings.append(_finding(answered.failure()))
+                continue
+            answer = answered.unwrap()
+            if answer.status == UNAUTHORIZED:
+                return Failure(WrongToken(asked))
+            if answer.status != OK:
+                findings.append(Finding(str(asked), f"answered {answer.status}"))
+                continue
+            match _read_json(answer.body, as_type):
+                case Success(value):
+                    return Success(value)
+                case Failure(faults):
+                    findings += _at(asked, faults)
+        return Failure(Unreachable(tuple(findings)))
+
+
+def _read_outcome(answer: Answer, address: Address, patch_id: str) -> _Outcome:
+    """Read a verdict that fits its HTTP status and the patch asked for."""
+    if answer.status == UNAUTHORIZED:
+        return WrongToken(address)
+    if answer.status == NOT_FOUND:
+        return NoVerdict(patch_id)
+    if answer.status == BAD_REQUEST:
+        return _read_bad_input(answer, address)
+    verdict = _read_json(answer.body, Verdict).value_or(None)
+    if verdict is None:
+        return NoAnswer(address, f"answered {answer.status} without a verdict", True)
+    if verdict.patch_id != patch_id:
+        return NoAnswer(address, "answered for another patch", True)
+    if verdict_http_status(verdict) != answer.status:
+        return NoAnswer(address, f"answered {answer.status} with another verdict", True)
+    return verdict  # type: ignore[no-any-return]
+
+
+def _read_bad_input(answer: Answer, address: Address) -> BadInput:
+    read: Result[Any, Findings] = _read_json(answer.body, dict[str, Findings])
+    named: dict[str, Findings] = read.value_or({"findings": ()})
+    findings = named.get("findings", ())
+    return BadInput(findings or (Finding(str(address), "refused the request as bad"),))
+
+
+def _conclude(outcomes: Sequence[_Outcome]) -> Result[Verdict, Problem]:
+    """Choose what to tell: a verdict, else the reason that there is none."""
+    match outcomes[-1]:
+        case Accepted() | Refused() as verdict:
+            return Success(verdict)
+        case WrongToken() | BadInput() as problem:
+            return Failure(problem)
+    for outcome in outcomes:
+        if isinstance(outcome, UnknownVerdict):
+            return Success(outcome)
+    for outcome in outcomes:
+        if isinstance(outcome, NoVerdict):
+            return Failure(outcome)
+    silent = (item for item in outcomes if isinstance(item, NoAnswer))
+    return Failure(Unreachable(tuple(map(_finding, silent))))
+
+
+def _finding(failure: NoAnswer) -> Finding:
+    return Finding(str(failure.address), failure.fault)
+
+
+def _read_json(body: bytes, as_type: Any) -> Result[Any, Findings]:
+    try:
+        raw = json.loads(body)
+    except (ValueError, RecursionError):
+        return Failure((Finding("$", "did not answer with JSON"),))
+    return codec.from_map(raw, as_type)
+
+
+def _at(address: Address, faults: Findings) -> list[Finding]:
+    return [Finding(str(address), str(fault)) for fault in faults]
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers of the command line."""
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/utils/replies.py
@@ -0,0 +1,93 @@
+"""What a command tells: lines for people, a document for programs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from cicadatrail.network.problems import (
+    BadInput,
+    Interrupted,
+    NoVerdict,
+    Problem,
+    TimeLimit,
+    Unreachable,
+    WrongToken,
+)
+from cicadatrail.utils.access import TOKEN_VARIABLE
+from cicadatrail.utils.exit_codes import ExitCode
+from cicadatrail_core.models.patches import Accepted, Refused, UnknownVerdict, Verdict
+from cicadatrail_core.utils import codec
+from cicadatrail_core.utils.findings import Finding, Findings
+
+COLUMN_GAP = "  "
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold a command's outcome; ``document`` is ready for JSON."""
+
+    code: ExitCode
+    lines: tuple[str, ...]
+    document: Any
+
+
+def reply_to_problem(problem: Problem) -> Reply:
+    """Say why nothing could be told or done."""
+    match problem:
+        case BadInput(findings):
+            return _reply(ExitCode.BAD_INPUT, "bad input:", findings)
+        case WrongToken(address):
+            fault = f"the token in {TOKEN_VARIABLE} was not taken"
+            finding = Finding(str(address), fault)
+            return _reply(ExitCode.BAD_INPUT, "bad input:", (finding,))
+        case Unreachable(findings):
+            return _reply(ExitCode.UNKNOWN, "no instance answered:", findings)
+        case NoVerdict(patch_id):
+            finding = Finding(patch_id, "no instance knows a verdict of this patch")
+            return _reply(ExitCode.UNKNOWN, "unknown:", (finding,))
+        case TimeLimit(fault):
+            finding = Finding("--wait-limit-s", fault)
+            return _reply(ExitCode.UNKNOWN, "the time limit ended:", (finding,))
+        case Interrupted():
+            finding = Finding("interrupt", "what was sent may have been taken")
+            return _reply(ExitCode.UNKNOWN, "broken off:", (finding,))
+
+
+def reply_to_verdict(verdict: Verdict) -> Reply:
+    """Say what became of a patch."""
+    document = {"verdict": codec.to_map(verdict, Verdict)}
+    match verdict:
+        case Accepted(patch_id, version, offset):
+            line = f"accepted: patch {patch_id} is version {version} (offset {offset})"
+            return Reply(ExitCode.DONE, (line,), document)
+        case Refused(patch_id, current_version, findings, stale):
+            word = "refused as stale" if stale else "refused"
+            line = f"{word}: patch {patch_id}; version {current_version} is in force"
+            lines = (line, *(f"  {finding}" for finding in findings))
+            return Reply(ExitCode.REFUSED, lines, document)
+        case UnknownVerdict(patch_id, advice):
+            line = f"unknown: patch {patch_id} may have been taken: {advice}"
+            hint = f"ask again: cicadatrail patch verdict {patch_id}"
+            return Reply(ExitCode.UNKNOWN, (line, hint), document)
+
+
+def _reply(code: ExitCode, head: str, findings: Findings) -> Reply:
+    lines = (head, *(f"  {finding}" for finding in findings))
+    document = {"findings": codec.to_map(findings, Findings)}
+    return Reply(code, lines, document)
+
+
+def format_table(
+    header: Sequence[str], rows: Iterable[Sequence[object]]
+) -> tuple[str, ...]:
+    """Return lines in which each column is as wide as its widest cell."""
+    cells = [tuple(header), *(tuple(map(str, row)) for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return tuple(COLUMN_GAP.join(map(str.ljust, row, widths)).rstrip() for row in cells)
+
+
+def printable(text: str) -> str:
+    """Return ``text`` without characters that would steer a terminal."""
+    return "".join(mark if mark.isprintable() else "?" for mark in text)
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/utils/waiting.py
@@ -0,0 +1,177 @@
+"""Waiting, within a limit, for a verdict or for a version to be in force."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from cleo.formatters.formatter import Formatter
+from cleo.io.io import IO
+from cleo.ui.progress_bar import ProgressBar
+from returns.result import Failure, Result, Success
+
+from cicadatrail.network.admin import AdminClient
+from cicadatrail.network.problems import BadInput, Problem, TimeLimit, WrongToken
+from cicadatrail.utils.access import Address, parse_address
+from cicadatrail.utils.replies import printable
+from cicadatrail_core.models.maintenance import StepStatus, WaveStatus
+from cicadatrail_core.models.patches import Accepted, Refused, UnknownVerdict, Verdict
+from cicadatrail_core.models.status import InstanceStatus, WaveReport
+from cicadatrail_core.utils.findings import Finding
+
+POLL_S = 0.2
+"""Seconds between two rounds of questions after a patch."""
+
+WAVE_POLL_S = 1.0
+"""Seconds between two looks at a wave."""
+
+BAR_FORMAT = " %current%/%max% [%bar%] %message%"
+
+
+@dataclass(frozen=True, slots=True)
+class Reach:
+    """Name the instances that reached a version and those not seen to."""
+
+    reached: frozenset[str]
+    missing: frozenset[str]
+
+
+class Progress:
+    """Draws a progress bar whose length may still grow, on the error output."""
+
+    __slots__ = ("_bar", "_io", "_maximum")
+
+    def __init__(self, io: IO) -> None:
+        self._io = io
+        self._bar = ProgressBar(io)
+        self._bar.set_format(BAR_FORMAT)
+        self._maximum = 0
+
+    def show(self, done_count: int, total_count: int, message: str) -> None:
+        """Draw the bar, with what is waited for beside it."""
+        self._bar.set_message(Formatter.escape(printable(message)))
+        if total_count != self._maximum:
+            self._maximum = total_count
+            self._bar.start(total_count)
+        self._bar.set_progress(done_count)
+
+    def finish(self) -> None:
+        """Leave the bar as it was last drawn and end its line."""
+        self._bar.display()
+        self._io.error_output.write_line("")
+
+
+async def wait_for_verdict(
+    client: AdminClient, unknown: UnknownVerdict, limit_s: float
+) -> Verdict:
+    """Ask for the verdict until it is known or ``limit_s`` has passed."""
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + limit_s
+    while loop.time() < deadline_s:
+        match await client.read_verdict(unknown.patch_id):
+            case Success(UnknownVerdict()):
+                pass
+            case Success(Accepted() | Refused() as verdict):
+                return verdict
+        await asyncio.sleep(POLL_S)
+    return unknown
+
+
+async def wait_for_version(
+    client: AdminClient, version: int, limit_s: float, io: IO
+) -> Reach:
+    """Return when all instances reached ``version`` or the limit has passed."""
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + limit_s
+    progress = Progress(io)
+    while True:
+        reach = await _ask_all(client, version)
+        total_count = len(reach.reached) + len(reach.missing)
+        waited_for = ", ".join(sorted(reach.missing)) or "all instances reached it"
+        progress.show(len(reach.reached), total_count, waited_for)
+        if not reach.missing or loop.time() >= deadline_s:
+            progress.finish()
+            return reach
+        await asyncio.sleep(POLL_S)
+
+
+async def _ask_all(client: AdminClient, version: int) -> Reach:
+    """Ask the named instances, and then the members that these know of."""
+    statuses = await _ask(client, set(client.addresses))
+    asked = set(client.addresses)
+    others = {
+        address
+        for status in statuses
+        for member in status.members
+        if (address := parse_address(member.admin_address or "")) is not None
+    }
+    statuses += await _ask(client, others - asked)
+    versions: dict[str, int] = {}
+    for status in statuses:
+        _keep_highest(versions, status.instance_id, status.version)
+        for member in status.members:
+            _keep_highest(versions, member.instance_id, member.version)
+    reached = frozenset(name for name, seen in versions.items() if seen >= version)
+    missing = frozenset(versions) - reached
+    return Reach(reached, missing or _nobody_answered(versions))
+
+
+def _nobody_answered(versions: dict[str, int]) -> frozenset[str]:
+    return frozenset() if versions else frozenset({"(no instance answers)"})
+
+
+def _keep_highest(versions: dict[str, int], name: str, version: int | None) -> None:
+    """Note a version; one that was reached is never left again."""
+    known = -1 if version is None else version
+    versions[name] = max(versions.get(name, -1), known)
+
+
+async def _ask(client: AdminClient, addresses: set[Address]) -> list[InstanceStatus]:
+    calls = (client.read_status(address) for address in addresses)
+    answers = await asyncio.gather(*calls)
+    return [answer.unwrap() for answer in answers if isinstance(answer, Success)]
+
+
+async def watch_wave(
+    client: AdminClient, wave_id: str, limit_s: float, io: IO
+) -> Result[WaveReport, Problem]:
+    """Return the wave once it is done or aborted; no answer is waited out."""
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + limit_s
+    progress = Progress(io)
+    problem: Problem = TimeLimit(f"wave {wave_id} was not seen")
+    while True:
+        read = await client.read_status()
+        if isinstance(read, Failure):
+            problem = read.failure()
+        else:
+            report = _find_wave(read.unwrap(), wave_id)
+            if report is None:
+                return Failure(BadInput((Finding("wave", f"{wave_id!r} is unknown"),)))
+            _show_wave(progress, report)
+            status = report.progress.status
+            if status in (WaveStatus.DONE, WaveStatus.ABORTED):
+                progress.finish()
+                return Success(report)
+            problem = TimeLimit(f"wave {wave_id} is still {status.value}")
+        if isinstance(problem, WrongToken) or loop.time() >= deadline_s:
+            return Failure(problem)
+        await asyncio.sleep(WAVE_POLL_S)
+
+
+def _find_wave(status: InstanceStatus, wave_id: str) -> WaveReport | None:
+    for report in status.waves:
+        if report.progress.wave.wave_id == wave_id:
+            return report
+    return None
+
+
+def _show_wave(progress: Progress, report: WaveReport) -> None:
+    wave = report.progress
+    done_count = sum(step is StepStatus.DONE for _, step in wave.steps)
+    message = wave.status.value
+    if wave.pause_reason:
+        message += f": {wave.pause_reason}"
+    if report.remaining_s is not None:
+        message += f", forecast to end in {report.remaining_s:.0f} s"
+    progress.show(done_count, len(wave.steps), message)
