--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/apply.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/apply.py
@@ -58,11 +58,18 @@
 
 
 def fold_payload(state: State, offset: int, payload: bytes) -> State:
-    """Fold one record of the log; an unreadable one is counted and skipped.
+    """Fold one record of the log as ``fold_decoded`` does."""
+    return fold_decoded(state, offset, decode_record(payload))
+
+
+def fold_decoded(
+    state: State, offset: int, decoded: Result[Envelope, Findings]
+) -> State:
+    """Fold one decoded record; an unreadable one is counted and skipped.
 
     Every instance skips the same ones, so that all reach the same state.
     """
-    match decode_record(payload):
+    match decoded:
         case Success(envelope):
             return _fold_envelope(state, offset, envelope)
     count = state.unreadable_count + 1
--- a/packages/cicadatrail-node/src/cicadatraild/network/peer_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/peer_client.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from enum import Enum
@@ -235,7 +235,7 @@
 class PeerDirectory:
     """Keep the links to the other members of the roster."""
 
-    __slots__ = ("_links", "_on_fault", "_settings")
+    __slots__ = ("_links", "_on_fault", "_settings", "_tasks")
 
     def __init__(
         self,
@@ -245,6 +245,7 @@
         self._settings = settings
         self._on_fault = on_fault
         self._links: dict[IncarnationId, PeerLink] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def links(self) -> tuple[PeerLink, ...]:
@@ -269,7 +270,15 @@
                     name, members[name], self._settings, self._on_fault
                 )
 
+    def spawn(self, call: Coroutine[Any, Any, None]) -> None:
+        """Run a call of a peer in the background, until the directory closes."""
+        task = asyncio.get_running_loop().create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _close(self) -> None:
+        for task in tuple(self._tasks):
+            task.cancel()
         for link in self._links.values():
             link.close()
         self._links.clear()
--- a/packages/cicadatrail-node/src/cicadatraild/serving/admin.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/admin.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import unquote, urlsplit
 
@@ -36,8 +36,6 @@
 VERDICT_WAIT_S = 4.0
 """Time that a patch may wait for its verdict before it is told as unknown."""
 
-VERDICT_POLL_S = 0.01
-
 _ADVICE = "ask again by the patch id, or send the same patch again"
 
 JSON = ((b"Content-Type", b"application/json"),)
@@ -117,16 +115,16 @@
             return found
         if not self._appender.add(PatchRecord(patch)):
             return UnknownVerdict(patch.patch_id, _ADVICE)
-        deadline_s = asyncio.get_running_loop().time() + VERDICT_WAIT_S
-        while asyncio.get_running_loop().time() < deadline_s:
-            found = self._replica.state.verdicts.get(patch.patch_id)
-            if found is not None:
-                logger.info(
-                    "admin: patch %s: %s.", patch.patch_id, type(found).__name__
+        try:
+            async with asyncio.timeout(VERDICT_WAIT_S):
+                await self._replica.wait_for(
+                    lambda state: patch.patch_id in state.verdicts
                 )
-                return found
-            await asyncio.sleep(VERDICT_POLL_S)
-        return UnknownVerdict(patch.patch_id, _ADVICE)
+        except TimeoutError:
+            return UnknownVerdict(patch.patch_id, _ADVICE)
+        verdict = self._replica.state.verdicts[patch.patch_id]
+        logger.info("admin: patch %s: %s.", patch.patch_id, type(verdict).__name__)
+        return verdict
 
 
 async def _read_patch(exchange: HttpExchange) -> Result[Patch, Findings]:
@@ -161,6 +159,3 @@
 
 async def _respond(exchange: HttpExchange, status: int, value: Any) -> None:
     await exchange.respond(status, json.dumps(value).encode(), JSON)
-
-
-Serve = Callable[[HttpExchange], Awaitable[None]]
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/appender.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/appender.py
@@ -69,13 +69,7 @@
         return len(self._queue)
 
     def add(self, record: Record) -> bool:
-        """Queue a record; tell whether there was room.
-
-        A pulse is queued only when nothing else waits, since a newer one
-        replaces it and a queue of them would only delay the rest.
-        """
-        if isinstance(record, PulseRecord) and self._queue:
-            return False
+        """Queue a record; tell whether there was room."""
         if len(self._queue) >= QUEUE_LIMIT_COUNT:
             return False
         self._sequence += 1
@@ -84,6 +78,14 @@
         self._wake.set()
         return True
 
+    def add_pulse(self, pulse: PulseRecord) -> None:
+        """Queue a pulse, unless records wait already while the log is away.
+
+        Old pulses are worth nothing, and would only delay what comes next.
+        """
+        if self.failing_since_s is None:
+            self.add(pulse)
+
     async def run(self) -> None:
         """Append until cancelled."""
         while True:
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/membership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/membership.py
@@ -13,7 +13,6 @@
     ClaimRecord,
     JoinRecord,
     LeaveRecord,
-    PulseRecord,
     ReleaseRecord,
     TransferRecord,
 )
@@ -29,9 +28,6 @@
 BALANCE_INTERVAL_S = 1.0
 """Time between two looks at whether rights are spread evenly."""
 
-JOIN_POLL_S = 0.05
-"""Time between two looks at whether the join was folded."""
-
 
 @dataclass(frozen=True, slots=True)
 class Identity:
@@ -45,7 +41,7 @@
 
 
 class StruckOutError(Exception):
-    """Report that peers freed this incarnation's rights; it must not go on."""
+    """Report that peers retired this incarnation; it must not go on."""
 
 
 class Membership:
@@ -58,11 +54,9 @@
         "_joined",
         "_on_holdings",
         "_pending",
-        "_pulse_s",
         "_replica",
         "_running_on",
         "_running_of",
-        "_sequence",
         "leaving",
     )
 
@@ -72,7 +66,6 @@
         replica: Replica,
         appender: Appender,
         holdings: Holdings,
-        pulse_s: float,
         running_on: Callable[[str], int],
         running_of: Callable[[str], int],
         on_holdings: Callable[[], None],
@@ -81,12 +74,10 @@
         self._replica = replica
         self._appender = appender
         self._holdings = holdings
-        self._pulse_s = pulse_s
         self._running_on = running_on
         self._running_of = running_of
         self._on_holdings = on_holdings
         self._pending: ReleaseRecord | tuple[TransferRecord, ...] | None = None
-        self._sequence = 0
         self._joined = False
         self.leaving = False
 
@@ -107,20 +98,10 @@
                 identity.place,
             )
         )
-        while self.member is None:
-            await asyncio.sleep(JOIN_POLL_S)
+        await self._replica.wait_for(lambda state: identity.incarnation in state.roster)
         self._joined = True
         logger.info("member: joined as %s.", identity.incarnation)
 
-    async def pulse(self) -> None:
-        """Append a pulse every interval, until cancelled."""
-        while True:
-            self._sequence += 1
-            offset = self._replica.state.next_offset
-            incarnation = self._identity.incarnation
-            self._appender.add(PulseRecord(incarnation, self._sequence, offset))
-            await asyncio.sleep(self._pulse_s)
-
     async def balance(self) -> None:
         """Claim, hand over and release rights, until cancelled.
 
@@ -143,19 +124,23 @@
         incarnation = self._identity.incarnation
         records = handover(self._replica.state, incarnation)
         self._hand_over(records)
-        while self.member is not None and self._pending is not None:
-            await asyncio.sleep(JOIN_POLL_S)
-            self._settle(self._replica.state)
+        await self._replica.wait_for(self._is_settled)
         self._appender.add(LeaveRecord(incarnation))
-        while self.member is not None:
-            await asyncio.sleep(JOIN_POLL_S)
+        await self._replica.wait_for(lambda state: incarnation not in state.roster)
         logger.info("member: left the roster.")
 
     def check_member(self) -> None:
-        """Raise StruckOutError when this incarnation was struck out."""
-        if self._joined and self.member is None:
+        """Raise StruckOutError when this incarnation was retired or freed."""
+        member = self.member
+        retired = member is not None and member.retire_offset is not None
+        if self._joined and (member is None or retired):
             raise StruckOutError
 
+    def _is_settled(self, state: State) -> bool:
+        """Settle what the state shows; tell whether nothing is on its way."""
+        self._settle(state)
+        return self._pending is None or self.member is None
+
     def _settle(self, state: State) -> None:
         """Forget what was handed over once the log shows it."""
         member = state.roster.get(self._identity.incarnation)
@@ -197,7 +182,7 @@
             return
         rights = tuple(right for record in records for right in record.rights)
         self._stop_using(rights)
-        idle = []
+        idle: list[TransferRecord] = []
         for record in records:
             part = self._idle_part(record.rights)
             if part:
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure, Success
 
-from cicadatrail_core.fold.apply import decode_record, fold_payload
+from cicadatrail_core.fold.apply import Envelope, decode_record, fold_decoded
 from cicadatrail_core.fold.snapshots import SnapshotAssembler
 from cicadatrail_core.models.platform import LogPage, LogService
 from cicadatrail_core.models.records import SnapshotRecord
@@ -35,6 +35,7 @@
 BACKOFF_LIMIT_S = 1.0
 
 Listener = Callable[[State], None]
+RecordListener = Callable[[Envelope], None]
 
 
 class Replica:
@@ -47,7 +48,9 @@
     __slots__ = (
         "_backoff",
         "_listeners",
+        "_changed",
         "_log",
+        "_record_listeners",
         "_tail",
         "failing_since_s",
         "folded_count",
@@ -57,6 +60,8 @@
     def __init__(self, log: LogService, random_source: random.Random) -> None:
         self._log = log
         self._listeners: list[Listener] = []
+        self._record_listeners: list[RecordListener] = []
+        self._changed = asyncio.Event()
         self._tail: deque[tuple[int, bytes]] = deque(maxlen=TAIL_LIMIT_COUNT)
         self._backoff = Backoff(BACKOFF_BASE_S, BACKOFF_LIMIT_S, random_source)
         self.state = State()
@@ -67,6 +72,15 @@
         """Call ``listener`` with the state after each change."""
         self._listeners.append(listener)
 
+    def listen_to_records(self, listener: RecordListener) -> None:
+        """Call ``listener`` with each record after the state that it made."""
+        self._record_listeners.append(listener)
+
+    async def wait_for(self, holds: Callable[[State], bool]) -> None:
+        """Wait until ``holds`` is true of the state."""
+        while not holds(self.state):
+            await self._changed.wait()
+
     def records_from(self, offset: int, limit_count: int) -> tuple[bytes, ...] | None:
         """Return kept records from an offset; None when they are not all kept."""
         if not self._tail or offset < self._tail[0][0]:
@@ -78,13 +92,20 @@
     def take_records(self, from_offset: int, payloads: tuple[bytes, ...]) -> None:
         """Fold records from the log or a peer; those known are passed over."""
         state = self.state
+        envelopes: list[Envelope] = []
         for offset, payload in enumerate(payloads, from_offset):
             if offset != state.next_offset:
                 continue
-            state = fold_payload(state, offset, payload)
+            decoded = decode_record(payload)
+            state = fold_decoded(state, offset, decoded)
             self._tail.append((offset, payload))
             self.folded_count += 1
+            if isinstance(decoded, Success):
+                envelopes.append(decoded.unwrap())
         self._publish(state)
+        for envelope in envelopes:
+            for listener in self._record_listeners:
+                listener(envelope)
 
     def take_snapshot(self, state: State) -> None:
         """Adopt a newer state from a snapshot; an older one is passed over."""
@@ -155,6 +176,8 @@
         self.state = state
         for listener in self._listeners:
             listener(state)
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     def _note_success(self) -> None:
         self._backoff.reset()
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/standing.py
@@ -0,0 +1,242 @@
+"""Keeps this incarnation supported, and judges that of others.
+
+Drives the pure rule of ``cicadatrail_core.rights`` with pulses through the
+log, support requests to peers, and proofs that others are gone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Success
+
+from cicadatrail_core.fold.apply import Envelope
+from cicadatrail_core.models.platform import InstanceList, ListedInstance
+from cicadatrail_core.models.records import PulseRecord, RetireRecord
+from cicadatrail_core.models.rights import IncarnationId
+from cicadatrail_core.models.state import Member, State
+from cicadatrail_core.models.support import SupportReply, SupportRequest
+from cicadatrail_core.rights.currency import Current, KeyCurrency
+from cicadatrail_core.rights.freeing import Reclaimer
+from cicadatrail_core.rights.proof import GoneProofs
+from cicadatrail_core.rights.support import HolderSupport
+from cicadatrail_core.rights.supporter import Supporter
+from cicadatrail_core.rights.timing import RightsTiming
+from cicadatraild.network.peer_client import LinkFault, PeerDirectory, PeerLink
+from cicadatraild.sharing.appender import Appender
+from cicadatraild.sharing.replica import Replica
+
+logger = logging.getLogger("cicadatrail.rights")
+
+SUSPECT_FACTOR = 3.0
+"""Support times of silence after which a member is proposed to be retired."""
+
+RECLAIM_INTERVAL_S = 0.25
+"""Time between two looks at members that are retired or silent."""
+
+CALL_TIMEOUT_S = 1.0
+"""Time that a peer has to answer a support request."""
+
+
+@dataclass(slots=True)
+class _Sighting:
+    """Remember the newest sign of life of a member."""
+
+    pulse_offset: int
+    seen_s: float
+
+
+class Standing:
+    """Answer whether rights may be spent and keys judged at this moment."""
+
+    __slots__ = (
+        "_appender",
+        "_currency",
+        "_directory",
+        "_holder",
+        "_incarnation",
+        "_instance_list",
+        "_list_poll_s",
+        "_proofs",
+        "_pulse_s",
+        "_reclaimer",
+        "_replica",
+        "_sightings",
+        "_supporter",
+        "_ticked_s",
+        "_timing",
+        "_watching_since_s",
+        "listed",
+        "on_list",
+    )
+
+    def __init__(
+        self,
+        incarnation: IncarnationId,
+        timing: RightsTiming,
+        pulse_s: float,
+        list_poll_s: float,
+        replica: Replica,
+        appender: Appender,
+        directory: PeerDirectory,
+        instance_list: InstanceList,
+        on_list: Callable[[tuple[ListedInstance, ...]], None],
+    ) -> None:
+        self._incarnation = incarnation
+        self._timing = timing
+        self._pulse_s = pulse_s
+        self._list_poll_s = list_poll_s
+        self._replica = replica
+        self._appender = appender
+        self._directory = directory
+        self._instance_list = instance_list
+        self.on_list = on_list
+        self._holder = HolderSupport(incarnation, timing)
+        self._supporter = Supporter(incarnation, timing)
+        self._reclaimer = Reclaimer(incarnation, timing)
+        self._proofs = GoneProofs(timing)
+        self._currency = KeyCurrency(incarnation, timing)
+        self._sightings: dict[IncarnationId, _Sighting] = {}
+        self._ticked_s = self._watching_since_s = asyncio.get_running_loop().time()
+        self.listed: tuple[ListedInstance, ...] = ()
+
+    def may_spend(self, now_s: float) -> bool:
+        """Tell whether rights may be spent; check just before each send."""
+        return self._holder.may_spend(self._replica.state, now_s)
+
+    def may_judge_keys(self, now_s: float) -> bool:
+        """Tell whether the state at hand is current enough to judge keys."""
+        state = self._replica.state
+        if now_s < self._holder.log_until_s:
+            return True
+        gone = self._proofs.gone_since_s(state, now_s)
+        verdict = self._currency.judge(state, now_s, self._holder.log_until_s, gone)
+        return isinstance(verdict, Current)
+
+    def note_record(self, envelope: Envelope) -> None:
+        """Take note of a folded record; own pulses extend the support."""
+        match envelope.record:
+            case PulseRecord(incarnation=incarnation) as pulse:
+                if incarnation == self._incarnation:
+                    self._holder.note_pulse(pulse)
+
+    def note_fault(self, name: IncarnationId, fault: LinkFault) -> None:
+        """Take note of a link that could not be opened."""
+        now_s = asyncio.get_running_loop().time()
+        match fault:
+            case LinkFault.REFUSED:
+                self._proofs.note_refused(name, now_s)
+            case LinkFault.OTHER_INCARNATION:
+                self._proofs.note_answer(name, IncarnationId(""), now_s)
+            case LinkFault.SILENT:
+                return
+
+    def answer(self, request: SupportRequest) -> SupportReply:
+        """Answer a peer's request for support."""
+        now_s = asyncio.get_running_loop().time()
+        self._see(request.asker, now_s)
+        return self._supporter.answer(self._replica.state, request, now_s)
+
+    def suspects(self, now_s: float) -> tuple[Member, ...]:
+        """Return the members that gave no sign of life for too long."""
+        limit_s = SUSPECT_FACTOR * self._timing.support_s
+        return tuple(
+            member
+            for member in self._replica.state.roster.values()
+            if member.incarnation != self._incarnation
+            and now_s - self._seen_s(member, now_s) > limit_s
+        )
+
+    async def pulse(self) -> None:
+        """Append pulses and ask peers for support, until cancelled."""
+        while True:
+            now_s = asyncio.get_running_loop().time()
+            state = self._replica.state
+            self._appender.add_pulse(self._holder.start_pulse(state, now_s))
+            request = self._holder.start_request(state, now_s)
+            if request is not None:
+                for link in self._directory.links:
+                    self._directory.spawn(self._ask(link, request))
+            await asyncio.sleep(self._pulse_s)
+
+    async def reclaim(self) -> None:
+        """Retire silent members and free what they held, until cancelled."""
+        while True:
+            self._reclaim_once(self._replica.state)
+            await asyncio.sleep(RECLAIM_INTERVAL_S)
+
+    async def follow_list(self) -> None:
+        """Poll the instance list until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            asked_s = loop.time()
+            answer = await self._instance_list.list_instances()
+            if isinstance(answer, Success):
+                self.listed = answer.unwrap()
+                names = [listed.instance_id for listed in self.listed]
+                self._proofs.note_list(names, asked_s, loop.time())
+                self.on_list(self.listed)
+            await asyncio.sleep(self._list_poll_s)
+
+    async def _ask(self, link: PeerLink, request: SupportRequest) -> None:
+        sent_s = self._holder.request_sent_s(request.number)
+        answer = await link.call(request, CALL_TIMEOUT_S)
+        reply: Any = answer.value_or(None)
+        if sent_s is None or not isinstance(reply, SupportReply):
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._see(reply.supporter, now_s)
+        self._holder.note_reply(reply, now_s)
+        self._currency.note_reply(reply, sent_s)
+
+    def _watch(self, now_s: float) -> None:
+        """Count silence anew after a pause of this process or of the log.
+
+        What others did meanwhile was not seen, so that it proves nothing.
+        """
+        paused = now_s - self._ticked_s > self._timing.support_s
+        if paused or self._replica.failing_since_s is not None:
+            self._watching_since_s = now_s
+        self._ticked_s = now_s
+
+    def _reclaim_once(self, state: State) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._watch(now_s)
+        gone = self._proofs.gone_since_s(state, now_s)
+        suspects = {member.incarnation for member in self.suspects(now_s)}
+        for incarnation in suspects.union(gone):
+            member = state.roster.get(incarnation)
+            if member is not None and member.retire_offset is None:
+                self._retire(incarnation)
+        for ack in self._supporter.acknowledgements(state, now_s):
+            self._appender.add(ack)
+        for free in self._reclaimer.records_due(state, now_s, gone):
+            logger.info("rights: freeing those of %s.", free.incarnation)
+            self._appender.add(free)
+
+    def _retire(self, incarnation: IncarnationId) -> None:
+        """Propose to retire a member, unless the log isn't taking records."""
+        if self._appender.waiting_count:
+            return
+        logger.warning("rights: proposing to retire %s.", incarnation)
+        self._appender.add(RetireRecord(incarnation, self._incarnation))
+
+    def _see(self, incarnation: IncarnationId, now_s: float) -> None:
+        sighting = self._sightings.get(incarnation)
+        if sighting is not None:
+            sighting.seen_s = now_s
+
+    def _seen_s(self, member: Member, now_s: float) -> float:
+        """Return when a member was last seen, by its pulses or by its answers."""
+        sighting = self._sightings.get(member.incarnation)
+        if sighting is None:
+            sighting = _Sighting(member.last_pulse_offset, now_s)
+            self._sightings[member.incarnation] = sighting
+        if sighting.pulse_offset != member.last_pulse_offset:
+            sighting.pulse_offset = member.last_pulse_offset
+            sighting.seen_s = now_s
+        return max(sighting.seen_s, self._watching_since_s)
