Make admission and placement whole: indexes, estimates, fairness, ids

Cause: the first dispatcher scanned its maps for every decision, trusted declared sizes and knew no fairness. Now: free room indexed per pool, sizes learned from lagged reports, weighted dominant-resource order with ageing, reservations for what fits nowhere yet, ejection with probes, room taken back by throttle, checkpoint and stop, a retry budget, and the memory of one partition of request ids.

--- a/packages/cicadatrail-core/src/cicadatrail_core/models/resources.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/resources.py
@@ -35,6 +35,22 @@
             and self.accelerator_count <= room.accelerator_count
         )
 
+    def at_most(self, limit: Resources) -> Resources:
+        """Return this amount, cut to ``limit`` in each resource."""
+        return Resources(
+            min(self.cpu_millicores, limit.cpu_millicores),
+            min(self.memory_mib, limit.memory_mib),
+            min(self.accelerator_count, limit.accelerator_count),
+        )
+
+    def at_least(self, floor: Resources) -> Resources:
+        """Return this amount, raised to ``floor`` in each resource."""
+        return Resources(
+            max(self.cpu_millicores, floor.cpu_millicores),
+            max(self.memory_mib, floor.memory_mib),
+            max(self.accelerator_count, floor.accelerator_count),
+        )
+
     def dominant_share(self, total: Resources) -> float:
         """Return the largest fraction of ``total`` that this amount takes.
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/dispatcher.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/dispatcher.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
 
+from cicadatrail_core.admission.fair_queue import FairQueue
+from cicadatrail_core.admission.share_return import ReturnOrder, ShareReturn
+from cicadatrail_core.admission.team_shares import TeamShares
+from cicadatrail_core.models.fleet import Urgency
 from cicadatrail_core.models.requests import TaskRequest
-from cicadatrail_core.models.resources import NO_RESOURCES, Resources
+from cicadatrail_core.models.resources import Resources
 from cicadatrail_core.models.state import State
 from cicadatrail_core.models.usage import UsageReport
 from cicadatrail_core.placement.decisions import (
@@ -18,6 +20,18 @@
     TaskEnd,
     Waiting,
 )
+from cicadatrail_core.placement.ejection import HealthChange, WorkerHealth
+from cicadatrail_core.placement.estimates import Estimator
+from cicadatrail_core.placement.feedback import Feedback
+from cicadatrail_core.placement.fleet_view import FleetView
+from cicadatrail_core.placement.never_run import NeverRunJobs
+from cicadatrail_core.placement.placer import Placer
+from cicadatrail_core.placement.pool_filler import PoolFiller
+from cicadatrail_core.placement.return_planner import ReturnPlanner
+from cicadatrail_core.placement.running_tasks import RunningTasks
+from cicadatrail_core.placement.settings import DispatcherSettings
+from cicadatrail_core.placement.submission_checks import SubmissionChecks
+from cicadatrail_core.placement.worker_ledger import HiddenBy
 
 __all__ = [
     "Dispatcher",
@@ -31,30 +45,47 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class DispatcherSettings:
-    """Bound what a dispatcher keeps."""
-
-    queue_limit_count: int = 10_000
-    retry_after_s: float = 1.0
-
-
 class Dispatcher:
     """Place requests on the workers that one entry instance holds.
 
-    Times are of the loop's clock, in seconds. No method raises for a request
-    that it does not know: it changes nothing.
+    Times are of the loop's clock, in seconds. A request id that is not known
+    changes nothing. After any change, ask ``next_placements``.
     """
 
-    __slots__ = ("_free", "_running", "_settings", "_slots", "_state", "_waiting")
+    __slots__ = (
+        "_checks",
+        "_estimator",
+        "_expired",
+        "_feedback",
+        "_filler",
+        "_placer",
+        "_queue",
+        "_returns",
+        "_running",
+        "_settings",
+        "_shares",
+        "_view",
+    )
 
     def __init__(self, settings: DispatcherSettings) -> None:
         self._settings = settings
-        self._state = State()
-        self._free: dict[str, Resources] = {}
-        self._slots: dict[str, int] = {}
-        self._waiting: dict[str, TaskRequest] = {}
-        self._running: dict[str, Placed] = {}
+        self._view = FleetView()
+        self._queue = FairQueue(settings.ageing)
+        self._running = RunningTasks(settings.report_lag_s, settings.ended_limit_count)
+        self._shares = TeamShares()
+        self._estimator = Estimator(settings.estimates)
+        never_run = NeverRunJobs(settings.never_run)
+        self._checks = SubmissionChecks(self._view, self._estimator, never_run)
+        health = WorkerHealth(settings.ejection)
+        self._placer = Placer(self._queue, self._running, self._shares, health)
+        self._filler = PoolFiller(self._placer, self._checks)
+        self._feedback = Feedback(
+            settings, self._placer, self._view, self._estimator, never_run
+        )
+        self._returns = ReturnPlanner(
+            ShareReturn(settings.share_return), self._placer, self._view, self._checks
+        )
+        self._expired: list[Rejected] = []
 
     def configure(
         self,
@@ -65,142 +96,194 @@
     ) -> None:
         """Set the workers to place on and the team slots to spend.
 
-        Running tasks stay charged, also where a worker or slot is gone.
+        ``workers`` are those held that serve, with those that this dispatcher
+        ejected. Running tasks stay charged, also where a worker or slot is gone.
         """
-        self._state = state
-        self._slots = dict(slots)
-        self._free = {
-            worker_id: state.workers[worker_id].capacity
-            for worker_id in workers
-            if worker_id in state.workers
-        }
-        for placed in self._running.values():
-            if placed.worker_id in self._free:
-                self._free[placed.worker_id] -= placed.size
+        old_services = self._view.state.services
+        self._view.configure(state)
+        self._shares.configure(state.teams, self._view.total)
+        self._take_workers(state, workers)
+        for team_id in self._placer.slots.configure(slots):
+            self._placer.update_parking(team_id)
+        for team_id in self._queue.team_ids:
+            self._placer.update_share(team_id)
+        if state.services is not old_services:
+            self._requeue()
+        self._filler.mark(*self._queue.pool_ids)
+
+    def configure_peer_usage(self, usage: Mapping[str, Resources]) -> None:
+        """Replace what teams use through all other instances, by their digests."""
+        self._shares.set_peer_usage(usage)
+        for team_id in self._queue.team_ids:
+            self._placer.update_share(team_id)
 
     def submit(self, request: TaskRequest, now_s: float) -> Submission:
         """Place the request at once, queue it, or reject it with the reason."""
-        reason = self._reason_to_reject(request, now_s)
-        if reason is not None:
-            return self._reject(request, reason)
-        if not self._has_rivals(request):
-            placed = self._place(request)
-            if placed is not None:
-                return placed
-        if len(self._waiting) >= self._settings.queue_limit_count:
-            return self._reject(request, RejectReason.QUEUE_FULL)
-        self._waiting[request.request_id] = request
+        if request.request_id in self._running or request.request_id in self._queue:
+            return Rejected(request.request_id, RejectReason.DUPLICATE_ID, None)
+        refusal = self._checks.refusal(request, self._settings.retry_after_s, now_s)
+        if refusal is not None:
+            return refusal
+        placed = self._place_at_once(request, now_s)
+        if placed is not None:
+            return placed
+        if self._is_full_for(request):
+            again_s = self._retry_after_s(request)
+            return Rejected(request.request_id, RejectReason.QUEUE_FULL, again_s)
+        self._enqueue(request, now_s)
         return Waiting(request.request_id)
 
     def try_place(self, request: TaskRequest, now_s: float) -> Placed | None:
         """Place a request that a peer forwarded, at once or not at all."""
-        if self._reason_to_reject(request, now_s) is not None:
+        if request.request_id in self._running or request.request_id in self._queue:
             return None
-        if self._has_rivals(request):
+        if self._checks.refusal(request, self._settings.retry_after_s, now_s):
             return None
-        return self._place(request)
+        return self._place_at_once(request, now_s)
 
     def finish(self, request_id: str, ended: TaskEnd, now_s: float) -> None:
         """Free the place and the slot of a task that has ended."""
-        placed = self._running.pop(request_id, None)
-        if placed is not None and placed.worker_id in self._free:
-            self._free[placed.worker_id] += placed.size
+        task = self._placer.end(request_id, now_s)
+        if task is None:
+            return
+        self._returns.forget(request_id)
+        match self._feedback.take_end(task, ended, now_s):
+            case HealthChange.EJECTED:
+                self._eject(task.worker_id)
+            case HealthChange.RESTORED:
+                self._placer.ledger.show(task.worker_id)
+            case HealthChange.NONE:
+                pass
+        self._filler.mark(*self._placer.update_parking(task.request.team_id))
+        self._filler.mark(task.pool_id)
 
     def cancel(self, request_id: str, now_s: float) -> bool:
         """Remove a waiting request; tell whether it was still waiting."""
-        return self._waiting.pop(request_id, None) is not None
+        return self._filler.withdraw(request_id) is not None
 
     def next_placements(self, now_s: float) -> tuple[Placed, ...]:
-        """Place waiting requests, urgent ones first, until none fits."""
-        chosen = []
-        for request in sorted(self._waiting.values(), key=lambda r: r.urgency.rank):
-            placed = None
-            if request.deadline_s > now_s:
-                placed = self._place(request)
-            if placed is not None:
-                del self._waiting[request.request_id]
-                chosen.append(placed)
-        return tuple(chosen)
+        """Place waiting requests in their order, until none fits."""
+        self._collect_expired(now_s)
+        return self._filler.fill(now_s)
 
     def expire(self, now_s: float) -> tuple[Rejected, ...]:
         """Remove and return the waiting requests whose deadline passed."""
-        late = [r for r in self._waiting.values() if r.deadline_s <= now_s]
-        for request in late:
-            del self._waiting[request.request_id]
-        return tuple(self._reject(r, RejectReason.DEADLINE) for r in late)
+        self._collect_expired(now_s)
+        expired = tuple(self._expired)
+        self._expired.clear()
+        return expired
 
     def report_usage(self, report: UsageReport, now_s: float) -> None:
-        """Take in a worker's lagged report on its tasks."""
+        """Take in a worker's lagged report on its tasks.
+
+        Tasks that this instance did not start count as taking room, too.
+        """
+        if self._feedback.take_report(report):
+            self._filler.mark(self._placer.ledger.pool_of(report.worker_id))
+
+    def next_returns(self, now_s: float) -> tuple[ReturnOrder, ...]:
+        """Return the steps due now to give room back to those who are due.
+
+        Ask a few times a second. It looks at the tasks of the pools where a
+        request waits past its patience, so it costs more than a placement.
+        """
+        return self._returns.next_orders(self._queue.pool_ids, now_s)
 
     @property
     def waiting_counts(self) -> Mapping[str, int]:
-        """Count the waiting requests of each team."""
-        return Counter(request.team_id for request in self._waiting.values())
+        """Return the number of waiting requests of each team."""
+        return self._queue.team_counts
 
     @property
     def running_counts(self) -> Mapping[str, int]:
-        """Count the running tasks of each team."""
-        return Counter(placed.request.team_id for placed in self._running.values())
+        """Return the number of running tasks of each team."""
+        return self._running.team_counts
+
+    @property
+    def own_usage(self) -> Mapping[str, Resources]:
+        """Return what each team uses through this instance, for the digests."""
+        return self._shares.own_usage
+
+    @property
+    def ejected_workers(self) -> tuple[str, ...]:
+        """Return the workers that are ejected now."""
+        return self._placer.health.ejected
 
     def free_room(self, pool_id: str) -> Resources:
         """Return the sum of what is free on this pool's held workers."""
-        total = NO_RESOURCES
-        for worker_id, free in self._free.items():
-            if self._state.pool_of.get(worker_id) == pool_id:
-                total += free
-        return total
-
-    def _reason_to_reject(
-        self, request: TaskRequest, now_s: float
-    ) -> RejectReason | None:
-        service = self._state.services.get(request.service_id)
-        if service is None:
-            return RejectReason.UNKNOWN_SERVICE
-        if request.team_id not in self._state.teams:
-            return RejectReason.UNKNOWN_TEAM
-        if request.request_id in self._running or request.request_id in self._waiting:
-            return RejectReason.DUPLICATE_ID
-        if request.deadline_s <= now_s:
-            return RejectReason.DEADLINE
-        if not self._fits_some_worker(request, service.pool_id):
-            return RejectReason.FITS_NO_WORKER
-        return None
-
-    def _fits_some_worker(self, request: TaskRequest, pool_id: str) -> bool:
-        return any(
-            request.size.fits_in(self._state.workers[worker_id].capacity)
-            for worker_id, its_pool_id in self._state.pool_of.items()
-            if its_pool_id == pool_id
-        )
+        return self._placer.ledger.pool_free(pool_id)
 
-    def _reject(self, request: TaskRequest, reason: RejectReason) -> Rejected:
-        again_s = None
-        if reason in (RejectReason.QUEUE_FULL, RejectReason.DEADLINE):
-            again_s = self._settings.retry_after_s
-        return Rejected(request.request_id, reason, again_s)
-
-    def _has_rivals(self, request: TaskRequest) -> bool:
-        return any(
-            waiting.service_id == request.service_id
-            and waiting.urgency.rank <= request.urgency.rank
-            for waiting in self._waiting.values()
-        )
+    def estimate(self, request: TaskRequest) -> Resources:
+        """Return the size that the request would be charged now."""
+        pool_id = self._view.pool_of_service(request.service_id)
+        return self._checks.size(request, pool_id or "")
 
-    def _place(self, request: TaskRequest) -> Placed | None:
-        team_id = request.team_id
-        if self.running_counts.get(team_id, 0) >= self._slots.get(team_id, 0):
-            return None
-        pool_id = self._state.services[request.service_id].pool_id
-        fitting = [
-            (free.cpu_millicores, worker_id)
-            for worker_id, free in self._free.items()
-            if self._state.pool_of.get(worker_id) == pool_id
-            and request.size.fits_in(free)
-        ]
-        if not fitting:
+    def _take_workers(self, state: State, workers: Collection[str]) -> None:
+        ledger = self._placer.ledger
+        for worker_id in ledger.configure(state, workers):
+            reserved_in = self._placer.reservations.pool_of_worker(worker_id)
+            if reserved_in is not None:
+                self._placer.release_reservation(reserved_in)
+            if not ledger.is_held(worker_id):
+                self._feedback.forget_worker(worker_id)
+            elif self._placer.health.is_ejected(worker_id):
+                ledger.hide(worker_id, HiddenBy.EJECTION)
+
+    def _place_at_once(self, request: TaskRequest, now_s: float) -> Placed | None:
+        pool_id = self._view.pool_of_service(request.service_id)
+        assert pool_id is not None
+        if self._queue.has_rivals(pool_id, request.urgency.rank, now_s):
             return None
-        worker_id = min(fitting)[1]
-        self._free[worker_id] -= request.size
-        placed = Placed(request, worker_id, request.size)
-        self._running[request.request_id] = placed
-        return placed
+        size = self._checks.size(request, pool_id)
+        return self._placer.place(request, pool_id, size, now_s)
+
+    def _enqueue(self, request: TaskRequest, now_s: float) -> None:
+        pool_id = self._view.pool_of_service(request.service_id)
+        assert pool_id is not None
+        self._placer.update_share(request.team_id)
+        self._placer.update_parking(request.team_id)
+        self._queue.add(request, pool_id, now_s)
+        self._filler.mark(pool_id)
+
+    def _requeue(self) -> None:
+        """Move waiting requests whose service changed its pool."""
+        for entry in self._queue.entries():
+            pool_id = self._view.pool_of_service(entry.request.service_id)
+            if pool_id is None or pool_id == entry.line.pool_id:
+                continue
+            self._filler.withdraw(entry.request.request_id)
+            self._queue.add(entry.request, pool_id, entry.arrived_s)
+
+    def _eject(self, worker_id: str) -> None:
+        ledger = self._placer.ledger
+        if not ledger.is_held(worker_id):
+            return
+        reserved_in = self._placer.reservations.pool_of_worker(worker_id)
+        if reserved_in is not None:
+            self._placer.release_reservation(reserved_in)
+        ledger.hide(worker_id, HiddenBy.EJECTION)
+
+    def _collect_expired(self, now_s: float) -> None:
+        for request_id in self._queue.expired(now_s):
+            entry = self._filler.withdraw(request_id)
+            assert entry is not None
+            again_s = self._retry_after_s(entry.request)
+            self._expired.append(Rejected(request_id, RejectReason.DEADLINE, again_s))
+
+    def _is_full_for(self, request: TaskRequest) -> bool:
+        limit = self._settings.queue_limit_count
+        team_limit = limit * self._settings.team_queue_fraction
+        if self._queue.team_counts.get(request.team_id, 0) >= team_limit:
+            return True
+        if request.urgency is Urgency.URGENT:
+            return len(self._queue) >= limit
+        return len(self._queue) >= limit * (1.0 - self._settings.urgent_queue_fraction)
+
+    def _retry_after_s(self, request: TaskRequest) -> float:
+        """Return how long the queue takes to run down, by what has been learned."""
+        least_s = self._settings.retry_after_s
+        run_s = self._estimator.run_time_s(request)
+        if run_s is None or not len(self._running):
+            return least_s
+        wait_s = run_s * len(self._queue) / len(self._running)
+        return min(max(least_s, wait_s), self._settings.longest_retry_after_s)
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/placer.py
@@ -0,0 +1,173 @@
+"""Starts and ends of tasks, with everything that is counted for them."""
+
+from __future__ import annotations
+
+from cicadatrail_core.admission.fair_queue import URGENT_RANK, Entry, FairQueue
+from cicadatrail_core.admission.team_shares import TeamShares
+from cicadatrail_core.models.fleet import Urgency
+from cicadatrail_core.models.requests import TaskRequest
+from cicadatrail_core.models.resources import NO_RESOURCES, Resources
+from cicadatrail_core.placement.decisions import Placed
+from cicadatrail_core.placement.ejection import WorkerHealth
+from cicadatrail_core.placement.reservations import Reservation, Reservations
+from cicadatrail_core.placement.running_tasks import RunningTask, RunningTasks
+from cicadatrail_core.placement.slots import TeamSlots
+from cicadatrail_core.placement.worker_ledger import HiddenBy, WorkerLedger
+
+RESERVE_AFTER_S = 1.0
+"""Time for which a request that is not urgent waits before room is kept for it."""
+
+
+class Placer:
+    """Take and free places, slots and shares together."""
+
+    __slots__ = (
+        "health",
+        "ledger",
+        "queue",
+        "reservations",
+        "running",
+        "shares",
+        "slots",
+    )
+
+    def __init__(
+        self,
+        queue: FairQueue,
+        running: RunningTasks,
+        shares: TeamShares,
+        health: WorkerHealth,
+    ) -> None:
+        self.queue = queue
+        self.running = running
+        self.shares = shares
+        self.health = health
+        self.ledger = WorkerLedger()
+        self.reservations = Reservations()
+        self.slots = TeamSlots()
+
+    def place(
+        self, request: TaskRequest, pool_id: str, size: Resources, now_s: float
+    ) -> Placed | None:
+        """Start a task where it fits best, if its team has a slot left."""
+        team_id = request.team_id
+        if not self.slots.has_free(team_id, self.running):
+            return None
+        worker_id = self._find(request, pool_id, size, now_s)
+        if worker_id is None:
+            return None
+        place = self.ledger.start_task(worker_id, request.service_id, size)
+        task = RunningTask(request, worker_id, pool_id, place, size, size, now_s)
+        self.running.add(task)
+        self.count_use(team_id, NO_RESOURCES, size)
+        self.update_parking(team_id)
+        self.queue.count_placement(pool_id, request.urgency.rank)
+        return Placed(request, worker_id, size)
+
+    def end(self, request_id: str, now_s: float) -> RunningTask | None:
+        """Free an ended task's place, slot and share."""
+        task = self.running.end(request_id, now_s)
+        if task is None:
+            return None
+        service_id = task.request.service_id
+        self.ledger.end_task(task.worker_id, service_id, task.place, task.charge)
+        self.count_use(task.request.team_id, task.used, NO_RESOURCES)
+        return task
+
+    def change_task(
+        self, task: RunningTask, charge: Resources, used: Resources
+    ) -> None:
+        """Correct what a running task is charged and counted for."""
+        if charge != task.charge:
+            self.ledger.change_charge(task.worker_id, charge - task.charge)
+            task.charge = charge
+        if used != task.used:
+            self.count_use(task.request.team_id, task.used, used)
+            task.used = used
+
+    def count_use(self, team_id: str, before: Resources, after: Resources) -> None:
+        """Count a change of use, and order the team's requests by it."""
+        self.shares.change(team_id, before, after)
+        self.update_share(team_id)
+
+    def update_share(self, team_id: str) -> None:
+        """Order a team's waiting requests by its present share."""
+        self.queue.set_share(team_id, self.shares.weighted_share(team_id))
+
+    def update_parking(self, team_id: str) -> tuple[str, ...]:
+        """Keep a team without a free slot out of the order.
+
+        Returns the pools in which the team came back into the order.
+        """
+        if self.slots.has_free(team_id, self.running):
+            return self.queue.unpark(team_id)
+        self.queue.park(team_id)
+        return ()
+
+    def reserve(
+        self, entry: Entry, pool_id: str, size: Resources, now_s: float
+    ) -> bool:
+        """Keep a worker for the first entry in order, which fits nowhere.
+
+        Returns True if a less urgent reservation gave way, so that the entry
+        may fit now.
+        """
+        rank = entry.line.rank
+        held = self.reservations.of_pool(pool_id)
+        if held is not None and held.request_id == entry.request.request_id:
+            return False
+        if held is not None and (held.is_aged or held.rank <= rank):
+            return False
+        if held is not None:
+            self.release_reservation(pool_id)
+            return True
+        waited_s = now_s - entry.arrived_s
+        if rank != URGENT_RANK and waited_s < RESERVE_AFTER_S:
+            return False
+        worker_id = self.ledger.roomiest(pool_id, size)
+        if worker_id is None:
+            return False
+        is_aged = self.queue.is_aged(entry, now_s)
+        reservation = Reservation(entry.request.request_id, worker_id, rank, is_aged)
+        self.reservations.add(pool_id, reservation)
+        self.ledger.hide(worker_id, HiddenBy.RESERVATION)
+        return False
+
+    def release_reservation(self, pool_id: str) -> None:
+        """Give a reserved worker back to all."""
+        reservation = self.reservations.remove(pool_id)
+        if reservation is None:
+            return
+        worker_id = reservation.worker_id
+        if self.ledger.hidden_by(worker_id) is HiddenBy.RESERVATION:
+            self.ledger.show(worker_id)
+
+    def _find(
+        self, request: TaskRequest, pool_id: str, size: Resources, now_s: float
+    ) -> str | None:
+        probed = self._find_probe(request, pool_id, size, now_s)
+        if probed is not None:
+            return probed
+        reserved_id = self._reserved_worker(request, pool_id)
+        if reserved_id is not None and size.fits_in(self.ledger.free(reserved_id)):
+            self.release_reservation(pool_id)
+            return reserved_id
+        return self.ledger.best_fit(pool_id, size, request.service_id)
+
+    def _reserved_worker(self, request: TaskRequest, pool_id: str) -> str | None:
+        reservation = self.reservations.of_pool(pool_id)
+        if reservation is None or reservation.request_id != request.request_id:
+            return None
+        return reservation.worker_id
+
+    def _find_probe(
+        self, request: TaskRequest, pool_id: str, size: Resources, now_s: float
+    ) -> str | None:
+        """Return an ejected worker to probe with this request, if one is due."""
+        if request.urgency is Urgency.URGENT:
+            return None
+        worker_id = self.health.due_probe(pool_id, request.repeatable, now_s)
+        if worker_id is None or not size.fits_in(self.ledger.free(worker_id)):
+            return None
+        self.health.start_probe(worker_id, request.request_id)
+        return worker_id
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/pool_filler.py
@@ -0,0 +1,100 @@
+"""Placement of waiting requests into the pools in which something changed."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+
+from cicadatrail_core.admission.fair_queue import Entry, LineKey
+from cicadatrail_core.placement.decisions import Placed
+from cicadatrail_core.placement.placer import Placer
+from cicadatrail_core.placement.submission_checks import SubmissionChecks
+
+TRY_LIMIT_COUNT = 8
+"""Lines that may prove not to fit before a pool is left until the next change."""
+
+
+@dataclass(slots=True)
+class _Round:
+    """Follow one pool through one round; ``tried`` are lines that fit nowhere."""
+
+    pool_id: str
+    tried: set[LineKey] = field(default_factory=set)
+
+
+class PoolFiller:
+    """Fill changed pools, the most urgent request of all of them first."""
+
+    __slots__ = ("_changed", "_checks", "_placer")
+
+    def __init__(self, placer: Placer, checks: SubmissionChecks) -> None:
+        self._placer = placer
+        self._checks = checks
+        # A dict keeps the order, so that equal histories give equal decisions.
+        self._changed: dict[str, None] = {}
+
+    def mark(self, *pool_ids: str) -> None:
+        """Note that something changed in these pools."""
+        self._changed.update(dict.fromkeys(pool_ids))
+
+    def withdraw(self, request_id: str) -> Entry | None:
+        """Remove a waiting request and its reservation."""
+        entry = self._placer.queue.remove(request_id)
+        if entry is None:
+            return None
+        reserved_in = self._placer.reservations.pool_of_request(request_id)
+        if reserved_in is not None:
+            self._placer.release_reservation(reserved_in)
+        # What waited behind it may fit where it did not.
+        self.mark(entry.line.pool_id)
+        return entry
+
+    def fill(self, now_s: float) -> tuple[Placed, ...]:
+        """Place what fits, until every changed pool is blocked or has no one."""
+        self.mark(*self._placer.health.pools_to_probe(now_s))
+        rounds = [_Round(pool_id) for pool_id in self._changed]
+        self._changed.clear()
+        heap = [
+            (rank, number)
+            for number, one in enumerate(rounds)
+            if (rank := self._next_rank(one, now_s)) is not None
+        ]
+        heapq.heapify(heap)
+        placed = []
+        while heap:
+            rank, number = heapq.heappop(heap)
+            one = rounds[number]
+            present = self._next_rank(one, now_s)
+            if present is None:
+                continue
+            if present <= rank:
+                start = self._start_next(one, now_s)
+                placed += [start] if start is not None else []
+                present = self._next_rank(one, now_s)
+            if present is not None:
+                heapq.heappush(heap, (present, number))
+        return tuple(placed)
+
+    def _next_rank(self, one: _Round, now_s: float) -> int | None:
+        entry = self._next(one, now_s)
+        return None if entry is None else entry.line.rank
+
+    def _next(self, one: _Round, now_s: float) -> Entry | None:
+        if len(one.tried) >= TRY_LIMIT_COUNT:
+            return None
+        return self._placer.queue.next_entry(one.pool_id, one.tried, now_s)
+
+    def _start_next(self, one: _Round, now_s: float) -> Placed | None:
+        entry = self._next(one, now_s)
+        assert entry is not None
+        size = self._checks.size(entry.request, one.pool_id)
+        start = self._placer.place(entry.request, one.pool_id, size, now_s)
+        if start is not None:
+            self.withdraw(entry.request.request_id)
+            self._changed.pop(one.pool_id, None)
+            return start
+        is_first = not one.tried
+        if is_first and self._placer.reserve(entry, one.pool_id, size, now_s):
+            return None
+        one.tried.add(entry.line)
+        return None
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/room_index.py
@@ -0,0 +1,141 @@
+"""Workers of one pool, indexed by their free room.
+
+A search looks at a bounded number of candidates, so it costs O(log n). It can
+miss a worker only where more than twice ``CANDIDATE_LIMIT_COUNT`` workers have
+enough of the scarcest resource and all that it looks at lack another one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from operator import attrgetter
+
+from sortedcontainers import SortedList
+
+from cicadatrail_core.models.fleet import Place
+from cicadatrail_core.models.resources import Resources
+from cicadatrail_core.placement.spread import SpreadCounts
+
+CANDIDATE_LIMIT_COUNT = 16
+"""Candidates that a search looks at from each end of the index."""
+
+IDLE_ACCELERATOR_PENALTY = 1.0
+"""Score of leaving accelerators beside a task that needs none."""
+
+_GETTERS = (
+    attrgetter("cpu_millicores"),
+    attrgetter("memory_mib"),
+    attrgetter("accelerator_count"),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """State what is free on a worker; less than nothing if it is overloaded."""
+
+    worker_id: str
+    place: Place
+    capacity: Resources
+    free: Resources
+
+
+class RoomIndex:
+    """Find the worker that a task fits best."""
+
+    __slots__ = ("_orders", "_rooms")
+
+    def __init__(self) -> None:
+        self._rooms: dict[str, Room] = {}
+        self._orders: tuple[SortedList, ...] = tuple(SortedList() for _ in _GETTERS)
+
+    def __len__(self) -> int:
+        return len(self._rooms)
+
+    def put(self, room: Room) -> None:
+        """Add a worker, or replace what is known of it."""
+        old = self._rooms.get(room.worker_id)
+        self._rooms[room.worker_id] = room
+        for order, getter in zip(self._orders, _GETTERS, strict=True):
+            value = getter(room.free)
+            if old is not None:
+                old_value = getter(old.free)
+                if old_value == value:
+                    continue
+                order.remove((old_value, room.worker_id))
+            order.add((value, room.worker_id))
+
+    def drop(self, worker_id: str) -> None:
+        """Take a worker out of the index."""
+        room = self._rooms.pop(worker_id, None)
+        if room is None:
+            return
+        for order, getter in zip(self._orders, _GETTERS, strict=True):
+            order.remove((getter(room.free), worker_id))
+
+    def best_fit(
+        self, size: Resources, service_id: str, spread: SpreadCounts
+    ) -> str | None:
+        """Return the worker that the task fits best, or None if none is found."""
+        best: tuple[float, str] | None = None
+        for room in self._candidates(size):
+            if not size.fits_in(room.free):
+                continue
+            score = _score(room, size) + spread.crowding(service_id, room.place)
+            if best is None or (score, room.worker_id) < best:
+                best = (score, room.worker_id)
+        return None if best is None else best[1]
+
+    def roomiest(self, size: Resources) -> str | None:
+        """Return a worker that would hold the task if it were empty.
+
+        Of those, it is one with the most room in the task's scarcest resource.
+        """
+        order, _ = self._scarcest(size)
+        for _, worker_id in _last(order, 0):
+            if size.fits_in(self._rooms[worker_id].capacity):
+                return worker_id
+        return None
+
+    def _candidates(self, size: Resources) -> Iterator[Room]:
+        order, start = self._scarcest(size)
+        stop = start + CANDIDATE_LIMIT_COUNT
+        for _, worker_id in order.islice(start, stop):
+            yield self._rooms[worker_id]
+        for _, worker_id in _last(order, stop):
+            yield self._rooms[worker_id]
+
+    def _scarcest(self, size: Resources) -> tuple[SortedList, int]:
+        """Return the order with the fewest candidates, and the first of them."""
+        best = self._orders[0]
+        best_start = best.bisect_left((size.cpu_millicores, ""))
+        for order, getter in zip(self._orders[1:], _GETTERS[1:], strict=True):
+            need = getter(size)
+            if not need:
+                continue
+            start = order.bisect_left((need, ""))
+            if start > best_start:
+                best, best_start = order, start
+        return best, best_start
+
+
+def _last(order: SortedList, lowest: int) -> Iterator[tuple[int, str]]:
+    start = max(lowest, len(order) - CANDIDATE_LIMIT_COUNT)
+    return order.islice(start, len(order), reverse=True)  # type: ignore[no-any-return]
+
+
+def _score(room: Room, size: Resources) -> float:
+    """Return the part of the task's dominant resource that would stay free."""
+    left_over = 0.0
+    largest_share = -1.0
+    for getter in _GETTERS:
+        capacity = getter(room.capacity)
+        if not capacity:
+            continue
+        need = getter(size)
+        if need / capacity > largest_share:
+            largest_share = need / capacity
+            left_over = (getter(room.free) - need) / capacity
+    if room.free.accelerator_count and not size.accelerator_count:
+        return left_over + IDLE_ACCELERATOR_PENALTY
+    return left_over
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/settings.py
@@ -0,0 +1,40 @@
+"""Settings of a dispatcher."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cicadatrail_core.admission.fair_queue import Ageing
+from cicadatrail_core.admission.share_return import ShareReturnSettings
+from cicadatrail_core.placement.ejection import EjectionSettings
+from cicadatrail_core.placement.estimates import EstimateSettings
+from cicadatrail_core.placement.never_run import NeverRunSettings
+
+
+@dataclass(frozen=True, slots=True)
+class DispatcherSettings:
+    """Bound what a dispatcher keeps, and set its policies.
+
+    A team may fill ``team_queue_fraction`` of the queue; the last
+    ``urgent_queue_fraction`` of it is for urgent requests only. Of tasks that
+    ended, the newest ``ended_limit_count`` are remembered for ``report_lag_s``.
+    A task whose kind is not learned yet is charged ``settled_headroom`` times
+    its reported peak once it was seen for ``settle_s``. A usage report counts
+    for shares once the task was seen for ``seen_s``.
+    """
+
+    queue_limit_count: int = 10_000
+    team_queue_fraction: float = 0.5
+    urgent_queue_fraction: float = 0.1
+    retry_after_s: float = 1.0
+    longest_retry_after_s: float = 60.0
+    report_lag_s: float = 60.0
+    ended_limit_count: int = 4096
+    seen_s: float = 1.0
+    settle_s: float = 30.0
+    settled_headroom: float = 1.25
+    ageing: Ageing = field(default_factory=Ageing)
+    estimates: EstimateSettings = field(default_factory=EstimateSettings)
+    ejection: EjectionSettings = field(default_factory=EjectionSettings)
+    never_run: NeverRunSettings = field(default_factory=NeverRunSettings)
+    share_return: ShareReturnSettings = field(default_factory=ShareReturnSettings)
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/worker_ledger.py
@@ -0,0 +1,192 @@
+"""What is charged to each worker, and the pools' indexes of free room."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from enum import Enum
+
+from cicadatrail_core.models.fleet import Place, Worker
+from cicadatrail_core.models.resources import NO_RESOURCES, Resources
+from cicadatrail_core.models.state import State
+from cicadatrail_core.placement.room_index import Room, RoomIndex
+from cicadatrail_core.placement.spread import SpreadCounts
+
+
+class HiddenBy(Enum):
+    """Say why a held worker is kept out of the index."""
+
+    EJECTION = "ejection"
+    RESERVATION = "reservation"
+
+
+@dataclass(slots=True)
+class _Account:
+    """Sum up one worker; it outlives the right to place on it while charged."""
+
+    charged: Resources = NO_RESOURCES
+    outside: Resources = NO_RESOURCES
+    task_count: int = 0
+    held: Worker | None = None
+    pool_id: str = ""
+    hidden_by: HiddenBy | None = None
+
+
+class WorkerLedger:
+    """Charge tasks to workers and find room; O(log n) for each change."""
+
+    __slots__ = ("_accounts", "_indexes", "_pool_free", "_spread")
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, _Account] = {}
+        self._indexes: dict[str, RoomIndex] = {}
+        self._pool_free: dict[str, Resources] = {}
+        self._spread = SpreadCounts()
+
+    def configure(self, state: State, held_ids: Collection[str]) -> frozenset[str]:
+        """Set the workers to place on; return those that changed."""
+        wanted = {
+            worker_id: (state.workers[worker_id], state.pool_of[worker_id])
+            for worker_id in held_ids
+            if worker_id in state.workers and worker_id in state.pool_of
+        }
+        gone = [
+            worker_id
+            for worker_id, account in self._accounts.items()
+            if account.held is not None and worker_id not in wanted
+        ]
+        changed = set(gone)
+        for worker_id in gone:
+            self._release(worker_id)
+        for worker_id, (worker, pool_id) in wanted.items():
+            account = self._accounts.setdefault(worker_id, _Account())
+            if account.held == worker and account.pool_id == pool_id:
+                continue
+            changed.add(worker_id)
+            self._release(worker_id)
+            self._hold(worker, pool_id)
+        return frozenset(changed)
+
+    def is_held(self, worker_id: str) -> bool:
+        """Tell whether tasks may be placed on the worker, were there room."""
+        account = self._accounts.get(worker_id)
+        return account is not None and account.held is not None
+
+    def may_place(self, worker_id: str) -> bool:
+        """Tell whether the worker is held and not ejected."""
+        account = self._accounts.get(worker_id)
+        if account is None or account.held is None:
+            return False
+        return account.hidden_by is not HiddenBy.EJECTION
+
+    def pool_of(self, worker_id: str) -> str:
+        """Return the pool of a worker that is or was held."""
+        return self._accounts[worker_id].pool_id
+
+    def free(self, worker_id: str) -> Resources:
+        """Return what is free on a held worker; below zero if overloaded."""
+        account = self._accounts[worker_id]
+        assert account.held is not None
+        return account.held.capacity - account.charged - account.outside
+
+    def pool_free(self, pool_id: str) -> Resources:
+        """Return the sum of what is free on the pool's held workers."""
+        return self._pool_free.get(pool_id, NO_RESOURCES)
+
+    def start_task(self, worker_id: str, service_id: str, size: Resources) -> Place:
+        """Charge a task that starts; return the place it counts for."""
+        account = self._accounts[worker_id]
+        assert account.held is not None
+        account.task_count += 1
+        self._spread.add(service_id, account.held.place)
+        self.change_charge(worker_id, size)
+        return account.held.place
+
+    def end_task(
+        self, worker_id: str, service_id: str, place: Place, size: Resources
+    ) -> None:
+        """Free what an ended task was charged."""
+        account = self._accounts[worker_id]
+        account.task_count -= 1
+        self._spread.add(service_id, place, -1)
+        self.change_charge(worker_id, NO_RESOURCES - size)
+        if account.held is None and not account.task_count:
+            del self._accounts[worker_id]
+
+    def change_charge(self, worker_id: str, difference: Resources) -> None:
+        """Correct what running tasks are charged, by reported usage."""
+        account = self._accounts[worker_id]
+        account.charged += difference
+        self._update(worker_id, account, NO_RESOURCES - difference)
+
+    def set_outside(self, worker_id: str, load: Resources) -> bool:
+        """Set what tasks of others use on a held worker; tell if that changed."""
+        account = self._accounts.get(worker_id)
+        if account is None or account.held is None or account.outside == load:
+            return False
+        difference = account.outside - load
+        account.outside = load
+        self._update(worker_id, account, difference)
+        return True
+
+    def hide(self, worker_id: str, reason: HiddenBy) -> None:
+        """Keep a held worker out of the index."""
+        account = self._accounts[worker_id]
+        account.hidden_by = reason
+        self._indexes[account.pool_id].drop(worker_id)
+
+    def show(self, worker_id: str) -> None:
+        """Bring a hidden worker back into the index."""
+        account = self._accounts.get(worker_id)
+        if account is None or account.held is None:
+            return
+        account.hidden_by = None
+        self._update(worker_id, account, NO_RESOURCES)
+
+    def hidden_by(self, worker_id: str) -> HiddenBy | None:
+        """Return why a worker is kept out of the index, if it is."""
+        account = self._accounts.get(worker_id)
+        return None if account is None else account.hidden_by
+
+    def best_fit(self, pool_id: str, size: Resources, service_id: str) -> str | None:
+        """Return the worker of the pool that the task fits best, if any."""
+        index = self._indexes.get(pool_id)
+        if index is None:
+            return None
+        return index.best_fit(size, service_id, self._spread)
+
+    def roomiest(self, pool_id: str, size: Resources) -> str | None:
+        """Return the worker of the pool that comes nearest to holding the task."""
+        index = self._indexes.get(pool_id)
+        return None if index is None else index.roomiest(size)
+
+    def _hold(self, worker: Worker, pool_id: str) -> None:
+        account = self._accounts[worker.worker_id]
+        account.held = worker
+        account.pool_id = pool_id
+        self._indexes.setdefault(pool_id, RoomIndex())
+        self._update(worker.worker_id, account, self.free(worker.worker_id))
+
+    def _release(self, worker_id: str) -> None:
+        account = self._accounts[worker_id]
+        if account.held is None:
+            return
+        pool_id = account.pool_id
+        self._pool_free[pool_id] -= self.free(worker_id)
+        self._indexes[pool_id].drop(worker_id)
+        account.held = None
+        account.hidden_by = None
+        account.outside = NO_RESOURCES
+        if not account.task_count:
+            del self._accounts[worker_id]
+
+    def _update(self, worker_id: str, account: _Account, gained: Resources) -> None:
+        worker = account.held
+        if worker is None:
+            return
+        pool_id = account.pool_id
+        self._pool_free[pool_id] = self.pool_free(pool_id) + gained
+        if account.hidden_by is not None:
+            return
+        room = Room(worker_id, worker.place, worker.capacity, self.free(worker_id))
+        self._indexes[pool_id].put(room)
