Serve the whole path in thin form as separate processes

Faults found and mended on the way, each seen failing in the demo: control messages were coded without their type; a GET whose body nobody read closed its connection; a patch with an integer over 64 bits would have broken the appender (found by the codec's round trip, now a finding).

--- a/features/codec.feature
+++ b/features/codec.feature
@@ -15,4 +15,5 @@
       | an unknown record                  | $           |
       | a pulse with a number as its name  | incarnation |
       | a pulse with a text sequence       | sequence    |
+      | a pulse with a huge sequence       | sequence    |
       | a pulse with a field too many      | extra       |
--- a/features/standins/workers.py
+++ b/features/standins/workers.py
@@ -119,7 +119,8 @@
             "memory_mib": int(query.get("memory", "64")),
             "accelerator_count": int(query.get("accelerators", "0")),
         }
-        self.ledger.begin(task_id, team)
+        request_id = _header(exchange, b"cicadatrail-request-id")
+        self.ledger.begin(request_id, team)
         task = StandInTask(task_id, holder, used, asyncio.current_task())
         self.tasks[task_id] = task
         completed = False
@@ -139,10 +140,10 @@
             await exchange.respond(500, b"failed")
             return
         await asyncio.sleep(self.faults.late_s)
-        task_id = _header(exchange, b"cicadatrail-task-id")
+        request_id = _header(exchange, b"cicadatrail-request-id")
         size = int(query.get("bytes", "0"))
-        answer = task_id.encode() + b"\n" + body + b"x" * size
-        headers = ((b"Cicadatrail-Echo", task_id.encode()),)
+        answer = request_id.encode() + b"\n" + body + b"x" * size
+        headers = ((b"X-Echo", request_id.encode()),)
         if not self.faults.truncate:
             await exchange.respond(200, answer, headers)
             return
--- a/features/steps/codec_steps.py
+++ b/features/steps/codec_steps.py
@@ -17,6 +17,9 @@
     "a pulse with a number as its name": msgpack.packb(
         {"type": "pulse-record", "incarnation": 7, "sequence": 1}
     ),
+    "a pulse with a huge sequence": msgpack.packb(
+        {"type": "pulse-record", "incarnation": "a", "sequence": 2**64 - 1}
+    ),
     "an unknown record": msgpack.packb({"type": "future-record"}),
     "a pulse with a text sequence": msgpack.packb(
         {"type": "pulse-record", "incarnation": "a", "sequence": "soon"}
@@ -30,6 +33,8 @@
 @when("records of every type are coded to bytes and back")
 def step_round_trip(context: Any) -> None:
     context.pairs = []
+    # Larger integers can't come in: the codec refuses them when it reads.
+    st.register_type_strategy(int, st.integers(-codec.MAX_INTEGER, codec.MAX_INTEGER))
 
     @given_examples(st.from_type(Record))  # type: ignore[arg-type]
     def round_trip(record: Record) -> None:
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/peer_messages.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/peer_messages.py
@@ -7,6 +7,7 @@
 from cicadatrail_core.models.requests import TaskRequest
 from cicadatrail_core.models.resources import Resources
 from cicadatrail_core.models.rights import IncarnationId
+from cicadatrail_core.models.support import SupportReply, SupportRequest
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,3 +190,17 @@
     | ReplyNotRun
     | ReplyUnknown
 )
+
+ControlMessage = (
+    SupportRequest
+    | SupportReply
+    | Digest
+    | Done
+    | FetchRecords
+    | Records
+    | FetchSnapshot
+    | Snapshot
+    | IdQuery
+    | IdAnswer
+    | IdOutcome
+)
--- a/packages/cicadatrail-core/src/cicadatrail_core/utils/codec.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/utils/codec.py
@@ -17,6 +17,7 @@
 from returns.result import Failure, Result, Success
 
 from cicadatrail_core.models.patches import Accepted, Operation, Refused, Verdict
+from cicadatrail_core.models.peer_messages import ControlMessage, ForwardMessage
 from cicadatrail_core.models.records import Record
 from cicadatrail_core.models.rights import Right
 from cicadatrail_core.utils.findings import Finding, Findings
@@ -26,7 +27,18 @@
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 """Largest coded message or record that is decoded, in bytes."""
 
-_UNIONS: tuple[Any, ...] = (Right, Operation, Verdict, Accepted | Refused, Record)
+MAX_INTEGER = 2**63 - 1
+"""Largest amount of an integer, so that msgpack can code it again."""
+
+_UNIONS: tuple[Any, ...] = (
+    Right,
+    Operation,
+    Verdict,
+    Accepted | Refused,
+    Record,
+    ControlMessage,
+    ForwardMessage,
+)
 
 
 def kebab_case(name: str) -> str:
@@ -60,6 +72,8 @@
     """Take a plain value only if it has exactly the type asked for."""
     if type(raw) is not as_type:
         raise TypeError(f"expected {as_type.__name__}, got {type(raw).__name__}")
+    if isinstance(raw, int) and abs(raw) > MAX_INTEGER:
+        raise ValueError(f"expected at most {MAX_INTEGER} either way")
     return raw
 
 
--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -6,19 +6,18 @@
 import logging
 import random
 import secrets
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 from typing import Any
 
 from cicadatrail_core.models.fleet import Place, Worker
 from cicadatrail_core.models.peer_messages import (
+    ControlMessage,
     Digest,
     Done,
     FetchRecords,
-    FetchSnapshot,
     PoolRoom,
     Records,
-    Snapshot,
     TeamUse,
 )
 from cicadatrail_core.models.platform import ListedInstance
@@ -26,7 +25,7 @@
 from cicadatrail_core.models.resources import NO_RESOURCES
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import State
-from cicadatrail_core.models.support import SupportReply, SupportRequest
+from cicadatrail_core.models.support import SupportRequest
 from cicadatrail_core.placement.dispatcher import Dispatcher, DispatcherSettings
 from cicadatrail_core.rights.timing import RightsTiming
 from cicadatraild.network.http_client import Address, ConnectionPool
@@ -68,13 +67,346 @@
 RECORDS_PER_ANSWER = 500
 """Records that are given to a peer at once."""
 
-ControlMessage = (
-    SupportRequest
-    | SupportReply
-    | Digest
-    | Done
-    | FetchRecords
-    | Records
-    | FetchSnapshot
-    | Snapshot
-)
+
+class Instance:
+    """Own every part of one incarnation; ``run`` returns when it is over."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        instance = settings.instance
+        name = f"{instance.instance_id}.{secrets.token_hex(4)}"
+        self.incarnation = IncarnationId(name)
+        # Jitter must differ between instances; it decides nothing else.
+        random_source = random.Random()
+        self._pool = ConnectionPool(settings.workers.connect_timeout_s)
+        log = HttpLogClient(
+            self._pool,
+            Address(settings.log.host, settings.log.port),
+            settings.log.timeout_s,
+        )
+        self._replica = Replica(log, random_source)
+        self._appender = Appender(
+            log, self.incarnation, settings.log.append_limit_per_s, random_source
+        )
+        self._directory = PeerDirectory(
+            LinkSettings(
+                self.incarnation,
+                bytes.fromhex(settings.peer.cluster_key_hex),
+                settings.peer.message_limit_bytes,
+                ControlMessage,
+            ),
+            self._note_fault,
+        )
+        list_settings = settings.instance_list
+        self._standing = Standing(
+            self.incarnation,
+            RightsTiming(
+                support_s=settings.rights.support_s, list_lag_s=list_settings.lag_s
+            ),
+            settings.rights.pulse_s,
+            list_settings.poll_s,
+            self._replica,
+            self._appender,
+            self._directory,
+            HttpInstanceList(
+                self._pool, Address(list_settings.host, list_settings.port)
+            ),
+            self._note_list,
+        )
+        self._digests = Digests(self._directory, self._make_digest)
+        self._holdings = Holdings(self.incarnation)
+        self._desk = Desk(Dispatcher(DispatcherSettings()))
+        self._control = HttpWorkerControl(self._pool)
+        self._given_up = GivenUpTasks(self._desk, self._control)
+        self._admission = Admission(self._standing.may_judge_keys, new_uuid7)
+        self._membership = self._make_membership()
+        self._router = self._make_router()
+        self._maintenance = FleetMaintenance(
+            self.incarnation,
+            self._replica,
+            self._appender,
+            self._holdings,
+            HttpMaintenance(
+                self._pool,
+                Address(settings.maintenance.host, settings.maintenance.port),
+            ),
+            self._running_on,
+        )
+
+    async def run(self, stop: asyncio.Event) -> bool:
+        """Serve until ``stop`` is set; return False if it was struck out.
+
+        An incarnation that was struck out has ended its work; the caller
+        starts another.
+        """
+        async with AsyncExitStack() as stack:
+            # Closed last: a refused peer connection proves that all has ended.
+            await self._listen_to_peers(stack)
+            await self._pool.open(stack)
+            await self._directory.open(stack)
+            await self._given_up.open(stack)
+            tasks = await stack.enter_async_context(_Tasks())
+            await self._start(tasks)
+            servers = await self._listen_to_callers(stack)
+            struck_out = await self._serve_until(tasks, stop)
+            for server in servers:
+                server.draining = True
+            await self._finish(struck_out)
+            return not struck_out
+
+    async def _start(self, tasks: _Tasks) -> None:
+        """Follow the log, join the roster and begin to serve."""
+        self._replica.listen(self._take_state)
+        self._replica.listen_to_records(self._standing.note_record)
+        tasks.start("replica", self._replica.run())
+        tasks.start("appender", self._appender.run())
+        tasks.start("list", self._standing.follow_list())
+        await self._membership.join()
+        tasks.start("pulse", self._standing.pulse())
+        tasks.start("reclaim", self._standing.reclaim())
+        tasks.start("digests", self._digests.run())
+        tasks.start("desk", self._desk.run())
+        tasks.start("waves", self._maintenance.run())
+        tasks.start("balance", self._membership.balance())
+
+    async def _serve_until(self, tasks: _Tasks, stop: asyncio.Event) -> bool:
+        """Wait for the end; return whether this incarnation was struck out."""
+        try:
+            await tasks.wait(stop)
+        except StruckOutError:
+            logger.warning("instance: struck out; starting anew after running tasks.")
+            return True
+        return False
+
+    async def _finish(self, struck_out: bool) -> None:
+        """Refuse new work truly, end what runs, hand over rights and leave."""
+        open_count = self._router.open_work.count
+        logger.info("instance: finishing %d requests.", open_count)
+        self._admission.draining = True
+        try:
+            async with asyncio.timeout(LEAVE_LIMIT_S):
+                await self._router.open_work.ended()
+                await self._given_up.settled()
+                if not struck_out:
+                    await self._membership.leave()
+        except TimeoutError:
+            logger.error("instance: leaving took over %s s.", LEAVE_LIMIT_S)
+
+    async def _listen_to_peers(self, stack: AsyncExitStack) -> None:
+        peer = self._settings.peer
+        server = PeerServer(
+            self.incarnation,
+            bytes.fromhex(peer.cluster_key_hex),
+            peer.message_limit_bytes,
+            ControlMessage,
+            self._serve_control,
+            self._router.serve_peer,
+        )
+        await server.listen(stack, peer.host, peer.port)
+
+    async def _listen_to_callers(self, stack: AsyncExitStack) -> list[HttpServer]:
+        caller, admin = self._settings.caller, self._settings.admin
+        limits = HttpLimits(
+            header_limit_bytes=caller.header_limit_bytes,
+            body_limit_bytes=caller.body_limit_bytes,
+            connection_limit_count=caller.connection_limit_count,
+            header_timeout_s=caller.header_timeout_s,
+            idle_timeout_s=caller.idle_timeout_s,
+        )
+        api = AdminApi(
+            self._replica,
+            self._appender,
+            admin.token_sha256_hex,
+            self._make_status_view().read,
+            Metrics(InstanceCollector(self._gauges, self._outcomes)).expose,
+        )
+        admin_server = HttpServer("admin", api.serve, HttpLimits())
+        await admin_server.listen(stack, admin.host, admin.port)
+        caller_server = HttpServer("caller", self._router.serve_caller, limits)
+        await caller_server.listen(stack, caller.host, caller.port)
+        logger.info("instance: %s serves on port %d.", self.incarnation, caller.port)
+        return [caller_server, admin_server]
+
+    def _make_membership(self) -> Membership:
+        settings = self._settings
+        place = Place(
+            settings.instance.region,
+            settings.instance.data_centre,
+            settings.instance.rack or "",
+        )
+        identity = Identity(
+            self.incarnation,
+            settings.instance.instance_id,
+            settings.peer.host,
+            settings.peer.port,
+            place,
+        )
+        return Membership(
+            identity,
+            self._replica,
+            self._appender,
+            self._holdings,
+            self._running_on,
+            lambda team_id: self._desk.dispatcher.running_counts.get(team_id, 0),
+            self._configure_desk,
+        )
+
+    def _make_router(self) -> Router:
+        upstream = Upstream(
+            self._pool, self.incarnation, self._standing.may_spend, self._note_leaving
+        )
+        return Router(
+            self._admission,
+            self._desk,
+            upstream,
+            self._given_up,
+            self._worker,
+            self._peers_with_room,
+        )
+
+    def _make_status_view(self) -> StatusView:
+        return StatusView(
+            self.incarnation,
+            self._settings.instance.instance_id,
+            self._settings.instance.data_centre,
+            self._replica,
+            self._appender,
+            self._standing,
+            self._digests,
+            self._holdings,
+            self._desk.dispatcher,
+            lambda: 0,
+        )
+
+    def _make_digest(self) -> Digest:
+        state = self._replica.state
+        dispatcher = self._desk.dispatcher
+        spendable = self._holdings.spendable(state)
+        waiting, running = dispatcher.waiting_counts, dispatcher.running_counts
+        own_usage = dispatcher.own_usage
+        pools = tuple(
+            PoolRoom(pool_id, dispatcher.free_room(pool_id), 0, 0)
+            for pool_id in state.pools
+        )
+        teams = tuple(
+            TeamUse(
+                team_id,
+                own_usage.get(team_id, NO_RESOURCES),
+                slot_count - running.get(team_id, 0),
+                waiting.get(team_id, 0),
+                running.get(team_id, 0),
+            )
+            for team_id, slot_count in spendable.slots.items()
+        )
+        return Digest(self.incarnation, state.next_offset, state.version, pools, teams)
+
+    def _take_state(self, state: State) -> None:
+        """Follow a new state: links, admission and the desk."""
+        self._admission.state = state
+        members = {
+            member.incarnation: Address(member.host, member.peer_port)
+            for member in state.roster.values()
+            if member.incarnation != self.incarnation
+        }
+        self._directory.follow(members)
+        self._digests.forget_others(frozenset(members))
+        self._configure_desk()
+
+    def _configure_desk(self) -> None:
+        state = self._replica.state
+        spendable = self._holdings.spendable(state)
+        self._desk.configure(state, spendable.workers, spendable.slots)
+
+    def _note_fault(self, name: IncarnationId, fault: LinkFault) -> None:
+        self._standing.note_fault(name, fault)
+
+    def _note_list(self, listed: tuple[ListedInstance, ...]) -> None:
+        leaving = {instance.instance_id for instance in listed if instance.leaving}
+        if leaving != self._holdings.leaving_workers:
+            self._holdings.leaving_workers = leaving
+            self._configure_desk()
+
+    def _note_leaving(self, worker_id: str) -> None:
+        self._holdings.leaving_workers.add(worker_id)
+        self._configure_desk()
+
+    def _running_on(self, worker_id: str) -> int:
+        return self._desk.running_on[worker_id]
+
+    def _worker(self, worker_id: str) -> Worker | None:
+        return self._replica.state.workers.get(worker_id)
+
+    def _peers_with_room(self, request: TaskRequest) -> tuple[PeerLink, ...]:
+        return self._digests.peers_with_room(self._replica.state, request)
+
+    def _gauges(self) -> dict[str, float]:
+        state = self._replica.state
+        return {
+            "configuration_version": state.version,
+            "folded_offset": state.next_offset,
+            "folded_records": self._replica.folded_count,
+            "log_appends": self._appender.append_count,
+            "waiting_requests": self._desk.waiting_count,
+            "running_tasks": sum(self._desk.running_on.values()),
+            "given_up_tasks": self._given_up.count,
+            "forwarded_requests": self._router.forwarded_count,
+            "peer_messages": sum(link.message_count for link in self._directory.links),
+            "peer_sent_bytes": sum(link.sent_bytes for link in self._directory.links),
+            "roster_size": len(state.roster),
+        }
+
+    def _outcomes(self) -> dict[str, int]:
+        return self._router.outcome_counts
+
+    async def _serve_control(self, sender: IncarnationId, message: Any) -> Any:
+        """Answer a control message of a peer."""
+        match message:
+            case SupportRequest():
+                return self._standing.answer(message)
+            case Digest():
+                self._digests.take(message)
+                self._desk.dispatcher.configure_peer_usage(self._digests.peer_usage())
+                return Done()
+            case FetchRecords(from_offset):
+                found = self._replica.records_from(from_offset, RECORDS_PER_ANSWER)
+                return Records(from_offset, found or ())
+            case _:
+                logger.warning("peer: %s sent an unexpected message.", sender)
+                return Done()
+
+
+class _Tasks:
+    """Run the instance's long-lived tasks; the first to fail ends them all."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> _Tasks:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def start(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        """Start a task that runs until the instance ends."""
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self._tasks.add(task)
+
+    async def wait(self, stop: asyncio.Event) -> None:
+        """Wait for ``stop``; raises what a task raised before."""
+        stopping = asyncio.get_running_loop().create_task(_wait(stop))
+        try:
+            done, _ = await asyncio.wait(
+                {stopping, *self._tasks}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            stopping.cancel()
+        for task in done - {stopping}:
+            self._tasks.discard(task)
+            await task
+
+
+async def _wait(stop: asyncio.Event) -> None:
+    await stop.wait()
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/main.py
@@ -0,0 +1,49 @@
+"""The entry of ``cicadatraild``: checks the settings, then serves."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+from returns.result import Failure, Success
+
+from cicadatraild.utils.settings import Settings, read_settings
+
+EXIT_BAD_SETTINGS = 2
+"""Exit code when the settings have faults; nothing was started then."""
+
+
+def main() -> int:
+    """Run the daemon; return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog="cicadatraild", description="An entry instance of cicadatrail."
+    )
+    parser.add_argument("settings", type=Path, help="the settings file (TOML)")
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and start nothing"
+    )
+    arguments = parser.parse_args()
+    match read_settings(arguments.settings):
+        case Failure(findings):
+            for finding in findings:
+                print(finding, file=sys.stderr)
+            return EXIT_BAD_SETTINGS
+        case Success(settings):
+            return 0 if arguments.check else _serve(settings)
+    raise AssertionError("a result is a success or a failure")
+
+
+def _serve(settings: Settings) -> int:
+    # Imported here so that a check stays fast.
+    import asyncio
+
+    from cicadatraild.process import serve
+    from cicadatraild.utils.logs import configure_logs
+
+    configure_logs(settings.logging)
+    return asyncio.run(serve(settings))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
@@ -211,7 +211,7 @@
         exchange = HttpExchange(request, transport, self._limits)
         await self._handle(exchange, transport)
         http = transport.http
-        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+        if http.our_state is not h11.DONE or not _skip_body(transport):
             return False
         if self.draining:
             return False
@@ -237,6 +237,15 @@
             await asyncio.wait(tuple(self._connections), timeout=CLOSE_GRACE_S)
 
 
+def _skip_body(transport: HttpTransport) -> bool:
+    """Skip what has come of an unread body; tell whether that was all."""
+    http = transport.http
+    while http.their_state is h11.SEND_BODY:
+        if not isinstance(transport.poll_event(), h11.Data | h11.EndOfMessage):
+            return False
+    return http.their_state is h11.DONE
+
+
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
 
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
@@ -122,6 +122,17 @@
                 return event
             await self._feed()
 
+    def poll_event(self) -> Any:
+        """Return the next h11 event, or ``h11.NEED_DATA`` if none has come.
+
+        Raises h11.RemoteProtocolError on malformed or truncated input.
+        """
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA or not self._chunks:
+                return event
+            self._feed_chunk()
+
     async def send(self, *events: h11.Event) -> None:
         """Send events and wait while the other side is slow.
 
@@ -162,6 +173,9 @@
         if not self._chunks:
             self.http.receive_data(b"")
             return
+        self._feed_chunk()
+
+    def _feed_chunk(self) -> None:
         chunk = self._chunks.popleft()
         self._chunks_bytes -= len(chunk)
         self.http.receive_data(chunk)
--- a/packages/cicadatrail-node/src/cicadatraild/serving/router.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/router.py
@@ -40,6 +40,7 @@
     with_local_deadline,
 )
 from cicadatraild.serving.outcomes import (
+    REQUEST_ID_HEADER,
     NotRun,
     Reason,
     Reply,
@@ -55,6 +56,7 @@
 )
 from cicadatraild.serving.running import GivenUpTasks
 from cicadatraild.serving.upstream import Attempt, RequestBody, Upstream, UpstreamCall
+from cicadatraild.utils.open_work import OpenWork
 
 logger = logging.getLogger("cicadatrail.router")
 
@@ -93,6 +95,7 @@
         "_upstream",
         "_worker",
         "forwarded_count",
+        "open_work",
         "outcome_counts",
     )
 
@@ -113,9 +116,14 @@
         self._peers_with_room = peers_with_room
         self.outcome_counts: dict[str, int] = {}
         self.forwarded_count = 0
+        self.open_work = OpenWork()
 
     async def serve_caller(self, exchange: HttpExchange) -> None:
         """Answer one request of a caller."""
+        with self.open_work.one():
+            await self._serve_caller(exchange)
+
+    async def _serve_caller(self, exchange: HttpExchange) -> None:
         match read_caller_request(exchange):
             case Failure(findings):
                 await write_findings(exchange, findings)
@@ -135,7 +143,8 @@
         while True:
             match await stream.read():
                 case ForwardOpen() as opened:
-                    await self._serve_forwarded(stream, opened)
+                    with self.open_work.one():
+                        await self._serve_forwarded(stream, opened)
                 case other:
                     raise FrameError(f"{type(other).__name__} opens no request")
 
@@ -150,11 +159,12 @@
             refusal = NotRun(Reason.BODY_INCOMPLETE, 408, None)
             await self._refuse(exchange, admitted.caller_id, refusal)
             return
+        named = (REQUEST_ID_HEADER, admitted.caller_id.encode())
         call = UpstreamCall(
             request=admitted.task,
             method=exchange.method,
             target=exchange.target,
-            headers=end_to_end_headers(tuple(exchange.request.headers)),
+            headers=(named, *end_to_end_headers(tuple(exchange.request.headers))),
             body=body,
         )
         await self._answer(exchange, admitted.caller_id, call)
--- a/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamCall:
-    """Hold what is sent to the worker."""
+    """Hold what is sent to the worker; ``headers`` are end to end already."""
 
     request: TaskRequest
     method: str
@@ -136,7 +136,7 @@
             (b"Cicadatrail-Holder", self._incarnation.encode()),
             (b"Cicadatrail-Lease-Ms", str(lease_ms).encode()),
             *(traced if call.traceparent else ()),
-            *end_to_end_headers(call.headers),
+            *call.headers,
         )
 
 
