--- /dev/null
+++ b/features/support/rights_model.py
@@ -0,0 +1,176 @@
+"""Random-walk model of rights: the real decision code under every fault.
+
+Run ``python -m features.support.rights_model --runs 20000 --seed 1``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+import time
+from collections import Counter
+
+from cicadatrail_core.models import records as rec
+from cicadatrail_core.rights.timing import RightsTiming
+from features.support.rights_checks import check_world
+from features.support.rights_node import EVERY_RIGHT, SimNode
+from features.support.rights_world import DRIFT, ViolationError, World
+
+RUN_S = 12.0
+CHECK_S = 0.06
+
+
+class Run:
+    """One random walk; the seed decides everything."""
+
+    def __init__(self, seed: int, node_class: type[SimNode] = SimNode) -> None:
+        self.rng = random.Random(seed)
+        self.node_class = node_class
+        timing = RightsTiming(
+            support_s=1.0,
+            task_lease_s=self.rng.choice((0.05, 0.05, 1.0)),
+            list_lag_s=self.rng.choice((0.5, 2.0)),
+            drift_ratio=DRIFT,
+        )
+        self.world = World(self.rng, timing)
+        self.lives: Counter[str] = Counter()
+
+    def go(self) -> Counter[str]:
+        """Walk to the end; raises :class:`ViolationError`."""
+        world = self.world
+        for index in range(self.rng.choice((2, 3, 3, 3, 4, 5))):
+            two_regions = index >= 3 and self.rng.random() < 0.5
+            self.start(f"n{index}", "r1" if two_regions else "r0")
+        world.run(0.3)
+        for node in world.nodes.values():
+            rights = tuple(self.rng.sample(EVERY_RIGHT, 4))
+            world.log.append(rec.ClaimRecord(node.incarnation, rights))
+        world.at(self.rng.uniform(0.3, 1.0), self.nemesis)
+        world.at(0.1, self.check)
+        world.at(self.rng.uniform(1.0, 8.0), self.withdraw)
+        world.run(RUN_S)
+        world.seen["rights freed"] += sum(
+            isinstance(record, rec.FreeRecord) for record in world.log.records
+        )
+        return world.seen
+
+    def start(self, name: str, region: str) -> None:
+        self.lives[name] += 1
+        node = self.node_class(self.world, name, region, self.lives[name])
+        self.world.nodes[node.incarnation] = node
+        self.world.note_list()
+        node.join()
+        self.world.at(0.05, node.tick)
+
+    def check(self) -> None:
+        check_world(self.world)
+        self.world.at(CHECK_S, self.check)
+
+    def withdraw(self) -> None:
+        """Withdraw the key at one that can reach the log, if there is any."""
+        faults = self.world.faults
+        for node in self.world.nodes.values():
+            if node.active and node.name not in faults.append_cut:
+                node.withdraw_key()
+                return
+
+    def nemesis(self) -> None:
+        rng, world = self.rng, self.world
+        alive = [node for node in world.nodes.values() if node.alive]
+        self.world.at(rng.expovariate(1.6), self.nemesis)
+        if not alive:
+            return
+        length_s = rng.choice((0.3, 1.0, 2.0, 4.0)) * rng.uniform(0.5, 1.5)
+        node = rng.choice(alive)
+        match rng.randrange(11):
+            case 0:
+                node.frozen_until_s = max(node.frozen_until_s, world.now_s + length_s)
+            case 1 | 2:
+                self.cut_links(node, length_s)
+            case 3:
+                self.add_for(world.faults.append_cut, node.name, length_s)
+            case 4:
+                self.add_for(world.faults.read_cut, node.name, length_s)
+            case 5:
+                self.add_for(world.faults.append_cut, node.name, length_s)
+                self.add_for(world.faults.read_cut, node.name, length_s)
+            case 6:
+                self.add_for(world.faults.stale, node.name, length_s)
+            case 7:
+                world.log.down = True
+                world.at(length_s, self.restore_log)
+            case 8:
+                self.kill(node)
+            case 9:
+                self.add_for(world.faults.links, self.random_link(alive), length_s)
+
+    def random_link(self, alive: list[SimNode]) -> tuple[str, str]:
+        return self.rng.choice(alive).name, self.rng.choice(alive).name
+
+    def cut_links(self, node: SimNode, length_s: float) -> None:
+        """Cut a node from some others, mostly both ways."""
+        both = self.rng.random() < 0.7
+        for other in {n.name for n in self.world.nodes.values()}:
+            if self.rng.random() < 0.3:
+                continue
+            self.add_for(self.world.faults.links, (node.name, other), length_s)
+            if both:
+                self.add_for(self.world.faults.links, (other, node.name), length_s)
+
+    def cut_log_but_for(self, node: SimNode, length_s: float) -> None:
+        faults = self.world.faults
+        for other in {n.name for n in self.world.nodes.values()} - {node.name}:
+            self.add_for(faults.append_cut, other, length_s)
+            self.add_for(faults.read_cut, other, length_s)
+
+    def add_for(self, broken: set, what: object, length_s: float) -> None:
+        broken.add(what)
+        self.world.at(length_s, broken.discard, what)
+
+    def restore_log(self) -> None:
+        self.world.log.down = False
+
+    def kill(self, node: SimNode) -> None:
+        node.alive = False
+        node.machine_lost = self.rng.random() < 0.4
+        self.world.note_list()
+        delay_s = self.rng.choice((0.05, 0.5, 2.0))
+        name = node.name if self.rng.random() < 0.5 else f"x{len(self.world.nodes)}"
+        self.world.at(delay_s, self.start, name, node.region)
+
+
+def walk(
+    seed: int, runs: int, node_class: type[SimNode] = SimNode
+) -> tuple[Counter[str], list[tuple[int, str]]]:
+    """Run the model with seeds from ``seed`` on; return what was seen and broken."""
+    seen: Counter[str] = Counter()
+    broken: list[tuple[int, str]] = []
+    for number in range(seed, seed + runs):
+        try:
+            seen += Run(number, node_class).go()
+        except ViolationError as violation:
+            broken.append((number, str(violation)))
+    return seen, broken
+
+
+def main() -> int:
+    """Run from the command line; 1 where an invariant was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--runs", type=int, default=20000)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    started_s = time.monotonic()
+    seen, broken = walk(options.seed, options.runs)
+    took_s = time.monotonic() - started_s
+    print(f"runs {options.runs}, seeds from {options.seed}, {took_s:.0f} s")
+    for name, count in sorted(seen.items()):
+        print(f"  {name}: {count}")
+    for seed, message in broken[:20]:
+        print(f"  seed {seed}: {message}")
+    print(f"{len(broken)} runs broke an invariant")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/features/support/rights_node.py
@@ -0,0 +1,400 @@
+"""An entry instance of the rights model, made of the real decision code."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from cicadatrail_core.models import records as rec
+from cicadatrail_core.models.fleet import Place
+from cicadatrail_core.models.loans import LoanGrant, LoanRequest
+from cicadatrail_core.models.rights import (
+    IncarnationId,
+    PartitionRight,
+    Right,
+    SlotRight,
+    WorkerRight,
+)
+from cicadatrail_core.models.state import State
+from cicadatrail_core.models.support import SupportReply, SupportRequest
+from cicadatrail_core.rights.borrower import BorrowerBook
+from cicadatrail_core.rights.currency import Current, KeyCurrency, may_report
+from cicadatrail_core.rights.freeing import Reclaimer
+from cicadatrail_core.rights.ledger import HolderLedger
+from cicadatrail_core.rights.lender import LenderBook
+from cicadatrail_core.rights.proof import GoneProofs
+from cicadatrail_core.rights.support import HolderSupport
+from cicadatrail_core.rights.supporter import Supporter
+from features.support.rights_world import (
+    DRIFT,
+    LIMIT,
+    PARTITIONS,
+    TEAM,
+    WORKERS,
+    KeyWithdrawal,
+    LimitPatch,
+    Refusal,
+    Task,
+    WorkerPatch,
+    World,
+)
+
+EVERY_RIGHT: tuple[Right, ...] = (
+    *(WorkerRight(worker_id) for worker_id in WORKERS),
+    SlotRight(TEAM, LIMIT),
+    *(PartitionRight(partition) for partition in PARTITIONS),
+)
+
+
+class SimNode:
+    """One incarnation; subclasses weaken single parts of the rule."""
+
+    holder_class = HolderSupport
+    supporter_class = Supporter
+    reclaimer_class = Reclaimer
+    currency_class = KeyCurrency
+    borrower_class = BorrowerBook
+    lender_class = LenderBook
+
+    def __init__(self, world: World, name: str, region: str, life: int) -> None:
+        timing = world.timing
+        self.world = world
+        self.name = name
+        self.region = region
+        self.incarnation = IncarnationId(f"{name}.{life}")
+        self.rate = 1 + world.rng.uniform(-DRIFT, DRIFT)
+        self.base_s = world.rng.uniform(0, 1000)
+        self.clock_stops = False
+        self.stopped_s = 0.0
+        self.alive = True
+        self.machine_lost = False
+        self.frozen_until_s = 0.0
+        self.state: State = world.log.states[0]
+        self.holder = self.holder_class(self.incarnation, timing)
+        self.supporter = self.supporter_class(self.incarnation, timing)
+        self.reclaimer = self.reclaimer_class(self.incarnation, timing)
+        self.currency = self.currency_class(self.incarnation, timing)
+        self.lender = self.lender_class(self.incarnation, timing)
+        self.borrower = self.borrower_class(self.incarnation, timing)
+        self.proofs = GoneProofs(timing)
+        self.ledger = HolderLedger(self.incarnation)
+        self.loan_floors: dict[IncarnationId, int] = {}
+        self.attested: dict[IncarnationId, int] = {}
+        self.own_tasks: list[Task] = []
+        self.folded_withdrawal_s: float | None = None
+
+    @property
+    def clock_s(self) -> float:
+        return self.base_s + self.rate * (self.world.now_s - self.stopped_s)
+
+    @property
+    def active(self) -> bool:
+        return self.alive and self.world.now_s >= self.frozen_until_s
+
+    @property
+    def may_spend(self) -> bool:
+        return self.holder.may_spend(self.state, self.clock_s)
+
+    @property
+    def log_until_s(self) -> float:
+        return self.holder.log_until_s
+
+    # Life
+
+    def tick(self) -> None:
+        if not self.alive:
+            return
+        rng = self.world.rng
+        if not self.active:
+            wake_s = self.frozen_until_s - self.world.now_s
+            self.world.at(wake_s + rng.uniform(0, 0.01), self.tick)
+            return
+        self.read_log()
+        self.keep_house()
+        self.send_support()
+        self.renew_tasks()
+        self.act()
+        self.world.at(rng.uniform(0.2, 0.4) * self.world.timing.support_s, self.tick)
+
+    def receive(self, message: Any) -> None:
+        if not self.alive:
+            return
+        if not self.active:
+            delay_s = self.frozen_until_s - self.world.now_s
+            self.world.at(delay_s, self.receive, message)
+            return
+        match message:
+            case SupportRequest():
+                reply = self.supporter.answer(self.state, message, self.clock_s)
+                self.world.send(self, message.asker, reply)
+            case SupportReply():
+                self.note_support(message)
+            case LoanRequest():
+                self.world.send(self, message.borrower, self.answer_loan(message))
+            case LoanGrant():
+                self.note_grant(message)
+            case Refusal(incarnation):
+                self.proofs.note_refused(incarnation, self.clock_s)
+
+    # The log
+
+    def read_log(self) -> None:
+        log = self.world.log
+        for offset in range(self.state.next_offset, self.world.tail_for(self)):
+            before, self.state = self.state, log.states[offset + 1]
+            match log.records[offset]:
+                case rec.PulseRecord() as record:
+                    if record.incarnation == self.incarnation:
+                        self.note_own_pulse(record)
+                case rec.TransferRecord() as record:
+                    self.note_transfer(before, record)
+                case KeyWithdrawal():
+                    if self.folded_withdrawal_s is None:
+                        self.folded_withdrawal_s = self.world.now_s
+
+    def note_own_pulse(self, record: rec.PulseRecord) -> None:
+        self.holder.note_pulse(record)
+
+    def note_transfer(self, before: State, record: rec.TransferRecord) -> None:
+        if not record.borrowed or record.taker != self.incarnation:
+            return
+        moved = self.borrower.note_kept(before, self.state, record)
+        if moved == 0:
+            return
+        self.ledger.start(TEAM, moved)
+        self.world.seen["loans kept"] += moved
+        for task in self.own_tasks:
+            if task.lender == record.giver and moved > 0:
+                task.lender = None
+                moved -= 1
+
+    def append(self, record: Any) -> None:
+        self.world.append(self, record)
+
+    def gone(self) -> dict[IncarnationId, float]:
+        return dict(self.proofs.gone_since_s(self.state, self.clock_s))
+
+    def keep_house(self) -> None:
+        self.ledger.settle(self.state)
+        self.lender.write_off(self.state)
+        self.end_tasks()
+        for record in self.ledger.pending:
+            self.append(record)
+        lenders = self.borrower.unsettled_lenders()
+        for ack in self.supporter.acknowledgements(self.state, self.clock_s, lenders):
+            self.append(ack)
+        for kept in self.borrower.keep_records(self.state):
+            if not self.ledger.pending:
+                self.append(kept)
+        gone = self.gone()
+        for free in self.reclaimer.records_due(self.state, self.clock_s, gone):
+            self.append(free)
+            self.world.seen["free records"] += 1
+        self.report()
+
+    def report(self) -> None:
+        offset = self.world.log.withdrawal_offset()
+        if self.folded_withdrawal_s is None or offset is None:
+            return
+        if self.world.reported_s is None and self.may_report(offset):
+            self.world.reported_s = self.world.now_s
+            self.world.seen["withdrawals reported"] += 1
+
+    def may_report(self, offset: int) -> bool:
+        own = {self.incarnation: self.state.next_offset}
+        return may_report(self.state, offset, {**self.attested, **own})
+
+    # Support
+
+    def send_support(self) -> None:
+        self.append(self.holder.start_pulse(self.state, self.clock_s))
+        request = self.holder.start_request(self.state, self.clock_s)
+        if request is None:
+            return
+        for other in self.state.roster:
+            if other != self.incarnation:
+                self.world.send(self, other, request)
+
+    def note_support(self, reply: SupportReply) -> None:
+        sent_s = self.holder.request_sent_s(reply.number)
+        self.holder.note_reply(reply, self.clock_s)
+        known = self.attested.get(reply.supporter, 0)
+        self.attested[reply.supporter] = max(known, reply.folded_offset)
+        if sent_s is not None:
+            self.currency.note_reply(reply, sent_s)
+
+    def serves_key(self) -> bool:
+        """Tell whether a request with the model's key would be served now."""
+        if self.folded_withdrawal_s is not None or not self.may_spend:
+            return False
+        judged = self.currency.judge(
+            self.state, self.clock_s, self.log_until_s, self.gone()
+        )
+        if not isinstance(judged, Current):
+            return False
+        if self.clock_s >= self.log_until_s:
+            self.world.seen["keys judged by attestation"] += 1
+        return True
+
+    # Tasks and loans
+
+    def free_own(self) -> int:
+        lent = self.lender.outstanding_count(TEAM)
+        return self.ledger.free_count(self.state, TEAM, lent)
+
+    def free_borrowed(self) -> int:
+        return self.borrower.free_count(self.state, TEAM, self.clock_s)
+
+    def start_task(self) -> None:
+        if not self.may_spend:
+            return
+        lender = None
+        if self.free_own() > 0:
+            self.ledger.start(TEAM)
+        else:
+            lender = self.borrower.start(self.state, TEAM, self.clock_s)
+            if lender is None:
+                return
+            self.world.seen["tasks on loans"] += 1
+        duration_s = self.world.rng.expovariate(0.7) * self.world.timing.support_s
+        task = Task(
+            owner=self.incarnation,
+            lender=lender,
+            end_s=self.world.now_s + duration_s,
+            lease_until_s=self.world.now_s + self.world.timing.task_lease_s,
+            floor_offset=self.floor_offset(lender),
+        )
+        self.own_tasks.append(task)
+        self.world.tasks.append(task)
+
+    def renew_tasks(self) -> None:
+        if not self.may_spend:
+            return
+        for task in self.own_tasks:
+            if task.runs(self.world.now_s):
+                lease_s = self.world.timing.task_lease_s
+                task.lease_until_s = self.world.now_s + lease_s
+
+    def end_tasks(self) -> None:
+        ended = [t for t in self.own_tasks if not t.runs(self.world.now_s)]
+        self.own_tasks = [t for t in self.own_tasks if t.runs(self.world.now_s)]
+        for task in ended:
+            if task.lender is None:
+                self.ledger.end(TEAM)
+            else:
+                self.borrower.end(task.lender, TEAM)
+        self.borrower.forget_ended(self.state)
+
+    def answer_loan(self, request: LoanRequest) -> LoanGrant:
+        self.world.seen["loan requests"] += 1
+        remaining_s = self.holder.supported_until_s(self.state) - self.clock_s
+        key = (self.incarnation, request.borrower, request.number)
+        self.world.grant_floors[key] = self.state.next_offset
+        return self.lender.answer(
+            self.state,
+            request,
+            lendable_count=self.free_own(),
+            allowance_count=self.ledger.slot_count(self.state, TEAM),
+            remaining_s=remaining_s,
+        )
+
+    def note_grant(self, grant: LoanGrant) -> None:
+        self.borrower.note_grant(grant)
+        floor = self.world.grant_floors[grant.lender, grant.borrower, grant.number]
+        known = self.loan_floors.get(grant.lender, 0)
+        self.loan_floors[grant.lender] = max(known, floor)
+
+    def floor_offset(self, lender: IncarnationId | None) -> int:
+        """Return the oldest offset whose limit a start goes by."""
+        own = self.state.next_offset
+        return own if lender is None else min(own, self.loan_floors[lender])
+
+    # Random acts
+
+    def act(self) -> None:
+        rng = self.world.rng
+        for _ in range(2):
+            if rng.random() < 0.5:
+                self.start_task()
+        for lender, team_id in self.borrower.loans():
+            idle = self.borrower.idle_count(lender, team_id)
+            if idle and rng.random() < 0.2:
+                self.borrower.give_back(lender, team_id, rng.randint(1, idle))
+            self.ask_loan(lender, 0)
+        if rng.random() < 0.25:
+            others = [o for o in self.state.roster if o != self.incarnation]
+            if others:
+                self.ask_loan(rng.choice(others), rng.randint(1, 3))
+        if rng.random() < 0.3:
+            rights = tuple(rng.sample(EVERY_RIGHT, 3))
+            self.append(rec.ClaimRecord(self.incarnation, rights))
+        if rng.random() < 0.15:
+            self.give_up_something()
+        if rng.random() < 0.06:
+            self.retire_somebody()
+        if rng.random() < 0.02:
+            self.patch_something()
+        if rng.random() < 0.3:
+            shown = self.world.list_answer()
+            self.proofs.note_list(shown, self.clock_s, self.clock_s)
+
+    def ask_loan(self, lender: IncarnationId, count: int) -> None:
+        request = self.borrower.request(lender, TEAM, count, self.clock_s)
+        self.world.send(self, lender, request)
+
+    def give_up_something(self) -> None:
+        rng = self.world.rng
+        if self.ledger.pending:
+            return
+        rights: list[Right] = []
+        for worker_id in WORKERS:
+            if self.ledger.may_place(self.state, worker_id) and rng.random() < 0.5:
+                rights.append(WorkerRight(worker_id))
+        for partition in PARTITIONS:
+            if self.ledger.may_judge(self.state, partition) and rng.random() < 0.5:
+                rights.append(PartitionRight(partition))
+        free = self.spare_slots()
+        if free:
+            rights.append(SlotRight(TEAM, rng.randint(1, free)))
+        if not rights:
+            return
+        sequence = self.ledger.next_sequence(self.state)
+        taker = rng.choice(list(self.state.roster) or [self.incarnation])
+        record: rec.TransferRecord | rec.ReleaseRecord
+        if rng.random() < 0.5:
+            record = rec.ReleaseRecord(self.incarnation, tuple(rights), sequence)
+        else:
+            record = rec.TransferRecord(
+                self.incarnation, taker, tuple(rights), sequence
+            )
+        self.ledger.stop_using(record)
+        self.append(record)
+
+    def spare_slots(self) -> int:
+        """Return the slots held that neither a task nor a loan uses."""
+        held = self.state.slots.get(TEAM, {}).get(self.incarnation, 0)
+        used = self.ledger.running_count(TEAM) + self.lender.outstanding_count(TEAM)
+        return max(0, held - used)
+
+    def retire_somebody(self) -> None:
+        others = [o for o in self.state.roster if o != self.incarnation]
+        if others and self.may_spend:
+            target = self.world.rng.choice(others)
+            self.append(rec.RetireRecord(target, self.incarnation))
+
+    def patch_something(self) -> None:
+        rng = self.world.rng
+        if rng.random() < 0.5:
+            self.append(LimitPatch(rng.choice((0, 2, 4, LIMIT, LIMIT))))
+        else:
+            self.append(WorkerPatch(rng.choice(WORKERS), rng.random() < 0.7))
+
+    def withdraw_key(self) -> None:
+        self.append(KeyWithdrawal())
+
+    def join(self) -> None:
+        """Append a join record, and again until it has been folded."""
+        if not self.alive or self.incarnation in self.state.roster:
+            return
+        place = Place(self.region, f"{self.region}-d")
+        self.append(rec.JoinRecord(self.incarnation, self.name, "127.0.0.1", 1, place))
+        self.world.at(0.5 * self.world.timing.support_s, self.join)
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/borrower.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/borrower.py
@@ -98,6 +98,8 @@
 
     def free_count(self, state: State, team_id: str, now_s: float) -> int:
         """Return how many tasks of a team may be started on loans now."""
+        if team_id not in state.teams:
+            return 0
         return sum(
             loan.free_count(now_s)
             for (lender, team), loan in self._loans.items()
@@ -106,6 +108,8 @@
 
     def start(self, state: State, team_id: str, now_s: float) -> IncarnationId | None:
         """Charge a task to a loan and return its lender; none where none is free."""
+        if team_id not in state.teams:
+            return None
         for (lender, team), loan in self._loans.items():
             if team != team_id or not _may_lend(state, lender):
                 continue
