--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/maintenance_records.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/maintenance_records.py
@@ -8,8 +8,6 @@
 
 from collections.abc import Mapping
 from dataclasses import replace
-from types import MappingProxyType
-from typing import TypeVar
 
 from cicadatrail_core.fold.availability import (
     ACTIVE_STEPS,
@@ -34,8 +32,7 @@
     StepRecord,
 )
 from cicadatrail_core.models.state import State
-
-V = TypeVar("V")
+from cicadatrail_core.utils.mappings import with_entry, without_entry
 
 REPORTED_CONDITIONS = frozenset(
     {Condition.SERVING, Condition.FAILED, Condition.EJECTED, Condition.LEAVING}
@@ -46,16 +43,6 @@
 """Steps after which a wave does nothing more with a worker."""
 
 
-def with_entry(mapping: Mapping[str, V], key: str, value: V) -> Mapping[str, V]:
-    """Return the mapping with one entry set."""
-    return MappingProxyType({**mapping, key: value})
-
-
-def without_entry(mapping: Mapping[str, V], key: str) -> Mapping[str, V]:
-    """Return the mapping with one entry left out."""
-    return MappingProxyType({k: v for k, v in mapping.items() if k != key})
-
-
 def apply_condition(state: State, record: ConditionRecord) -> State:
     """Take over a reported condition.
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/wave_operations.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/wave_operations.py
@@ -16,7 +16,6 @@
     workers_of,
 )
 from cicadatrail_core.fold.domains import grouped_by_domain, workers_by_place
-from cicadatrail_core.fold.maintenance_records import with_entry
 from cicadatrail_core.models.maintenance import (
     StepStatus,
     Wave,
@@ -31,6 +30,7 @@
 )
 from cicadatrail_core.models.state import State
 from cicadatrail_core.utils.findings import Finding, Findings
+from cicadatrail_core.utils.mappings import with_entry
 
 FINISHED_WAVES_KEPT_COUNT = 20
 """Number of finished waves that the state remembers."""
