--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/apply.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/apply.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 
 import msgpack
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from cicadatrail_core.fold import maintenance, membership
 from cicadatrail_core.fold.patches import apply_patch
@@ -16,6 +16,9 @@
 from cicadatrail_core.utils import codec
 from cicadatrail_core.utils.findings import Finding, Findings
 
+GONE_WRITER_LIMIT = 1_000
+"""Number of writers that left whose sequence numbers are kept."""
+
 
 @dataclass(frozen=True, slots=True)
 class Envelope:
@@ -38,23 +41,48 @@
     return packed
 
 
-def decode_record(payload: bytes) -> Result[Envelope, Findings]:
-    """Read a record; one of a newer format or unknown type is a finding."""
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """Hold why a record can't be read, and its format where that is known."""
+
+    findings: Findings
+    record_format: int | None = None
+
+
+class ReleaseTooOldError(Exception):
+    """Report a record in force that this release can't fold: it must stop."""
+
+
+Decoded = Envelope | Unreadable
+
+
+def decode_record(payload: bytes) -> Decoded:
+    """Read a record of the log; never raises on bad input."""
     if len(payload) > codec.MAX_MESSAGE_BYTES:
-        return Failure((Finding("$", "is too long"),))
+        return _unreadable("is too long")
     try:
         frame = msgpack.unpackb(payload, raw=False)
     except (ValueError, msgpack.exceptions.UnpackException, RecursionError) as error:
-        return Failure((Finding("$", f"is not msgpack ({error})"),))
+        return _unreadable(f"is not msgpack ({error})")
     match frame:
         case [int(record_format), *_] if record_format != RECORD_FORMAT:
-            return Failure((Finding("$[0]", f"format {record_format} is unknown"),))
+            return _unreadable(f"has format {record_format}", record_format)
         case [_, str(writer), int(sequence), body]:
-            read: Result[Record, Findings] = codec.from_map(body, Record)
-            return read.map(
-                lambda record: Envelope(IncarnationId(writer), sequence, record)
-            )
-    return Failure((Finding("$", "is no record"),))
+            return _decode_body(IncarnationId(writer), sequence, body)
+    return _unreadable("is no record")
+
+
+def _decode_body(writer: IncarnationId, sequence: int, body: object) -> Decoded:
+    match codec.from_map(body, Record):
+        case Success(record):
+            return Envelope(writer, sequence, record)
+        case Failure(findings):
+            return Unreadable(findings)
+    raise AssertionError("a result is a success or a failure")
+
+
+def _unreadable(fault: str, record_format: int | None = None) -> Unreadable:
+    return Unreadable((Finding("$", fault),), record_format)
 
 
 def fold_payload(state: State, offset: int, payload: bytes) -> State:
@@ -62,33 +90,50 @@
     return fold_decoded(state, offset, decode_record(payload))
 
 
-def fold_decoded(
-    state: State, offset: int, decoded: Result[Envelope, Findings]
-) -> State:
+def fold_decoded(state: State, offset: int, decoded: Decoded) -> State:
     """Fold one decoded record; an unreadable one is counted and skipped.
 
-    Every instance skips the same ones, so that all reach the same state.
+    Every instance skips the same ones, so that all reach the same state: a
+    record of a newer format counts only once every member can fold it. Raises
+    ReleaseTooOldError for a record that counts, but not to this release.
     """
     match decoded:
-        case Success(envelope):
-            return _fold_envelope(state, offset, envelope)
+        case Envelope():
+            return _fold_envelope(state, offset, decoded)
+        case Unreadable(record_format=int(found)) if (
+            RECORD_FORMAT < found <= state.record_format
+        ):
+            raise ReleaseTooOldError(f"offset {offset} has format {found}")
     count = state.unreadable_count + 1
     return replace(state, next_offset=offset + 1, unreadable_count=count)
 
 
 def _fold_envelope(state: State, offset: int, envelope: Envelope) -> State:
     """Fold a record unless its writer's sequence shows that it was folded."""
-    newest = state.writer_sequences.get(envelope.writer, 0)
+    writer = envelope.writer
+    newest = state.writer_sequences.get(writer, 0)
+    newest = max(newest, state.gone_sequences.get(writer, 0))
     if envelope.sequence <= newest:
         return replace(state, next_offset=offset + 1)
     changed = fold_record(state, offset, envelope.record)
-    sequences = {
-        writer: sequence
-        for writer, sequence in changed.writer_sequences.items()
-        if writer in changed.roster
-    }
-    sequences[envelope.writer] = envelope.sequence
-    return replace(changed, writer_sequences=sequences)
+    sequences = {**changed.writer_sequences, writer: envelope.sequence}
+    return _forget_gone_writers(replace(changed, writer_sequences=sequences), writer)
+
+
+def _forget_gone_writers(state: State, newest_writer: str) -> State:
+    """Keep apart the sequences of writers that left, the newest ones only.
+
+    A join that is appended again late must not bring back who left.
+    """
+    sequences = state.writer_sequences
+    gone = [writer for writer in sequences if writer not in state.roster]
+    if not gone or gone == [newest_writer]:
+        return state
+    kept = {**state.gone_sequences, **{writer: sequences[writer] for writer in gone}}
+    while len(kept) > GONE_WRITER_LIMIT:
+        del kept[next(iter(kept))]
+    members = {w: sequence for w, sequence in sequences.items() if w in state.roster}
+    return replace(state, writer_sequences=members, gone_sequences=kept)
 
 
 def fold_record(state: State, offset: int, record: Record) -> State:
@@ -99,10 +144,20 @@
     """
     if offset != state.next_offset:
         raise ValueError(f"offset {offset} is not the next, {state.next_offset}")
-    changed = _apply(state, offset, record)
+    changed = _raise_format(_apply(state, offset, record))
     return replace(changed, next_offset=offset + 1)
 
 
+def _raise_format(state: State) -> State:
+    """Put a newer format in force once the whole roster can fold it."""
+    if not state.roster:
+        return state
+    lowest = min(member.record_format for member in state.roster.values())
+    if lowest <= state.record_format:
+        return state
+    return replace(state, record_format=lowest)
+
+
 def _apply(state: State, offset: int, record: Record) -> State:
     match record:
         case records.PatchRecord(patch):
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/membership.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/membership.py
@@ -37,9 +37,14 @@
 
 
 def apply_join(state: State, offset: int, record: JoinRecord) -> State:
-    """Enter an incarnation in the roster; a repeated join changes nothing."""
+    """Enter an incarnation in the roster; a repeated join changes nothing.
+
+    A release that can't fold the format in force doesn't get in.
+    """
     if record.incarnation in state.roster:
         return state
+    if record.record_format < state.record_format:
+        return state
     member = Member(
         incarnation=record.incarnation,
         instance_id=record.instance_id,
@@ -49,6 +54,7 @@
         joined_offset=offset,
         last_pulse_offset=offset,
         folded_offset=offset,
+        record_format=record.record_format,
     )
     joined = _with_member(state, member)
     return _with_roster_change(joined, offset, member.place.region)
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/records.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/records.py
@@ -22,13 +22,17 @@
 
 @dataclass(frozen=True, slots=True)
 class JoinRecord:
-    """Enter an incarnation in the roster; it holds no rights yet."""
+    """Enter an incarnation in the roster; it holds no rights yet.
+
+    ``record_format`` is the newest format that its release can fold.
+    """
 
     incarnation: IncarnationId
     instance_id: str
     host: str
     peer_port: int
     place: Place
+    record_format: int = RECORD_FORMAT
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/state.py
@@ -38,7 +38,8 @@
     record for it, and ``acknowledged_by`` names who has acknowledged that
     record. ``freed_offset`` is that of the first record that freed its workers
     and partitions: from then on it runs nothing. ``rights_sequence`` is that
-    of its newest transfer or release.
+    of its newest transfer or release, ``record_format`` the newest format
+    that its release can fold.
     """
 
     incarnation: IncarnationId
@@ -53,6 +54,7 @@
     acknowledged_by: tuple[IncarnationId, ...] = ()
     freed_offset: int | None = None
     rights_sequence: int = 0
+    record_format: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,14 +80,14 @@
 class State:
     """Hold everything that the log decided up to ``next_offset``.
 
-    ``conditions`` holds only workers that are not serving. Draining workers
-    are found in ``waves`` and ``moves``; see ``fold.availability``.
-    ``slots`` maps a team to the slots of each holder. ``roster_changes``
-    reaches back, region by region, to the oldest ``folded_offset`` of its
-    members. ``verdicts`` and ``history`` keep the newest entries only.
-    ``writer_sequences`` holds the newest sequence number folded from each
-    member, ``snapshot_offset`` the offset of the newest whole snapshot in the
-    log.
+    ``conditions`` holds only workers that are not serving. Draining workers are found
+    in ``waves`` and ``moves``; see ``fold.availability``. ``slots`` maps a team to
+    the slots of each holder. ``roster_changes`` reaches back, region by region, to
+    the oldest ``folded_offset`` of its members. ``verdicts`` and ``history`` keep the
+    newest entries only. ``record_format`` is the newest format that every member can
+    fold; it never falls. ``writer_sequences`` holds the newest sequence number folded
+    from each member, ``gone_sequences`` those of the newest writers that left,
+    ``snapshot_offset`` the offset of the newest whole snapshot in the log.
     """
 
     next_offset: int = 0
@@ -116,4 +118,8 @@
     writer_sequences: Mapping[IncarnationId, int] = field(
         default_factory=lambda: MappingProxyType({})
     )
+    gone_sequences: Mapping[IncarnationId, int] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
     snapshot_offset: int = 0
+    record_format: int = 1
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
@@ -100,8 +100,8 @@
             state = fold_decoded(state, offset, decoded)
             self._tail.append((offset, payload))
             self.folded_count += 1
-            if isinstance(decoded, Success):
-                envelopes.append(decoded.unwrap())
+            if isinstance(decoded, Envelope):
+                envelopes.append(decoded)
         self._publish(state)
         for envelope in envelopes:
             for listener in self._record_listeners:
@@ -196,5 +196,5 @@
 ) -> None:
     for payload in payloads:
         match decode_record(payload):
-            case Success(envelope) if isinstance(envelope.record, SnapshotRecord):
-                assembler.take(envelope.record)
+            case Envelope(record=SnapshotRecord() as part):
+                assembler.take(part)
