--- a/packages/cicadatrail-core/src/cicadatrail_core/models/peer_messages.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/peer_messages.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from cicadatrail_core.models.loans import LoanGrant, LoanRequest
 from cicadatrail_core.models.requests import TaskRequest
 from cicadatrail_core.models.resources import Resources
 from cicadatrail_core.models.rights import IncarnationId
@@ -203,4 +204,6 @@
     | IdQuery
     | IdAnswer
     | IdOutcome
+    | LoanRequest
+    | LoanGrant
 )
--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -10,7 +10,9 @@
 from contextlib import AsyncExitStack
 from typing import Any
 
+from cicadatrail_core.fold.apply import Envelope
 from cicadatrail_core.models.fleet import Place, Worker
+from cicadatrail_core.models.loans import LoanRequest
 from cicadatrail_core.models.peer_messages import (
     ControlMessage,
     Digest,
@@ -53,6 +55,7 @@
 from cicadatraild.sharing.holdings import Holdings
 from cicadatraild.sharing.membership import Identity, Membership, StruckOutError
 from cicadatraild.sharing.replica import Replica
+from cicadatraild.sharing.slot_loans import Demand, SlotLoans
 from cicadatraild.sharing.standing import Standing
 from cicadatraild.sharing.status import StatusView
 from cicadatraild.utils.identifiers import new_uuid7
@@ -98,11 +101,23 @@
             self._note_fault,
         )
         list_settings = settings.instance_list
+        timing = RightsTiming(
+            support_s=settings.rights.support_s, list_lag_s=list_settings.lag_s
+        )
+        self._holdings = Holdings(self.incarnation)
+        self._loans = SlotLoans(
+            self.incarnation,
+            timing,
+            self._holdings,
+            self._directory,
+            lambda: self._standing.supported_until_s(),
+            lambda: self._digests.fresh(),
+            self._demand,
+            self._configure_desk,
+        )
         self._standing = Standing(
             self.incarnation,
-            RightsTiming(
-                support_s=settings.rights.support_s, list_lag_s=list_settings.lag_s
-            ),
+            timing,
             settings.rights.pulse_s,
             list_settings.poll_s,
             self._replica,
@@ -112,10 +127,10 @@
                 self._pool, Address(list_settings.host, list_settings.port)
             ),
             self._note_list,
+            self._loans.unsettled_lenders,
         )
         self._digests = Digests(self._directory, self._make_digest)
-        self._holdings = Holdings(self.incarnation)
-        self._desk = Desk(Dispatcher(DispatcherSettings()))
+        self._desk = Desk(Dispatcher(DispatcherSettings()), self._loans)
         self._control = HttpWorkerControl(self._pool)
         self._given_up = GivenUpTasks(self._desk, self._control)
         self._admission = Admission(self._standing.may_judge_keys, new_uuid7)
@@ -157,7 +172,7 @@
     async def _start(self, tasks: _Tasks) -> None:
         """Follow the log, join the roster and begin to serve."""
         self._replica.listen(self._take_state)
-        self._replica.listen_to_records(self._standing.note_record)
+        self._replica.listen_to_records(self._take_record)
         tasks.start("replica", self._replica.run())
         tasks.start("appender", self._appender.run())
         tasks.start("list", self._standing.follow_list())
@@ -165,6 +180,7 @@
         tasks.start("pulse", self._standing.pulse())
         tasks.start("reclaim", self._standing.reclaim())
         tasks.start("digests", self._digests.run())
+        tasks.start("loans", self._loans.run())
         tasks.start("desk", self._desk.run())
         tasks.start("waves", self._maintenance.run())
         tasks.start("balance", self._membership.balance())
@@ -247,7 +263,8 @@
             self._appender,
             self._holdings,
             self._running_on,
-            lambda team_id: self._desk.dispatcher.running_counts.get(team_id, 0),
+            self._loans.spare_own_count,
+            self._loans.keep_records,
             self._configure_desk,
         )
 
@@ -275,13 +292,12 @@
             self._digests,
             self._holdings,
             self._desk.dispatcher,
-            lambda: 0,
+            self._loans.lent_count,
         )
 
     def _make_digest(self) -> Digest:
         state = self._replica.state
         dispatcher = self._desk.dispatcher
-        spendable = self._holdings.spendable(state)
         waiting, running = dispatcher.waiting_counts, dispatcher.running_counts
         own_usage = dispatcher.own_usage
         pools = tuple(
@@ -296,7 +312,7 @@
                 waiting.get(team_id, 0),
                 running.get(team_id, 0),
             )
-            for team_id, slot_count in spendable.slots.items()
+            for team_id, slot_count in self._loans.slots(state).items()
         )
         return Digest(self.incarnation, state.next_offset, state.version, pools, teams)
 
@@ -310,12 +326,21 @@
         }
         self._directory.follow(members)
         self._digests.forget_others(frozenset(members))
+        self._loans.take_state(state)
         self._configure_desk()
 
+    def _take_record(self, before: State, after: State, envelope: Envelope) -> None:
+        self._standing.note_record(envelope.record)
+        self._loans.note_record(before, after, envelope.record)
+
+    def _demand(self) -> Demand:
+        dispatcher = self._desk.dispatcher
+        return Demand(dispatcher.waiting_counts, dispatcher.running_counts)
+
     def _configure_desk(self) -> None:
         state = self._replica.state
-        spendable = self._holdings.spendable(state)
-        self._desk.configure(state, spendable.workers, spendable.slots)
+        workers = self._holdings.spendable(state).workers
+        self._desk.configure(state, workers, self._loans.slots(state))
 
     def _note_fault(self, name: IncarnationId, fault: LinkFault) -> None:
         self._standing.note_fault(name, fault)
@@ -367,6 +392,8 @@
                 self._digests.take(message)
                 self._desk.dispatcher.configure_peer_usage(self._digests.peer_usage())
                 return Done()
+            case LoanRequest():
+                return self._loans.answer(message)
             case FetchRecords(from_offset):
                 found = self._replica.records_from(from_offset, RECORDS_PER_ANSWER)
                 return Records(from_offset, found or ())
--- a/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Collection, Mapping
+from typing import Protocol
 
 from cicadatrail_core.models.requests import TaskRequest
 from cicadatrail_core.models.state import State
@@ -12,6 +13,7 @@
     Dispatcher,
     Placed,
     Rejected,
+    RejectReason,
     TaskEnd,
     Waiting,
 )
@@ -22,13 +24,24 @@
 Decision = Placed | Rejected
 
 
+class SlotCharges(Protocol):
+    """Charge each running task to a slot of its team, own or borrowed."""
+
+    def start(self, request_id: str, team_id: str) -> bool:
+        """Charge a task; False when the slot it counted on has lapsed."""
+
+    def end(self, request_id: str) -> None:
+        """Free the slot of a task that has ended."""
+
+
 class Desk:
     """Hand each request its decision as soon as the dispatcher makes it."""
 
-    __slots__ = ("_decisions", "_placed", "dispatcher", "running_on")
+    __slots__ = ("_charges", "_decisions", "_placed", "dispatcher", "running_on")
 
-    def __init__(self, dispatcher: Dispatcher) -> None:
+    def __init__(self, dispatcher: Dispatcher, charges: SlotCharges) -> None:
         self.dispatcher = dispatcher
+        self._charges = charges
         self._decisions: dict[str, asyncio.Future[Decision]] = {}
         self._placed: dict[str, str] = {}
         self.running_on: Counter[str] = Counter()
@@ -48,8 +61,11 @@
     def submit(self, request: TaskRequest) -> Decision | asyncio.Future[Decision]:
         """Return the decision, or a future of it while the request waits."""
         answer = self.dispatcher.submit(request, _now_s())
-        if isinstance(answer, Placed):
-            self._note_start(answer)
+        if isinstance(answer, Placed) and not self._note_start(answer):
+            answer = self.dispatcher.submit(request, _now_s())
+            if isinstance(answer, Placed):
+                self.dispatcher.finish(request.request_id, TaskEnd.CANCELLED, _now_s())
+                return Rejected(request.request_id, RejectReason.QUEUE_FULL, 1.0)
         if not isinstance(answer, Waiting):
             return answer
         decision: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
@@ -59,8 +75,8 @@
     def reserve(self, request: TaskRequest) -> Placed | None:
         """Place a peer's request at once or not at all."""
         placed = self.dispatcher.try_place(request, _now_s())
-        if placed is not None:
-            self._note_start(placed)
+        if placed is None or not self._note_start(placed):
+            return None
         return placed
 
     def withdraw(self, request_id: str) -> bool:
@@ -79,8 +95,11 @@
         if not self._decisions:
             return
         for placed in self.dispatcher.next_placements(_now_s()):
-            self._note_start(placed)
-            self._decide(placed.request.request_id, placed)
+            if self._note_start(placed):
+                self._decide(placed.request.request_id, placed)
+            else:
+                # Its slot was borrowed and has lapsed: it waits again.
+                self.dispatcher.submit(placed.request, _now_s())
 
     async def run(self) -> None:
         """Refuse requests whose deadline passes, until cancelled."""
@@ -99,14 +118,21 @@
             self._note_end(request_id)
             self.dispatcher.finish(request_id, TaskEnd.CANCELLED, _now_s())
 
-    def _note_start(self, placed: Placed) -> None:
+    def _note_start(self, placed: Placed) -> bool:
+        """Charge a placed task to a slot, or take its placement back."""
+        request = placed.request
+        if not self._charges.start(request.request_id, request.team_id):
+            self.dispatcher.finish(request.request_id, TaskEnd.CANCELLED, _now_s())
+            return False
         self._placed[placed.request.request_id] = placed.worker_id
         self.running_on[placed.worker_id] += 1
+        return True
 
     def _note_end(self, request_id: str) -> None:
         worker_id = self._placed.pop(request_id, None)
         if worker_id is None:
             return
+        self._charges.end(request_id)
         self.running_on[worker_id] -= 1
         if not self.running_on[worker_id]:
             del self.running_on[worker_id]
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/membership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/membership.py
@@ -53,10 +53,10 @@
         "_identity",
         "_joined",
         "_on_holdings",
-        "_pending",
         "_replica",
+        "_keep_records",
         "_running_on",
-        "_running_of",
+        "_spare_slots",
         "leaving",
     )
 
@@ -67,7 +67,8 @@
         appender: Appender,
         holdings: Holdings,
         running_on: Callable[[str], int],
-        running_of: Callable[[str], int],
+        spare_slots: Callable[[str], int],
+        keep_records: Callable[[], tuple[TransferRecord, ...]],
         on_holdings: Callable[[], None],
     ) -> None:
         self._identity = identity
@@ -75,9 +76,9 @@
         self._appender = appender
         self._holdings = holdings
         self._running_on = running_on
-        self._running_of = running_of
+        self._spare_slots = spare_slots
+        self._keep_records = keep_records
         self._on_holdings = on_holdings
-        self._pending: ReleaseRecord | tuple[TransferRecord, ...] | None = None
         self._joined = False
         self.leaving = False
 
@@ -109,9 +110,9 @@
         """
         while True:
             self.check_member()
-            self._settle(self._replica.state)
-            if self._pending is None:
-                self._propose(self._replica.state)
+            state = self._replica.state
+            if self._is_settled(state) and not self.leaving:
+                self._propose(state)
             await asyncio.sleep(BALANCE_INTERVAL_S)
 
     async def leave(self) -> None:
@@ -122,8 +123,9 @@
         """
         self.leaving = True
         incarnation = self._identity.incarnation
-        records = handover(self._replica.state, incarnation)
-        self._hand_over(records)
+        await self._replica.wait_for(self._is_settled)
+        state = self._replica.state
+        self._hand_over(state, handover(state, incarnation))
         await self._replica.wait_for(self._is_settled)
         self._appender.add(LeaveRecord(incarnation))
         await self._replica.wait_for(lambda state: incarnation not in state.roster)
@@ -139,61 +141,62 @@
     def _is_settled(self, state: State) -> bool:
         """Settle what the state shows; tell whether nothing is on its way."""
         self._settle(state)
-        return self._pending is None or self.member is None
+        return not self._holdings.ledger.pending or self.member is None
 
     def _settle(self, state: State) -> None:
-        """Forget what was handed over once the log shows it."""
-        member = state.roster.get(self._identity.incarnation)
-        match self._pending:
-            case None:
-                return
-            case ReleaseRecord(sequence=sequence):
-                newest = sequence
-            case transfers:
-                newest = max(record.sequence for record in transfers)
-        if member is not None and member.rights_sequence >= newest:
-            self._pending = None
-            self._holdings.keep_all()
+        """Forget what was given up once the log shows it."""
+        before = self._holdings.ledger.pending
+        self._holdings.ledger.settle(state)
+        if len(before) != len(self._holdings.ledger.pending):
             self._on_holdings()
 
     def _propose(self, state: State) -> None:
         """Append at most one kind of change to the rights."""
         incarnation = self._identity.incarnation
         claims = fair_claim(state, incarnation)
-        if claims and not self.leaving:
+        if claims:
             self._appender.add(ClaimRecord(incarnation, claims))
             return
         released = self._idle_part(obsolete_rights(state, incarnation))
-        member = state.roster.get(incarnation)
-        if released and member is not None:
-            sequence = member.rights_sequence + 1
-            self._pending = ReleaseRecord(incarnation, released, sequence)
-            self._stop_using(released)
-            self._appender.add(self._pending)
+        if released:
+            sequence = self._holdings.ledger.next_sequence(state)
+            self._give_up(ReleaseRecord(incarnation, released, sequence))
             return
-        self._hand_over(surplus(state, incarnation))
-
-    def _hand_over(self, records: tuple[TransferRecord, ...]) -> None:
-        """Stop using rights and append their transfer, if none is in use.
-
-        Busy workers are only marked, so that they become idle and go later.
-        """
-        if not records:
+        kept = self._keep_records()
+        if kept:
+            for record in kept:
+                self._appender.add(record)
             return
-        rights = tuple(right for record in records for right in record.rights)
-        self._stop_using(rights)
-        idle: list[TransferRecord] = []
+        self._hand_over(state, surplus(state, incarnation))
+
+    def _hand_over(self, state: State, records: tuple[TransferRecord, ...]) -> None:
+        """Give up the idle part of the rights; busy workers go later."""
+        self._mark(records)
         for record in records:
-            part = self._idle_part(record.rights)
-            if part:
-                sequence = records[0].sequence + len(idle)
-                idle.append(TransferRecord(record.giver, record.taker, part, sequence))
-        if not idle:
-            return
-        self._pending = tuple(idle)
-        self._stop_using(tuple(r for record in idle for r in record.rights))
-        for record in idle:
-            self._appender.add(record)
+            idle = self._idle_part(record.rights)
+            if idle:
+                sequence = self._holdings.ledger.next_sequence(state)
+                self._give_up(
+                    TransferRecord(record.giver, record.taker, idle, sequence)
+                )
+
+    def _mark(self, records: tuple[TransferRecord, ...]) -> None:
+        """Place nothing more on busy workers that are to be handed over."""
+        marked = {
+            right.worker_id
+            for record in records
+            for right in record.rights
+            if isinstance(right, WorkerRight)
+        }
+        if marked != self._holdings.marked_workers:
+            self._holdings.marked_workers = marked
+            self._on_holdings()
+
+    def _give_up(self, record: TransferRecord | ReleaseRecord) -> None:
+        """Stop using rights, then append the record that gives them up."""
+        self._holdings.ledger.stop_using(record)
+        self._on_holdings()
+        self._appender.add(record)
 
     def _idle_part(self, rights: tuple[Right, ...]) -> tuple[Right, ...]:
         """Return the rights, or the part of them, that nothing runs on."""
@@ -203,19 +206,9 @@
                 case WorkerRight(worker_id) if self._running_on(worker_id):
                     continue
                 case SlotRight(team_id, slot_count):
-                    free_count = self._free_slots(team_id)
-                    if free_count > 0:
-                        idle.append(SlotRight(team_id, min(slot_count, free_count)))
+                    spare_count = self._spare_slots(team_id)
+                    if spare_count > 0:
+                        idle.append(SlotRight(team_id, min(slot_count, spare_count)))
                 case _:
                     idle.append(right)
         return tuple(idle)
-
-    def _free_slots(self, team_id: str) -> int:
-        """Return how many held slots no running task uses."""
-        slots = self._replica.state.slots.get(team_id, {})
-        held_count = slots.get(self._identity.incarnation, 0)
-        return held_count - self._running_of(team_id)
-
-    def _stop_using(self, rights: tuple[Right, ...]) -> None:
-        self._holdings.hand_over(rights)
-        self._on_holdings()
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
@@ -35,7 +35,7 @@
 BACKOFF_LIMIT_S = 1.0
 
 Listener = Callable[[State], None]
-RecordListener = Callable[[Envelope], None]
+RecordListener = Callable[[State, State, Envelope], None]
 
 
 class Replica:
@@ -73,7 +73,10 @@
         self._listeners.append(listener)
 
     def listen_to_records(self, listener: RecordListener) -> None:
-        """Call ``listener`` with each record after the state that it made."""
+        """Call ``listener`` with each record and the states around it.
+
+        It is called before those that listen to the state.
+        """
         self._record_listeners.append(listener)
 
     async def wait_for(self, holds: Callable[[State], bool]) -> None:
@@ -92,27 +95,31 @@
     def take_records(self, from_offset: int, payloads: tuple[bytes, ...]) -> None:
         """Fold records from the log or a peer; those known are passed over."""
         state = self.state
-        envelopes: list[Envelope] = []
+        folded: list[tuple[State, State, Envelope]] = []
         for offset, payload in enumerate(payloads, from_offset):
             if offset != state.next_offset:
                 continue
-            decoded = decode_record(payload)
-            state = fold_decoded(state, offset, decoded)
+            before, decoded = state, decode_record(payload)
+            state = fold_decoded(before, offset, decoded)
             self._tail.append((offset, payload))
             self.folded_count += 1
             if isinstance(decoded, Envelope):
-                envelopes.append(decoded)
-        self._publish(state)
-        for envelope in envelopes:
+                folded.append((before, state, decoded))
+        if state is self.state:
+            return
+        self.state = state
+        for before, after, envelope in folded:
             for listener in self._record_listeners:
-                listener(envelope)
+                listener(before, after, envelope)
+        self._publish()
 
     def take_snapshot(self, state: State) -> None:
         """Adopt a newer state from a snapshot; an older one is passed over."""
         if state.next_offset <= self.state.next_offset:
             return
         self._tail.clear()
-        self._publish(state)
+        self.state = state
+        self._publish()
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -170,12 +177,9 @@
             await asyncio.sleep(0)
         return assembler.newest
 
-    def _publish(self, state: State) -> None:
-        if state is self.state:
-            return
-        self.state = state
+    def _publish(self) -> None:
         for listener in self._listeners:
-            listener(state)
+            listener(self.state)
         self._changed.set()
         self._changed = asyncio.Event()
 
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
@@ -0,0 +1,247 @@
+"""Charges tasks to own or borrowed slots, and lends to peers on demand.
+
+Skew and peaks are met without the log: an instance whose callers of a team
+wait asks the peer that has most slots of it to spare.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from cicadatrail_core.models.loans import LoanGrant, LoanRequest
+from cicadatrail_core.models.peer_messages import Digest
+from cicadatrail_core.models.records import Record, TransferRecord
+from cicadatrail_core.models.rights import IncarnationId
+from cicadatrail_core.models.state import State
+from cicadatrail_core.rights.borrower import BorrowerBook
+from cicadatrail_core.rights.lender import LenderBook
+from cicadatrail_core.rights.timing import RightsTiming
+from cicadatraild.network.peer_client import PeerDirectory
+from cicadatraild.sharing.holdings import Holdings
+
+INTERVAL_S = 0.25
+"""Time between two renewals of a loan and two looks at demand."""
+
+IDLE_LIMIT_S = 2.0
+"""Time that a borrowed slot may be idle before it is given back."""
+
+WANTED_LIMIT_COUNT = 64
+"""Most slots that are asked for at once."""
+
+CALL_TIMEOUT_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Count what waits and runs here, by team."""
+
+    waiting: Mapping[str, int]
+    running: Mapping[str, int]
+
+
+class SlotLoans:
+    """Keep both sides of this incarnation's loans."""
+
+    __slots__ = (
+        "_borrower",
+        "_charges",
+        "_demand",
+        "_directory",
+        "_holdings",
+        "_idle_since_s",
+        "_incarnation",
+        "_lender",
+        "_on_change",
+        "_peer_digests",
+        "_state",
+        "_supported_until_s",
+    )
+
+    def __init__(
+        self,
+        incarnation: IncarnationId,
+        timing: RightsTiming,
+        holdings: Holdings,
+        directory: PeerDirectory,
+        supported_until_s: Callable[[], float],
+        peer_digests: Callable[[], Mapping[IncarnationId, Digest]],
+        demand: Callable[[], Demand],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._incarnation = incarnation
+        self._holdings = holdings
+        self._directory = directory
+        self._supported_until_s = supported_until_s
+        self._peer_digests = peer_digests
+        self._demand = demand
+        self._on_change = on_change
+        self._lender = LenderBook(incarnation, timing)
+        self._borrower = BorrowerBook(incarnation, timing)
+        self._state = State()
+        self._charges: dict[str, tuple[str, IncarnationId | None]] = {}
+        self._idle_since_s: dict[tuple[IncarnationId, str], float] = {}
+
+    def take_state(self, state: State) -> None:
+        """Follow a new state."""
+        self._state = state
+        self._lender.write_off(state)
+        self._borrower.forget_ended(state)
+
+    def note_record(self, before: State, after: State, record: Record) -> None:
+        """Move tasks to own slots where a record kept slots of a dead lender."""
+        if not isinstance(record, TransferRecord) or not record.borrowed:
+            return
+        if record.taker != self._incarnation:
+            return
+        moved_count = self._borrower.note_kept(before, after, record)
+        charged = [
+            request_id
+            for request_id, (_, giver) in self._charges.items()
+            if giver == record.giver
+        ]
+        for request_id in charged[:moved_count]:
+            team_id, _ = self._charges[request_id]
+            self._charges[request_id] = (team_id, None)
+            self._holdings.ledger.start(team_id)
+
+    def slots(self, state: State) -> dict[str, int]:
+        """Return how many tasks of each team may run here, lent slots aside."""
+        now_s = asyncio.get_running_loop().time()
+        return {
+            team_id: own_count
+            - self._lender.outstanding_count(team_id)
+            + self._borrower.free_count(state, team_id, now_s)
+            + self._borrowed_running(team_id)
+            for team_id, own_count in self._holdings.spendable(state).own_slots.items()
+        }
+
+    def start(self, request_id: str, team_id: str) -> bool:
+        """Charge a task to a slot; tell whether there was one."""
+        state = self._state
+        lent_count = self._lender.outstanding_count(team_id)
+        ledger = self._holdings.ledger
+        if ledger.free_count(state, team_id, lent_count) > 0:
+            ledger.start(team_id)
+            self._charges[request_id] = (team_id, None)
+            return True
+        now_s = asyncio.get_running_loop().time()
+        lender = self._borrower.start(state, team_id, now_s)
+        if lender is None:
+            return False
+        self._charges[request_id] = (team_id, lender)
+        return True
+
+    def end(self, request_id: str) -> None:
+        """Free the slot of a task that has ended."""
+        if request_id not in self._charges:
+            return
+        team_id, lender = self._charges.pop(request_id)
+        if lender is None:
+            self._holdings.ledger.end(team_id)
+        else:
+            self._borrower.end(lender, team_id)
+
+    def spare_own_count(self, team_id: str) -> int:
+        """Return how many held slots neither run a task nor are lent."""
+        held = self._state.slots.get(team_id, {}).get(self._incarnation, 0)
+        used = self._holdings.ledger.running_count(team_id)
+        return held - used - self._lender.outstanding_count(team_id)
+
+    def lent_count(self) -> int:
+        """Return how many slots are lent to peers."""
+        return sum(map(self._lender.outstanding_count, self._state.teams))
+
+    def unsettled_lenders(self) -> tuple[IncarnationId, ...]:
+        """Return the lenders on whose slots tasks still run here."""
+        return tuple(self._borrower.unsettled_lenders())
+
+    def keep_records(self) -> tuple[TransferRecord, ...]:
+        """Return the records that keep slots of retired lenders in use here."""
+        return self._borrower.keep_records(self._state)
+
+    def answer(self, request: LoanRequest) -> LoanGrant:
+        """Answer a peer's request for slots."""
+        state, team_id = self._state, request.team_id
+        now_s = asyncio.get_running_loop().time()
+        allowance_count = self._holdings.ledger.slot_count(state, team_id)
+        free_count = self._holdings.ledger.free_count(
+            state, team_id, self._lender.outstanding_count(team_id)
+        )
+        waits_here = self._demand().waiting.get(team_id, 0) > 0
+        # Half of what is free stays, so that a burst here starts at once.
+        lendable_count = 0 if waits_here else (free_count + 1) // 2
+        grant = self._lender.answer(
+            state,
+            request,
+            lendable_count,
+            allowance_count,
+            self._supported_until_s() - now_s,
+        )
+        self._on_change()
+        return grant
+
+    async def run(self) -> None:
+        """Renew, return and ask for loans until cancelled."""
+        while True:
+            now_s = asyncio.get_running_loop().time()
+            for lender, team_id in self._borrower.loans():
+                self._return_idle(lender, team_id, now_s)
+                self._ask(lender, team_id, 0)
+            self._ask_for_more(now_s)
+            await asyncio.sleep(INTERVAL_S)
+
+    def _return_idle(self, lender: IncarnationId, team_id: str, now_s: float) -> None:
+        key = (lender, team_id)
+        if not self._borrower.idle_count(lender, team_id):
+            self._idle_since_s.pop(key, None)
+            return
+        since_s = self._idle_since_s.setdefault(key, now_s)
+        if now_s - since_s >= IDLE_LIMIT_S:
+            idle_count = self._borrower.idle_count(lender, team_id)
+            self._borrower.give_back(lender, team_id, idle_count)
+            self._idle_since_s.pop(key, None)
+
+    def _ask_for_more(self, now_s: float) -> None:
+        """Ask the best lender for each team whose callers wait for a slot."""
+        demand = self._demand()
+        slots = self.slots(self._state)
+        for team_id, waiting_count in demand.waiting.items():
+            running_count = demand.running.get(team_id, 0)
+            short = running_count >= slots.get(team_id, 0)
+            lender = self._best_lender(team_id)
+            if waiting_count and short and lender is not None:
+                self._ask(lender, team_id, min(waiting_count, WANTED_LIMIT_COUNT))
+
+    def _best_lender(self, team_id: str) -> IncarnationId | None:
+        """Return the peer with most free slots of a team by its digest."""
+        best, best_count = None, 0
+        for incarnation, digest in self._peer_digests().items():
+            for use in digest.teams:
+                if use.team_id == team_id and use.free_slot_count > best_count:
+                    best, best_count = incarnation, use.free_slot_count
+        return best
+
+    def _ask(self, lender: IncarnationId, team_id: str, wanted_count: int) -> None:
+        now_s = asyncio.get_running_loop().time()
+        request = self._borrower.request(lender, team_id, wanted_count, now_s)
+        self._directory.spawn(self._call(lender, request))
+
+    async def _call(self, lender: IncarnationId, request: LoanRequest) -> None:
+        link = self._directory.link(lender)
+        if link is None:
+            return
+        match await link.call(request, CALL_TIMEOUT_S):
+            case Success(LoanGrant() as grant):
+                self._borrower.note_grant(grant)
+                self._on_change()
+
+    def _borrowed_running(self, team_id: str) -> int:
+        return sum(
+            self._borrower.running_count(lender, team)
+            for lender, team in self._borrower.loans()
+            if team == team_id
+        )
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/standing.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/standing.py
@@ -14,9 +14,13 @@
 
 from returns.result import Success
 
-from cicadatrail_core.fold.apply import Envelope
 from cicadatrail_core.models.platform import InstanceList, ListedInstance
-from cicadatrail_core.models.records import PulseRecord, RetireRecord
+from cicadatrail_core.models.records import (
+    PulseRecord,
+    Record,
+    RetireAckRecord,
+    RetireRecord,
+)
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import Member, State
 from cicadatrail_core.models.support import SupportReply, SupportRequest
@@ -54,6 +58,7 @@
     """Answer whether rights may be spent and keys judged at this moment."""
 
     __slots__ = (
+        "_acknowledged",
         "_appender",
         "_currency",
         "_directory",
@@ -69,6 +74,7 @@
         "_supporter",
         "_ticked_s",
         "_timing",
+        "_unsettled_lenders",
         "_watching_since_s",
         "listed",
         "on_list",
@@ -85,7 +91,10 @@
         directory: PeerDirectory,
         instance_list: InstanceList,
         on_list: Callable[[tuple[ListedInstance, ...]], None],
+        unsettled_lenders: Callable[[], tuple[IncarnationId, ...]],
     ) -> None:
+        self._acknowledged: set[IncarnationId] = set()
+        self._unsettled_lenders = unsettled_lenders
         self._incarnation = incarnation
         self._timing = timing
         self._pulse_s = pulse_s
@@ -117,12 +126,16 @@
         verdict = self._currency.judge(state, now_s, self._holder.log_until_s, gone)
         return isinstance(verdict, Current)
 
-    def note_record(self, envelope: Envelope) -> None:
+    def supported_until_s(self) -> float:
+        """Return until when rights may be spent, as known by now."""
+        return self._holder.supported_until_s(self._replica.state)
+
+    def note_record(self, record: Record) -> None:
         """Take note of a folded record; own pulses extend the support."""
-        match envelope.record:
-            case PulseRecord(incarnation=incarnation) as pulse:
-                if incarnation == self._incarnation:
-                    self._holder.note_pulse(pulse)
+        if not isinstance(record, PulseRecord):
+            return
+        if record.incarnation == self._incarnation:
+            self._holder.note_pulse(record)
 
     def note_fault(self, name: IncarnationId, fault: LinkFault) -> None:
         """Take note of a link that could not be opened."""
@@ -212,12 +225,19 @@
             member = state.roster.get(incarnation)
             if member is not None and member.retire_offset is None:
                 self._retire(incarnation)
-        for ack in self._supporter.acknowledgements(state, now_s):
-            self._appender.add(ack)
+        unsettled = self._unsettled_lenders()
+        for ack in self._supporter.acknowledgements(state, now_s, unsettled):
+            self._add_once(ack)
         for free in self._reclaimer.records_due(state, now_s, gone):
             logger.info("rights: freeing those of %s.", free.incarnation)
             self._appender.add(free)
 
+    def _add_once(self, ack: RetireAckRecord) -> None:
+        """Append an acknowledgement, unless it is on its way already."""
+        if ack.incarnation not in self._acknowledged:
+            self._acknowledged.add(ack.incarnation)
+            self._appender.add(ack)
+
     def _retire(self, incarnation: IncarnationId) -> None:
         """Propose to retire a member, unless the log isn't taking records."""
         if self._appender.waiting_count:
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/status.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/status.py
@@ -111,8 +111,8 @@
         spendable = self.holdings.spendable(state)
         return RightsCounts(
             worker_count=len(self.holdings.held_workers(state)),
-            slot_count=sum(spendable.slots.values()),
-            partition_count=len(spendable.partitions),
+            slot_count=sum(spendable.own_slots.values()),
+            partition_count=len(self.holdings.partitions(state)),
             lent_count=self.lent_count(),
         )
 
