--- a/features/standins/workers.py
+++ b/features/standins/workers.py
@@ -70,7 +70,7 @@
             case "POST", ["_tasks", task_id, "stop"]:
                 self._stop(task_id)
                 await exchange.respond(204)
-            case "POST", ["_tasks", _, "throttle" | "checkpoint"]:
+            case "POST", ["_tasks", _, "throttle" | "checkpoint" | "resume"]:
                 await exchange.respond(204)
             case "GET", ["_ledger"]:
                 await exchange.respond(200, json.dumps(self.ledger_map()).encode())
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/platform.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/platform.py
@@ -78,6 +78,7 @@
     THROTTLE = "throttle"
     CHECKPOINT = "checkpoint"
     STOP = "stop"
+    RESUME = "resume"
 
 
 class WorkerControl(Protocol):
--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -55,9 +55,11 @@
 from cicadatraild.sharing.holdings import Holdings
 from cicadatraild.sharing.membership import Identity, Membership, StruckOutError
 from cicadatraild.sharing.replica import Replica
+from cicadatraild.sharing.share_returns import ShareReturns
 from cicadatraild.sharing.slot_loans import Demand, SlotLoans
 from cicadatraild.sharing.standing import Standing
 from cicadatraild.sharing.status import StatusView
+from cicadatraild.sharing.worker_watch import WorkerWatch
 from cicadatraild.utils.identifiers import new_uuid7
 from cicadatraild.utils.metrics import InstanceCollector, Metrics
 from cicadatraild.utils.settings import Settings
@@ -136,6 +138,18 @@
         self._admission = Admission(self._standing.may_judge_keys, new_uuid7)
         self._membership = self._make_membership()
         self._router = self._make_router()
+        self._watch = WorkerWatch(
+            self.incarnation,
+            self._replica,
+            self._appender,
+            self._holdings,
+            self._desk.dispatcher,
+            self._control,
+            self._note_leaving,
+        )
+        self._share_returns = ShareReturns(
+            self._desk.dispatcher, self._control, self._worker
+        )
         self._maintenance = FleetMaintenance(
             self.incarnation,
             self._replica,
@@ -182,6 +196,8 @@
         tasks.start("digests", self._digests.run())
         tasks.start("loans", self._loans.run())
         tasks.start("desk", self._desk.run())
+        tasks.start("watch", self._watch.run())
+        tasks.start("share", self._share_returns.run())
         tasks.start("waves", self._maintenance.run())
         tasks.start("balance", self._membership.balance())
 
@@ -339,20 +355,27 @@
 
     def _configure_desk(self) -> None:
         state = self._replica.state
-        workers = self._holdings.spendable(state).workers
+        ejected = self._desk.dispatcher.ejected_workers
+        workers = self._holdings.spendable(state, ejected).workers
         self._desk.configure(state, workers, self._loans.slots(state))
 
     def _note_fault(self, name: IncarnationId, fault: LinkFault) -> None:
         self._standing.note_fault(name, fault)
 
     def _note_list(self, listed: tuple[ListedInstance, ...]) -> None:
-        leaving = {instance.instance_id for instance in listed if instance.leaving}
-        if leaving != self._holdings.leaving_workers:
-            self._holdings.leaving_workers = leaving
-            self._configure_desk()
-
-    def _note_leaving(self, worker_id: str) -> None:
-        self._holdings.leaving_workers.add(worker_id)
+        for instance in listed:
+            if instance.leaving:
+                self._note_leaving(instance.instance_id)
+
+    def _note_leaving(self, worker_id: str, leaving: bool = True) -> None:
+        """Place nothing more on a worker that leaves; take it back if it stays."""
+        known = worker_id in self._holdings.leaving_workers
+        if leaving == known:
+            return
+        if leaving:
+            self._holdings.leaving_workers.add(worker_id)
+        else:
+            self._holdings.leaving_workers.discard(worker_id)
         self._configure_desk()
 
     def _running_on(self, worker_id: str) -> int:
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/holdings.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/holdings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from cicadatrail_core.fold.availability import unavailable_workers
@@ -26,13 +26,22 @@
     ``marked_workers`` those that go to a peer once they run nothing.
     """
 
-    __slots__ = ("_incarnation", "leaving_workers", "ledger", "marked_workers")
+    __slots__ = (
+        "_incarnation",
+        "_usable",
+        "_usable_by",
+        "leaving_workers",
+        "ledger",
+        "marked_workers",
+    )
 
     def __init__(self, incarnation: IncarnationId) -> None:
         self._incarnation = incarnation
         self.ledger = HolderLedger(incarnation)
         self.leaving_workers: set[str] = set()
         self.marked_workers: set[str] = set()
+        self._usable: frozenset[str] = frozenset()
+        self._usable_by: tuple[object, ...] = ()
 
     def held_workers(self, state: State) -> frozenset[str]:
         """Return the workers whose rights are held here, in use or not."""
@@ -50,13 +59,47 @@
             if self.ledger.may_judge(state, partition)
         )
 
-    def spendable(self, state: State) -> Spendable:
-        """Return what may be used by this state."""
-        unavailable = frozenset().union(
-            *(unavailable_workers(state, pool_id) for pool_id in state.pools)
-        )
-        kept = self.held_workers(state) - unavailable - self.leaving_workers
+    def spendable(self, state: State, ejected: Collection[str] = ()) -> Spendable:
+        """Return what may be used by this state.
+
+        ``ejected`` names the workers that this instance ejected: it goes on
+        to hold them, so that it can probe them.
+        """
         slots = {
             team_id: self.ledger.slot_count(state, team_id) for team_id in state.teams
         }
-        return Spendable(kept - self.marked_workers, slots)
+        return Spendable(self._usable_workers(state, frozenset(ejected)), slots)
+
+    def _usable_workers(self, state: State, ejected: frozenset[str]) -> frozenset[str]:
+        """Return the workers to place on; the answer is kept while all stays.
+
+        Most records change none of these parts, and a part that is not
+        changed is the same object in the next state.
+        """
+        parts: tuple[object, ...] = (
+            state.worker_holders,
+            state.workers,
+            state.pool_of,
+            state.conditions,
+            state.waves,
+            state.moves,
+        )
+        others = (
+            self.ledger.pending,
+            ejected,
+            frozenset(self.leaving_workers),
+            frozenset(self.marked_workers),
+        )
+        known = self._usable_by
+        same = len(known) == len(parts) + len(others) and all(
+            old is new for old, new in zip(known, parts, strict=False)
+        )
+        if same and known[len(parts) :] == others:
+            return self._usable
+        unavailable = frozenset().union(
+            *(unavailable_workers(state, pool_id) for pool_id in state.pools)
+        )
+        in_service = self.held_workers(state) - (unavailable - ejected)
+        self._usable = in_service - self.leaving_workers - self.marked_workers
+        self._usable_by = (*parts, *others)
+        return self._usable
