--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from cicadatrail_core.fold.apply import Envelope
+from cicadatrail_core.fold.snapshots import dump_state
 from cicadatrail_core.models.fleet import Place, Worker
 from cicadatrail_core.models.loans import LoanRequest
 from cicadatrail_core.models.peer_messages import (
@@ -18,8 +19,10 @@
     Digest,
     Done,
     FetchRecords,
+    FetchSnapshot,
     PoolRoom,
     Records,
+    Snapshot,
     TeamUse,
 )
 from cicadatrail_core.models.platform import ListedInstance
@@ -54,9 +57,11 @@
 from cicadatraild.sharing.fleet_maintenance import FleetMaintenance
 from cicadatraild.sharing.holdings import Holdings
 from cicadatraild.sharing.membership import Identity, Membership, StruckOutError
+from cicadatraild.sharing.peer_records import PeerRecords
 from cicadatraild.sharing.replica import Replica
 from cicadatraild.sharing.share_returns import ShareReturns
 from cicadatraild.sharing.slot_loans import Demand, SlotLoans
+from cicadatraild.sharing.snapshot_writer import SnapshotWriter
 from cicadatraild.sharing.standing import Standing
 from cicadatraild.sharing.status import StatusView
 from cicadatraild.sharing.worker_watch import WorkerWatch
@@ -147,6 +152,12 @@
             self._control,
             self._note_leaving,
         )
+        self._peer_records = PeerRecords(
+            self._replica, self._directory, self._digests.fresh
+        )
+        self._snapshots = SnapshotWriter(
+            self.incarnation, self._replica, self._appender
+        )
         self._share_returns = ShareReturns(
             self._desk.dispatcher, self._control, self._worker
         )
@@ -196,6 +207,8 @@
         tasks.start("digests", self._digests.run())
         tasks.start("loans", self._loans.run())
         tasks.start("desk", self._desk.run())
+        tasks.start("peer records", self._peer_records.run())
+        tasks.start("snapshots", self._snapshots.run())
         tasks.start("watch", self._watch.run())
         tasks.start("share", self._share_returns.run())
         tasks.start("waves", self._maintenance.run())
@@ -249,6 +262,7 @@
             self._replica,
             self._appender,
             admin.token_sha256_hex,
+            self._standing.may_report,
             self._make_status_view().read,
             Metrics(InstanceCollector(self._gauges, self._outcomes)).expose,
         )
@@ -420,6 +434,8 @@
             case FetchRecords(from_offset):
                 found = self._replica.records_from(from_offset, RECORDS_PER_ANSWER)
                 return Records(from_offset, found or ())
+            case FetchSnapshot():
+                return Snapshot(dump_state(self._replica.state))
             case _:
                 logger.warning("peer: %s sent an unexpected message.", sender)
                 return Done()
--- a/packages/cicadatrail-node/src/cicadatraild/process.py
+++ b/packages/cicadatrail-node/src/cicadatraild/process.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import signal
 
+from cicadatrail_core.fold.apply import ReleaseTooOldError
 from cicadatraild.app import Instance
 from cicadatraild.utils.settings import Settings
 
+logger = logging.getLogger("cicadatrail.instance")
+
+EXIT_RELEASE_TOO_OLD = 4
+"""Exit code when the log holds records in force that this release can't fold."""
+
 
 async def serve(settings: Settings) -> int:
     """Serve until SIGTERM or SIGINT; return the exit code.
@@ -20,5 +27,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     while not stop.is_set():
-        await Instance(settings).run(stop)
+        try:
+            await Instance(settings).run(stop)
+        except ReleaseTooOldError as error:
+            logger.error("instance: this release is too old: %s.", error)
+            return EXIT_RELEASE_TOO_OLD
     return 0
--- a/packages/cicadatrail-node/src/cicadatraild/serving/admin.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/admin.py
@@ -11,7 +11,13 @@
 
 from returns.result import Failure, Result, Success
 
-from cicadatrail_core.models.patches import Patch, UnknownVerdict, Verdict
+from cicadatrail_core.models.patches import (
+    Accepted,
+    Patch,
+    Refused,
+    UnknownVerdict,
+    Verdict,
+)
 from cicadatrail_core.models.records import PatchRecord
 from cicadatrail_core.models.state import HistoryEntry, State
 from cicadatrail_core.models.status import (
@@ -45,19 +51,28 @@
 class AdminApi:
     """Answer operators who show the token."""
 
-    __slots__ = ("_appender", "_metrics", "_replica", "_status", "_token_sha256_hex")
+    __slots__ = (
+        "_appender",
+        "_may_report",
+        "_metrics",
+        "_replica",
+        "_status",
+        "_token_sha256_hex",
+    )
 
     def __init__(
         self,
         replica: Replica,
         appender: Appender,
         token_sha256_hex: str,
+        may_report: Callable[[int], bool],
         status: Callable[[], InstanceStatus],
         metrics: Callable[[], bytes],
     ) -> None:
         self._replica = replica
         self._appender = appender
         self._token_sha256_hex = token_sha256_hex
+        self._may_report = may_report
         self._status = status
         self._metrics = metrics
 
@@ -81,7 +96,7 @@
             case "POST", ("patches",):
                 await self._take_patch(exchange)
             case "GET", ("patches", patch_id):
-                await _respond_verdict(exchange, state.verdicts.get(patch_id))
+                await _respond_verdict(exchange, self._told(state, patch_id))
             case "GET", ("config",):
                 view = view_configuration(state)
                 await _respond(exchange, 200, codec.to_map(view, ConfigurationView))
@@ -110,15 +125,13 @@
 
     async def _submit(self, patch: Patch) -> Verdict:
         """Append the patch and wait for its verdict; it may come again."""
-        found = self._replica.state.verdicts.get(patch.patch_id)
-        if found is not None:
-            return found
-        if not self._appender.add(PatchRecord(patch)):
+        known = patch.patch_id in self._replica.state.verdicts
+        if not known and not self._appender.add(PatchRecord(patch)):
             return UnknownVerdict(patch.patch_id, _ADVICE)
         try:
             async with asyncio.timeout(VERDICT_WAIT_S):
                 await self._replica.wait_for(
-                    lambda state: patch.patch_id in state.verdicts
+                    lambda state: self._may_tell(state, patch.patch_id)
                 )
         except TimeoutError:
             return UnknownVerdict(patch.patch_id, _ADVICE)
@@ -126,6 +139,25 @@
         logger.info("admin: patch %s: %s.", patch.patch_id, type(verdict).__name__)
         return verdict
 
+    def _told(self, state: State, patch_id: str) -> Verdict | None:
+        if patch_id in state.verdicts and not self._may_tell(state, patch_id):
+            return UnknownVerdict(patch_id, _ADVICE)
+        return state.verdicts.get(patch_id)
+
+    def _may_tell(self, state: State, patch_id: str) -> bool:
+        """Tell whether a verdict is known, and kept even if this instance dies.
+
+        An accepted patch must be known to so many members that the others
+        can't go on without it while the log is away.
+        """
+        match state.verdicts.get(patch_id):
+            case Accepted(offset=offset):
+                return self._may_report(offset)
+            case Refused():
+                return True
+            case None:
+                return False
+
 
 async def _read_patch(exchange: HttpExchange) -> Result[Patch, Findings]:
     try:
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/standing.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/standing.py
@@ -24,7 +24,7 @@
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import Member, State
 from cicadatrail_core.models.support import SupportReply, SupportRequest
-from cicadatrail_core.rights.currency import Current, KeyCurrency
+from cicadatrail_core.rights.currency import Current, KeyCurrency, may_report
 from cicadatrail_core.rights.freeing import Reclaimer
 from cicadatrail_core.rights.proof import GoneProofs
 from cicadatrail_core.rights.support import HolderSupport
@@ -62,6 +62,7 @@
         "_appender",
         "_currency",
         "_directory",
+        "_folded_offsets",
         "_holder",
         "_incarnation",
         "_instance_list",
@@ -109,6 +110,7 @@
         self._reclaimer = Reclaimer(incarnation, timing)
         self._proofs = GoneProofs(timing)
         self._currency = KeyCurrency(incarnation, timing)
+        self._folded_offsets: dict[IncarnationId, int] = {}
         self._sightings: dict[IncarnationId, _Sighting] = {}
         self._ticked_s = self._watching_since_s = asyncio.get_running_loop().time()
         self.listed: tuple[ListedInstance, ...] = ()
@@ -137,6 +139,10 @@
         if record.incarnation == self._incarnation:
             self._holder.note_pulse(record)
 
+    def may_report(self, record_offset: int) -> bool:
+        """Tell whether a verdict may be told: enough members have folded it."""
+        return may_report(self._replica.state, record_offset, self._folded_offsets)
+
     def note_fault(self, name: IncarnationId, fault: LinkFault) -> None:
         """Take note of a link that could not be opened."""
         now_s = asyncio.get_running_loop().time()
@@ -203,6 +209,9 @@
             return
         now_s = asyncio.get_running_loop().time()
         self._see(reply.supporter, now_s)
+        self._folded_offsets[reply.supporter] = max(
+            reply.folded_offset, self._folded_offsets.get(reply.supporter, 0)
+        )
         self._holder.note_reply(reply, now_s)
         self._currency.note_reply(reply, sent_s)
 
