--- a/packages/cicadatrail-cli/src/cicadatrail/utils/waiting.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/utils/waiting.py
@@ -39,17 +39,24 @@
 class Progress:
     """Draws a progress bar whose length may still grow, on the error output."""
 
-    __slots__ = ("_bar", "_io", "_maximum")
+    __slots__ = ("_bar", "_drawn", "_io", "_maximum")
 
     def __init__(self, io: IO) -> None:
         self._io = io
-        self._bar = ProgressBar(io)
+        self._bar = ProgressBar(io, min_seconds_between_redraws=0)
         self._bar.set_format(BAR_FORMAT)
         self._maximum = 0
-
-    def show(self, done_count: int, total_count: int, message: str) -> None:
-        """Draw the bar, with what is waited for beside it."""
-        self._bar.set_message(Formatter.escape(printable(message)))
+        self._drawn: tuple[int, int, str] | None = None
+
+    def show(
+        self, done_count: int, total_count: int, message: str, forecast: str = ""
+    ) -> None:
+        """Draw the bar; a new forecast alone is drawn only on a terminal."""
+        drawn = (done_count, total_count, message)
+        if drawn == self._drawn and not self._io.error_output.is_decorated():
+            return
+        self._drawn = drawn
+        self._bar.set_message(Formatter.escape(printable(message + forecast)))
         if total_count != self._maximum:
             self._maximum = total_count
             self._bar.start(total_count)
@@ -172,6 +179,7 @@
     message = wave.status.value
     if wave.pause_reason:
         message += f": {wave.pause_reason}"
+    forecast = ""
     if report.remaining_s is not None:
-        message += f", forecast to end in {report.remaining_s:.0f} s"
-    progress.show(done_count, len(wave.steps), message)
+        forecast = f", forecast to end in {report.remaining_s:.0f} s"
+    progress.show(done_count, len(wave.steps), message, forecast)
--- a/packages/cicadatrail-core/src/cicadatrail_core/utils/keys.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/utils/keys.py
@@ -24,7 +24,7 @@
 KEY_ID_BYTES = 8
 """Length of the random bytes behind a key id."""
 
-_KEY = re.compile(r"ct_([0-9a-zA-Z-]{1,64})_([0-9a-f]{64})")
+_KEY = re.compile(r"ct_([0-9a-zA-Z_-]{1,64})_([0-9a-f]{64})")
 
 
 @dataclass(frozen=True, slots=True)
