--- a/features/cli.feature
+++ b/features/cli.feature
@@ -82,6 +82,12 @@
       | bad input            | 2    | 0     | operations: odd             |
       | down                 | 3    | 0     | no instance answered        |
 
+  Scenario: A wrong token is told by reading commands too
+    Given a cli fleet whose instances are wrong token, fine
+    When the operator runs cli 'status'
+    Then the cli exit code is 2
+    And the cli says 'CICADATRAIL_TOKEN was not taken'
+
   Scenario: A refusal shows every finding
     Given a cli fleet whose instances are fine
     When the operator runs cli 'pool remove packing-slips'
@@ -264,12 +270,12 @@
       | operations = [{type = "remove-pool", pool_id = 1}, 7]           | p.toml: operations[1]               | must be a table  |
       | operations = [{type = "remove-pool", pool_id = "a", more = 1}]  | p.toml: operations[0]               | more             |
 
-  Scenario: A text in place of a list of workers is a fault
-    When a cli patch file says 'operations = [{type = "start-wave", wave = {wave_id = "w", action = "drain", worker_ids = "w1"}}]'
-    Then the cli patch file has the finding 'p.toml: operations[0].wave.worker_ids' with 'expected'
-
   Scenario: Any bytes give a patch or findings
     Then any cli patch file, however broken, gives a patch or findings
 
   Scenario: Keys fit only their own entries
     Then a cli key fits its own entry and nothing else
+
+  Scenario: A text in place of a list of workers is a fault
+    When a cli patch file says 'operations = [{type = "start-wave", wave = {wave_id = "w", action = "drain", worker_ids = "w1"}}]'
+    Then the cli patch file has the finding 'p.toml: operations[0].wave.worker_ids' with 'expected'
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -89,25 +89,32 @@
     When every wrong settings value above stands in one file
     Then the settings have a finding for each
 
+  Scenario: Two hosts may use the same port
+    Given the settings of balloon-association
+    When the settings key admin.port is 8080
+    And the settings key admin.host is "10.1.1.1"
+    Then the settings are read
+
   Scenario Outline: A file that is no TOML is told with line and column
     When the settings file holds <content>
-    Then the settings have the syntax finding at '<place>'
+    Then the settings have a finding at '<place>' with '<words>'
 
     Examples:
-      | content             | place |
-      | [caller             | :1:8  |
-      | a = 1;b = %         | :2:5  |
-      | a = 1;;b = [1,      | :3:8  |
-      | a = 1;a = 2         | :2:6  |
-      | a byte that is no UTF-8 in line 3 | :3    |
-      | nothing at all      |       |
-      | lists without end   |       |
-      | a number without end |      |
-      | more than a megabyte |      |
+      | content                           | place   | words                |
+      | [caller                           | :1:8    | at the end of        |
+      | a = 1;b = %                       | :2:5    | Invalid value        |
+      | a = 1;;b = [1,                    | :3:8    | is not TOML          |
+      | a = 1;a = 2                       | :2:6    | Cannot overwrite     |
+      | caller = 1                        | :1: caller | must be a table   |
+      | a byte that is no UTF-8 in line 3 | :3      | is not UTF-8         |
+      | nothing at all                    | : caller.port | is missing     |
+      | lists without end                 | nowhere | recursion            |
+      | a number without end              | nowhere | digits               |
+      | more than a megabyte              | nowhere | over 1048576 bytes   |
 
   Scenario Outline: A file that can't be read is a finding
     When the settings path is <path>
-    Then the settings have the syntax finding at ''
+    Then the settings have a finding at 'nowhere' with 'cannot be read'
 
     Examples:
       | path         |
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tempfile
+from hashlib import sha256
 from pathlib import Path
 from typing import Any
 from unittest.mock import patch as patched
@@ -192,7 +193,9 @@
     entry = context.log.state.keys[keys.key_id_of(text)]
     assert keys.key_matches(text, entry)
     secret = text.rpartition("_")[2].encode()
-    assert not any(secret in body for _, _, body in context.admins[0].seen)
+    bodies = b"".join(body for _, _, body in context.admins[0].seen)
+    assert secret not in bodies
+    assert secret.hex().encode() not in bodies
 
 
 @when("the cli is started for '{line}'")
@@ -276,6 +279,8 @@
         assert not keys.key_matches(other, entry)
         assert not keys.key_matches(text + "0", entry)
         assert text not in repr(issued)
+        salted = bytes.fromhex(entry.salt_hex) + text.encode()
+        assert entry.hash_hex == sha256(salted).hexdigest()
         assert not keys.key_matches(text, Key("k", "team", "zz", entry.hash_hex))
         withdrawn = Key("k", "team", entry.salt_hex, entry.hash_hex, True)
         assert not keys.key_matches(text, withdrawn)
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -89,14 +89,17 @@
     context.read = read_settings(context.path)
 
 
-@then("the settings have the syntax finding at '{place}'")
-@then("the settings have the syntax finding at ''")
-def step_syntax(context: Any, place: str = "") -> None:
+@then("the settings have a finding at '{place}' with '{words}'")
+def step_finding(context: Any, place: str, words: str) -> None:
     findings = context.read.failure()
-    assert findings[0].place.startswith(f"{context.path}{place}"), findings
-    if place:
-        assert len(findings) == 1, findings
-        assert findings[0].place == f"{context.path}{place}", findings
+    wanted = f"{context.path}{'' if place == 'nowhere' else place}"
+    found = [item.fault for item in findings if item.place == wanted]
+    assert any(words in fault for fault in found), findings
+
+
+@then("the settings are read")
+def step_read(context: Any) -> None:
+    assert isinstance(context.read, Success), context.read
 
 
 @then("any settings file, however broken, gives settings or findings")
