Tell callers and upstreams apart from cut connections

Cause: a response without a stated end looked whole when its server died; closing with unread input could reset the connection before the caller had read its refusal; an exchange that was over could abort a connection that another request had taken from the pool; a slow reader of a short response held its connection for ever; 204 and 304 got a length and HEAD lost its own. Ruled out: reading to the end before closing, which an endless sender defeats; the unread input is dropped for one second instead.

--- a/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
@@ -22,8 +22,13 @@
 IDLE_LIMIT_S = 4.0
 """Time after which an idle connection is not used again."""
 
+FRESH_S = 0.05
+"""Time for which an idle connection is used again without another look."""
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
+_STATUSES_WITHOUT_BODY = (204, 304)
+
 
 class ClientFault(Enum):
     """Say how far a request got before it failed."""
@@ -81,7 +86,15 @@
     its end, so that bytes of one response never reach another request.
     """
 
-    __slots__ = ("_pool", "_transport", "address", "response", "sent")
+    __slots__ = (
+        "_is_head",
+        "_over",
+        "_pool",
+        "_transport",
+        "address",
+        "response",
+        "sent",
+    )
 
     def __init__(
         self, pool: ConnectionPool, address: Address, transport: HttpTransport
@@ -89,6 +102,8 @@
         self.address = address
         self.response: h11.Response | None = None
         self.sent = False
+        self._is_head = False
+        self._over = False
         self._pool = pool
         self._transport = transport
 
@@ -97,9 +112,7 @@
 
         Raises ClientError.
         """
-        request = h11.Request(method=method, target=target, headers=list(headers))
-        self.sent = True
-        await self._send(request)
+        await self._send(self._begin(method, target, headers))
 
     async def send_body(self, chunk: bytes) -> None:
         """Send a part of the body; waits while the server is slow."""
@@ -113,9 +126,7 @@
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> None:
         """Send a whole request in one write."""
-        request = h11.Request(method=method, target=target, headers=list(headers))
-        self.sent = True
-        events: list[h11.Event] = [request]
+        events: list[h11.Event] = [self._begin(method, target, headers)]
         if body:
             events.append(h11.Data(data=body))
         await self._send(*events, h11.EndOfMessage())
@@ -141,6 +152,20 @@
                 raise ClientError(ClientFault.TRUNCATED, "the server closed")
             yield bytes(event.data)
 
+    def is_bounded(self) -> bool:
+        """Tell whether the response's end can be told from a cut.
+
+        A body that only the end of the connection ends can't be told.
+        """
+        if self.response is None:
+            return False
+        if self._transport.http.their_state is h11.DONE:
+            return True
+        names = {name for name, _ in self.response.headers}
+        status = self.response.status_code
+        empty = self._is_head or status in _STATUSES_WITHOUT_BODY
+        return empty or b"content-length" in names or b"transfer-encoding" in names
+
     def server_closes(self) -> bool:
         """Tell whether the response says that the server closes."""
         if self.response is None:
@@ -152,10 +177,13 @@
 
     def abort(self) -> None:
         """Drop the connection; harmless after the end of the exchange."""
-        if not self._pool.has(self.address, self._transport):
+        if not self._over:
+            self._over = True
             self._transport.abort()
 
     def _finish(self) -> None:
+        """Part with the connection, which another exchange may take at once."""
+        self._over = True
         http = self._transport.http
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
             self._transport.close()
@@ -163,11 +191,17 @@
         http.start_next_cycle()
         self._pool.give_back(self.address, self._transport)
 
+    def _begin(self, method: str, target: str, headers: Headers) -> h11.Request:
+        self._is_head = method == "HEAD"
+        request = h11.Request(method=method, target=target, headers=list(headers))
+        self.sent = True
+        return request
+
     async def _send(self, *events: h11.Event) -> None:
         try:
             await self._transport.send(*events)
-        except ConnectionEndedError as error:
-            raise ClientError(ClientFault.NO_ANSWER, "connection lost") from error
+        except (ConnectionEndedError, h11.LocalProtocolError) as error:
+            raise ClientError(ClientFault.NO_ANSWER, repr(error)) from error
 
     async def _next_event(self, fault: ClientFault) -> object:
         try:
@@ -200,7 +234,7 @@
 
         Raises ClientError with NOT_SENT when none can be opened in time.
         """
-        transport = self._take_idle(address) or await self._connect(address)
+        transport = await self._take_idle(address) or await self._connect(address)
         return ClientExchange(self, address, transport)
 
     async def fetch(
@@ -233,11 +267,6 @@
             if exchange is not None:
                 exchange.abort()
 
-    def has(self, address: Address, transport: HttpTransport) -> bool:
-        """Tell whether a connection is idle in the pool."""
-        entries = self._idle.get(address, ())
-        return any(entry.transport is transport for entry in entries)
-
     def give_back(self, address: Address, transport: HttpTransport) -> None:
         """Keep an idle connection for the next request."""
         entries = self._idle.setdefault(address, [])
@@ -246,12 +275,17 @@
             return
         entries.append(_Idle(transport, asyncio.get_running_loop().time()))
 
-    def _take_idle(self, address: Address) -> HttpTransport | None:
+    async def _take_idle(self, address: Address) -> HttpTransport | None:
+        """Return an idle connection that its server has not closed."""
         entries = self._idle.get(address, [])
         now_s = asyncio.get_running_loop().time()
         while entries:
             entry = entries.pop()
-            if not entry.transport.ended and now_s - entry.since_s < IDLE_LIMIT_S:
+            idle_s = now_s - entry.since_s
+            if idle_s > FRESH_S:
+                # Lets the loop see a close that came while it was busy.
+                await asyncio.sleep(0)
+            if not entry.transport.ended and idle_s < IDLE_LIMIT_S:
                 return entry.transport
             entry.transport.close()
         return None
@@ -289,6 +323,8 @@
     host = (b"Host", str(exchange.address).encode())
     await exchange.send_whole(method, target, (host, length, *headers), body)
     head = await exchange.read_head()
+    if not exchange.is_bounded():
+        raise ClientError(ClientFault.TRUNCATED, "the response states no end")
     received = bytearray()
     async for chunk in exchange.body():
         received += chunk
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
@@ -19,6 +19,10 @@
 CLOSE_GRACE_S = 1.0
 """Time that a finished connection may take to send its last bytes."""
 
+REQUEST_TIMEOUT_STATUS = 408
+NO_CONTENT_STATUS = 204
+NOT_MODIFIED_STATUS = 304
+
 _NO_ROOM = (
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
     b"Cicadatrail-Outcome: not-run\r\nCicadatrail-Reason: too-many-connections\r\n"
@@ -52,7 +56,8 @@
 
     The handler must call ``start`` and ``end``; a handler that is cancelled
     or raises leaves a connection that is dropped, so that a cut response
-    never looks whole.
+    never looks whole. A caller that takes no byte for the idle timeout is
+    dropped, too: sending raises TimeoutError.
     """
 
     __slots__ = ("_limits", "_received_bytes", "_transport", "request", "started")
@@ -106,29 +111,52 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send the response's head."""
         self.started = True
-        response = h11.Response(status_code=status, headers=list(headers))
-        await self._transport.send(response)
+        await self._send(h11.Response(status_code=status, headers=list(headers)))
 
     async def send(self, chunk: bytes) -> None:
         """Send a part of the response's body; waits while the caller is slow."""
-        async with asyncio.timeout(self._limits.idle_timeout_s):
-            await self._transport.send(h11.Data(data=chunk))
+        await self._send(h11.Data(data=chunk))
 
     async def end(self, trailers: Headers = ()) -> None:
         """End the response."""
-        await self._transport.send(h11.EndOfMessage(headers=list(trailers)))
+        await self._send(h11.EndOfMessage(headers=list(trailers)))
 
     async def respond(
         self, status: int, body: bytes = b"", headers: Headers = ()
     ) -> None:
-        """Send a whole response in one write."""
+        """Send a whole response in one write.
+
+        A status or method that has no body gets no length either, unless
+        ``headers`` give the one that a GET would have had.
+        """
         self.started = True
-        length = (b"Content-Length", str(len(body)).encode())
-        response = h11.Response(status_code=status, headers=[length, *headers])
-        events: list[h11.Event] = [response]
-        if body and self.method != "HEAD":
+        events: list[h11.Event] = []
+        if self.has_body(status):
+            length = (b"Content-Length", str(len(body)).encode())
+            headers = (length, *headers)
+        events.append(h11.Response(status_code=status, headers=list(headers)))
+        if body and self.has_body(status):
             events.append(h11.Data(data=body))
-        await self._transport.send(*events, h11.EndOfMessage())
+        await self._send(*events, h11.EndOfMessage())
+
+    def has_body(self, status: int) -> bool:
+        """Tell whether a response of this status has a body here."""
+        if status in (NO_CONTENT_STATUS, NOT_MODIFIED_STATUS):
+            return False
+        return self.method != "HEAD"
+
+    @property
+    def takes_chunks(self) -> bool:
+        """Tell whether the caller reads chunked bodies, that is HTTP/1.1."""
+        return self.request.http_version >= b"1.1"
+
+    def abort(self) -> None:
+        """Drop the connection, so that a cut response never looks whole."""
+        self._transport.abort()
+
+    async def _send(self, *events: h11.Event) -> None:
+        async with asyncio.timeout(self._limits.idle_timeout_s):
+            await self._transport.send(*events)
 
     async def _next_body_event(self) -> h11.Data | h11.EndOfMessage:
         if self._transport.http.they_are_waiting_for_100_continue:
@@ -177,7 +205,7 @@
 
     def _made(self, transport: HttpTransport) -> None:
         if len(self._connections) >= self._limits.connection_limit_count:
-            transport.refuse(_NO_ROOM)
+            transport.refuse(_NO_ROOM, CLOSE_GRACE_S)
             return
         task = asyncio.get_running_loop().create_task(self._serve(transport))
         self._connections.add(task)
@@ -189,7 +217,7 @@
         try:
             while await self._serve_one(transport, wait_s):
                 wait_s = self._limits.idle_timeout_s
-            transport.close()
+            transport.close_unread(CLOSE_GRACE_S)
         except (ConnectionEndedError, TimeoutError):
             transport.abort()
         except asyncio.CancelledError:
@@ -251,12 +279,18 @@
 
 
 async def _read_head(transport: HttpTransport, wait_s: float) -> h11.Request | None:
-    """Return the next request's head; None when there is none in time."""
+    """Return the next request's head; None when there is none in time.
+
+    Raises h11.RemoteProtocolError when it is malformed or only a part came.
+    """
     try:
         async with asyncio.timeout(wait_s):
             event = await transport.next_event()
-    except TimeoutError:
-        return None
+    except TimeoutError as error:
+        if not transport.has_unparsed:
+            return None
+        fault = f"its head did not come in {wait_s} s"
+        raise h11.RemoteProtocolError(fault, REQUEST_TIMEOUT_STATUS) from error
     return event if isinstance(event, h11.Request) else None
 
 
@@ -272,8 +306,10 @@
         (b"Content-Type", b"application/json"),
         (b"Content-Length", str(len(body)).encode()),
         (b"Cicadatrail-Outcome", b"not-run"),
+        (b"Cicadatrail-Reason", b"malformed"),
         (b"Connection", b"close"),
     ]
     status = error.error_status_hint if error.error_status_hint >= 400 else 400
     response = h11.Response(status_code=status, headers=headers)
-    await transport.send(response, h11.Data(data=body), h11.EndOfMessage())
+    async with asyncio.timeout(CLOSE_GRACE_S):
+        await transport.send(response, h11.Data(data=body), h11.EndOfMessage())
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
@@ -30,6 +30,7 @@
     __slots__ = (
         "_chunks",
         "_chunks_bytes",
+        "_discarding",
         "_ended",
         "_lost",
         "_paused_reading",
@@ -55,6 +56,7 @@
         self._chunks: deque[bytes] = deque()
         self._chunks_bytes = 0
         self._paused_reading = False
+        self._discarding = False
         self._ended = False
         self._lost = False
         self._read_waiter: asyncio.Future[None] | None = None
@@ -82,6 +84,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Keep received bytes until they are parsed; called by the loop."""
+        if self._discarding:
+            return
         self._chunks.append(data)
         self._chunks_bytes += len(data)
         if self._chunks_bytes > READ_AHEAD_BYTES and not self._paused_reading:
@@ -148,11 +152,33 @@
         if self._lost:
             raise ConnectionEndedError
 
-    def refuse(self, response: bytes) -> None:
+    @property
+    def has_unparsed(self) -> bool:
+        """Tell whether a part of an event has come that is not parsed yet."""
+        return bool(self._chunks or self.http.trailing_data[0])
+
+    def refuse(self, response: bytes, grace_s: float) -> None:
         """Send a ready response and close, without reading anything."""
-        transport = self._open_transport()
-        transport.write(response)
-        transport.close()
+        self._open_transport().write(response)
+        self.close_unread(grace_s)
+
+    def close_unread(self, grace_s: float) -> None:
+        """Close though the other side may still send.
+
+        Closing at once would reset the connection, and the other side could
+        lose the response. So its bytes are dropped until it closes, too, or
+        ``grace_s`` has passed.
+        """
+        if self._transport is None or self._lost:
+            return
+        self._discarding = True
+        self._chunks.clear()
+        self._resume_reading()
+        if self._ended or not self._transport.can_write_eof():
+            self._transport.close()
+            return
+        self._transport.write_eof()
+        asyncio.get_running_loop().call_later(grace_s, self._transport.abort)
 
     def close(self) -> None:
         """Close after what was written has been sent."""
@@ -199,5 +225,7 @@
             return
         self._ended = True
         self._wake_reader()
+        if self._discarding and self._transport is not None:
+            self._transport.close()
         if self.on_end is not None:
             self.on_end()
