Let an attempt pass over tried workers, renew task leases, name id attempts

Cause: a retry went to the same worker again, a task's lease was its whole deadline, and asking again for an id after a lost answer read as a second request. The dispatcher hides tried workers while it places at once; worker control gets renew; id queries and outcomes carry the attempt's name, and a partition's memory has a message to travel in.

--- a/packages/cicadatrail-core/src/cicadatrail_core/admission/request_ids.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/admission/request_ids.py
@@ -69,12 +69,17 @@
 
 @dataclass(frozen=True, slots=True)
 class IdEntry:
-    """Record one id; ``done`` tells whether its request has ended."""
+    """Record one id; ``done`` tells whether its request has ended.
+
+    ``attempt`` names the one whose request runs: asking again for it, since
+    the answer was lost, is no second request.
+    """
 
     request_id: str
     id_time_s: float
     done: bool = False
     answer: bytes | None = None
+    attempt: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,37 +168,44 @@
         """Return all that the next holder needs to go on."""
         return PartitionCopy(self._horizon_s, tuple(self._entries.values()))
 
-    def begin(self, request_id: str, now_s: float) -> IdVerdict:
-        """Say what is known of an id, and record it if it is new."""
+    def begin(self, request_id: str, now_s: float, attempt: str = "") -> IdVerdict:
+        """Say what is known of an id, and record it if it is new.
+
+        The ``attempt`` that made an id known is told again that it was first,
+        as long as it has not ended.
+        """
         time_s = id_time_s(request_id)
         if time_s is None:
             return NotRun("the request id is not a UUID of version 7")
         self._drop_old(now_s)
         entry = self._entries.get(request_id)
         if entry is not None:
-            return AlreadyDone(entry.answer) if entry.done else AlreadyRunning()
+            return _seen_verdict(entry, attempt)
         if time_s <= self._horizon_s:
             return Unknowable()
         if time_s > now_s + self._settings.clock_skew_s:
             return NotRun("the request id's time lies ahead of this instance's clock")
         if len(self._entries) >= self._settings.entry_limit_count:
             return NotRun("too many request ids of this partition are remembered")
-        self._put(IdEntry(request_id, time_s))
+        self._put(IdEntry(request_id, time_s, attempt=attempt))
         return FirstSeen()
 
-    def finish(self, request_id: str, answer: bytes) -> None:
-        """Record the answer, if it is not too large and the id still known."""
+    def finish(self, request_id: str, answer: bytes | None, attempt: str = "") -> None:
+        """Record the answer, if it is not too large and the id still known.
+
+        None states that there is no whole answer to record.
+        """
         entry = self._entries.get(request_id)
-        if entry is None or entry.done:
+        if entry is None or entry.done or entry.attempt != attempt:
             return
-        kept = self._kept(answer)
+        kept = None if answer is None else self._kept(answer)
         self._answers_bytes += len(kept or b"")
         self._entries[request_id] = IdEntry(request_id, entry.id_time_s, True, kept)
 
-    def abandon(self, request_id: str) -> None:
+    def abandon(self, request_id: str, attempt: str = "") -> None:
         """Forget an id whose request provably never left, so that it may come again."""
         entry = self._entries.get(request_id)
-        if entry is not None and not entry.done:
+        if entry is not None and not entry.done and entry.attempt == attempt:
             self._remove(entry)
 
     def _kept(self, answer: bytes) -> bytes | None:
@@ -219,3 +231,11 @@
         del self._entries[entry.request_id]
         self._by_time.remove((entry.id_time_s, entry.request_id))
         self._answers_bytes -= len(entry.answer or b"")
+
+
+def _seen_verdict(entry: IdEntry, attempt: str) -> IdVerdict:
+    if entry.done:
+        return AlreadyDone(entry.answer)
+    if attempt and entry.attempt == attempt:
+        return FirstSeen()
+    return AlreadyRunning()
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/peer_messages.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/peer_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from cicadatrail_core.models.requests import TaskRequest
 from cicadatrail_core.models.resources import Resources
@@ -69,36 +70,74 @@
     payload: bytes
 
 
+class IdVerdict(Enum):
+    """Say what a partition's holder knows of a request id."""
+
+    FIRST = "first"
+    RUNNING = "running"
+    DONE = "done"
+    UNKNOWABLE = "unknowable"
+    REFUSED = "refused"
+    AWAY = "away"
+    """The asked instance doesn't hold the partition, or may not spend it."""
+
+
 @dataclass(frozen=True, slots=True)
 class IdQuery:
-    """Ask a partition's holder whether a request id was seen; marks it seen."""
+    """Ask a partition's holder whether a request id was seen; marks it seen.
+
+    ``attempt`` names the request that asks: a repeated query of the same
+    attempt gets the same answer.
+    """
 
     scoped_id: str
     partition: int
+    attempt: str
 
 
 @dataclass(frozen=True, slots=True)
 class IdAnswer:
-    """Answer an id query.
+    """Answer an id query; a done one carries the answer where it was kept."""
 
-    ``verdict`` is one of first, running, done, unknown, refused. A done one
-    carries the recorded answer where it was small enough to keep.
-    """
-
-    verdict: str
+    verdict: IdVerdict
     recorded: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class IdOutcome:
-    """Tell a partition's holder how a request ended."""
+    """Tell a partition's holder how an attempt ended."""
 
     scoped_id: str
     partition: int
+    attempt: str
     not_run: bool
     recorded: bytes | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class IdEntryCopy:
+    """Carry what is known of one request id."""
+
+    scoped_id: str
+    id_time_s: float
+    done: bool
+    recorded: bytes | None
+    attempt: str
+
+
+@dataclass(frozen=True, slots=True)
+class PartitionHandover:
+    """Carry a partition's memory to the taker of a folded transfer.
+
+    ``sequence`` is that of the transfer; ``horizon_s`` is a wall clock time.
+    """
+
+    partition: int
+    sequence: int
+    horizon_s: float
+    entries: tuple[IdEntryCopy, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """Acknowledge a message that needs no other answer."""
@@ -117,6 +156,7 @@
 class Reserved:
     """State that a place and a slot are kept until the request follows."""
 
+    request_id: str
     worker_id: str
 
 
@@ -124,6 +164,7 @@
 class NotReserved:
     """State that the peer has no place; nothing ran."""
 
+    request_id: str
     reason: str
 
 
@@ -143,14 +184,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BodyChunk:
-    """Carry a part of a body."""
+    """Carry a part of a body; parts are numbered from 0."""
 
+    number: int
     data: bytes
 
 
 @dataclass(frozen=True, slots=True)
 class BodyEnd:
-    """End a body."""
+    """End a body of ``chunk_count`` parts."""
+
+    chunk_count: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,4 +247,5 @@
     | IdQuery
     | IdAnswer
     | IdOutcome
+    | PartitionHandover
 )
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/platform.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/platform.py
@@ -91,6 +91,14 @@
     ) -> Result[None, PlatformError]:
         """Throttle, checkpoint or stop a task."""
 
+    async def renew(
+        self, worker: Worker, task_id: str, lease_ms: int
+    ) -> Result[None, PlatformError]:
+        """Let a running task go on for ``lease_ms`` from its arrival.
+
+        Fails when no such task runs.
+        """
+
 
 class MaintenanceStatus(Enum):
     """Tell how the platform's work on an instance went."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/dispatcher.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/dispatcher.py
@@ -117,14 +117,24 @@
         for team_id in self._queue.team_ids:
             self._placer.update_share(team_id)
 
-    def submit(self, request: TaskRequest, now_s: float) -> Submission:
-        """Place the request at once, queue it, or reject it with the reason."""
+    def submit(
+        self,
+        request: TaskRequest,
+        now_s: float,
+        tried_workers: Collection[str] = (),
+    ) -> Submission:
+        """Place the request at once, queue it, or reject it with the reason.
+
+        Workers where an attempt failed already are passed over at once, but
+        not later: one of them is better than none.
+        """
         if request.request_id in self._running or request.request_id in self._queue:
             return Rejected(request.request_id, RejectReason.DUPLICATE_ID, None)
         refusal = self._checks.refusal(request, self._settings.retry_after_s, now_s)
         if refusal is not None:
             return refusal
-        placed = self._place_at_once(request, now_s)
+        with self._placer.ledger.without(tried_workers):
+            placed = self._place_at_once(request, now_s)
         if placed is not None:
             return placed
         if self._is_full_for(request):
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/worker_ledger.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/worker_ledger.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum
 
@@ -18,6 +19,7 @@
 
     EJECTION = "ejection"
     RESERVATION = "reservation"
+    TRIED = "tried"
 
 
 @dataclass(slots=True)
@@ -143,6 +145,22 @@
         account.hidden_by = None
         self._update(worker_id, account, NO_RESOURCES)
 
+    @contextmanager
+    def without(self, worker_ids: Collection[str]) -> Iterator[None]:
+        """Keep held workers out of the index while the context lasts."""
+        hidden = [
+            worker_id
+            for worker_id in worker_ids
+            if self.is_held(worker_id) and self.hidden_by(worker_id) is None
+        ]
+        for worker_id in hidden:
+            self.hide(worker_id, HiddenBy.TRIED)
+        try:
+            yield
+        finally:
+            for worker_id in hidden:
+                self.show(worker_id)
+
     def hidden_by(self, worker_id: str) -> HiddenBy | None:
         """Return why a worker is kept out of the index, if it is."""
         account = self._accounts.get(worker_id)
--- a/packages/cicadatrail-node/src/cicadatraild/platform/worker_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/worker_client.py
@@ -70,6 +70,14 @@
         address = Address(worker.host, worker.port)
         return await call_json(self._pool, address, "POST", target, None, TIMEOUT_S)
 
+    async def renew(
+        self, worker: Worker, task_id: str, lease_ms: int
+    ) -> Result[None, PlatformError]:
+        """Let a running task go on for ``lease_ms`` from its arrival."""
+        target = f"/_tasks/{task_id}/renew?lease_ms={lease_ms}"
+        address = Address(worker.host, worker.port)
+        return await call_json(self._pool, address, "POST", target, None, TIMEOUT_S)
+
 
 def usage_report(found: WorkerReport, now_s: float) -> UsageReport:
     """Return what a worker's report says of usage, on this loop's clock."""
