--- a/features/standins/workers.py
+++ b/features/standins/workers.py
@@ -9,6 +9,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from cicadatraild.network.http_server import HttpExchange
+from cicadatraild.network.http_transport import ConnectionEndedError
 
 
 @dataclass(slots=True)
@@ -36,20 +37,29 @@
 
 @dataclass(slots=True)
 class StandInTask:
+    """Run apart from the connection that brought it, until its lease lapses."""
+
     task_id: str
     holder: str
     used: dict[str, int]
-    handler: asyncio.Task[None] | None
+    work: asyncio.Task[None]
+    lease: asyncio.TimerHandle | None = None
 
 
 @dataclass(slots=True)
 class WorkerFaults:
-    """Say how a worker misbehaves."""
+    """Say how a worker misbehaves.
+
+    ``status`` answers everything so; ``early`` answers before the request's
+    body was read.
+    """
 
     fail_all: bool = False
     truncate: bool = False
     late_s: float = 0.0
-    refuse: bool = False
+    drop_before_head: bool = False
+    status: int = 0
+    early: bool = False
 
 
 class StandInWorker:
@@ -61,6 +71,8 @@
         self.faults = WorkerFaults()
         self.leaving = False
         self.tasks: dict[str, StandInTask] = {}
+        self.renewal_count = 0
+        self.lapsed_count = 0
 
     async def __call__(self, exchange: HttpExchange) -> None:
         parts = urlsplit(exchange.target)
@@ -70,6 +82,10 @@
             case "POST", ["_tasks", task_id, "stop"]:
                 self._stop(task_id)
                 await exchange.respond(204)
+            case "POST", ["_tasks", task_id, "renew"]:
+                lease_ms = int(parse_qs(parts.query)["lease_ms"][0])
+                renewed = self._renew(task_id, lease_ms)
+                await exchange.respond(204 if renewed else 404)
             case "POST", ["_tasks", _, "throttle" | "checkpoint"]:
                 await exchange.respond(204)
             case "GET", ["_ledger"]:
@@ -107,50 +123,85 @@
 
     def _stop(self, task_id: str) -> None:
         task = self.tasks.get(task_id)
-        if task is not None and task.handler is not None:
-            task.handler.cancel()
+        if task is not None:
+            task.work.cancel()
+
+    def _renew(self, task_id: str, lease_ms: int) -> bool:
+        self.renewal_count += 1
+        task = self.tasks.get(task_id)
+        if task is None:
+            return False
+        self._begin_lease(task, lease_ms)
+        return True
+
+    def _begin_lease(self, task: StandInTask, lease_ms: int) -> None:
+        if task.lease is not None:
+            task.lease.cancel()
+        loop = asyncio.get_running_loop()
+        task.lease = loop.call_later(lease_ms / 1000, self._lapse, task)
+
+    def _lapse(self, task: StandInTask) -> None:
+        self.lapsed_count += 1
+        task.work.cancel()
 
     async def _run(self, exchange: HttpExchange, query: dict[str, str]) -> None:
+        if self.faults.early:
+            await exchange.respond(413, b"too long", ((b"Connection", b"close"),))
+            return
+        body = await exchange.read_body()
+        work = self._begin(exchange, query)
+        # A worker goes on when the connection breaks.
+        await asyncio.shield(work)
+        await self._answer(exchange, query, body)
+
+    def _begin(
+        self, exchange: HttpExchange, query: dict[str, str]
+    ) -> asyncio.Task[None]:
         task_id = _header(exchange, b"cicadatrail-task-id")
         team = _header(exchange, b"cicadatrail-team")
-        holder = _header(exchange, b"cicadatrail-holder")
         used = {
             "cpu_millicores": int(query.get("cpu", "100")),
             "memory_mib": int(query.get("memory", "64")),
             "accelerator_count": int(query.get("accelerators", "0")),
         }
-        request_id = _header(exchange, b"cicadatrail-request-id")
-        self.ledger.begin(request_id, team)
-        task = StandInTask(task_id, holder, used, asyncio.current_task())
+        self.ledger.begin(_header(exchange, b"cicadatrail-request-id"), team)
+        run_s = int(query.get("run_ms", "0")) / 1000
+        work = asyncio.get_running_loop().create_task(asyncio.sleep(run_s))
+        holder = _header(exchange, b"cicadatrail-holder")
+        task = StandInTask(task_id, holder, used, work)
         self.tasks[task_id] = task
-        completed = False
-        try:
-            body = await exchange.read_body()
-            await asyncio.sleep(int(query.get("run_ms", "0")) / 1000)
-            await self._answer(exchange, query, body)
-            completed = True
-        finally:
-            self.tasks.pop(task_id, None)
-            self.ledger.end(team, completed)
+        work.add_done_callback(lambda _: self._end(task, team))
+        self._begin_lease(task, int(_header(exchange, b"cicadatrail-lease-ms")))
+        return work
+
+    def _end(self, task: StandInTask, team: str) -> None:
+        if task.lease is not None:
+            task.lease.cancel()
+        self.tasks.pop(task.task_id, None)
+        self.ledger.end(team, not task.work.cancelled())
 
     async def _answer(
         self, exchange: HttpExchange, query: dict[str, str], body: bytes
     ) -> None:
-        if self.faults.fail_all:
-            await exchange.respond(500, b"failed")
+        faults = self.faults
+        if faults.fail_all or faults.status:
+            await exchange.respond(faults.status or 500, b"failed")
             return
-        await asyncio.sleep(self.faults.late_s)
+        await asyncio.sleep(faults.late_s)
+        if faults.drop_before_head:
+            raise ConnectionEndedError
         request_id = _header(exchange, b"cicadatrail-request-id")
         size = int(query.get("bytes", "0"))
         answer = request_id.encode() + b"\n" + body + b"x" * size
         headers = ((b"X-Echo", request_id.encode()),)
-        if not self.faults.truncate:
-            await exchange.respond(200, answer, headers)
+        status = int(query.get("status", "200"))
+        if not faults.truncate:
+            await exchange.respond(status, answer, headers)
             return
         length = (b"Content-Length", str(len(answer) + 10).encode())
-        await exchange.start(200, (length, *headers))
+        await exchange.start(status, (length, *headers))
         await exchange.send(answer)
-        raise ConnectionResetError("the stand-in cuts its answer")
+        raise ConnectionEndedError
 
 
 def _header(exchange: HttpExchange, name: bytes) -> str:
--- /dev/null
+++ b/features/support/paused_loop.py
@@ -0,0 +1,76 @@
+"""An event loop whose clock stands still while there is anything to do.
+
+When the loop is idle, the clock jumps to the next timer. Sockets on loopback
+work: before each jump the selector is asked once more, for a moment of real
+time, whether anything has come.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections.abc import Coroutine, Mapping
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+GRACE_S = 0.0005
+"""Real time given to sockets before the clock jumps."""
+
+STUCK_S = 5.0
+"""Real time without any event or timer after which a test is stuck."""
+
+
+class StuckError(Exception):
+    """Report that nothing will ever happen any more."""
+
+
+class _PausedSelector(selectors.BaseSelector):
+    """Advance the clock instead of waiting for it."""
+
+    def __init__(self) -> None:
+        self._real = selectors.DefaultSelector()
+        self.now_s = 1_000.0
+
+    def select(self, timeout: float | None = None) -> Any:
+        if timeout is not None and timeout <= 0:
+            return self._real.select(0)
+        events = self._real.select(STUCK_S if timeout is None else GRACE_S)
+        if events:
+            return events
+        if timeout is None:
+            raise StuckError("no event and no timer is left")
+        self.now_s += timeout
+        return []
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> Any:
+        return self._real.register(fileobj, events, data)
+
+    def unregister(self, fileobj: Any) -> Any:
+        return self._real.unregister(fileobj)
+
+    def modify(self, fileobj: Any, events: int, data: Any = None) -> Any:
+        return self._real.modify(fileobj, events, data)
+
+    def close(self) -> None:
+        self._real.close()
+
+    def get_map(self) -> Mapping[Any, Any]:
+        return self._real.get_map()
+
+
+class PausedLoop(asyncio.SelectorEventLoop):
+    """Run on a clock that only jumps from timer to timer."""
+
+    def __init__(self) -> None:
+        self.paused_selector = _PausedSelector()
+        super().__init__(self.paused_selector)
+
+    def time(self) -> float:
+        return self.paused_selector.now_s
+
+
+def run_paused(main: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine to its end on a paused clock."""
+    with asyncio.Runner(loop_factory=PausedLoop) as runner:
+        return runner.run(main)
