Retry under a budget, run under short leases, ask for ids before running

Cause: a request whose worker refused, died or answered 502-504 was answered at once; a 5xx counted as success for ejection; a caller's repeat at another instance ran again; a lost caller's task kept its place for the whole deadline; an upstream that answered before the body's end was unknown; a withdrawn request whose deadline had just passed waited for ever. Once an attempt may have run, the answer is never not-run. Ruled out: asking ids for repeatable requests (no harm in running twice) and joining by a waiting call at the holder (it would hold peer links open).

--- a/packages/cicadatrail-node/src/cicadatraild/serving/caller_request.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/caller_request.py
@@ -11,6 +11,7 @@
 from cicadatrail_core.models.resources import Resources
 from cicadatrail_core.utils.findings import Finding, Findings
 from cicadatraild.network.http_server import HttpExchange
+from cicadatraild.serving.outcomes import OWN_PREFIX
 
 KEY_HEADER = b"cicadatrail-key"
 SERVICE_HEADER = b"cicadatrail-service"
@@ -21,6 +22,23 @@
 REPEATABLE_HEADER = b"cicadatrail-repeatable"
 REQUEST_ID_HEADER = b"cicadatrail-request-id"
 
+OWN_HEADERS = frozenset(
+    {
+        KEY_HEADER,
+        SERVICE_HEADER,
+        QUEUE_HEADER,
+        SIZE_HEADER,
+        URGENCY_HEADER,
+        DEADLINE_HEADER,
+        REPEATABLE_HEADER,
+        REQUEST_ID_HEADER,
+    }
+)
+"""Headers that this system reads; another of its prefix is a fault."""
+
+REFUSED_METHODS = frozenset({"CONNECT", "TRACE"})
+"""Methods that address a proxy and not an upstream."""
+
 DEFAULT_DEADLINE_MS = 30_000
 MAX_DEADLINE_MS = 3_600_000
 DEFAULT_SIZE = Resources(cpu_millicores=100, memory_mib=64)
@@ -53,6 +71,15 @@
         self._exchange = exchange
         self.findings: list[Finding] = []
 
+    def check_request(self) -> None:
+        """Look for faults that stand in no header that is read."""
+        if self._exchange.method in REFUSED_METHODS:
+            self.findings.append(Finding("method", "is not served"))
+        names = {name for name, _ in self._exchange.request.headers}
+        for name in sorted(names - OWN_HEADERS):
+            if name.startswith(OWN_PREFIX):
+                self.fault(name, "is not known")
+
     def fault(self, name: bytes, fault: str) -> None:
         """Add a finding at a header."""
         self.findings.append(Finding(f"header {name.decode()}", fault))
@@ -124,6 +151,7 @@
 def read_caller_request(exchange: HttpExchange) -> Result[CallerRequest, Findings]:
     """Read the headers of a caller's request, or return every fault."""
     reader = _HeaderReader(exchange)
+    reader.check_request()
     urgencies = tuple(urgency.value for urgency in Urgency)
     request = CallerRequest(
         key=reader.text(KEY_HEADER) or "",
--- a/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
@@ -45,9 +45,14 @@
         self.dispatcher.configure(state, workers, slots, _now_s())
         self.place_waiting()
 
-    def submit(self, request: TaskRequest) -> Decision | asyncio.Future[Decision]:
-        """Return the decision, or a future of it while the request waits."""
-        answer = self.dispatcher.submit(request, _now_s())
+    def submit(
+        self, request: TaskRequest, tried_workers: Collection[str] = ()
+    ) -> Decision | asyncio.Future[Decision]:
+        """Return the decision, or a future of it while the request waits.
+
+        Workers that were tried already are passed over if another has room.
+        """
+        answer = self.dispatcher.submit(request, _now_s(), tried_workers)
         if isinstance(answer, Placed):
             self._note_start(answer)
         if not isinstance(answer, Waiting):
@@ -65,8 +70,11 @@
 
     def withdraw(self, request_id: str) -> bool:
         """Take a waiting request out; tell whether it still waited."""
+        if not self.dispatcher.cancel(request_id, _now_s()):
+            # Its decision is made or, where its deadline passed, still comes.
+            return False
         self._decisions.pop(request_id, None)
-        return self.dispatcher.cancel(request_id, _now_s())
+        return True
 
     def finish(self, request_id: str, ended: TaskEnd) -> None:
         """Free a task's place and slot, and place what fits now."""
--- a/packages/cicadatrail-node/src/cicadatraild/serving/forwarding.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/forwarding.py
@@ -10,6 +10,7 @@
 import asyncio
 import logging
 from collections.abc import AsyncIterator
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -31,8 +32,9 @@
 from cicadatrail_core.utils import codec
 from cicadatraild.network.frames import FrameError, FrameStream
 from cicadatraild.network.peer_client import PeerLink
+from cicadatraild.serving.calls import BodyCutError, UpstreamCall
 from cicadatraild.serving.outcomes import NotRun, Reason, Reply, ReplyCutError, Unknown
-from cicadatraild.serving.upstream import Attempt, UpstreamCall
+from cicadatraild.serving.upstream import Attempt
 
 logger = logging.getLogger("cicadatrail.forward")
 
@@ -66,21 +68,26 @@
 
     async def send_body(self, chunks: AsyncIterator[bytes]) -> None:
         """Send a body to its end."""
+        number = 0
         async for chunk in chunks:
             for start in range(0, len(chunk), CHUNK_BYTES):
-                await self.send(BodyChunk(chunk[start : start + CHUNK_BYTES]))
-        await self.send(BodyEnd())
+                part = chunk[start : start + CHUNK_BYTES]
+                await self.send(BodyChunk(number, part))
+                number += 1
+        await self.send(BodyEnd(number))
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield a body to its end. Raises FrameError when it is cut."""
+        number = 0
         while True:
             match await self.read():
-                case BodyChunk(data):
+                case BodyChunk(found, data) if found == number:
+                    number += 1
                     yield data
-                case BodyEnd():
+                case BodyEnd(chunk_count) if chunk_count == number:
                     return
                 case other:
-                    raise FrameError(f"{type(other).__name__} within a body")
+                    raise FrameError(f"a {type(other).__name__} is out of turn")
 
 
 @dataclass(slots=True)
@@ -90,6 +97,9 @@
     link: PeerLink
     stream: ForwardStream
     call: UpstreamCall
+    worker_id: str
+    _sent_whole: bool = False
+    _over: bool = False
 
     async def abandon(self) -> None:
         """Give the place back."""
@@ -106,38 +116,65 @@
         The reply to a request whose peer was lost is unknown: it may have
         reached a worker.
         """
-        call = self.call
-        handed_over = False
+        if self.stream.frames.closing:
+            self._drop()
+            return NotRun(Reason.PEER_LOST)
+        self.call.mark.workers.add(self.worker_id)
+        self.call.mark.sent = True
         try:
-            async with asyncio.timeout_at(call.request.deadline_s):
-                go = ForwardGo(call.method, call.target, call.headers)
-                await self.stream.send(go)
-                await self.stream.send_body(call.body.chunks())
-                answer = await self.stream.read()
-            handed_over = isinstance(answer, ReplyHead)
-            return self._attempt(answer)
+            async with asyncio.timeout_at(self.call.request.deadline_s):
+                return self._attempt(await self._exchange())
         except FrameError:
+            self._drop()
             return Unknown(Reason.PEER_LOST)
+        except BodyCutError as error:
+            self._drop()
+            return Unknown(error.reason, error.status)
         except TimeoutError:
+            self._drop()
             return Unknown(Reason.DEADLINE, 504)
+        except BaseException:
+            self._drop()
+            raise
+
+    async def _exchange(self) -> Any:
+        """Send the request and return the peer's first answer.
+
+        The upstream may answer before the body's end, so that both go on at
+        once. The stream is used again only after the whole body was sent.
+        """
+        call = self.call
+        await self.stream.send(ForwardGo(call.method, call.target, call.headers))
+        loop = asyncio.get_running_loop()
+        sending = loop.create_task(self.stream.send_body(call.body.chunks()))
+        reading = loop.create_task(self.stream.read())
+        try:
+            await asyncio.wait((sending, reading), return_when=asyncio.FIRST_COMPLETED)
+            if not reading.done():
+                with suppress(FrameError):
+                    await sending
+            return await reading
         finally:
-            if not handed_over:
-                self.stream.frames.abort()
+            self._sent_whole = sending.done() and not sending.cancelled()
+            sending.cancel()
+            reading.cancel()
+            await asyncio.gather(sending, reading, return_exceptions=True)
 
     def _attempt(self, answer: Any) -> Attempt:
         request_id = self.call.request.request_id
         match answer:
             case ReplyHead(found, status, headers) if found == request_id:
-                return Reply(status, headers, self._body())
+                return Reply(status, headers, self._body(), self._drop)
             case ReplyNotRun(found, reason) if found == request_id:
-                return NotRun(reason)
+                self._end()
+                return NotRun(_known_reason(reason))
             case ReplyUnknown(found, reason) if found == request_id:
-                return Unknown(reason)
+                self._end()
+                return Unknown(_known_reason(reason))
         raise FrameError("the answer belongs to another request")
 
     async def _body(self) -> AsyncIterator[bytes]:
         chunks = self.stream.body()
-        whole = False
         try:
             while True:
                 async with asyncio.timeout_at(self.call.request.deadline_s):
@@ -145,18 +182,28 @@
                 if chunk is None:
                     break
                 yield chunk
-            whole = True
         except (FrameError, TimeoutError) as error:
+            self._drop()
             raise ReplyCutError(repr(error)) from error
-        finally:
-            if whole:
-                self.link.give_back(self.stream.frames)
-            else:
-                self.stream.frames.abort()
+        self._end()
+
+    def _end(self) -> None:
+        """Part with the stream, which another request may take at once."""
+        if not self._sent_whole:
+            self._drop()
+            return
+        self._over = True
+        self.link.give_back(self.stream.frames)
+
+    def _drop(self) -> None:
+        if not self._over:
+            self._over = True
+            self.stream.frames.abort()
 
 
 async def reserve_at(link: PeerLink, call: UpstreamCall) -> Reservation | None:
     """Ask a peer for a place; None when it has none or doesn't answer in time."""
+    request_id = call.request.request_id
     now_s = asyncio.get_running_loop().time()
     remaining_s = call.request.deadline_s - now_s
     frames: FrameStream | None = None
@@ -167,11 +214,11 @@
             # The peer's clock differs: the deadline goes as what remains.
             await stream.send(ForwardOpen(call.request, remaining_s, call.traceparent))
             match await stream.read():
-                case Reserved():
-                    reservation = Reservation(link, stream, call)
+                case Reserved(found, worker_id) if found == request_id:
+                    reservation = Reservation(link, stream, call, worker_id)
                     frames = None
                     return reservation
-                case NotReserved():
+                case NotReserved(found) if found == request_id:
                     link.give_back(frames)
                     frames = None
                     return None
@@ -183,6 +230,14 @@
     return None
 
 
+def _known_reason(text: str) -> Reason | str:
+    """Return a peer's reason as one of this release, where it is one."""
+    try:
+        return Reason(text)
+    except ValueError:
+        return text
+
+
 def with_local_deadline(opened: ForwardOpen, now_s: float) -> ForwardOpen:
     """Return the message with the deadline on this instance's clock."""
     deadline_s = now_s + opened.remaining_s
--- a/packages/cicadatrail-node/src/cicadatraild/serving/outcomes.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/outcomes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -35,6 +35,8 @@
 )
 """Headers that belong to one connection and are not passed on."""
 
+LENGTH_HEADER = b"content-length"
+
 OWN_PREFIX = b"cicadatrail-"
 """Prefix of the headers that only this system may set."""
 
@@ -59,8 +61,12 @@
     ID_RUNNING = "id-running"
     ID_UNKNOWABLE = "id-unknowable"
     ID_OUT_OF_TIME = "id-out-of-time"
+    ID_REFUSED = "id-refused"
     ID_HOLDER_AWAY = "id-holder-away"
     ANSWER_CUT = "answer-cut"
+    ANSWER_UNBOUNDED = "answer-without-length"
+    ANSWER_NOT_KEPT = "answer-not-kept"
+    ANSWER_TOO_LONG = "answer-too-long-for-http-1.0"
     NO_ANSWER = "no-answer"
     PEER_LOST = "peer-lost"
 
@@ -84,11 +90,36 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Hold an upstream's reply; iterating ``body`` raises ReplyCutError."""
+    """Hold an upstream's reply; iterating ``body`` raises ReplyCutError.
+
+    Whoever has it must call ``close``, which gives up a reply that was not
+    read to its end and does nothing else.
+    """
 
     status: int
     headers: Headers
     body: AsyncIterator[bytes]
+    close: Callable[[], None]
+
+
+@dataclass(frozen=True, slots=True)
+class WholeReply:
+    """Hold a reply that was read to its end."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class LongReply:
+    """Hold the start of a reply that is too long to be kept."""
+
+    reply: Reply
+    start: bytes
+
+
+Answer = WholeReply | LongReply | NotRun | Unknown
 
 
 class ReplyCutError(Exception):
@@ -96,14 +127,27 @@
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
-    """Return the headers that are passed on."""
+    """Return the headers that are passed on, their names in lower case.
+
+    Headers that ``Connection`` names belong to one connection, too.
+    """
+    hop_names = set(HOP_HEADERS)
+    for name, value in headers:
+        if name.lower() == b"connection":
+            hop_names.update(part.strip().lower() for part in value.split(b","))
     return tuple(
-        (name, value)
+        (name.lower(), value)
         for name, value in headers
-        if name.lower() not in HOP_HEADERS and not name.lower().startswith(OWN_PREFIX)
+        if name.lower() not in hop_names and not name.lower().startswith(OWN_PREFIX)
     )
 
 
+def reply_headers(headers: Headers) -> Headers:
+    """Return an upstream's headers that are passed on, and its stated length."""
+    lengths = tuple(header for header in headers if header[0] == LENGTH_HEADER)
+    return (*lengths, *end_to_end_headers(headers))
+
+
 async def write_not_run(
     exchange: HttpExchange, request_id: str, refusal: NotRun
 ) -> None:
@@ -137,48 +181,67 @@
 
 
 async def write_whole(
-    exchange: HttpExchange, request_id: str, reply: Reply, body: bytes
+    exchange: HttpExchange, request_id: str, reply: WholeReply
 ) -> None:
     """Send a reply that was read to its end."""
+    headers = reply.headers
+    if exchange.has_body(reply.status):
+        headers = without_length(headers)
     await exchange.respond(
-        reply.status, body, (*reply.headers, *_headers(request_id, Outcome.COMPLETE))
+        reply.status, reply.body, (*headers, *_headers(request_id, Outcome.COMPLETE))
     )
 
 
 async def write_stream(
-    exchange: HttpExchange, request_id: str, reply: Reply, start: bytes
+    exchange: HttpExchange, request_id: str, long_reply: LongReply
 ) -> None:
     """Stream a long reply; its outcome follows as a trailer.
 
-    Raises ReplyCutError when the reply is cut: then the connection must be
-    dropped, so that the caller sees no proper end.
+    A caller of HTTP/1.0 reads no trailer: it gets the length in the head, by
+    which it can tell a cut. Raises ReplyCutError when the reply is cut: then
+    the connection must be dropped, so that the caller sees no proper end.
     """
-    await exchange.start(
-        reply.status,
-        (
-            *reply.headers,
-            (REQUEST_ID_HEADER, request_id.encode()),
-            (b"Transfer-Encoding", b"chunked"),
-            (b"Trailer", OUTCOME_HEADER),
-        ),
-    )
-    await exchange.send(start)
+    reply = long_reply.reply
+    named = (REQUEST_ID_HEADER, request_id.encode())
+    if exchange.takes_chunks:
+        chunked = ((b"Transfer-Encoding", b"chunked"), (b"Trailer", OUTCOME_HEADER))
+        headers = (*without_length(reply.headers), named, *chunked)
+    else:
+        headers = (*reply.headers, named)
+    await exchange.start(reply.status, headers)
+    await exchange.send(long_reply.start)
     async for chunk in reply.body:
         await exchange.send(chunk)
-    await exchange.end(((OUTCOME_HEADER, Outcome.COMPLETE.value.encode()),))
+    complete = ((OUTCOME_HEADER, Outcome.COMPLETE.value.encode()),)
+    await exchange.end(complete if exchange.takes_chunks else ())
 
 
-async def read_start(reply: Reply) -> tuple[bytes, bool]:
-    """Read up to WHOLE_REPLY_BYTES; return them and whether that is all.
+def without_length(headers: Headers) -> Headers:
+    """Return the headers without the length that the upstream stated."""
+    return tuple(header for header in headers if header[0] != LENGTH_HEADER)
 
-    Raises ReplyCutError when the reply is cut.
-    """
+
+def states_length(headers: Headers) -> bool:
+    """Tell whether the upstream stated the length of its body."""
+    return any(name == LENGTH_HEADER for name, _ in headers)
+
+
+async def read_answer(attempt: Reply | NotRun | Unknown) -> Answer:
+    """Read a reply's first WHOLE_REPLY_BYTES, so that most are known whole."""
+    if not isinstance(attempt, Reply):
+        return attempt
     start = bytearray()
-    async for chunk in reply.body:
-        start += chunk
-        if len(start) > WHOLE_REPLY_BYTES:
-            return bytes(start), False
-    return bytes(start), True
+    try:
+        async for chunk in attempt.body:
+            start += chunk
+            if len(start) > WHOLE_REPLY_BYTES:
+                return LongReply(attempt, bytes(start))
+    except ReplyCutError:
+        return Unknown(Reason.ANSWER_CUT)
+    except BaseException:
+        attempt.close()
+        raise
+    return WholeReply(attempt.status, attempt.headers, bytes(start))
 
 
 def _headers(
--- a/packages/cicadatrail-node/src/cicadatraild/serving/running.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/running.py
@@ -10,9 +10,10 @@
 
 from cicadatrail_core.models.fleet import Worker
 from cicadatrail_core.models.platform import TaskControl
-from cicadatrail_core.placement.dispatcher import Placed, TaskEnd
+from cicadatrail_core.placement.dispatcher import TaskEnd
 from cicadatraild.platform.worker_client import HttpWorkerControl
 from cicadatraild.serving.desk import Desk
+from cicadatraild.serving.leases import TaskLease
 
 logger = logging.getLogger("cicadatrail.tasks")
 
@@ -47,9 +48,9 @@
         """Stop confirming when ``stack`` closes."""
         stack.callback(self._close)
 
-    def give_up(self, placed: Placed, worker: Worker) -> None:
-        """Begin to stop a task."""
-        task = asyncio.get_running_loop().create_task(self._confirm(placed, worker))
+    def give_up(self, lease: TaskLease, ended: TaskEnd) -> None:
+        """Begin to stop a task, to be counted as ``ended`` says."""
+        task = asyncio.get_running_loop().create_task(self._confirm(lease, ended))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -58,15 +59,14 @@
         while self._tasks:
             await asyncio.wait(tuple(self._tasks))
 
-    async def _confirm(self, placed: Placed, worker: Worker) -> None:
-        request_id = placed.request.request_id
-        lease_end_s = placed.request.deadline_s + LEASE_MARGIN_S
+    async def _confirm(self, lease: TaskLease, ended: TaskEnd) -> None:
+        lease_end_s = lease.until_s + LEASE_MARGIN_S
         loop = asyncio.get_running_loop()
         while loop.time() < lease_end_s:
-            if await self._is_stopped(worker, request_id):
+            if await self._is_stopped(lease.worker, lease.task_id):
                 break
             await asyncio.sleep(CONFIRM_INTERVAL_S)
-        self._desk.finish(request_id, TaskEnd.CANCELLED)
+        self._desk.finish(lease.task_id, ended)
 
     async def _is_stopped(self, worker: Worker, request_id: str) -> bool:
         """Stop the task and tell whether the worker no longer reports it."""
@@ -80,3 +80,33 @@
     def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
+
+
+class RunningTask:
+    """Account once for the end of a task that was placed here."""
+
+    __slots__ = ("_desk", "_ended", "_given_up", "lease")
+
+    def __init__(self, desk: Desk, given_up: GivenUpTasks, lease: TaskLease) -> None:
+        self._desk = desk
+        self._given_up = given_up
+        self._ended = False
+        self.lease = lease
+
+    def finish(self, ended: TaskEnd) -> None:
+        """Free the place of a task that has surely ended or never begun."""
+        if not self._end():
+            return
+        self._desk.finish(self.lease.task_id, ended)
+
+    def give_up(self, ended: TaskEnd) -> None:
+        """Stop a task that may still run; its place stays charged meanwhile."""
+        if self._end():
+            self._given_up.give_up(self.lease, ended)
+
+    def _end(self) -> bool:
+        if self._ended:
+            return False
+        self._ended = True
+        self.lease.end()
+        return True
--- a/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from contextlib import suppress
+
+import h11
 
 from cicadatrail_core.models.fleet import Worker
-from cicadatrail_core.models.requests import TaskRequest
 from cicadatrail_core.models.rights import IncarnationId
+from cicadatrail_core.placement.dispatcher import TaskEnd
 from cicadatraild.network.http_client import (
     Address,
     ClientError,
@@ -17,54 +19,25 @@
     ConnectionPool,
     Headers,
 )
+from cicadatraild.serving.calls import BodyCutError, RequestBody, UpstreamCall
 from cicadatraild.serving.outcomes import (
     NotRun,
     Reason,
     Reply,
     ReplyCutError,
     Unknown,
-    end_to_end_headers,
+    reply_headers,
 )
+from cicadatraild.serving.running import RunningTask
 
-
-class RequestBody:
-    """Give a request's body to attempts; only a whole one can be sent again."""
-
-    __slots__ = ("_rest", "start", "whole")
-
-    def __init__(
-        self, start: bytes, whole: bool, rest: AsyncIterator[bytes] | None = None
-    ) -> None:
-        self.start = start
-        self.whole = whole
-        self._rest = rest
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body from its start."""
-        if self.start:
-            yield self.start
-        if self._rest is not None:
-            async for chunk in self._rest:
-                yield chunk
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamCall:
-    """Hold what is sent to the worker; ``headers`` are end to end already."""
-
-    request: TaskRequest
-    method: str
-    target: str
-    headers: Headers
-    body: RequestBody
-    traceparent: str = ""
-
+FAILURE_STATUS = 500
+"""Statuses from here on count as failures of the worker."""
 
 Attempt = Reply | NotRun | Unknown
 
 
 class Upstream:
-    """Send requests to workers, each under a lease of its deadline."""
+    """Send requests to workers, each under a lease."""
 
     __slots__ = ("_incarnation", "_may_spend", "_on_leaving", "_pool")
 
@@ -80,53 +53,74 @@
         self._may_spend = may_spend
         self._on_leaving = on_leaving
 
-    async def run(self, worker: Worker, call: UpstreamCall) -> Attempt:
-        """Run one attempt; a NotRun is returned only if no byte was sent."""
-        loop = asyncio.get_running_loop()
+    async def run(
+        self, worker: Worker, call: UpstreamCall, task: RunningTask
+    ) -> Attempt:
+        """Run one attempt; a NotRun is returned only if no byte was sent.
+
+        The end of ``task`` is accounted for, by the reply if there is one.
+        """
         exchange: ClientExchange | None = None
-        handed_over = False
         try:
             async with asyncio.timeout_at(call.request.deadline_s):
                 exchange = await self._pool.start(Address(worker.host, worker.port))
-                if not self._may_spend(loop.time()):
-                    return NotRun(Reason.NOT_SUPPORTED)
-                await self._send(exchange, call)
-                head = await exchange.read_head()
-            if exchange.server_closes():
-                self._on_leaving(worker.worker_id)
-            handed_over = True
-            headers = end_to_end_headers(tuple(head.headers))
-            return Reply(head.status_code, headers, _iterate(exchange, call.request))
+                if not self._may_spend(asyncio.get_running_loop().time()):
+                    return _not_run(exchange, task, NotRun(Reason.NOT_SUPPORTED))
+                call.mark.sent = True
+                head = await self._exchange(exchange, call, task)
         except ClientError as error:
-            return _failed(error)
+            return _failed(exchange, task, error)
+        except BodyCutError as error:
+            return _give_up(
+                exchange, task, TaskEnd.CANCELLED, Unknown(error.reason, error.status)
+            )
         except TimeoutError:
-            if exchange is not None and exchange.sent:
-                return Unknown(Reason.DEADLINE, 504)
-            return NotRun(Reason.DEADLINE, 504, None)
-        finally:
-            if exchange is not None and not handed_over:
-                exchange.abort()
-
-    async def _send(self, exchange: ClientExchange, call: UpstreamCall) -> None:
-        """Send head and body; the rights were checked just before."""
-        headers = self._headers(exchange.address, call)
+            return _timed_out(exchange, task)
+        except BaseException:
+            _drop(exchange, task)
+            raise
+        return self._reply(worker, exchange, head, task, call.request.deadline_s)
+
+    def _reply(
+        self,
+        worker: Worker,
+        exchange: ClientExchange,
+        head: h11.Response,
+        task: RunningTask,
+        deadline_s: float,
+    ) -> Attempt:
+        if exchange.server_closes():
+            self._on_leaving(worker.worker_id)
+        if not exchange.is_bounded():
+            unknown = Unknown(Reason.ANSWER_UNBOUNDED)
+            return _give_up(exchange, task, TaskEnd.CANCELLED, unknown)
+        body = _ReplyBody(exchange, task, deadline_s)
+        headers = reply_headers(tuple(head.headers))
+        return Reply(head.status_code, headers, body.chunks(), body.close)
+
+    async def _exchange(
+        self, exchange: ClientExchange, call: UpstreamCall, task: RunningTask
+    ) -> h11.Response:
+        """Send the request and return the reply's head.
+
+        The rights were checked just before: nothing may be awaited between.
+        """
+        headers = self._headers(exchange.address, call, task.lease.begin())
         body = call.body
-        if body.whole:
-            length = (b"Content-Length", str(len(body.start)).encode())
+        if not body.whole:
+            chunked = (b"Transfer-Encoding", b"chunked")
+            await exchange.send_head(call.method, call.target, (*headers, chunked))
+            return await _send_and_read(exchange, body)
+        length = (b"Content-Length", str(len(body.start)).encode())
+        # A server may answer and close before it has read everything.
+        with suppress(ClientError):
             await exchange.send_whole(
                 call.method, call.target, (*headers, length), body.start
             )
-            return
-        chunked = (b"Transfer-Encoding", b"chunked")
-        await exchange.send_head(call.method, call.target, (*headers, chunked))
-        async for chunk in body.chunks():
-            await exchange.send_body(chunk)
-        await exchange.end_body()
-
-    def _headers(self, address: Address, call: UpstreamCall) -> Headers:
+        return await exchange.read_head()
+
+    def _headers(self, address: Address, call: UpstreamCall, lease_ms: int) -> Headers:
         request = call.request
-        remaining_s = request.deadline_s - asyncio.get_running_loop().time()
-        lease_ms = max(1, round(remaining_s * 1000))
         traced = ((b"traceparent", call.traceparent.encode()),)
         return (
             (b"Host", str(address).encode()),
@@ -140,25 +134,103 @@
         )
 
 
-async def _iterate(
-    exchange: ClientExchange, request: TaskRequest
-) -> AsyncIterator[bytes]:
-    """Yield the reply's body within the deadline; drop the connection if cut."""
-    chunks = exchange.body()
+class _ReplyBody:
+    """Read a reply's body and account for the task when it is over."""
+
+    __slots__ = ("_deadline_s", "_exchange", "_task")
+
+    def __init__(
+        self, exchange: ClientExchange, task: RunningTask, deadline_s: float
+    ) -> None:
+        self._exchange = exchange
+        self._task = task
+        self._deadline_s = deadline_s
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body within the deadline. Raises ReplyCutError."""
+        chunks = self._exchange.body()
+        try:
+            while True:
+                async with asyncio.timeout_at(self._deadline_s):
+                    chunk = await anext(chunks, None)
+                if chunk is None:
+                    break
+                yield chunk
+        except (ClientError, TimeoutError) as error:
+            self._exchange.abort()
+            self._task.give_up(TaskEnd.FAILED)
+            raise ReplyCutError(repr(error)) from error
+        response = self._exchange.response
+        failed = response is not None and response.status_code >= FAILURE_STATUS
+        self._task.finish(TaskEnd.FAILED if failed else TaskEnd.SUCCEEDED)
+
+    def close(self) -> None:
+        """Give up what has not been read."""
+        self._exchange.abort()
+        self._task.give_up(TaskEnd.CANCELLED)
+
+
+async def _send_and_read(exchange: ClientExchange, body: RequestBody) -> h11.Response:
+    """Send a body while reading, since the server may answer before its end."""
+    loop = asyncio.get_running_loop()
+    sending = loop.create_task(_send_body(exchange, body))
+    reading = loop.create_task(exchange.read_head())
     try:
-        while True:
-            async with asyncio.timeout_at(request.deadline_s):
-                chunk = await anext(chunks, None)
-            if chunk is None:
-                return
-            yield chunk
-    except (ClientError, TimeoutError) as error:
-        raise ReplyCutError(repr(error)) from error
+        await asyncio.wait((sending, reading), return_when=asyncio.FIRST_COMPLETED)
+        if not reading.done():
+            with suppress(ClientError):
+                await sending
+        return await reading
     finally:
+        sending.cancel()
+        reading.cancel()
+        await asyncio.gather(sending, reading, return_exceptions=True)
+
+
+async def _send_body(exchange: ClientExchange, body: RequestBody) -> None:
+    async for chunk in body.chunks():
+        await exchange.send_body(chunk)
+    await exchange.end_body()
+
+
+def _not_run(
+    exchange: ClientExchange | None, task: RunningTask, not_run: NotRun
+) -> NotRun:
+    """Report an attempt of which no byte left this process."""
+    if exchange is not None:
+        exchange.abort()
+    connected = not_run.reason is not Reason.NOT_CONNECTED
+    task.finish(TaskEnd.CANCELLED if connected else TaskEnd.FAILED)
+    return not_run
+
+
+def _give_up(
+    exchange: ClientExchange | None, task: RunningTask, ended: TaskEnd, unknown: Unknown
+) -> Unknown:
+    """Report an attempt that may have run, in part or wholly."""
+    if exchange is not None:
         exchange.abort()
+    task.give_up(ended)
+    return unknown
 
 
-def _failed(error: ClientError) -> NotRun | Unknown:
+def _failed(
+    exchange: ClientExchange | None, task: RunningTask, error: ClientError
+) -> NotRun | Unknown:
     if error.fault is ClientFault.NOT_SENT:
-        return NotRun(Reason.NOT_CONNECTED)
-    return Unknown(Reason.NO_ANSWER)
+        return _not_run(exchange, task, NotRun(Reason.NOT_CONNECTED))
+    return _give_up(exchange, task, TaskEnd.FAILED, Unknown(Reason.NO_ANSWER))
+
+
+def _timed_out(exchange: ClientExchange | None, task: RunningTask) -> NotRun | Unknown:
+    if exchange is None or not exchange.sent:
+        return _not_run(exchange, task, NotRun(Reason.DEADLINE, 504, None))
+    return _give_up(exchange, task, TaskEnd.FAILED, Unknown(Reason.DEADLINE, 504))
+
+
+def _drop(exchange: ClientExchange | None, task: RunningTask) -> None:
+    """Account for an attempt that was cancelled."""
+    if exchange is None or not exchange.sent:
+        _not_run(exchange, task, NotRun(Reason.LEAVING))
+        return
+    _give_up(exchange, task, TaskEnd.CANCELLED, Unknown(Reason.NO_ANSWER))
