--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -6,16 +6,21 @@
 import logging
 import random
 import secrets
+import time
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 from typing import Any
 
+from cicadatrail_core.admission.retry_budget import RetryBudget, RetrySettings
 from cicadatrail_core.models.fleet import Place, Worker
 from cicadatrail_core.models.peer_messages import (
     ControlMessage,
     Digest,
     Done,
     FetchRecords,
+    IdOutcome,
+    IdQuery,
+    PartitionHandover,
     PoolRoom,
     Records,
     TeamUse,
@@ -43,7 +48,13 @@
 from cicadatraild.platform.worker_client import HttpWorkerControl
 from cicadatraild.serving.admin import AdminApi
 from cicadatraild.serving.admission import Admission
+from cicadatraild.serving.attempts import Attempts
 from cicadatraild.serving.desk import Desk
+from cicadatraild.serving.id_partitions import IdPartitions
+from cicadatraild.serving.leases import LeaseKeeper
+from cicadatraild.serving.peer_requests import PeerRequests
+from cicadatraild.serving.places import Places
+from cicadatraild.serving.request_ids import RequestIds
 from cicadatraild.serving.router import Router
 from cicadatraild.serving.running import GivenUpTasks
 from cicadatraild.serving.upstream import Upstream
@@ -57,6 +68,7 @@
 from cicadatraild.sharing.status import StatusView
 from cicadatraild.utils.identifiers import new_uuid7
 from cicadatraild.utils.metrics import InstanceCollector, Metrics
+from cicadatraild.utils.open_work import OpenWork
 from cicadatraild.utils.settings import Settings
 
 logger = logging.getLogger("cicadatrail.instance")
@@ -64,6 +76,9 @@
 LEAVE_LIMIT_S = 120.0
 """Longest time that leaving may take before the process ends all the same."""
 
+HANDOVER_TIMEOUT_S = 2.0
+"""Time that the memory of a partition may take to reach its taker."""
+
 RECORDS_PER_ANSWER = 500
 """Records that are given to a peer at once."""
 
@@ -98,11 +113,12 @@
             self._note_fault,
         )
         list_settings = settings.instance_list
+        timing = RightsTiming(
+            support_s=settings.rights.support_s, list_lag_s=list_settings.lag_s
+        )
         self._standing = Standing(
             self.incarnation,
-            RightsTiming(
-                support_s=settings.rights.support_s, list_lag_s=list_settings.lag_s
-            ),
+            timing,
             settings.rights.pulse_s,
             list_settings.poll_s,
             self._replica,
@@ -120,7 +136,19 @@
         self._given_up = GivenUpTasks(self._desk, self._control)
         self._admission = Admission(self._standing.may_judge_keys, new_uuid7)
         self._membership = self._make_membership()
+        self._open_work = OpenWork()
+        self._leases = LeaseKeeper(
+            self._control, self._standing.may_spend, timing.task_lease_s
+        )
+        self._partitions = self._make_partitions()
+        self._places = self._make_places()
+        self._attempts = Attempts(
+            self._places, RetryBudget(RetrySettings()), random_source, _new_id
+        )
         self._router = self._make_router()
+        self._peer_requests = PeerRequests(
+            self._admission, self._desk, self._places, self._open_work
+        )
         self._maintenance = FleetMaintenance(
             self.incarnation,
             self._replica,
@@ -145,6 +173,7 @@
             await self._pool.open(stack)
             await self._directory.open(stack)
             await self._given_up.open(stack)
+            await self._leases.open(stack)
             tasks = await stack.enter_async_context(_Tasks())
             await self._start(tasks)
             servers = await self._listen_to_callers(stack)
@@ -158,6 +187,7 @@
         """Follow the log, join the roster and begin to serve."""
         self._replica.listen(self._take_state)
         self._replica.listen_to_records(self._standing.note_record)
+        self._replica.listen_to_records(self._partitions.note_record)
         tasks.start("replica", self._replica.run())
         tasks.start("appender", self._appender.run())
         tasks.start("list", self._standing.follow_list())
@@ -180,12 +210,12 @@
 
     async def _finish(self, struck_out: bool) -> None:
         """Refuse new work truly, end what runs, hand over rights and leave."""
-        open_count = self._router.open_work.count
+        open_count = self._open_work.count
         logger.info("instance: finishing %d requests.", open_count)
         self._admission.draining = True
         try:
             async with asyncio.timeout(LEAVE_LIMIT_S):
-                await self._router.open_work.ended()
+                await self._open_work.ended()
                 await self._given_up.settled()
                 if not struck_out:
                     await self._membership.leave()
@@ -200,7 +230,7 @@
             peer.message_limit_bytes,
             ControlMessage,
             self._serve_control,
-            self._router.serve_peer,
+            self._peer_requests.serve,
         )
         await server.listen(stack, peer.host, peer.port)
 
@@ -251,19 +281,50 @@
             self._configure_desk,
         )
 
-    def _make_router(self) -> Router:
+    def _make_partitions(self) -> IdPartitions:
+        return IdPartitions(
+            self.incarnation,
+            time.time,
+            self._may_answer_for,
+            lambda: self._replica.folded_count == self._replica.state.next_offset,
+            self._send_handover,
+        )
+
+    def _make_places(self) -> Places:
         upstream = Upstream(
             self._pool, self.incarnation, self._standing.may_spend, self._note_leaving
         )
-        return Router(
-            self._admission,
+        return Places(
             self._desk,
             upstream,
             self._given_up,
+            self._leases,
             self._worker,
             self._peers_with_room,
         )
 
+    def _make_router(self) -> Router:
+        ids = RequestIds(
+            self.incarnation,
+            self._partitions,
+            lambda: self._replica.state,
+            self._directory,
+            time.time,
+            _new_id,
+        )
+        return Router(self._admission, self._attempts, ids, self._open_work)
+
+    def _may_answer_for(self, partition: int) -> bool:
+        """Tell whether this instance may say if an id was seen."""
+        if not self._standing.may_spend(asyncio.get_running_loop().time()):
+            return False
+        return self._holdings.may_answer_for(self._replica.state, partition)
+
+    def _send_handover(self, taker: IncarnationId, message: PartitionHandover) -> None:
+        link = self._directory.link(taker)
+        if link is not None:
+            self._directory.spawn(_call(link, message))
+
     def _make_status_view(self) -> StatusView:
         return StatusView(
             self.incarnation,
@@ -303,6 +364,7 @@
     def _take_state(self, state: State) -> None:
         """Follow a new state: links, admission and the desk."""
         self._admission.state = state
+        self._partitions.take_state(state)
         members = {
             member.incarnation: Address(member.host, member.peer_port)
             for member in state.roster.values()
@@ -349,7 +411,9 @@
             "waiting_requests": self._desk.waiting_count,
             "running_tasks": sum(self._desk.running_on.values()),
             "given_up_tasks": self._given_up.count,
-            "forwarded_requests": self._router.forwarded_count,
+            "forwarded_requests": self._places.forwarded_count,
+            "retried_requests": self._attempts.retry_count,
+            "lease_renewals": self._leases.renewal_count,
             "peer_messages": sum(link.message_count for link in self._directory.links),
             "peer_sent_bytes": sum(link.sent_bytes for link in self._directory.links),
             "roster_size": len(state.roster),
@@ -367,6 +431,14 @@
                 self._digests.take(message)
                 self._desk.dispatcher.configure_peer_usage(self._digests.peer_usage())
                 return Done()
+            case IdQuery():
+                return self._partitions.answer(message)
+            case IdOutcome():
+                self._partitions.take_outcome(message)
+                return Done()
+            case PartitionHandover():
+                self._partitions.take_handover(sender, message)
+                return Done()
             case FetchRecords(from_offset):
                 found = self._replica.records_from(from_offset, RECORDS_PER_ANSWER)
                 return Records(from_offset, found or ())
@@ -408,5 +480,14 @@
             await task
 
 
+def _new_id() -> str:
+    return str(new_uuid7())
+
+
+async def _call(link: PeerLink, message: Any) -> None:
+    """Send a message whose answer says nothing."""
+    await link.call(message, HANDOVER_TIMEOUT_S)
+
+
 async def _wait(stop: asyncio.Event) -> None:
     await stop.wait()
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/holdings.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/holdings.py
@@ -72,6 +72,11 @@
         )
         return Spendable(workers - self.leaving_workers, self._slots(state), partitions)
 
+    def may_answer_for(self, state: State, partition: int) -> bool:
+        """Tell whether a partition is held and not on its way to a peer."""
+        held = state.partition_holders.get(partition) == self._incarnation
+        return held and PartitionRight(partition) not in self._handed_over
+
     def _slots(self, state: State) -> dict[str, int]:
         given = [r for r in self._handed_over if isinstance(r, SlotRight)]
         slots = {}
