Close two holes that the model found: keys judged on a dead member's support, loans returned after they were kept

Whoever judges keys by attestation now needs as many valid attestations as it needs support.

Kept slots now leave the loan, and nothing is returned to a retired lender.

--- a/features/support/rights_node.py
+++ b/features/support/rights_node.py
@@ -318,19 +318,18 @@
         for lender, team_id in self.borrower.loans():
             idle = self.borrower.idle_count(lender, team_id)
             if idle and rng.random() < 0.2:
-                self.borrower.give_back(lender, team_id, rng.randint(1, idle))
+                self.borrower.give_back(
+                    self.state, lender, team_id, rng.randint(1, idle)
+                )
             self.ask_loan(lender, 0)
         if rng.random() < 0.25:
             others = [o for o in self.state.roster if o != self.incarnation]
             if others:
                 self.ask_loan(rng.choice(others), rng.randint(1, 3))
-        if rng.random() < 0.3:
-            rights = tuple(rng.sample(EVERY_RIGHT, 3))
-            self.append(rec.ClaimRecord(self.incarnation, rights))
+        self.claim_something()
         if rng.random() < 0.15:
             self.give_up_something()
-        if rng.random() < 0.06:
-            self.retire_somebody()
+        self.retire_somebody()
         if rng.random() < 0.02:
             self.patch_something()
         if rng.random() < 0.3:
@@ -375,11 +374,34 @@
         used = self.ledger.running_count(TEAM) + self.lender.outstanding_count(TEAM)
         return max(0, held - used)
 
+    def claim_something(self) -> None:
+        rng = self.world.rng
+        unheld = [
+            right
+            for right in EVERY_RIGHT
+            if not isinstance(right, WorkerRight)
+            or right.worker_id not in self.state.worker_holders
+        ]
+        if unheld and rng.random() < 0.4:
+            rights = tuple(rng.sample(unheld, min(4, len(unheld))))
+            self.append(rec.ClaimRecord(self.incarnation, rights))
+
     def retire_somebody(self) -> None:
+        """Propose to retire the most silent member, or now and then any."""
+        rng = self.world.rng
         others = [o for o in self.state.roster if o != self.incarnation]
-        if others and self.may_spend:
-            target = self.world.rng.choice(others)
-            self.append(rec.RetireRecord(target, self.incarnation))
+        if not others or not self.may_spend or rng.random() > 0.25:
+            return
+        target = rng.choice(others)
+        if rng.random() < 0.9:
+            target = min(others, key=self.last_pulse_offset)
+            silent_count = self.state.next_offset - self.last_pulse_offset(target)
+            if silent_count < 3 * len(self.state.roster):
+                return
+        self.append(rec.RetireRecord(target, self.incarnation))
+
+    def last_pulse_offset(self, incarnation: IncarnationId) -> int:
+        return self.state.roster[incarnation].last_pulse_offset
 
     def patch_something(self) -> None:
         rng = self.world.rng
--- /dev/null
+++ b/features/support/rights_weakened.py
@@ -0,0 +1,272 @@
+"""Weakenings of the rule for rights; the model must catch each of them."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Collection, Iterator, Mapping
+from dataclasses import replace
+from typing import Any
+from unittest import mock
+
+from cicadatrail_core.fold import holdings, membership
+from cicadatrail_core.models.loans import LoanGrant
+from cicadatrail_core.models.records import PulseRecord
+from cicadatrail_core.models.rights import IncarnationId
+from cicadatrail_core.models.state import Member, State
+from cicadatrail_core.models.support import SupportReply, SupportRequest
+from cicadatrail_core.rights import freeing, quorum
+from cicadatrail_core.rights.borrower import BorrowerBook
+from cicadatrail_core.rights.currency import Current, KeyCurrency, Stale
+from cicadatrail_core.rights.freeing import Reclaimer
+from cicadatrail_core.rights.support import HolderSupport
+from cicadatrail_core.rights.supporter import Supporter
+from features.support.rights_node import SimNode
+
+# ruff: noqa: SLF001
+
+
+class _NoWaitReclaimer(Reclaimer):
+    def _note_powerless(
+        self,
+        state: State,
+        incarnation: IncarnationId,
+        now_s: float,
+        gone_since_s: Mapping[IncarnationId, float],
+    ) -> None:
+        self._read_s[incarnation] = now_s - self._timing.support_wait_s
+        super()._note_powerless(state, incarnation, now_s, gone_since_s)
+
+
+class _HastySupporter(Supporter):
+    def _has_lapsed(self, incarnation: IncarnationId, now_s: float) -> bool:
+        return True
+
+
+class _StrangerSupporter(Supporter):
+    """Doesn't compare when the asker joined."""
+
+    def _may_grant(self, state: State, request: SupportRequest) -> bool:
+        own = state.roster.get(self._incarnation)
+        asker = state.roster.get(request.asker)
+        if own is None or asker is None or asker.retire_offset is not None:
+            return False
+        return asker.place.region == own.place.region
+
+
+class _ReplyCountingHolder(HolderSupport):
+    def note_reply(self, reply: SupportReply, now_s: float) -> None:
+        if reply.granted:
+            self._granted_until_s[reply.supporter] = self._lease_end_s(now_s)
+
+
+class _ReadCountingHolder(HolderSupport):
+    """Counts a pulse from reading it back; see ReadCountingNode."""
+
+    def note_read(self, now_s: float) -> None:
+        self._log_until_s = self._lease_end_s(now_s)
+
+
+class _OutlivingBorrower(BorrowerBook):
+    def _lease_end_s(self, sent_s: float, grant: LoanGrant) -> float:
+        return sent_s + self._timing.support_s
+
+
+class _MajorityCurrency(KeyCurrency):
+    def judge(
+        self,
+        state: State,
+        now_s: float,
+        log_until_s: float,
+        gone: Collection[IncarnationId],
+    ) -> Current | Stale:
+        judged = super().judge(state, now_s, log_until_s, gone)
+        if isinstance(judged, Current):
+            return judged
+        others = self._members_to_ask(state)
+        attested = [m for m in others if self._is_attested(state, m.incarnation, now_s)]
+        needed = quorum.support_needed(len(others) + 1)
+        return Current() if len(attested) >= needed else judged
+
+
+class _NoWaitNode(SimNode):
+    reclaimer_class = _NoWaitReclaimer
+
+
+class _HastySupporterNode(SimNode):
+    supporter_class = _HastySupporter
+
+
+class _StrangerSupporterNode(SimNode):
+    supporter_class = _StrangerSupporter
+
+
+class _ReplyCountingNode(SimNode):
+    holder_class = _ReplyCountingHolder
+
+
+class _ReadCountingNode(SimNode):
+    holder_class = _ReadCountingHolder
+
+    def note_own_pulse(self, record: PulseRecord) -> None:
+        assert isinstance(self.holder, _ReadCountingHolder)
+        self.holder.note_read(self.clock_s)
+
+
+class _OutlivingLoanNode(SimNode):
+    borrower_class = _OutlivingBorrower
+
+
+class _MajorityCurrencyNode(SimNode):
+    currency_class = _MajorityCurrency
+
+
+class _AttestationFromReplyNode(SimNode):
+    def note_support(self, reply: SupportReply) -> None:
+        super().note_support(reply)
+        self.currency.note_reply(reply, self.clock_s)
+
+
+class _EagerReportNode(SimNode):
+    def may_report(self, offset: int) -> bool:
+        return True
+
+
+def _newest_roster(
+    state: State, region: str, start_offset: int, end_offset: int
+) -> Iterator[tuple[IncarnationId, ...]]:
+    changes = [c for c in state.roster_changes if c.region == region]
+    if changes:
+        yield changes[-1].members
+
+
+def _rosters_since_pulse(
+    state: State,
+    member: Member,
+    retire_offset: int,
+    gone: Collection[IncarnationId],
+) -> bool:
+    refusing = {*member.acknowledged_by, *gone} - {member.incarnation}
+    rosters = quorum.rosters_between(
+        state, member.place.region, member.last_pulse_offset, retire_offset
+    )
+    return all(
+        len(refusing.intersection(roster))
+        >= quorum.acknowledgements_needed(len(roster))
+        for roster in rosters
+    )
+
+
+def _if_retired(state: State, incarnation: IncarnationId, _: object) -> bool:
+    member = state.roster.get(incarnation)
+    return member is not None and member.retire_offset is not None
+
+
+def _accept_any_sequence(
+    state: State, incarnation: IncarnationId, sequence: int
+) -> State | None:
+    return state if incarnation in state.roster else None
+
+
+def _all_gone(
+    gone_since_s: Mapping[IncarnationId, float], wait_s: float, now_s: float
+) -> tuple[IncarnationId, ...]:
+    return tuple(sorted(gone_since_s))
+
+
+def _fewer(count: int) -> int:
+    return max(0, count - count // 2 - 1)
+
+
+def _unguarded_allowance(state: State, team_id: str, incarnation: IncarnationId) -> int:
+    """Let a holder spend its part of the limit, by order, when all is held."""
+    slots = state.slots.get(team_id, {})
+    team = state.teams.get(team_id)
+    limit = team.upper_limit_tasks if team else 0
+    held = slots.get(incarnation, 0)
+    total = sum(slots.values())
+    if total <= limit:
+        return held
+    return -(-held * limit // total)
+
+
+def _drop_all_removed(state: State) -> State:
+    """Drop what a patch removed at once, as if each holder knew of it."""
+    workers = {w: h for w, h in state.worker_holders.items() if w in state.workers}
+    slots = {}
+    for team_id, counts in state.slots.items():
+        kept = {h: holdings.allowance(state, team_id, h) for h in counts}
+        slots[team_id] = {h: count for h, count in kept.items() if count}
+    return replace(state, worker_holders=workers, slots=slots)
+
+
+Patches = tuple[tuple[Any, str, Any], ...]
+
+_QUORUM_USERS = (membership, freeing)
+
+WEAKENINGS: dict[str, tuple[type[SimNode], Patches]] = {
+    "none": (SimNode, ()),
+    "a timeout alone": (
+        SimNode,
+        tuple((module, "quorum_met", _if_retired) for module in _QUORUM_USERS),
+    ),
+    "no wait of T": (_NoWaitNode, ()),
+    "one acknowledgement fewer": (
+        SimNode,
+        ((quorum, "acknowledgements_needed", _fewer),),
+    ),
+    "only the current roster": (
+        SimNode,
+        ((quorum, "rosters_between", _newest_roster),),
+    ),
+    "rosters since the last pulse": (
+        SimNode,
+        ((quorum, "_every_roster_refuses", _rosters_since_pulse),),
+    ),
+    "acknowledging before granted leases lapsed": (_HastySupporterNode, ()),
+    "counting support from the reply": (_ReplyCountingNode, ()),
+    "counting a pulse from its reading": (_ReadCountingNode, ()),
+    "counting a proven death at once": (
+        SimNode,
+        ((freeing, "_gone_for", _all_gone),),
+    ),
+    "loan outliving its lender's lease": (_OutlivingLoanNode, ()),
+    "freeing slots with loans unsettled": (
+        SimNode,
+        tuple((module, "loans_settled", _if_retired) for module in _QUORUM_USERS),
+    ),
+    "majority for key currency": (_MajorityCurrencyNode, ()),
+    "attestation counted from the reply": (_AttestationFromReplyNode, ()),
+    "reporting a verdict at once": (_EagerReportNode, ()),
+    "applying a repeated release": (
+        SimNode,
+        ((membership, "_with_sequence", _accept_any_sequence),),
+    ),
+    "supporting a repeated join": (_StrangerSupporterNode, ()),
+    "dropping removed rights at once": (
+        SimNode,
+        ((membership, "drop_rights_of_removed", _drop_all_removed),),
+    ),
+}
+"""Each weakening: the node that has it, and what is replaced in the modules."""
+
+
+@contextlib.contextmanager
+def weakened(name: str) -> Iterator[type[SimNode]]:
+    """Put a weakening in place and yield the node class to run with."""
+    node_class, patches = WEAKENINGS[name]
+    with contextlib.ExitStack() as stack:
+        for module, attribute, value in patches:
+            stack.enter_context(mock.patch.object(module, attribute, value))
+        yield node_class
+
+
+def first_broken(
+    name: str, seeds: range, run: Callable[[int, type[SimNode]], str | None]
+) -> tuple[int, str] | None:
+    """Return the first seed that shows the weakening, with what broke."""
+    with weakened(name) as node_class:
+        for seed in seeds:
+            message = run(seed, node_class)
+            if message is not None:
+                return seed, message
+    return None
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/borrower.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/borrower.py
@@ -20,6 +20,7 @@
 
     __slots__ = (
         "grant_number",
+        "kept_total",
         "lent_total",
         "returned_total",
         "running_count",
@@ -31,6 +32,7 @@
     def __init__(self) -> None:
         self.lent_total = 0
         self.returned_total = 0
+        self.kept_total = 0
         self.running_count = 0
         self.usable_count = 0
         self.grant_number = 0
@@ -39,7 +41,7 @@
 
     @property
     def held_count(self) -> int:
-        return self.lent_total - self.returned_total
+        return self.lent_total - self.returned_total - self.kept_total
 
     def free_count(self, now_s: float) -> int:
         if now_s >= self.until_s:
@@ -122,8 +124,16 @@
         """Note that a task charged to a loan has ended."""
         self._loans[lender, team_id].running_count -= 1
 
-    def give_back(self, lender: IncarnationId, team_id: str, count: int) -> int:
-        """Stop using up to ``count`` idle slots; the next request reports it."""
+    def give_back(
+        self, state: State, lender: IncarnationId, team_id: str, count: int
+    ) -> int:
+        """Stop using up to ``count`` idle slots; the next request reports it.
+
+        Nothing goes back to a retired lender: a record that keeps its slots
+        may be under way, and the lender could use them until it knows.
+        """
+        if not _may_lend(state, lender):
+            return 0
         loan = self._loans[lender, team_id]
         idle_count = max(0, loan.held_count - loan.running_count)
         given_count = min(count, idle_count)
@@ -201,6 +211,7 @@
         gained_count = self._own_slots(after, right) - self._own_slots(before, right)
         if loan is None or gained_count <= 0:
             return 0
+        loan.kept_total += gained_count
         moved_count = min(gained_count, loan.running_count)
         loan.running_count -= moved_count
         return moved_count
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/currency.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/currency.py
@@ -13,7 +13,11 @@
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import Member, State
 from cicadatrail_core.models.support import SupportReply
-from cicadatrail_core.rights.quorum import acknowledgements_needed, rosters_between
+from cicadatrail_core.rights.quorum import (
+    acknowledgements_needed,
+    rosters_between,
+    support_needed,
+)
 from cicadatrail_core.rights.timing import RightsTiming
 
 
@@ -82,16 +86,32 @@
 
         They may until ``log_until_s``, and while every other member that is
         neither retired nor gone has attested to have folded nothing beyond.
+        As many as a holder needs for support must be among those attesting:
+        a verdict was told only after one of any so many had folded it.
         """
         if now_s < log_until_s:
             return Current()
         unattested = tuple(
             member.incarnation
             for member in self._members_to_ask(state)
-            if member.incarnation not in gone
-            and not self._is_attested(state, member.incarnation, now_s)
+            if not self._is_attested(state, member.incarnation, now_s)
         )
-        return Stale(unattested) if unattested else Current()
+        live = tuple(other for other in unattested if other not in gone)
+        if live:
+            return Stale(live)
+        if not self._is_supported(state, now_s):
+            return Stale(unattested)
+        return Current()
+
+    def _is_supported(self, state: State, now_s: float) -> bool:
+        own = state.roster.get(self._incarnation)
+        if own is None:
+            return False
+        region = [
+            m for m in state.roster.values() if m.place.region == own.place.region
+        ]
+        attested = [m for m in region if self._is_attested(state, m.incarnation, now_s)]
+        return len(attested) >= support_needed(len(region))
 
     def _members_to_ask(self, state: State) -> list[Member]:
         own = state.roster.get(self._incarnation)
