--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/holdings.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/holdings.py
@@ -221,6 +221,12 @@
             if not isinstance(right, SlotRight):
                 self.release(holder, right)
 
+    def release_partitions(self, holder: IncarnationId) -> None:
+        """Take every partition from the holder."""
+        for right in rights_of(self._state, holder):
+            if isinstance(right, PartitionRight):
+                self.release(holder, right)
+
     def finish(self) -> State:
         """Return the changed state."""
         slots = {
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/membership.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/membership.py
@@ -97,11 +97,17 @@
 def apply_free(state: State, offset: int, record: FreeRecord) -> State:
     """Free a retired incarnation's rights where the log bears the claim out.
 
-    Its workers and partitions come first. Its slots are freed, and it leaves
-    the roster, once no member can run a task on slots that it lent.
+    Its partitions come first: the next holder needs only to know that it says
+    nothing any more. Its workers follow when its tasks have ended. Its slots
+    are freed, and it leaves the roster, once no member can run a task on slots
+    that it lent.
     """
     if not quorum_met(state, record.incarnation, record.gone):
         return state
+    if record.partitions_only:
+        editor = HoldingsEditor(state)
+        editor.release_partitions(record.incarnation)
+        return editor.finish()
     if loans_settled(state, record.incarnation, record.gone):
         return _without_member(state, offset, record.incarnation)
     member = state.roster[record.incarnation]
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/records.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/records.py
@@ -76,12 +76,14 @@
 class FreeRecord:
     """Free a retired incarnation's rights; its writer has checked the rule.
 
-    ``gone`` names the incarnations whose death was proven to the writer.
+    ``gone`` names the incarnations whose death was proven to the writer. With
+    ``partitions_only`` the tasks that the incarnation started may still run.
     """
 
     incarnation: IncarnationId
     reclaimer: IncarnationId
     gone: tuple[IncarnationId, ...] = ()
+    partitions_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/freeing.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/freeing.py
@@ -28,7 +28,7 @@
         self._timing = timing
         self._read_s: dict[IncarnationId, float] = {}
         self._powerless_s: dict[IncarnationId, float] = {}
-        self._proposed_s: dict[IncarnationId, float] = {}
+        self._proposed_s: dict[tuple[IncarnationId, bool], float] = {}
 
     def records_due(
         self,
@@ -67,17 +67,27 @@
         self._read_s.setdefault(incarnation, now_s)
         self._note_powerless(state, incarnation, now_s, gone_since_s)
         powerless_s = self._powerless_s.get(incarnation, math.inf)
-        if now_s < powerless_s + self._timing.task_wait_s:
-            return None
-        ended_s = self._timing.support_wait_s + self._timing.task_wait_s
-        gone = _gone_for(gone_since_s, ended_s, now_s)
-        if not _would_free(state, member, gone):
-            return None
-        proposed_s = self._proposed_s.get(incarnation, -math.inf)
-        if now_s < proposed_s + self._timing.support_s:
+        wait_s = self._timing.support_wait_s
+        tasks_ended = now_s >= powerless_s + self._timing.task_wait_s
+        if tasks_ended:
+            wait_s += self._timing.task_wait_s
+        gone = _gone_for(gone_since_s, wait_s, now_s)
+        if tasks_ended and _would_free(state, member, gone):
+            return self._propose(
+                FreeRecord(incarnation, self._incarnation, gone), now_s
+            )
+        if now_s >= powerless_s and _would_free_partitions(state, member, gone):
+            record = FreeRecord(incarnation, self._incarnation, gone, True)
+            return self._propose(record, now_s)
+        return None
+
+    def _propose(self, record: FreeRecord, now_s: float) -> FreeRecord | None:
+        """Return the record, unless it was proposed only just now."""
+        key = (record.incarnation, record.partitions_only)
+        if now_s < self._proposed_s.get(key, -math.inf) + self._timing.support_s:
             return None
-        self._proposed_s[incarnation] = now_s
-        return FreeRecord(incarnation, self._incarnation, gone)
+        self._proposed_s[key] = now_s
+        return record
 
     def _note_powerless(
         self,
@@ -97,9 +107,11 @@
             self._powerless_s[incarnation] = now_s
 
     def _forget_others(self, retired: Collection[IncarnationId]) -> None:
-        for times_s in (self._read_s, self._powerless_s, self._proposed_s):
+        for times_s in (self._read_s, self._powerless_s):
             for incarnation in [key for key in times_s if key not in retired]:
                 del times_s[incarnation]
+        for key in [key for key in self._proposed_s if key[0] not in retired]:
+            del self._proposed_s[key]
 
 
 def _gone_for(
@@ -119,3 +131,12 @@
     if member.freed_offset is None:
         return True
     return loans_settled(state, member.incarnation, gone)
+
+
+def _would_free_partitions(
+    state: State, member: Member, gone: Collection[IncarnationId]
+) -> bool:
+    """Tell whether a record that frees partitions only would free any."""
+    if member.incarnation not in state.partition_holders.values():
+        return False
+    return quorum_met(state, member.incarnation, gone)
