Tell ids that were made here; end faults and interrupts as unknown

wave start and move start made an id that was never shown, so that the wave could not be watched. An internal fault or an interrupt ended with 1, which says 'refused' although the patch may have been taken; both are 3 now. Any answer of an instance (fuzzed) gives an outcome and no exception; the operators' page names only commands that exist.

A first form of the fuzz held that 'config history' can't be 0; wrong, as an empty list is a history; it asks 'config show' instead.

--- a/features/cli.feature
+++ b/features/cli.feature
@@ -17,6 +17,19 @@
       | wave start reboot --pool packing-slips --id w1 --hours 8-16    | type=start-wave, wave.pool_id=packing-slips, wave.working_hours.end_hour=16        |
       | wave start drain --worker carton-stock-1 --order data-centre   | type=start-wave, wave.order=data-centre, wave.action=drain, wave.worker_ids.0=carton-stock-1 |
 
+  Scenario Outline: An id that was made here is told
+    Given a cli fleet whose instances are fine
+    When the operator runs cli '<command>'
+    Then the cli says '<kind> <kind>-'
+    When the operator runs cli '<other> --json'
+    Then the cli exit code is 0
+    And the cli answer is one JSON document with verdict, <kind>_id
+
+    Examples:
+      | kind | command                                          | other                                            |
+      | wave | wave start reboot --pool packing-slips           | wave start drain --pool carton-stock             |
+      | move | move start member-portal-1 helium-quotes         | move start member-portal-3 helium-quotes         |
+
   Scenario Outline: What was begun is ended by its id
     Given a cli fleet whose instances are fine
     When the operator runs cli '<begin>'
@@ -273,6 +286,39 @@
   Scenario: Any bytes give a patch or findings
     Then any cli patch file, however broken, gives a patch or findings
 
+  Scenario Outline: Any answer gives an outcome and no exception
+    Given a cli fleet whose instances are noise
+    Then no answer, however broken, is taken for more than unknown by cli '<command>'
+
+    Examples:
+      | command           |
+      | status            |
+      | config show       |
+      | patch verdict x   |
+
+  Scenario: Any answer to a patch gives an outcome and no exception
+    Given a cli fleet whose instances are noise
+    And the cli patch file says
+      """
+      operations = [{ type = "put-pool", pool = { pool_id = "reserve" } }]
+      """
+    Then no answer, however broken, is taken for more than unknown by cli 'patch apply FILE --base 1'
+
+  Scenario Outline: What breaks a command off leaves the outcome unknown
+    Given a cli fleet whose instances are fine
+    When the operator runs cli 'pool put reserve' and <error> comes up
+    Then the cli exit code is 3
+    And the cli says '<words>'
+
+    Examples:
+      | error        | words                            |
+      | an interrupt | may have been taken              |
+      | a fault      | internal fault                   |
+
+  Scenario: The operators' page shows only what exists
+    Then the operators' page names only cli commands that exist
+    And the cli patch file of the operators' page is sound
+
   Scenario: Keys fit only their own entries
     Then a cli key fits its own entry and nothing else
 
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -3,10 +3,12 @@
 import asyncio
 import json
 import os
+import re
 import shlex
 import subprocess
 import sys
 import tempfile
+import textwrap
 from hashlib import sha256
 from pathlib import Path
 from typing import Any
@@ -30,6 +32,7 @@
 from cicadatrail_core.utils import codec, keys
 from features.support.cli_admin import TOKEN, FakeAdmin, FakeLog
 
+OPERATORS_PAGE = Path("docs/OPERATORS.md")
 EXAMPLE = Path("examples/balloon-association/patch.toml")
 HEAVY_MODULES = ("h11", "msgpack", "cattrs", "asyncio", "cicadatrail_core.utils.codec")
 SHOW_MODULES = "; import sys; print(*sys.modules)"
@@ -121,8 +124,19 @@
     run(context, line.replace("FILE", str(context.file)))
 
 
-def run(context: Any, line: str) -> None:
-    application = OperatorApplication(context.loop.run_until_complete)
+@when("the operator runs cli '{line}' and {error} comes up")
+def step_run_error(context: Any, line: str, error: str) -> None:
+    errors = {"an interrupt": KeyboardInterrupt(), "a fault": ZeroDivisionError("x")}
+
+    def break_off(coroutine: Any) -> Any:
+        coroutine.close()
+        raise errors[error]
+
+    run(context, line, break_off)
+
+
+def run(context: Any, line: str, runner: Any = None) -> None:
+    application = OperatorApplication(runner or context.loop.run_until_complete)
     output, errors = BufferedOutput(), BufferedOutput()
     words = ArgvInput(["cicadatrail", *shlex.split(line)])
     environment = {**os.environ, **context.environment}
@@ -266,6 +280,49 @@
             assert all(item.place and item.fault for item in findings), findings
 
 
+@then("no answer, however broken, is taken for more than unknown by cli '{line}'")
+def step_noise(context: Any, line: str) -> None:
+    json_texts = st.recursive(
+        st.none() | st.booleans() | st.floats() | st.text(),
+        lambda part: st.lists(part) | st.dictionaries(st.text(), part),
+    ).map(json.dumps)
+    heads = st.sampled_from([100, 200, 202, 204, 301, 400, 404, 409, 422, 500, 999])
+
+    @given_examples(
+        heads, json_texts.map(str.encode) | st.binary(), st.just(b"") | st.binary()
+    )
+    def check(status: int, body: bytes, before: bytes) -> None:
+        head = f"HTTP/1.1 {status} OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        context.admins[0].noise = before + head.encode() + body
+        run(context, line.replace("FILE", str(context.file)))
+        assert context.code in (2, 3), (context.code, context.output)
+        assert "internal fault" not in context.errors, context.errors
+
+    check()
+
+
+@then("the operators' page names only cli commands that exist")
+def step_page_commands(context: Any) -> None:
+    page = OPERATORS_PAGE.read_text()
+    named = set(re.findall(r"(?m)^ {4}cicadatrail ([a-z]+(?: [a-z]+)?)", page))
+    assert len(named) > 5, named
+    assert named <= set(COMMANDS), named - set(COMMANDS)
+
+
+@then("the cli patch file of the operators' page is sound")
+def step_page_patch(context: Any) -> None:
+    found = re.search(
+        r"(?m)^ {4}# patch_id.*\n(?: {4}.*\n|\n)+", OPERATORS_PAGE.read_text()
+    )
+    assert found
+    text = textwrap.dedent(found.group()).replace("# patch_id", "patch_id")
+    text = text.replace("# base_version", "base_version")
+    file = parse_patch_file(text.encode(), "page").unwrap()
+    assert file.patch_id
+    assert file.base_version == 12
+    assert len(file.operations) == 2
+
+
 @then("a cli key fits its own entry and nothing else")
 def step_keys(context: Any) -> None:
     sizes = {size: st.binary(min_size=size, max_size=size) for size in (8, 16, 32)}
--- a/features/support/cli_admin.py
+++ b/features/support/cli_admin.py
@@ -65,6 +65,7 @@
     fault: str = "none"
     lag_count: int = 0
     wave_statuses: list[WaveStatus] = field(default_factory=list)
+    noise: bytes = b""
     port: int = 0
     members: tuple[MemberStatus, ...] = ()
     seen: list[tuple[str, str, bytes]] = field(default_factory=list)
@@ -92,6 +93,9 @@
             self.seen.append((request.method.decode(), target, body))
             if self.fault == "silent":
                 await reader.read()
+            elif self.fault == "noise":
+                writer.write(self.noise)
+                await writer.drain()
             else:
                 await self._answer(connection, writer, request, body)
         writer.close()
--- a/packages/cicadatrail-cli/src/cicadatrail/commands/move_start.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/move_start.py
@@ -14,7 +14,8 @@
 if TYPE_CHECKING:
     from returns.result import Result
 
-    from cicadatrail_core.models.patches import Operation
+    from cicadatrail.utils.replies import Reply
+    from cicadatrail_core.models.patches import Operation, Verdict
     from cicadatrail_core.models.status import ConfigurationView
     from cicadatrail_core.utils.findings import Findings
 
@@ -34,6 +35,8 @@
         ),
     ]
 
+    _move_id: str
+
     def plan(
         self, configuration: ConfigurationView
     ) -> Result[tuple[Operation, ...], Findings]:
@@ -47,6 +50,12 @@
         from_pool_id = configuration.pool_of.get(worker_id)
         if from_pool_id is None:
             return Failure((Finding("worker", f"{worker_id!r} is in no pool"),))
-        move_id = self.option("id") or f"move-{uuid4().hex[:12]}"
-        to_pool_id = self.argument("to-pool")
-        return Success((StartMove(move_id, worker_id, from_pool_id, to_pool_id),))
+        self._move_id = self.option("id") or f"move-{uuid4().hex[:12]}"
+        pools = (from_pool_id, self.argument("to-pool"))
+        return Success((StartMove(self._move_id, worker_id, *pools),))
+
+    def adorn(self, reply: Reply, verdict: Verdict) -> Reply:
+        """Tell the id, as it may have been made here."""
+        from cicadatrail.utils.replies import add_id
+
+        return add_id(reply, "move", self._move_id)
--- a/packages/cicadatrail-cli/src/cicadatrail/commands/wave_start.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/wave_start.py
@@ -15,8 +15,9 @@
     from returns.result import Result
 
     from cicadatrail.utils.options import OptionReader
+    from cicadatrail.utils.replies import Reply
     from cicadatrail_core.models.maintenance import WorkingHours
-    from cicadatrail_core.models.patches import Operation
+    from cicadatrail_core.models.patches import Operation, Verdict
     from cicadatrail_core.models.status import ConfigurationView
     from cicadatrail_core.utils.findings import Findings
 
@@ -68,6 +69,8 @@
         ),
     ]
 
+    _wave_id: str
+
     def plan(
         self, configuration: ConfigurationView
     ) -> Result[tuple[Operation, ...], Findings]:
@@ -79,8 +82,9 @@
         from cicadatrail_core.models.patches import StartWave
 
         reader = OptionReader()
+        self._wave_id = self.option("id") or f"wave-{uuid4().hex[:12]}"
         wave = Wave(
-            wave_id=self.option("id") or f"wave-{uuid4().hex[:12]}",
+            wave_id=self._wave_id,
             action=reader.choice("action", self.argument("action"), WaveAction),
             pool_id=self.option("pool") or "",
             worker_ids=tuple(self.option("worker")),
@@ -99,6 +103,12 @@
             return Failure(tuple(reader.findings))
         return Success((StartWave(wave),))
 
+    def adorn(self, reply: Reply, verdict: Verdict) -> Reply:
+        """Tell the id, as it may have been made here."""
+        from cicadatrail.utils.replies import add_id
+
+        return add_id(reply, "wave", self._wave_id)
+
 
 def _read_hours(reader: OptionReader, text: str) -> WorkingHours:
     """Read ``START-END`` in whole hours of a UTC day."""
--- a/packages/cicadatrail-cli/src/cicadatrail/main.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/main.py
@@ -76,12 +76,16 @@
         error_output: Output | None = None,
     ) -> int:
         """Return the exit code; a wrong command line is bad input."""
+        io = self.create_io(input, output, error_output)
         try:
-            return super().run(input, output, error_output)
+            return super().run(io.input, io.output, io.error_output)
         except CleoError as error:
-            io = self.create_io(input, output, error_output)
             io.error_output.write_line(str(error), type=Type.RAW)
             return ExitCode.BAD_INPUT
+        except Exception as error:
+            # What was sent before the fault may have been taken.
+            io.error_output.write_line(f"internal fault: {error!r}", type=Type.RAW)
+            return ExitCode.UNKNOWN
 
 
 def _factory(name: str) -> Callable[[], Command]:
--- a/packages/cicadatrail-cli/src/cicadatrail/utils/replies.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/utils/replies.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from cicadatrail.network.problems import (
@@ -73,6 +73,12 @@
             return Reply(ExitCode.UNKNOWN, (line, hint), document)
 
 
+def add_id(reply: Reply, kind: str, made_id: str) -> Reply:
+    """Return the reply with the id under which the ``kind`` is found again."""
+    document = {**reply.document, f"{kind}_id": made_id}
+    return replace(reply, lines=(*reply.lines, f"{kind} {made_id}"), document=document)
+
+
 def _reply(code: ExitCode, head: str, findings: Findings) -> Reply:
     lines = (head, *(f"  {finding}" for finding in findings))
     document = {"findings": codec.to_map(findings, Findings)}
