--- a/features/cli.feature
+++ b/features/cli.feature
@@ -176,6 +176,18 @@
       | move start nobody helium-quotes                               | worker:                 | is in no pool        |
       | pool put reserve --wait-limit-s never                         | --wait-limit-s: must    | not 'never'          |
 
+  Scenario Outline: Waiting submits a patch without a verdict again
+    Given a cli fleet whose instances are <instances>
+    When the operator runs cli 'pool put reserve --wait --wait-limit-s 0.2'
+    Then the cli exit code is <code>
+    And the cli says '<words>'
+    And the cli log took <count> patches
+
+    Examples:
+      | instances     | code | count | words                |
+      | log down once | 0    | 1     | in force at all 1    |
+      | log down      | 3    | 0     | may have been taken  |
+
   Scenario: Waiting shows each instance reaching the version
     Given a cli fleet whose instances are fine, fine, fine
     And cli instance 2 shows a new version after 3 reads
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -143,6 +143,7 @@
     with (
         patched.dict(os.environ, environment),
         patched.object(waiting, "POLL_S", 0.01),
+        patched.object(waiting, "SUBMIT_AGAIN_S", 0.01),
         patched.object(waiting, "WAVE_POLL_S", 0.01),
     ):
         context.code = application.run(words, output, errors)
--- a/features/support/cli_admin.py
+++ b/features/support/cli_admin.py
@@ -153,6 +153,9 @@
         match self.fault:
             case "bad input":
                 return 400, {"findings": [{"place": "operations", "fault": "odd"}]}
+            case "log down once":
+                self.fault = "none"
+                return self._coded(UnknownVerdict(patch.patch_id, "the log is down"))
             case "log down":
                 return self._coded(UnknownVerdict(patch.patch_id, "the log is down"))
             case "forgetful":
--- a/packages/cicadatrail-cli/src/cicadatrail/commands/change.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/change.py
@@ -107,7 +107,7 @@
         from cicadatrail_core.models.patches import Accepted, Refused, UnknownVerdict
 
         if self.option("wait") and isinstance(verdict, UnknownVerdict):
-            verdict = await wait_for_verdict(client, verdict, limit_s)
+            verdict = await wait_for_verdict(client, patch, verdict, limit_s)
         reply = self.adorn(reply_to_verdict(verdict), verdict)
         match verdict:
             case Refused(stale=True):
@@ -122,6 +122,23 @@
         return reply
 
 
+class TargetCommand(ChangeCommand):
+    """Does one thing to the entry that its only argument names."""
+
+    @abstractmethod
+    def operation(self, target_id: str) -> Operation:
+        """Return the operation on the entry ``target_id``."""
+
+    def plan(
+        self, configuration: ConfigurationView
+    ) -> Result[tuple[Operation, ...], Findings]:
+        """Return the one operation; whether it is possible, the fold says."""
+        from returns.result import Success
+
+        (argument,) = self.arguments
+        return Success((self.operation(self.argument(argument.name)),))
+
+
 async def _tell_changes(
     client: AdminClient, patch: Patch, refused: Refused, reply: Reply
 ) -> Reply:
--- a/packages/cicadatrail-cli/src/cicadatrail/commands/wave_pause.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/wave_pause.py
@@ -7,17 +7,13 @@
 from cleo.helpers import argument
 from cleo.io.inputs.argument import Argument
 
-from cicadatrail.commands.change import ChangeCommand
+from cicadatrail.commands.change import TargetCommand
 
 if TYPE_CHECKING:
-    from returns.result import Result
-
     from cicadatrail_core.models.patches import Operation
-    from cicadatrail_core.models.status import ConfigurationView
-    from cicadatrail_core.utils.findings import Findings
 
 
-class WavePauseCommand(ChangeCommand):
+class WavePauseCommand(TargetCommand):
     """Pauses a wave."""
 
     name = "wave pause"
@@ -26,12 +22,8 @@
         argument("wave", description="Id of the wave."),
     ]
 
-    def plan(
-        self, configuration: ConfigurationView
-    ) -> Result[tuple[Operation, ...], Findings]:
-        """Return the one operation of this command."""
-        from returns.result import Success
-
+    def operation(self, target_id: str) -> Operation:
+        """Return the operation on the entry that was named."""
         from cicadatrail_core.models.patches import PauseWave
 
-        return Success((PauseWave(self.argument("wave")),))
+        return PauseWave(target_id)
--- a/packages/cicadatrail-cli/src/cicadatrail/utils/waiting.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/utils/waiting.py
@@ -15,13 +15,22 @@
 from cicadatrail.utils.access import Address, parse_address
 from cicadatrail.utils.replies import printable
 from cicadatrail_core.models.maintenance import StepStatus, WaveStatus
-from cicadatrail_core.models.patches import Accepted, Refused, UnknownVerdict, Verdict
+from cicadatrail_core.models.patches import (
+    Accepted,
+    Patch,
+    Refused,
+    UnknownVerdict,
+    Verdict,
+)
 from cicadatrail_core.models.status import InstanceStatus, WaveReport
 from cicadatrail_core.utils.findings import Finding
 
 POLL_S = 0.2
 """Seconds between two rounds of questions after a patch."""
 
+SUBMIT_AGAIN_S = 1.0
+"""Seconds before a patch without a verdict is submitted again."""
+
 WAVE_POLL_S = 1.0
 """Seconds between two looks at a wave."""
 
@@ -69,18 +78,21 @@
 
 
 async def wait_for_verdict(
-    client: AdminClient, unknown: UnknownVerdict, limit_s: float
+    client: AdminClient, patch: Patch, unknown: UnknownVerdict, limit_s: float
 ) -> Verdict:
-    """Ask for the verdict until it is known or ``limit_s`` has passed."""
+    """Submit the patch again until its first verdict comes or the limit ends.
+
+    To ask by its id alone would not do, as it may never have been taken.
+    """
     loop = asyncio.get_running_loop()
     deadline_s = loop.time() + limit_s
     while loop.time() < deadline_s:
-        match await client.read_verdict(unknown.patch_id):
+        await asyncio.sleep(SUBMIT_AGAIN_S)
+        match await client.submit(patch):
             case Success(UnknownVerdict()):
                 pass
             case Success(Accepted() | Refused() as verdict):
                 return verdict
-        await asyncio.sleep(POLL_S)
     return unknown
 
 
