Take machine speed out of the command line's scenarios; part config show

A stall of 0.3 s on a busy machine could have turned a pass into a failure; only rows whose outcome is a time limit carry a short one now, and a silent instance has 1 s.

--- a/features/cli.feature
+++ b/features/cli.feature
@@ -47,7 +47,7 @@
 
   Scenario Outline: Each answer and each failure has its exit code
     Given a cli fleet whose instances are <instances>
-    When the operator runs cli 'pool put reserve --timeout-s 0.3'
+    When the operator runs cli 'pool put reserve'
     Then the cli exit code is <code>
     And the cli says '<words>'
     And the cli log took <count> patches
@@ -57,21 +57,31 @@
       | fine                 | 0    | 1     | accepted: patch                   |
       | down, fine           | 0    | 1     | accepted: patch                   |
       | failing, fine        | 0    | 2     | accepted: patch                   |
-      | silent, fine         | 0    | 1     | accepted: patch                   |
       | down, down           | 3    | 0     | Connection refused                |
-      | silent               | 3    | 0     | gave no answer in 0.3 s           |
       | wrong token, fine    | 2    | 0     | CICADATRAIL_TOKEN was not taken   |
       | page                 | 3    | 0     | did not answer with JSON          |
       | truncated            | 3    | 0     | gave a broken answer              |
       | huge                 | 3    | 0     | bytes long                        |
 
+  Scenario Outline: A silent instance is left after its time
+    Given a cli fleet whose instances are <instances>
+    When the operator runs cli 'pool put reserve --timeout-s 1'
+    Then the cli exit code is <code>
+    And the cli says '<words>'
+    And the cli log took <count> patches
+
+    Examples:
+      | instances    | code | count | words                 |
+      | silent, fine | 0    | 1     | accepted: patch       |
+      | silent       | 3    | 0     | gave no answer in 1 s |
+
   Scenario Outline: A patch whose answer is lost gets its first verdict or is unknown
     Given a cli fleet whose instances are <instances>
     And the cli patch file says
       """
       operations = [{ type = "put-pool", pool = { pool_id = "reserve" } }]
       """
-    When the operator runs cli 'patch apply FILE --base 1 --timeout-s 0.3'
+    When the operator runs cli 'patch apply FILE --base 1'
     Then the cli exit code is <code>
     And the cli says '<words>'
     And the cli log took <count> patches
@@ -178,15 +188,15 @@
 
   Scenario Outline: Waiting submits a patch without a verdict again
     Given a cli fleet whose instances are <instances>
-    When the operator runs cli 'pool put reserve --wait --wait-limit-s 0.2'
+    When the operator runs cli 'pool put reserve --wait --wait-limit-s <limit>'
     Then the cli exit code is <code>
     And the cli says '<words>'
     And the cli log took <count> patches
 
     Examples:
-      | instances     | code | count | words                |
-      | log down once | 0    | 1     | in force at all 1    |
-      | log down      | 3    | 0     | may have been taken  |
+      | instances     | limit | code | count | words                |
+      | log down once | 60    | 0    | 1     | in force at all 1    |
+      | log down      | 0.1   | 3    | 0     | may have been taken  |
 
   Scenario: Waiting shows each instance reaching the version
     Given a cli fleet whose instances are fine, fine, fine
@@ -218,16 +228,16 @@
   Scenario Outline: A wave is watched to its end
     Given a cli fleet whose instances are fine
     And a cli wave w1 that goes through <statuses>
-    When the operator runs cli 'wave watch <wave> --wait-limit-s 0.3'
+    When the operator runs cli 'wave watch <wave> --wait-limit-s <limit>'
     Then the cli exit code is <code>
     And the cli says '<words>'
 
     Examples:
-      | statuses              | wave | code | words                       |
-      | running, paused, done | w1   | 0    | wave w1 is done             |
-      | running, aborted      | w1   | 1    | wave w1 is aborted          |
-      | paused                | w1   | 3    | wave w1 is still paused     |
-      | running               | w2   | 2    | 'w2' is unknown             |
+      | statuses              | wave | limit | code | words                       |
+      | running, paused, done | w1   | 60    | 0    | wave w1 is done             |
+      | running, aborted      | w1   | 60    | 1    | wave w1 is aborted          |
+      | paused                | w1   | 0.1   | 3    | wave w1 is still paused     |
+      | running               | w2   | 60    | 2    | 'w2' is unknown             |
 
   Scenario: A key is made here, shown once and sent only as a hash
     Given a cli fleet whose instances are fine
@@ -239,7 +249,7 @@
 
   Scenario Outline: A key that may be in force is shown, a refused one is not
     Given a cli fleet whose instances are <instances>
-    When the operator runs cli 'key grant <team> --timeout-s 0.3'
+    When the operator runs cli 'key grant <team>'
     Then the cli exit code is <code>
     And the cli <tells> 'ct_'
 
--- a/packages/cicadatrail-cli/src/cicadatrail/commands/config_show.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/config_show.py
@@ -38,14 +38,37 @@
 
 
 def _lines(configuration: ConfigurationView) -> list[str]:
+    weights = configuration.weights
+    return [
+        f"version {configuration.version}, next offset {configuration.next_offset}",
+        f"weights: buffer cost {weights.buffer_cost:g}, roll-out time"
+        f" {weights.roll_out_time:g}, moves {weights.moves:g}, share {weights.share:g}",
+        f"teams: {len(configuration.teams)}, keys: {len(configuration.keys)},"
+        f" waves: {len(configuration.waves)}, moves: {len(configuration.moves)}"
+        " (team list, key list, wave list, move list)",
+        "",
+        *_services(configuration),
+        "",
+        *_queues(configuration),
+        "",
+        *_workers(configuration),
+    ]
+
+
+def _services(configuration: ConfigurationView) -> tuple[str, ...]:
     from cicadatrail.utils.replies import format_table
 
-    weights = configuration.weights
-    services = [
+    rows = [
         (service.service_id, service.pool_id, service.unavailable_limit_count)
         for service in configuration.services
     ]
-    queues = [
+    return format_table(("SERVICE", "POOL", "UNAVAILABLE LIMIT"), rows)
+
+
+def _queues(configuration: ConfigurationView) -> tuple[str, ...]:
+    from cicadatrail.utils.replies import format_table
+
+    rows = [
         (
             queue.queue_id,
             queue.service_id,
@@ -56,7 +79,14 @@
         )
         for queue in configuration.queues
     ]
-    workers = [
+    header = ("QUEUE", "SERVICE", "OPEN", "OWNER", "DRAIN", "DEADLINE S")
+    return format_table(header, rows)
+
+
+def _workers(configuration: ConfigurationView) -> tuple[str, ...]:
+    from cicadatrail.utils.replies import format_table
+
+    rows = [
         (
             worker.worker_id,
             configuration.pool_of.get(worker.worker_id, ""),
@@ -68,22 +98,5 @@
         )
         for worker in configuration.workers
     ]
-    return [
-        f"version {configuration.version}, next offset {configuration.next_offset}",
-        f"weights: buffer cost {weights.buffer_cost:g}, roll-out time"
-        f" {weights.roll_out_time:g}, moves {weights.moves:g}, share {weights.share:g}",
-        f"teams: {len(configuration.teams)}, keys: {len(configuration.keys)},"
-        f" waves: {len(configuration.waves)}, moves: {len(configuration.moves)}"
-        " (team list, key list, wave list, move list)",
-        "",
-        *format_table(("SERVICE", "POOL", "UNAVAILABLE LIMIT"), services),
-        "",
-        *format_table(
-            ("QUEUE", "SERVICE", "OPEN", "OWNER", "DRAIN", "DEADLINE S"), queues
-        ),
-        "",
-        *format_table(
-            ("WORKER", "POOL", "DATA CENTRE", "RACK", "MILLICORES", "MIB", "ACC"),
-            workers,
-        ),
-    ]
+    header = ("WORKER", "POOL", "DATA CENTRE", "RACK", "MILLICORES", "MIB", "ACC")
+    return format_table(header, rows)
