Test the rule for rights by random walks, scripts and weakenings

Changed on the way, each found by the model: - The instance list proves an incarnation gone only by answers that can't be older than its joining: an instance id is used again by its successor, which a lagging answer then accused (walk 15 with one acknowledgement fewer). - An own leave record is a proof as well, and those that left stay named in the quorum for rosters that they were part of. - Support replies carry the configuration version; keys are judged by it, not by the offset. Pulses alone had made every instance without the log stale.

--- a/features/support/rights_checks.py
+++ b/features/support/rights_checks.py
@@ -18,6 +18,7 @@
     spenders = [n for n in world.nodes.values() if n.active and n.may_spend]
     _check_single_holder(world, spenders)
     _check_limit(world, spenders)
+    _check_loans(world, spenders)
     _check_key(world, spenders)
 
 
@@ -56,6 +57,21 @@
         raise ViolationError(f"{world.now_s:.3f}: {count} tasks may run, limit {limit}")
 
 
+def _check_loans(world: World, spenders: list[SimNode]) -> None:
+    """Check that a loan is spent only while its lender knew it was supported."""
+    late_s = 3 * DRIFT * world.timing.support_s
+    for node in spenders:
+        for lender, team_id in node.borrower.loans():
+            if node.borrower.free_on(node.state, lender, team_id, node.clock_s) == 0:
+                continue
+            end_s = world.loan_ends_s[lender]
+            if world.now_s > end_s + late_s:
+                raise ViolationError(
+                    f"{world.now_s:.3f}: {node.incarnation} may spend a loan of "
+                    f"{lender}, which was supported until {end_s:.3f}"
+                )
+
+
 def _check_key(world: World, spenders: list[SimNode]) -> None:
     folded_by = [
         n for n in world.nodes.values() if n.alive and n.folded_withdrawal_s is not None
--- a/features/support/rights_model.py
+++ b/features/support/rights_model.py
@@ -86,9 +86,9 @@
             return
         length_s = rng.choice((0.3, 1.0, 2.0, 4.0)) * rng.uniform(0.5, 1.5)
         node = rng.choice(alive)
-        match rng.randrange(11):
+        match rng.randrange(12):
             case 0:
-                node.frozen_until_s = max(node.frozen_until_s, world.now_s + length_s)
+                node.freeze(length_s)
             case 1 | 2:
                 self.cut_links(node, length_s)
             case 3:
@@ -127,14 +127,14 @@
                 self.add_for(world.faults.read_cut, name, length_s)
             if kinds != "read":
                 self.add_for(world.faults.append_cut, name, length_s)
-            for other in set(names) - set(cut_off) if apart else ():
+            for other in sorted(set(names) - set(cut_off)) if apart else ():
                 self.add_for(world.faults.links, (name, other), length_s)
                 self.add_for(world.faults.links, (other, name), length_s)
         for number in range(rng.choice((0, 0, 1, 2, 3))):
             world.at(rng.uniform(0, 2.0), self.start, f"j{number}", "r0")
-        victim = rng.choice(sorted(world.nodes))
+        victim = world.nodes[rng.choice(sorted(world.nodes))]
         if rng.random() < 0.5:
-            world.at(rng.uniform(0, 4.0), self.kill, world.nodes[victim])
+            world.at(rng.uniform(0, 4.0), self.kill, victim)
 
     def random_link(self, alive: list[SimNode]) -> tuple[str, str]:
         return self.rng.choice(alive).name, self.rng.choice(alive).name
@@ -142,7 +142,7 @@
     def cut_links(self, node: SimNode, length_s: float) -> None:
         """Cut a node from some others, mostly both ways."""
         both = self.rng.random() < 0.7
-        for other in {n.name for n in self.world.nodes.values()}:
+        for other in sorted({n.name for n in self.world.nodes.values()}):
             if self.rng.random() < 0.3:
                 continue
             self.add_for(self.world.faults.links, (node.name, other), length_s)
@@ -151,7 +151,7 @@
 
     def cut_log_but_for(self, node: SimNode, length_s: float) -> None:
         faults = self.world.faults
-        for other in {n.name for n in self.world.nodes.values()} - {node.name}:
+        for other in sorted({n.name for n in self.world.nodes.values()} - {node.name}):
             self.add_for(faults.append_cut, other, length_s)
             self.add_for(faults.read_cut, other, length_s)
 
@@ -165,9 +165,12 @@
     def kill(self, node: SimNode) -> None:
         if not node.alive:
             return
-        node.alive = False
         node.machine_lost = self.rng.random() < 0.4
-        self.world.note_list()
+        self.world.end_process(node)
+        self.replace(node)
+
+    def replace(self, node: SimNode) -> None:
+        """Start another after a while, maybe with the same instance id."""
         delay_s = self.rng.choice((0.05, 0.5, 2.0))
         name = node.name if self.rng.random() < 0.5 else f"x{len(self.world.nodes)}"
         self.world.at(delay_s, self.start, name, node.region)
--- a/features/support/rights_node.py
+++ b/features/support/rights_node.py
@@ -66,6 +66,7 @@
         self.clock_stops = False
         self.stopped_s = 0.0
         self.alive = True
+        self.leaving = False
         self.machine_lost = False
         self.frozen_until_s = 0.0
         self.state: State = world.log.states[0]
@@ -77,6 +78,7 @@
         self.borrower = self.borrower_class(self.incarnation, timing)
         self.proofs = GoneProofs(timing)
         self.ledger = HolderLedger(self.incarnation)
+        self.grant_numbers: dict[IncarnationId, int] = {}
         self.loan_floors: dict[IncarnationId, int] = {}
         self.attested: dict[IncarnationId, int] = {}
         self.own_tasks: list[Task] = []
@@ -86,12 +88,26 @@
     def clock_s(self) -> float:
         return self.base_s + self.rate * (self.world.now_s - self.stopped_s)
 
+    @property
+    def support_end_s(self) -> float:
+        """Return in true time until when the node is supported."""
+        until_s = self.holder.supported_until_s(self.state)
+        return (until_s - self.base_s) / self.rate + self.stopped_s
+
+    def freeze(self, length_s: float) -> None:
+        until_s = self.world.now_s + length_s
+        if self.clock_stops:
+            self.stopped_s += length_s
+        self.frozen_until_s = max(self.frozen_until_s, until_s)
+
     @property
     def active(self) -> bool:
         return self.alive and self.world.now_s >= self.frozen_until_s
 
     @property
     def may_spend(self) -> bool:
+        if self.leaving:
+            return False
         return self.holder.may_spend(self.state, self.clock_s)
 
     @property
@@ -113,7 +129,8 @@
         self.send_support()
         self.renew_tasks()
         self.act()
-        self.world.at(rng.uniform(0.2, 0.4) * self.world.timing.support_s, self.tick)
+        next_s = rng.uniform(0.2, 0.4) * self.world.timing.support_s
+        self.world.at(next_s * self.world.tick_ratio, self.tick)
 
     def receive(self, message: Any) -> None:
         if not self.alive:
@@ -147,6 +164,8 @@
                         self.note_own_pulse(record)
                 case rec.TransferRecord() as record:
                     self.note_transfer(before, record)
+                case rec.LeaveRecord(incarnation):
+                    self.proofs.note_left(incarnation, self.clock_s)
                 case KeyWithdrawal():
                     if self.folded_withdrawal_s is None:
                         self.folded_withdrawal_s = self.world.now_s
@@ -171,7 +190,7 @@
         self.world.append(self, record)
 
     def gone(self) -> dict[IncarnationId, float]:
-        return dict(self.proofs.gone_since_s(self.state, self.clock_s))
+        return dict(self.proofs.gone_since_s(self.state))
 
     def keep_house(self) -> None:
         self.ledger.settle(self.state)
@@ -267,7 +286,7 @@
         self.world.tasks.append(task)
 
     def renew_tasks(self) -> None:
-        if not self.may_spend:
+        if not self.holder.may_spend(self.state, self.clock_s):
             return
         for task in self.own_tasks:
             if task.runs(self.world.now_s):
@@ -287,21 +306,25 @@
     def answer_loan(self, request: LoanRequest) -> LoanGrant:
         self.world.seen["loan requests"] += 1
         remaining_s = self.holder.supported_until_s(self.state) - self.clock_s
+        end_s = min(self.support_end_s, self.world.now_s + self.world.timing.support_s)
+        known_s = self.world.loan_ends_s.get(self.incarnation, 0.0)
+        self.world.loan_ends_s[self.incarnation] = max(known_s, end_s)
         key = (self.incarnation, request.borrower, request.number)
-        self.world.grant_floors[key] = self.state.next_offset
+        self.world.grant_floors.setdefault(key, self.state.next_offset)
         return self.lender.answer(
             self.state,
             request,
-            lendable_count=self.free_own(),
+            lendable_count=0 if self.leaving else self.free_own(),
             allowance_count=self.ledger.slot_count(self.state, TEAM),
             remaining_s=remaining_s,
         )
 
     def note_grant(self, grant: LoanGrant) -> None:
         self.borrower.note_grant(grant)
-        floor = self.world.grant_floors[grant.lender, grant.borrower, grant.number]
-        known = self.loan_floors.get(grant.lender, 0)
-        self.loan_floors[grant.lender] = max(known, floor)
+        if grant.number > self.grant_numbers.get(grant.lender, 0):
+            key = (grant.lender, grant.borrower, grant.number)
+            self.grant_numbers[grant.lender] = grant.number
+            self.loan_floors[grant.lender] = self.world.grant_floors[key]
 
     def floor_offset(self, lender: IncarnationId | None) -> int:
         """Return the oldest offset whose limit a start goes by."""
@@ -312,16 +335,15 @@
 
     def act(self) -> None:
         rng = self.world.rng
+        self.renew_loans()
+        if self.leaving:
+            self.leave_when_idle()
+            return
+        if self.world.quiet:
+            return
         for _ in range(2):
             if rng.random() < 0.5:
                 self.start_task()
-        for lender, team_id in self.borrower.loans():
-            idle = self.borrower.idle_count(lender, team_id)
-            if idle and rng.random() < 0.2:
-                self.borrower.give_back(
-                    self.state, lender, team_id, rng.randint(1, idle)
-                )
-            self.ask_loan(lender, 0)
         if rng.random() < 0.25:
             others = [o for o in self.state.roster if o != self.incarnation]
             if others:
@@ -334,7 +356,16 @@
             self.patch_something()
         if rng.random() < 0.3:
             shown = self.world.list_answer()
-            self.proofs.note_list(shown, self.clock_s, self.clock_s)
+            self.proofs.note_list(self.state, shown, self.clock_s, self.clock_s)
+
+    def renew_loans(self) -> None:
+        rng = self.world.rng
+        for lender, team_id in self.borrower.loans():
+            idle = self.borrower.idle_count(lender, team_id)
+            if idle and rng.random() < 0.2 and not self.world.quiet:
+                count = rng.randint(1, idle)
+                self.borrower.give_back(self.state, lender, team_id, count)
+            self.ask_loan(lender, 0)
 
     def ask_loan(self, lender: IncarnationId, count: int) -> None:
         request = self.borrower.request(lender, TEAM, count, self.clock_s)
@@ -403,6 +434,14 @@
     def last_pulse_offset(self, incarnation: IncarnationId) -> int:
         return self.state.roster[incarnation].last_pulse_offset
 
+    def leave_when_idle(self) -> None:
+        """Leave once nothing runs and nothing is lent; the record comes last."""
+        if self.incarnation not in self.state.roster:
+            self.world.end_process(self)
+        elif not self.own_tasks and not self.lender.outstanding_count(TEAM):
+            self.append(rec.LeaveRecord(self.incarnation))
+            self.world.seen["leave records"] += 1
+
     def patch_something(self) -> None:
         rng = self.world.rng
         if rng.random() < 0.5:
--- a/features/support/rights_weakened.py
+++ b/features/support/rights_weakened.py
@@ -164,7 +164,11 @@
 def _accept_any_sequence(
     state: State, incarnation: IncarnationId, sequence: int
 ) -> State | None:
-    return state if incarnation in state.roster else None
+    member = state.roster.get(incarnation)
+    if member is None:
+        return None
+    noted = replace(member, rights_sequence=max(member.rights_sequence, sequence))
+    return replace(state, roster={**state.roster, incarnation: noted})
 
 
 def _all_gone(
--- a/features/support/rights_world.py
+++ b/features/support/rights_world.py
@@ -71,11 +71,15 @@
         case LimitPatch(limit):
             teams = {TEAM: Team(TEAM, 1.0, limit)} if limit else {}
             state = fold.drop_rights_of_removed(replace(state, teams=teams))
+            state = replace(state, version=state.version + 1)
         case WorkerPatch(worker_id, present):
             workers = {k: v for k, v in state.workers.items() if k != worker_id}
             if present:
                 workers[worker_id] = make_worker(worker_id)
             state = fold.drop_rights_of_removed(replace(state, workers=workers))
+            state = replace(state, version=state.version + 1)
+        case KeyWithdrawal():
+            state = replace(state, version=state.version + 1)
     return replace(state, next_offset=offset + 1)
 
 
@@ -137,6 +141,8 @@
     append_cut: set[str] = field(default_factory=set)
     read_cut: set[str] = field(default_factory=set)
     stale: set[str] = field(default_factory=set)
+    slow_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    read_limits: dict[str, int] = field(default_factory=dict)
     loss_ratio: float = 0.02
     late_ratio: float = 0.03
     repeat_ratio: float = 0.03
@@ -158,10 +164,12 @@
         self.nodes: dict[IncarnationId, SimNode] = {}
         self.tasks: list[Task] = []
         self.reported_s: float | None = None
+        self.loan_ends_s: dict[IncarnationId, float] = {}
         self.grant_floors: dict[tuple[str, str, int], int] = {}
         self.seen: Counter[str] = Counter()
         self.listed: list[tuple[float, frozenset[str]]] = []
-        self.list_wrong = False
+        self.tick_ratio = 1.0
+        self.quiet = False
         self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
         self._event_count = 0
 
@@ -193,9 +201,10 @@
             return
         if self.rng.random() < self.faults.loss_ratio:
             return
-        self.at(self._delay_s(), target.receive, message)
+        slow_s = self.faults.slow_s.get((source.name, target.name), 0.0)
+        self.at(slow_s + self._delay_s(), target.receive, message)
         if self.rng.random() < self.faults.repeat_ratio:
-            self.at(self._delay_s(), target.receive, message)
+            self.at(slow_s + self._delay_s(), target.receive, message)
 
     def append(self, source: SimNode, record: Any) -> None:
         if self.log.down or source.name in self.faults.append_cut:
@@ -217,8 +226,13 @@
         tail = len(self.log.records)
         if node.name in self.faults.stale:
             tail -= self.rng.randrange(0, 12)
+        tail = min(tail, self.faults.read_limits.get(node.name, tail))
         return max(tail, node.state.next_offset)
 
+    def end_process(self, node: SimNode) -> None:
+        node.alive = False
+        self.note_list()
+
     def note_list(self) -> None:
         """Record what the instance list would show if it didn't lag."""
         shown = frozenset(n.name for n in self.nodes.values() if n.alive)
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/support.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/support.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SupportRequest:
-    """Ask a member for support and for the offset that it has folded.
+    """Ask a member for support and for what it has folded.
 
     ``joined_offset`` tells the asker's membership from one that a repeated
     join record made under its name after it had been freed.
@@ -24,7 +24,8 @@
 class SupportReply:
     """Grant or deny support; ``number`` is that of the request.
 
-    ``folded_offset`` is the ``next_offset`` of the supporter's state.
+    ``folded_offset`` and ``version`` are those of the supporter's state
+    (``next_offset`` and the configuration version).
     """
 
     supporter: IncarnationId
@@ -32,3 +33,4 @@
     number: int
     granted: bool
     folded_offset: int
+    version: int
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/borrower.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/borrower.py
@@ -100,22 +100,25 @@
 
     def free_count(self, state: State, team_id: str, now_s: float) -> int:
         """Return how many tasks of a team may be started on loans now."""
-        if team_id not in state.teams:
-            return 0
         return sum(
-            loan.free_count(now_s)
-            for (lender, team), loan in self._loans.items()
-            if team == team_id and _may_lend(state, lender)
+            self.free_on(state, lender, team_id, now_s)
+            for lender, team in self._loans
+            if team == team_id
         )
 
+    def free_on(
+        self, state: State, lender: IncarnationId, team_id: str, now_s: float
+    ) -> int:
+        """Return how many tasks may be started on the loan of one lender now."""
+        loan = self._loans.get((lender, team_id))
+        if loan is None or team_id not in state.teams or not _may_lend(state, lender):
+            return 0
+        return loan.free_count(now_s)
+
     def start(self, state: State, team_id: str, now_s: float) -> IncarnationId | None:
         """Charge a task to a loan and return its lender; none where none is free."""
-        if team_id not in state.teams:
-            return None
         for (lender, team), loan in self._loans.items():
-            if team != team_id or not _may_lend(state, lender):
-                continue
-            if loan.free_count(now_s) > 0:
+            if team == team_id and self.free_on(state, lender, team_id, now_s) > 0:
                 loan.running_count += 1
                 return lender
         return None
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/currency.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/currency.py
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Attestation:
-    folded_offset: int
+    version: int
     sent_s: float
 
 
@@ -66,13 +66,13 @@
         self._attestations: dict[IncarnationId, _Attestation] = {}
 
     def note_reply(self, reply: SupportReply, sent_s: float) -> None:
-        """Note the offset that a member had folded after ``sent_s``.
+        """Note the configuration version of a member after ``sent_s``.
 
         ``sent_s`` is when the request was sent, not when the reply came.
         """
         known = self._attestations.get(reply.supporter)
         if known is None or known.sent_s < sent_s:
-            attestation = _Attestation(reply.folded_offset, sent_s)
+            attestation = _Attestation(reply.version, sent_s)
             self._attestations[reply.supporter] = attestation
 
     def judge(
@@ -85,7 +85,7 @@
         """Tell whether keys may be judged by ``state`` at this moment.
 
         They may until ``log_until_s``, and while every other member that is
-        neither retired nor gone has attested to have folded nothing beyond.
+        neither retired nor gone has attested to know no newer version.
         As many as a holder needs for support must be among those attesting:
         a verdict was told only after one of any so many had folded it.
         """
@@ -130,7 +130,7 @@
         attestation = self._attestations.get(incarnation)
         if attestation is None:
             return False
-        if attestation.folded_offset > state.next_offset:
+        if attestation.version > state.version:
             return False
         return now_s < attestation.sent_s + self._timing.support_s
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/proof.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/proof.py
@@ -3,12 +3,22 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping
+from dataclasses import dataclass, replace
 
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import State
 from cicadatrail_core.rights.timing import RightsTiming
 
 
+@dataclass(frozen=True, slots=True)
+class _Known:
+    """Hold what is known of an incarnation, with times of the own clock."""
+
+    instance_id: str
+    since_s: float
+    shown_s: float | None = None
+
+
 class GoneProofs:
     """Collect what proves that incarnations are gone, with the time of proof.
 
@@ -16,13 +26,16 @@
     it has stopped using its rights, and never shares the port.
     """
 
-    __slots__ = ("_absent_s", "_gone_since_s", "_shown_s", "_timing")
+    __slots__ = ("_gone_since_s", "_known", "_timing")
 
     def __init__(self, timing: RightsTiming) -> None:
         self._timing = timing
         self._gone_since_s: dict[IncarnationId, float] = {}
-        self._shown_s: dict[str, float] = {}
-        self._absent_s: dict[str, float] = {}
+        self._known: dict[IncarnationId, _Known] = {}
+
+    def note_left(self, incarnation: IncarnationId, now_s: float) -> None:
+        """Note that the incarnation's own leave record was folded."""
+        self._gone_since_s.setdefault(incarnation, now_s)
 
     def note_refused(self, incarnation: IncarnationId, now_s: float) -> None:
         """Note that the incarnation's address refused a connection.
@@ -39,33 +52,45 @@
             self._gone_since_s.setdefault(expected, now_s)
 
     def note_list(
-        self, instance_ids: Collection[str], asked_s: float, answered_s: float
+        self,
+        state: State,
+        instance_ids: Collection[str],
+        asked_s: float,
+        answered_s: float,
     ) -> None:
-        """Note one answer of the instance list, from asking to answering."""
-        for instance_id in instance_ids:
-            self._shown_s[instance_id] = answered_s
-            self._absent_s.pop(instance_id, None)
-        for instance_id in self._shown_s.keys() - set(instance_ids):
-            self._absent_s[instance_id] = asked_s
-
-    def gone_since_s(self, state: State, now_s: float) -> Mapping[IncarnationId, float]:
-        """Return the members that are proven gone and when that was proven."""
+        """Note one answer of the instance list, from asking to answering.
+
+        An incarnation may have the instance id of an earlier one. So only
+        answers that can't be older than its joining count, whether they show
+        the instance or not; one must have shown it first.
+        """
         for member in state.roster.values():
-            if self._is_unlisted(member.instance_id):
-                self._gone_since_s.setdefault(member.incarnation, now_s)
-        for incarnation in self._gone_since_s.keys() - state.roster.keys():
+            known = _Known(member.instance_id, answered_s)
+            self._known.setdefault(member.incarnation, known)
+        for incarnation, known in self._known.items():
+            if not self._is_fresh(asked_s, known.since_s):
+                continue
+            if known.instance_id in instance_ids:
+                self._known[incarnation] = replace(known, shown_s=answered_s)
+                continue
+            if known.shown_s is not None and self._is_fresh(asked_s, known.shown_s):
+                self._gone_since_s.setdefault(incarnation, answered_s)
+
+    def gone_since_s(self, state: State) -> Mapping[IncarnationId, float]:
+        """Return who is proven gone, and when that was proven.
+
+        Those that have left the roster are kept for as long as a member may
+        still judge its support by a roster that names them.
+        """
+        named = {*state.roster}
+        for change in state.roster_changes:
+            named.update(change.members)
+        for incarnation in self._gone_since_s.keys() - named:
             del self._gone_since_s[incarnation]
-        self._forget_absent({m.instance_id for m in state.roster.values()})
+        for incarnation in self._known.keys() - named:
+            del self._known[incarnation]
         return self._gone_since_s
 
-    def _is_unlisted(self, instance_id: str) -> bool:
-        """Tell whether an answer too young to lag behind left it out."""
-        asked_s = self._absent_s.get(instance_id)
-        if asked_s is None:
-            return False
-        return asked_s - self._shown_s[instance_id] > self._timing.list_lag_s
-
-    def _forget_absent(self, member_ids: Collection[str]) -> None:
-        for instance_id in self._absent_s.keys() - set(member_ids):
-            del self._absent_s[instance_id]
-            del self._shown_s[instance_id]
+    def _is_fresh(self, asked_s: float, event_s: float) -> bool:
+        """Tell whether an answer can't be older than what happened before."""
+        return asked_s - event_s > self._timing.list_wait_s
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/supporter.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/supporter.py
@@ -38,6 +38,7 @@
             number=request.number,
             granted=granted,
             folded_offset=state.next_offset,
+            version=state.version,
         )
 
     def acknowledgements(
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/timing.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/timing.py
@@ -30,6 +30,11 @@
         """Return how long to wait for another's task leases to be over."""
         return self.task_lease_s * self._stretch
 
+    @property
+    def list_wait_s(self) -> float:
+        """Return the age that an answer of the instance list surely is below."""
+        return self.list_lag_s * self._stretch
+
     @property
     def _stretch(self) -> float:
         return (1 + self.drift_ratio) / (1 - self.drift_ratio)
