Prove the truth of answers at each step of one request

Found while writing it: unasked bytes on an idle connection were given to the next request; the connection is dropped now.

--- /dev/null
+++ b/features/steps/truth_steps.py
@@ -0,0 +1,103 @@
+"""Steps of truth.feature: faults at each step of one request."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+
+from features.support import edge_truth
+from features.support.paused_loop import run_paused
+
+
+@given("a truth edge whose only worker {fault}")
+def only_worker(context: Any, fault: str) -> None:
+    context.plan = edge_truth.Plan(worker_faults=(fault,))
+
+
+@given("a truth edge whose first worker {fault} and whose second is well")
+def first_worker(context: Any, fault: str) -> None:
+    context.plan = edge_truth.Plan(worker_faults=(fault, "is well"))
+
+
+@given("a truth edge without workers and a peer that {fault}")
+def faulty_peer(context: Any, fault: str) -> None:
+    context.plan = edge_truth.Plan(peer_fault=fault)
+
+
+@given("a truth edge of 2 well instances")
+def well_instances(context: Any) -> None:
+    context.plan = edge_truth.Plan(instance_count=2)
+
+
+@when("a truth caller sends a {kind} request")
+def send_request(context: Any, kind: str) -> None:
+    context.result = run_paused(edge_truth.send(context.plan, kind))
+
+
+@when("a truth caller goes away while its request {step}")
+def go_away(context: Any, step: str) -> None:
+    context.result = run_paused(edge_truth.go_away(context.plan, step))
+
+
+@when("truth copies of a once request come {copies}")
+def send_copies(context: Any, copies: str) -> None:
+    context.result = run_paused(edge_truth.send_copies(context.plan, copies))
+
+
+@when("truth callers send {count:d} repeatable requests")
+def send_many(context: Any, count: int) -> None:
+    context.result = run_paused(edge_truth.send_many(context.plan, count))
+
+
+@then("the truth workers ran {least:d} to {most:d} requests")
+def check_load(context: Any, least: int, most: int) -> None:
+    total = sum(context.result.executions.values())
+    assert least < total <= most, total
+
+
+@when("a truth request comes while no instance may spend")
+def send_frozen(context: Any) -> None:
+    context.result = run_paused(edge_truth.send_frozen(context.plan))
+
+
+@when("a truth task runs for {run_s:g} s and its holder may spend for {spend_s:g} s")
+def run_leased(context: Any, run_s: float, spend_s: float) -> None:
+    context.result = run_paused(edge_truth.run_leased(context.plan, run_s, spend_s))
+
+
+@then("the truth outcome is {outcome} because of {reason}")
+def check_outcome(context: Any, outcome: str, reason: str) -> None:
+    answer = context.result.answers[0][1]
+    found = (answer.outcome, answer.reason or "-")
+    assert found == (outcome, reason), (found, answer)
+
+
+@then("the truth outcomes are {outcomes}")
+def check_outcomes(context: Any, outcomes: str) -> None:
+    found = [answer.outcome for _, answer in context.result.answers]
+    assert found == outcomes.split(), context.result.answers
+
+
+@then("the truth place is free at once")
+def check_free_at_once(context: Any) -> None:
+    assert context.result.freed_s <= 0.01, context.result.freed_s
+
+
+@then("the truth place is free within {limit_s:g} s")
+def check_free(context: Any, limit_s: float) -> None:
+    assert context.result.freed_s <= limit_s, context.result.freed_s
+
+
+@then("the truth task was renewed {count:d} times and {end}")
+def check_renewals(context: Any, count: int, end: str) -> None:
+    assert context.result.renewal_count == count, context.result.renewal_count
+    answer = context.result.answers[0][1]
+    expected = "complete" if end == "completed" else "unknown"
+    assert answer.outcome == expected, answer
+    assert context.result.lapsed_count == (end != "completed")
+
+
+@then("the truth ledger agrees and nothing stays charged")
+def check_ledger(context: Any) -> None:
+    assert not context.result.problems(), context.result.problems()
--- /dev/null
+++ b/features/support/edge_truth.py
@@ -0,0 +1,452 @@
+"""Runs one request, or copies of it, through an edge with one fault."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field, replace
+from uuid import UUID
+
+from cicadatrail_core.admission.retry_budget import RetrySettings
+from cicadatrail_core.fold.apply import Envelope
+from cicadatrail_core.models.records import ClaimRecord, TransferRecord
+from cicadatrail_core.models.rights import (
+    PARTITION_COUNT,
+    IncarnationId,
+    PartitionRight,
+)
+from cicadatraild.network.http_client import Address
+from features.support.edge_caller import CallerAnswer, EdgeCaller, ask, request_bytes
+from features.support.edge_faults import FakePeer, FaultyWorker
+from features.support.edge_world import (
+    HOST,
+    OTHER_TEAM,
+    EdgeInstance,
+    EdgeWorld,
+    free_port,
+)
+
+SETTLE_S = 25.0
+"""Time after which nothing may be charged any more: leases are over then."""
+
+POLL_S = 0.005
+POLL_COUNT = 600
+
+FULL_SIZE = "cpu_millicores=1000,memory_mib=64"
+BODY = b"order"
+LONG_BODY = b"o" * 200_000
+ENDLESS_BODY = b"o" * 12_000_000
+"""A body that no socket buffers hold."""
+
+ALL_PARTITIONS = tuple(PartitionRight(p) for p in range(PARTITION_COUNT))
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Say what misbehaves."""
+
+    worker_faults: tuple[str, ...] = ()
+    peer_fault: str = ""
+    instance_count: int = 1
+
+
+@dataclass(slots=True)
+class Result:
+    """Hold answers with the ids that they are for, and what the workers did."""
+
+    answers: list[tuple[str, CallerAnswer]] = field(default_factory=list)
+    repeatable: bool = False
+    run_limit_count: int = 1
+    runs_wanted_count: int | None = None
+    retries_wanted: bool = False
+    retry_count: int = 0
+    executions: Counter[str] = field(default_factory=Counter)
+    charged_count: int = 0
+    freed_s: float = 0.0
+    left_running_count: int = 0
+    renewal_count: int = 0
+    lapsed_count: int = 0
+
+    def problems(self) -> list[str]:
+        """Return every way in which an answer was not true."""
+        found = [f"{self.charged_count} stay charged"] if self.charged_count else []
+        for request_id, answer in self.answers:
+            found += self._problems_of(request_id, answer)
+        for request_id, count in self.executions.items():
+            if count > self.run_limit_count and not self.repeatable:
+                found.append(f"{request_id} ran {count} times")
+            if count != (self.runs_wanted_count or count):
+                found.append(f"{request_id} ran only {count} times")
+        if self.left_running_count:
+            found.append(f"{self.left_running_count} ran on a place that was free")
+        if self.retries_wanted and not self.retry_count:
+            found.append("the faulty worker was never tried")
+        return found
+
+    def _problems_of(self, request_id: str, answer: CallerAnswer) -> list[str]:
+        count = self.executions[request_id]
+        outcomes = {a.outcome for name, a in self.answers if name == request_id}
+        if outcomes == {"not-run"} and count:
+            return [f"{request_id} ran but was told not-run"]
+        if answer.outcome != "complete" or answer.status != 200:
+            return []
+        own = f"{request_id}\n".encode()
+        if not count or not answer.body.startswith(own):
+            return [f"{request_id} got {answer.body[:60]!r}"]
+        return []
+
+
+@asynccontextmanager
+async def _edge(
+    plan: Plan,
+    result: Result,
+    retries: RetrySettings = RetrySettings(extra_load_fraction=1.0),  # noqa: B008
+) -> AsyncIterator[EdgeWorld]:
+    """Build the edge, and take stock when its requests are over."""
+    async with AsyncExitStack() as stack:
+        world = EdgeWorld(stack, retries=retries)
+        rights = {0: set[str]()}
+        for number, fault in enumerate(plan.worker_faults):
+            await _add_worker(world, stack, f"w{number}", fault)
+            rights[0].add(f"w{number}")
+        if plan.instance_count > 1:
+            for number in range(2):
+                await world.add_worker(f"w{number}")
+            rights = {0: {"w0"}, 1: {"w1"}}
+        for _ in range(plan.instance_count):
+            await world.add_instance()
+        await world.settle(rights)
+        if plan.peer_fault:
+            await _add_peer(world, stack, plan.peer_fault)
+        yield world
+        await asyncio.sleep(SETTLE_S)
+        result.executions = world.ledger.executions
+        result.charged_count = sum(each.charged() for each in world.instances)
+        result.retry_count = sum(
+            each.parts["attempts"].retry_count for each in world.instances
+        )
+        workers = world.workers.values()
+        result.renewal_count = sum(worker.renewal_count for worker in workers)
+        result.lapsed_count = sum(worker.lapsed_count for worker in workers)
+
+
+async def _add_worker(
+    world: EdgeWorld, stack: AsyncExitStack, worker_id: str, fault: str
+) -> None:
+    if fault == "is well":
+        await world.add_worker(worker_id)
+        return
+    if fault == "refuses connections":
+        world.enter_worker(worker_id, free_port())
+        return
+    worker = FaultyWorker(fault, world.ledger)
+    server = worker.server = await asyncio.start_server(worker.serve, HOST, 0)
+    stack.callback(server.close)
+    world.enter_worker(worker_id, server.sockets[0].getsockname()[1])
+
+
+async def _add_peer(world: EdgeWorld, stack: AsyncExitStack, fault: str) -> None:
+    peer = FakePeer("peer", fault, world.ledger)
+    server = await peer.listen()
+    stack.callback(server.close)
+    directory = world.instances[0].parts["directory"]
+    directory.follow({IncarnationId("peer"): Address(HOST, peer.port)})
+    # A worker that is too small for any place makes the request wait here.
+    world.enter_worker("away", free_port())
+    world.instances[0].take_state(frozenset(), 50)
+
+
+def _request(world: EdgeWorld, kind: str, request_id: str, target: str) -> bytes:
+    headers = world.headers(
+        repeatable=kind == "repeatable", Cicadatrail_Request_Id=request_id
+    )
+    if kind != "streamed":
+        return request_bytes(headers, BODY, target=target)
+    headers["Transfer-Encoding"] = "chunked"
+    start = request_bytes(headers, b"", target=target)
+    return start + b"%x\r\n%s\r\n0\r\n\r\n" % (len(ENDLESS_BODY), ENDLESS_BODY)
+
+
+async def send(plan: Plan, kind: str) -> Result:
+    """Send a request, and another after it over the same connections."""
+    wanted = kind == "repeatable" and len(plan.worker_faults) > 1
+    result = Result(repeatable=kind == "repeatable", retries_wanted=wanted)
+    async with _edge(plan, result) as world:
+        for _ in range(2):
+            request_id = str(world.identifiers.new())
+            data = _request(world, kind, request_id, "/work")
+            answer = await ask(world.instances[0].caller, data)
+            result.answers.append((request_id, answer))
+            await asyncio.sleep(0.2)
+    return result
+
+
+async def send_many(plan: Plan, count: int) -> Result:
+    """Send repeatable requests, one after the other, under the usual budget."""
+    result = Result(repeatable=True)
+    async with _edge(plan, result, RetrySettings()) as world:
+        for _ in range(count):
+            data = _request(world, "repeatable", str(world.identifiers.new()), "/work")
+            await ask(world.instances[0].caller, data)
+    return result
+
+
+async def send_frozen(plan: Plan) -> Result:
+    result = Result()
+    async with _edge(plan, result) as world:
+        for instance in world.instances:
+            instance.may_spend = False
+        data = request_bytes(world.headers(), BODY)
+        answer = await ask(world.instances[0].caller, data)
+        result.answers.append((answer.headers["cicadatrail-request-id"], answer))
+    return result
+
+
+async def go_away(plan: Plan, step: str) -> Result:
+    """Close a caller's connection at one step and time what it frees."""
+    result = Result()
+    async with _edge(plan, result) as world:
+        entry = world.instances[0]
+        others = await _prepare(world, step)
+        target = "/work?run_ms=0&bytes=8000000"
+        if step != "gets its reply":
+            target = "/work?run_ms=9000"
+        headers = world.headers(Cicadatrail_Size=FULL_SIZE)
+        data = request_bytes(headers, BODY, target=target)
+        if step == "sends its body":
+            headers["Transfer-Encoding"] = "chunked"
+            part = b"%x\r\n%s\r\n" % (len(LONG_BODY), LONG_BODY)
+            data = request_bytes(headers, b"", target=target) + part
+        caller = await EdgeCaller.connect(entry.caller)
+        await caller.send(data)
+        await asyncio.sleep(1.0)
+        assert _held(world, step), "the request is not at this step"
+        caller.close()
+        result.freed_s = await _time_until_free(world, step)
+        if step != "waits":
+            workers = world.workers.values()
+            result.left_running_count = sum(len(worker.tasks) for worker in workers)
+        for other in others:
+            other.close()
+    return result
+
+
+async def _prepare(world: EdgeWorld, step: str) -> list[EdgeCaller]:
+    if step == "runs at the peer":
+        world.instances[0].take_state(frozenset(), 50)
+    if step != "waits":
+        return []
+    others = []
+    for instance in world.instances:
+        other = await EdgeCaller.connect(instance.caller)
+        headers = world.headers(Cicadatrail_Size=FULL_SIZE)
+        await other.send(request_bytes(headers, BODY, target="/work?run_ms=9000"))
+        others.append(other)
+    await asyncio.sleep(0.1)
+    return others
+
+
+def _held(world: EdgeWorld, step: str) -> int:
+    desks = [instance.parts["desk"] for instance in world.instances]
+    if step == "waits":
+        return sum(desk.waiting_count for desk in desks)
+    if step == "runs at the peer":
+        return desks[1].running_on["w1"]
+    return sum(instance.charged() for instance in world.instances)
+
+
+async def _time_until_free(world: EdgeWorld, step: str) -> float:
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    for _ in range(POLL_COUNT):
+        if not _held(world, step):
+            break
+        await asyncio.sleep(POLL_S)
+    return loop.time() - began_s
+
+
+async def run_leased(plan: Plan, run_s: float, spend_s: float) -> Result:
+    result = Result()
+    async with _edge(plan, result) as world:
+        entry = world.instances[0]
+        loop = asyncio.get_running_loop()
+        loop.call_later(spend_s, setattr, entry, "may_spend", False)
+        request_id = str(world.identifiers.new())
+        headers = world.headers(
+            Cicadatrail_Request_Id=request_id, Cicadatrail_Deadline_Ms="90000"
+        )
+        target = f"/work?run_ms={int(run_s * 1000)}"
+        answer = await ask(entry.caller, request_bytes(headers, BODY, target=target))
+        result.answers.append((request_id, answer))
+    return result
+
+
+@dataclass(slots=True)
+class _Copies:
+    """Send copies of one request."""
+
+    world: EdgeWorld
+    result: Result
+    request_id: str
+
+    async def send(self, number: int, target: str = "/work?run_ms=500") -> None:
+        """Send a copy to an instance and keep the answer."""
+        data = _request(self.world, "once", self.request_id, target)
+        answer = await ask(self.world.instances[number].caller, data)
+        self.result.answers.append((self.request_id, answer))
+
+    async def send_of(self, team_id: str) -> None:
+        headers = self.world.headers(Cicadatrail_Request_Id=self.request_id)
+        headers["Cicadatrail-Key"] = self.world.keys[team_id]
+        data = request_bytes(headers, BODY)
+        answer = await ask(self.world.instances[1].caller, data)
+        self.result.answers.append((self.request_id, answer))
+
+    async def leave(self) -> None:
+        """Send a copy and go away while it waits."""
+        caller = await EdgeCaller.connect(self.world.instances[0].caller)
+        await caller.send(_request(self.world, "once", self.request_id, "/work"))
+        await asyncio.sleep(0.5)
+        caller.close()
+        await asyncio.sleep(0.5)
+
+    def move_partitions(self, *, transferred: bool) -> None:
+        """Move every partition from the first instance to the second."""
+        giver, taker = (each.name for each in self.world.instances)
+        self.world.give_partitions(taker)
+        record = TransferRecord(giver, taker, ALL_PARTITIONS, 1)
+        claim = ClaimRecord(taker, ALL_PARTITIONS)
+        envelope = Envelope(giver, 2, record if transferred else claim)
+        for number, instance in enumerate(self.world.instances):
+            instance.take_state(frozenset({f"w{number}"}), 50)
+            instance.parts["partitions"].note_record(envelope)
+
+
+async def send_copies(plan: Plan, copies: str) -> Result:
+    result = Result()
+    async with _edge(plan, result) as world:
+        sender = _Copies(world, result, str(world.identifiers.new()))
+        await _COPIES[copies](sender)
+    return result
+
+
+async def _together(copies: _Copies) -> None:
+    await asyncio.gather(copies.send(0), copies.send(1))
+
+
+async def _later(copies: _Copies, number: int = 0) -> None:
+    await copies.send(0)
+    await asyncio.sleep(1.0)
+    await copies.send(number)
+
+
+async def _later_elsewhere(copies: _Copies) -> None:
+    await _later(copies, 1)
+
+
+async def _after_long_reply(copies: _Copies) -> None:
+    await copies.send(0, "/work?bytes=100000")
+    await copies.send(0)
+
+
+async def _after_death(copies: _Copies) -> None:
+    for worker in copies.world.workers.values():
+        worker.faults = replace(worker.faults, drop_before_head=True)
+    await _later(copies)
+
+
+def _take_workers(world: EdgeWorld, instances: list[EdgeInstance]) -> None:
+    for instance in instances:
+        instance.take_state(frozenset(), 50)
+
+
+async def _after_refusal(copies: _Copies) -> None:
+    world = copies.world
+    _take_workers(world, world.instances)
+    await copies.send(0)
+    world.instances[0].take_state(frozenset({"w0"}), 50)
+    await copies.send(1)
+
+
+async def _after_leaving(copies: _Copies) -> None:
+    world = copies.world
+    _take_workers(world, world.instances)
+    await copies.leave()
+    world.instances[0].take_state(frozenset({"w0"}), 50)
+    await copies.send(1)
+
+
+async def _two_teams(copies: _Copies) -> None:
+    copies.result.run_limit_count = copies.result.runs_wanted_count = 2
+    await asyncio.gather(copies.send(0), copies.send_of(OTHER_TEAM))
+
+
+async def _query_lost(copies: _Copies) -> None:
+    copies.world.control_fault = "query answer lost"
+    await copies.send(1)
+
+
+async def _holder_unsupported(copies: _Copies) -> None:
+    copies.world.instances[0].may_spend = False
+    await copies.send(1)
+
+
+async def _holder_away(copies: _Copies) -> None:
+    copies.world.instances[1].parts["directory"].follow({})
+    await copies.send(1)
+
+
+async def _outcome_lost(copies: _Copies) -> None:
+    copies.world.control_fault = "outcome lost"
+    await copies.send(1)
+    await copies.send(1)
+
+
+async def _handed_over(copies: _Copies) -> None:
+    await copies.send(0)
+    copies.move_partitions(transferred=True)
+    await asyncio.sleep(1.0)
+    await copies.send(0)
+
+
+async def _handover_lost(copies: _Copies) -> None:
+    copies.world.control_fault = "handover lost"
+    await copies.send(0)
+    copies.move_partitions(transferred=True)
+    await asyncio.sleep(3.0)
+    await copies.send(0)
+
+
+async def _holder_lost(copies: _Copies) -> None:
+    await copies.send(0)
+    copies.move_partitions(transferred=False)
+    await asyncio.sleep(1.0)
+    await copies.send(0)
+
+
+async def _ahead(copies: _Copies) -> None:
+    hour_ms = 3_600_000 << 80
+    copies.request_id = str(UUID(int=UUID(copies.request_id).int + hour_ms))
+    await copies.send(0)
+
+
+_COPIES = {
+    "together at both instances": _together,
+    "later at the same instance": _later,
+    "later at the other instance": _later_elsewhere,
+    "later after a long reply": _after_long_reply,
+    "later after its worker died": _after_death,
+    "later after it was refused": _after_refusal,
+    "later after its caller left the queue": _after_leaving,
+    "of two teams together": _two_teams,
+    "at the other instance after the query's answer was lost": _query_lost,
+    "at the other instance while the holder may not spend": _holder_unsupported,
+    "at the other instance while the holder is away": _holder_away,
+    "later after its outcome was lost": _outcome_lost,
+    "later after the partition was handed over": _handed_over,
+    "later after the handover was lost": _handover_lost,
+    "later after the holder was lost": _holder_lost,
+    "from a clock that is far ahead": _ahead,
+}
--- a/features/support/paused_loop.py
+++ b/features/support/paused_loop.py
@@ -9,12 +9,13 @@
 
 import asyncio
 import selectors
+import time
 from collections.abc import Coroutine, Mapping
 from typing import Any, TypeVar
 
 T = TypeVar("T")
 
-GRACE_S = 0.0005
+GRACE_S = 0.00005
 """Real time given to sockets before the clock jumps."""
 
 STUCK_S = 5.0
@@ -35,13 +36,21 @@
     def select(self, timeout: float | None = None) -> Any:
         if timeout is not None and timeout <= 0:
             return self._real.select(0)
-        events = self._real.select(STUCK_S if timeout is None else GRACE_S)
-        if events:
-            return events
         if timeout is None:
+            return self._select_last()
+        events = self._real.select(0)
+        if not events:
+            time.sleep(GRACE_S)
+            events = self._real.select(0)
+        if not events:
+            self.now_s += timeout
+        return events
+
+    def _select_last(self) -> Any:
+        events = self._real.select(STUCK_S)
+        if not events:
             raise StuckError("no event and no timer is left")
-        self.now_s += timeout
-        return []
+        return events
 
     def register(self, fileobj: Any, events: int, data: Any = None) -> Any:
         return self._real.register(fileobj, events, data)
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
@@ -22,9 +22,6 @@
 IDLE_LIMIT_S = 4.0
 """Time after which an idle connection is not used again."""
 
-FRESH_S = 0.05
-"""Time for which an idle connection is used again without another look."""
-
 Headers = tuple[tuple[bytes, bytes], ...]
 
 _STATUSES_WITHOUT_BODY = (204, 304)
@@ -270,24 +267,26 @@
     def give_back(self, address: Address, transport: HttpTransport) -> None:
         """Keep an idle connection for the next request."""
         entries = self._idle.setdefault(address, [])
-        if transport.ended or len(entries) >= IDLE_POOL_COUNT:
-            transport.close()
+        if not transport.is_clean or len(entries) >= IDLE_POOL_COUNT:
+            transport.abort()
             return
         entries.append(_Idle(transport, asyncio.get_running_loop().time()))
 
     async def _take_idle(self, address: Address) -> HttpTransport | None:
-        """Return an idle connection that its server has not closed."""
+        """Return an idle connection that its server has left as it was.
+
+        Bytes that nobody asked for may be a late response to another request.
+        """
         entries = self._idle.get(address, [])
         now_s = asyncio.get_running_loop().time()
         while entries:
             entry = entries.pop()
             idle_s = now_s - entry.since_s
-            if idle_s > FRESH_S:
-                # Lets the loop see a close that came while it was busy.
-                await asyncio.sleep(0)
-            if not entry.transport.ended and idle_s < IDLE_LIMIT_S:
+            # Lets the loop see what came while it was busy.
+            await asyncio.sleep(0)
+            if entry.transport.is_clean and idle_s < IDLE_LIMIT_S:
                 return entry.transport
-            entry.transport.close()
+            entry.transport.abort()
         return None
 
     async def _connect(self, address: Address) -> HttpTransport:
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
@@ -157,6 +157,11 @@
         """Tell whether a part of an event has come that is not parsed yet."""
         return bool(self._chunks or self.http.trailing_data[0])
 
+    @property
+    def is_clean(self) -> bool:
+        """Tell whether the connection is open and nothing unread has come."""
+        return not self._ended and not self.has_unparsed
+
     def refuse(self, response: bytes, grace_s: float) -> None:
         """Send a ready response and close, without reading anything."""
         self._open_transport().write(response)
--- a/packages/cicadatrail-node/src/cicadatraild/network/peer_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/peer_server.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from typing import Any
 
 from returns.result import Failure, Success
@@ -65,9 +65,16 @@
 
     async def listen(self, stack: AsyncExitStack, host: str, port: int) -> None:
         """Listen until ``stack`` closes."""
-        server = await asyncio.start_server(self._serve, host, port)
+        server = await asyncio.start_server(self._serve_quietly, host, port)
         stack.push_async_callback(self._close, server)
 
+    async def _serve_quietly(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # The stream server logs a cancelled connection as an error.
+        with suppress(asyncio.CancelledError):
+            await self._serve(reader, writer)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
