Bound what one caller costs: malformed, slow and greedy callers

Seen failing before the mend: a request id in braces and a head over the limit that came at once were taken, a length beside chunks was taken (a way to smuggle requests), HEAD lost its length. Ruled out: to go on serving a caller that closed its sending side; that can't be told from a caller that is gone, whose place must be free at once.

--- a/features/support/edge_caller.py
+++ b/features/support/edge_caller.py
@@ -59,6 +59,7 @@
     """Hold one connection of a caller."""
 
     def __init__(self) -> None:
+        self.pause_s = 0.0
         self.reader: asyncio.StreamReader
         self.writer: asyncio.StreamWriter
         self._http = h11.Connection(h11.CLIENT)
@@ -103,6 +104,7 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            await asyncio.sleep(self.pause_s)
             self._http.receive_data(await self.reader.read(65536))
 
     @staticmethod
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
@@ -20,6 +20,7 @@
 """Time that a finished connection may take to send its last bytes."""
 
 REQUEST_TIMEOUT_STATUS = 408
+HEAD_TOO_LONG_STATUS = 431
 NO_CONTENT_STATUS = 204
 NOT_MODIFIED_STATUS = 304
 
@@ -131,7 +132,7 @@
         """
         self.started = True
         events: list[h11.Event] = []
-        if self.has_body(status):
+        if self.has_body(status) or (body and self.method == "HEAD"):
             length = (b"Content-Length", str(len(body)).encode())
             headers = (length, *headers)
         events.append(h11.Response(status_code=status, headers=list(headers)))
@@ -231,6 +232,8 @@
         """Serve one request; return whether another may follow."""
         try:
             request = await _read_head(transport, wait_s)
+            if request is not None:
+                _check_head(request, self._limits)
         except h11.RemoteProtocolError as error:
             await _refuse_malformed(transport, error)
             return False
@@ -294,6 +297,19 @@
     return event if isinstance(event, h11.Request) else None
 
 
+def _check_head(request: h11.Request, limits: HttpLimits) -> None:
+    """Refuse what h11 takes: a long head that came at once, and two framings.
+
+    Raises h11.RemoteProtocolError.
+    """
+    size = sum(len(name) + len(value) for name, value in request.headers)
+    if size + len(request.target) > limits.header_limit_bytes:
+        raise h11.RemoteProtocolError("its head is too long", HEAD_TOO_LONG_STATUS)
+    names = {name for name, _ in request.headers}
+    if {b"content-length", b"transfer-encoding"} <= names:
+        raise h11.RemoteProtocolError("it has a length and is chunked", 400)
+
+
 async def _refuse_malformed(
     transport: HttpTransport, error: h11.RemoteProtocolError
 ) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/serving/caller_request.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/caller_request.py
@@ -143,7 +143,7 @@
         except ValueError:
             self.fault(REQUEST_ID_HEADER, "must be a UUID of version 7")
             return None
-        if request_id.version != 7:
+        if request_id.version != 7 or str(request_id) != value.lower():
             self.fault(REQUEST_ID_HEADER, "must be a UUID of version 7")
         return request_id
 
--- a/packages/cicadatrail-node/src/cicadatraild/serving/outcomes.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/outcomes.py
@@ -168,16 +168,15 @@
     await exchange.respond(unknown.status, headers=headers)
 
 
-async def write_findings(exchange: HttpExchange, findings: Findings) -> None:
+async def write_findings(
+    exchange: HttpExchange, request_id: str, findings: Findings
+) -> None:
     """Tell the caller every fault of its request."""
     faults = [{"place": f.place, "fault": f.fault} for f in findings]
     body = json.dumps({"findings": faults}).encode()
-    headers = (
-        (OUTCOME_HEADER, Outcome.NOT_RUN.value.encode()),
-        (REASON_HEADER, Reason.MALFORMED.value.encode()),
-        (b"Content-Type", b"application/json"),
-    )
-    await exchange.respond(400, body, headers)
+    headers = _headers(request_id, Outcome.NOT_RUN, Reason.MALFORMED)
+    json_type = (b"Content-Type", b"application/json")
+    await exchange.respond(400, body, (*headers, json_type))
 
 
 async def write_whole(
--- a/packages/cicadatrail-node/src/cicadatraild/serving/router.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/router.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Success
 
+from cicadatrail_core.admission.request_ids import id_time_s
 from cicadatraild.network.http_server import HttpExchange
 from cicadatraild.serving.admission import Admission, Admitted
 from cicadatraild.serving.attempts import Attempts
@@ -59,7 +60,7 @@
         match read_caller_request(exchange):
             case Failure(findings):
                 self._count("not-run")
-                await write_findings(exchange, findings)
+                await write_findings(exchange, _stated_id(exchange), findings)
                 return
             case Success(found):
                 caller_request = found
@@ -155,6 +156,12 @@
         self.outcome_counts[outcome] = self.outcome_counts.get(outcome, 0) + 1
 
 
+def _stated_id(exchange: HttpExchange) -> str:
+    """Return the id that a malformed request states, if it is one."""
+    values = exchange.header_values(REQUEST_ID_HEADER.lower())
+    return values[0] if len(values) == 1 and id_time_s(values[0]) else ""
+
+
 def _answer_of_cancelled(call: UpstreamCall) -> Answer:
     """Say what became of a request whose caller is gone."""
     if call.mark.sent:
