Free a dead member's partitions as soon as it is powerless; read lists strictly

Cause: after a kill, features/processes.feature found requests with ids of their own refused for over 10 s: partitions rested until the dead member's task leases had lapsed, though only its power to answer matters to them.

--- a/packages/cicadatrail-core/src/cicadatrail_core/utils/codec.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/utils/codec.py
@@ -9,7 +9,7 @@
 import math
 import re
 from functools import cache
-from typing import Any, TypeVar
+from typing import Any, TypeVar, get_args, get_origin
 
 import msgpack
 from cattrs import BaseValidationError, Converter, transform_error
@@ -63,6 +63,10 @@
     for plain_type in (int, str, bool, bytes):
         converter.register_structure_hook(plain_type, _read_plain)
     converter.register_structure_hook(float, _read_float)
+    converter.register_structure_hook_factory(
+        _is_tuple,
+        lambda wanted: _tuple_hook(converter, wanted),
+    )
     for union in _UNIONS:
         register_union(converter, union)
     return converter
@@ -77,6 +81,33 @@
     return raw
 
 
+def _is_tuple(wanted: Any) -> bool:
+    origin: Any = get_origin(wanted)
+    return origin is tuple
+
+
+def _tuple_hook(converter: Converter, wanted: Any) -> Any:
+    """Return a hook that takes only lists; a text or map is none.
+
+    Without it a text would be read as a tuple of its letters.
+    """
+    members = get_args(wanted)
+    if members[-1] is Ellipsis:
+        return lambda raw, _: tuple(
+            converter.structure(_check_list(raw), list[members[0]])  # type: ignore[valid-type]
+        )
+    return lambda raw, _: tuple(
+        converter.structure(value, member)
+        for value, member in zip(_check_list(raw), members, strict=True)
+    )
+
+
+def _check_list(raw: Any) -> Any:
+    if not isinstance(raw, list | tuple):
+        raise TypeError(f"expected a list, got {type(raw).__name__}")
+    return raw
+
+
 def _read_float(raw: Any, _: type[float]) -> float:
     """Take a finite number; a bool is none."""
     if type(raw) not in (int, float):
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
@@ -202,7 +202,7 @@
         since_s = self._idle_since_s.setdefault(key, now_s)
         if now_s - since_s >= IDLE_LIMIT_S:
             idle_count = self._borrower.idle_count(lender, team_id)
-            self._borrower.give_back(lender, team_id, idle_count)
+            self._borrower.give_back(self._state, lender, team_id, idle_count)
             self._idle_since_s.pop(key, None)
 
     def _ask_for_more(self, now_s: float) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/standing.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/standing.py
@@ -16,6 +16,7 @@
 
 from cicadatrail_core.models.platform import InstanceList, ListedInstance
 from cicadatrail_core.models.records import (
+    LeaveRecord,
     PulseRecord,
     Record,
     RetireAckRecord,
@@ -124,7 +125,7 @@
         state = self._replica.state
         if now_s < self._holder.log_until_s:
             return True
-        gone = self._proofs.gone_since_s(state, now_s)
+        gone = self._proofs.gone_since_s(state)
         verdict = self._currency.judge(state, now_s, self._holder.log_until_s, gone)
         return isinstance(verdict, Current)
 
@@ -134,10 +135,13 @@
 
     def note_record(self, record: Record) -> None:
         """Take note of a folded record; own pulses extend the support."""
-        if not isinstance(record, PulseRecord):
-            return
-        if record.incarnation == self._incarnation:
-            self._holder.note_pulse(record)
+        match record:
+            case PulseRecord(incarnation=incarnation) as pulse:
+                if incarnation == self._incarnation:
+                    self._holder.note_pulse(pulse)
+            case LeaveRecord(incarnation):
+                now_s = asyncio.get_running_loop().time()
+                self._proofs.note_left(incarnation, now_s)
 
     def may_report(self, record_offset: int) -> bool:
         """Tell whether a verdict may be told: enough members have folded it."""
@@ -197,7 +201,8 @@
             if isinstance(answer, Success):
                 self.listed = answer.unwrap()
                 names = [listed.instance_id for listed in self.listed]
-                self._proofs.note_list(names, asked_s, loop.time())
+                state = self._replica.state
+                self._proofs.note_list(state, names, asked_s, loop.time())
                 self.on_list(self.listed)
             await asyncio.sleep(self._list_poll_s)
 
@@ -228,7 +233,7 @@
     def _reclaim_once(self, state: State) -> None:
         now_s = asyncio.get_running_loop().time()
         self._watch(now_s)
-        gone = self._proofs.gone_since_s(state, now_s)
+        gone = self._proofs.gone_since_s(state)
         suspects = {member.incarnation for member in self.suspects(now_s)}
         for incarnation in suspects.union(gone):
             member = state.roster.get(incarnation)
