--- a/features/standins/workers.py
+++ b/features/standins/workers.py
@@ -86,7 +86,7 @@
                 lease_ms = int(parse_qs(parts.query)["lease_ms"][0])
                 renewed = self._renew(task_id, lease_ms)
                 await exchange.respond(204 if renewed else 404)
-            case "POST", ["_tasks", _, "throttle" | "checkpoint"]:
+            case "POST", ["_tasks", _, "throttle" | "checkpoint" | "resume"]:
                 await exchange.respond(204)
             case "GET", ["_ledger"]:
                 await exchange.respond(200, json.dumps(self.ledger_map()).encode())
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/peer_messages.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/peer_messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from cicadatrail_core.models.loans import LoanGrant, LoanRequest
 from cicadatrail_core.models.requests import TaskRequest
 from cicadatrail_core.models.resources import Resources
 from cicadatrail_core.models.rights import IncarnationId
@@ -247,5 +248,7 @@
     | IdQuery
     | IdAnswer
     | IdOutcome
+    | LoanRequest
+    | LoanGrant
     | PartitionHandover
 )
--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -12,17 +12,22 @@
 from typing import Any
 
 from cicadatrail_core.admission.retry_budget import RetryBudget, RetrySettings
+from cicadatrail_core.fold.apply import Envelope
+from cicadatrail_core.fold.snapshots import dump_state
 from cicadatrail_core.models.fleet import Place, Worker
+from cicadatrail_core.models.loans import LoanRequest
 from cicadatrail_core.models.peer_messages import (
     ControlMessage,
     Digest,
     Done,
     FetchRecords,
+    FetchSnapshot,
     IdOutcome,
     IdQuery,
     PartitionHandover,
     PoolRoom,
     Records,
+    Snapshot,
     TeamUse,
 )
 from cicadatrail_core.models.platform import ListedInstance
@@ -63,9 +68,14 @@
 from cicadatraild.sharing.fleet_maintenance import FleetMaintenance
 from cicadatraild.sharing.holdings import Holdings
 from cicadatraild.sharing.membership import Identity, Membership, StruckOutError
+from cicadatraild.sharing.peer_records import PeerRecords
 from cicadatraild.sharing.replica import Replica
+from cicadatraild.sharing.share_returns import ShareReturns
+from cicadatraild.sharing.slot_loans import Demand, SlotLoans
+from cicadatraild.sharing.snapshot_writer import SnapshotWriter
 from cicadatraild.sharing.standing import Standing
 from cicadatraild.sharing.status import StatusView
+from cicadatraild.sharing.worker_watch import WorkerWatch
 from cicadatraild.utils.identifiers import new_uuid7
 from cicadatraild.utils.metrics import InstanceCollector, Metrics
 from cicadatraild.utils.open_work import OpenWork
@@ -116,6 +126,17 @@
         timing = RightsTiming(
             support_s=settings.rights.support_s, list_lag_s=list_settings.lag_s
         )
+        self._holdings = Holdings(self.incarnation)
+        self._loans = SlotLoans(
+            self.incarnation,
+            timing,
+            self._holdings,
+            self._directory,
+            lambda: self._standing.supported_until_s(),
+            lambda: self._digests.fresh(),
+            self._demand,
+            self._configure_desk,
+        )
         self._standing = Standing(
             self.incarnation,
             timing,
@@ -128,10 +149,10 @@
                 self._pool, Address(list_settings.host, list_settings.port)
             ),
             self._note_list,
+            self._loans.unsettled_lenders,
         )
         self._digests = Digests(self._directory, self._make_digest)
-        self._holdings = Holdings(self.incarnation)
-        self._desk = Desk(Dispatcher(DispatcherSettings()))
+        self._desk = Desk(Dispatcher(DispatcherSettings()), self._loans)
         self._control = HttpWorkerControl(self._pool)
         self._given_up = GivenUpTasks(self._desk, self._control)
         self._admission = Admission(self._standing.may_judge_keys, new_uuid7)
@@ -146,6 +167,24 @@
             self._places, RetryBudget(RetrySettings()), random_source, _new_id
         )
         self._router = self._make_router()
+        self._watch = WorkerWatch(
+            self.incarnation,
+            self._replica,
+            self._appender,
+            self._holdings,
+            self._desk.dispatcher,
+            self._control,
+            self._note_leaving,
+        )
+        self._peer_records = PeerRecords(
+            self._replica, self._directory, self._digests.fresh
+        )
+        self._snapshots = SnapshotWriter(
+            self.incarnation, self._replica, self._appender
+        )
+        self._share_returns = ShareReturns(
+            self._desk.dispatcher, self._control, self._worker
+        )
         self._peer_requests = PeerRequests(
             self._admission, self._desk, self._places, self._open_work
         )
@@ -186,8 +225,7 @@
     async def _start(self, tasks: _Tasks) -> None:
         """Follow the log, join the roster and begin to serve."""
         self._replica.listen(self._take_state)
-        self._replica.listen_to_records(self._standing.note_record)
-        self._replica.listen_to_records(self._partitions.note_record)
+        self._replica.listen_to_records(self._take_record)
         tasks.start("replica", self._replica.run())
         tasks.start("appender", self._appender.run())
         tasks.start("list", self._standing.follow_list())
@@ -195,7 +233,12 @@
         tasks.start("pulse", self._standing.pulse())
         tasks.start("reclaim", self._standing.reclaim())
         tasks.start("digests", self._digests.run())
+        tasks.start("loans", self._loans.run())
         tasks.start("desk", self._desk.run())
+        tasks.start("peer records", self._peer_records.run())
+        tasks.start("snapshots", self._snapshots.run())
+        tasks.start("watch", self._watch.run())
+        tasks.start("share", self._share_returns.run())
         tasks.start("waves", self._maintenance.run())
         tasks.start("balance", self._membership.balance())
 
@@ -247,6 +290,7 @@
             self._replica,
             self._appender,
             admin.token_sha256_hex,
+            self._standing.may_report,
             self._make_status_view().read,
             Metrics(InstanceCollector(self._gauges, self._outcomes)).expose,
         )
@@ -277,7 +321,8 @@
             self._appender,
             self._holdings,
             self._running_on,
-            lambda team_id: self._desk.dispatcher.running_counts.get(team_id, 0),
+            self._loans.spare_own_count,
+            self._loans.keep_records,
             self._configure_desk,
         )
 
@@ -318,7 +363,7 @@
         """Tell whether this instance may say if an id was seen."""
         if not self._standing.may_spend(asyncio.get_running_loop().time()):
             return False
-        return self._holdings.may_answer_for(self._replica.state, partition)
+        return self._holdings.ledger.may_judge(self._replica.state, partition)
 
     def _send_handover(self, taker: IncarnationId, message: PartitionHandover) -> None:
         link = self._directory.link(taker)
@@ -336,13 +381,12 @@
             self._digests,
             self._holdings,
             self._desk.dispatcher,
-            lambda: 0,
+            self._loans.lent_count,
         )
 
     def _make_digest(self) -> Digest:
         state = self._replica.state
         dispatcher = self._desk.dispatcher
-        spendable = self._holdings.spendable(state)
         waiting, running = dispatcher.waiting_counts, dispatcher.running_counts
         own_usage = dispatcher.own_usage
         pools = tuple(
@@ -357,7 +401,7 @@
                 waiting.get(team_id, 0),
                 running.get(team_id, 0),
             )
-            for team_id, slot_count in spendable.slots.items()
+            for team_id, slot_count in self._loans.slots(state).items()
         )
         return Digest(self.incarnation, state.next_offset, state.version, pools, teams)
 
@@ -372,24 +416,41 @@
         }
         self._directory.follow(members)
         self._digests.forget_others(frozenset(members))
+        self._loans.take_state(state)
         self._configure_desk()
 
+    def _take_record(self, before: State, after: State, envelope: Envelope) -> None:
+        self._standing.note_record(envelope.record)
+        self._loans.note_record(before, after, envelope.record)
+        self._partitions.note_record(envelope)
+
+    def _demand(self) -> Demand:
+        dispatcher = self._desk.dispatcher
+        return Demand(dispatcher.waiting_counts, dispatcher.running_counts)
+
     def _configure_desk(self) -> None:
         state = self._replica.state
-        spendable = self._holdings.spendable(state)
-        self._desk.configure(state, spendable.workers, spendable.slots)
+        ejected = self._desk.dispatcher.ejected_workers
+        workers = self._holdings.spendable(state, ejected).workers
+        self._desk.configure(state, workers, self._loans.slots(state))
 
     def _note_fault(self, name: IncarnationId, fault: LinkFault) -> None:
         self._standing.note_fault(name, fault)
 
     def _note_list(self, listed: tuple[ListedInstance, ...]) -> None:
-        leaving = {instance.instance_id for instance in listed if instance.leaving}
-        if leaving != self._holdings.leaving_workers:
-            self._holdings.leaving_workers = leaving
-            self._configure_desk()
-
-    def _note_leaving(self, worker_id: str) -> None:
-        self._holdings.leaving_workers.add(worker_id)
+        for instance in listed:
+            if instance.leaving:
+                self._note_leaving(instance.instance_id)
+
+    def _note_leaving(self, worker_id: str, leaving: bool = True) -> None:
+        """Place nothing more on a worker that leaves; take it back if it stays."""
+        known = worker_id in self._holdings.leaving_workers
+        if leaving == known:
+            return
+        if leaving:
+            self._holdings.leaving_workers.add(worker_id)
+        else:
+            self._holdings.leaving_workers.discard(worker_id)
         self._configure_desk()
 
     def _running_on(self, worker_id: str) -> int:
@@ -431,6 +492,8 @@
                 self._digests.take(message)
                 self._desk.dispatcher.configure_peer_usage(self._digests.peer_usage())
                 return Done()
+            case LoanRequest():
+                return self._loans.answer(message)
             case IdQuery():
                 return self._partitions.answer(message)
             case IdOutcome():
@@ -442,6 +505,8 @@
             case FetchRecords(from_offset):
                 found = self._replica.records_from(from_offset, RECORDS_PER_ANSWER)
                 return Records(from_offset, found or ())
+            case FetchSnapshot():
+                return Snapshot(dump_state(self._replica.state))
             case _:
                 logger.warning("peer: %s sent an unexpected message.", sender)
                 return Done()
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/holdings.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/holdings.py
@@ -1,87 +1,105 @@
-"""What this incarnation may spend of the rights that the log gives it."""
+"""What this incarnation may place on, spend and judge at this moment."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from cicadatrail_core.fold.availability import unavailable_workers
-from cicadatrail_core.fold.holdings import allowance
-from cicadatrail_core.models.rights import (
-    IncarnationId,
-    PartitionRight,
-    Right,
-    SlotRight,
-    WorkerRight,
-)
+from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import State
+from cicadatrail_core.rights.ledger import HolderLedger
 
 
 @dataclass(frozen=True, slots=True)
 class Spendable:
-    """Hold the workers to place on and the team slots to spend."""
+    """Hold the workers to place on and the slots that may be used or lent."""
 
     workers: frozenset[str]
-    slots: Mapping[str, int]
-    partitions: frozenset[int]
+    own_slots: Mapping[str, int]
 
 
 class Holdings:
-    """Derive what may be spent from the state and from what is handed over.
+    """Add to the ledger of rights what else keeps a worker from use.
 
-    A right that is on its way to a peer, or marked to go, is not spent any
-    more, so that it is never in two hands.
+    ``leaving_workers`` are those that said so or are listed as leaving, and
+    ``marked_workers`` those that go to a peer once they run nothing.
     """
 
-    __slots__ = ("_handed_over", "_incarnation", "leaving_workers")
+    __slots__ = (
+        "_incarnation",
+        "_usable",
+        "_usable_by",
+        "leaving_workers",
+        "ledger",
+        "marked_workers",
+    )
 
     def __init__(self, incarnation: IncarnationId) -> None:
         self._incarnation = incarnation
-        self._handed_over: tuple[Right, ...] = ()
+        self.ledger = HolderLedger(incarnation)
         self.leaving_workers: set[str] = set()
-
-    def hand_over(self, rights: tuple[Right, ...]) -> None:
-        """Stop spending rights until ``keep_all`` is called."""
-        self._handed_over = rights
-
-    def keep_all(self) -> None:
-        """Spend every right that the state still shows as held here."""
-        self._handed_over = ()
+        self.marked_workers: set[str] = set()
+        self._usable: frozenset[str] = frozenset()
+        self._usable_by: tuple[object, ...] = ()
 
     def held_workers(self, state: State) -> frozenset[str]:
         """Return the workers whose rights are held here, in use or not."""
         return frozenset(
             worker_id
-            for worker_id, holder in state.worker_holders.items()
-            if holder == self._incarnation and worker_id in state.workers
+            for worker_id in state.worker_holders
+            if self.ledger.may_place(state, worker_id)
+        )
+
+    def partitions(self, state: State) -> frozenset[int]:
+        """Return the partitions of request ids that may be judged here."""
+        return frozenset(
+            partition
+            for partition in state.partition_holders
+            if self.ledger.may_judge(state, partition)
         )
 
-    def spendable(self, state: State) -> Spendable:
-        """Return what may be spent by this state."""
-        given = self._handed_over
-        given_workers = {r.worker_id for r in given if isinstance(r, WorkerRight)}
-        given_partitions = {r.partition for r in given if isinstance(r, PartitionRight)}
+    def spendable(self, state: State, ejected: Collection[str] = ()) -> Spendable:
+        """Return what may be used by this state.
+
+        ``ejected`` names the workers that this instance ejected: it goes on
+        to hold them, so that it can probe them.
+        """
+        slots = {
+            team_id: self.ledger.slot_count(state, team_id) for team_id in state.teams
+        }
+        return Spendable(self._usable_workers(state, frozenset(ejected)), slots)
+
+    def _usable_workers(self, state: State, ejected: frozenset[str]) -> frozenset[str]:
+        """Return the workers to place on; the answer is kept while all stays.
+
+        Most records change none of these parts, and a part that is not
+        changed is the same object in the next state.
+        """
+        parts: tuple[object, ...] = (
+            state.worker_holders,
+            state.workers,
+            state.pool_of,
+            state.conditions,
+            state.waves,
+            state.moves,
+        )
+        others = (
+            self.ledger.pending,
+            ejected,
+            frozenset(self.leaving_workers),
+            frozenset(self.marked_workers),
+        )
+        known = self._usable_by
+        same = len(known) == len(parts) + len(others) and all(
+            old is new for old, new in zip(known, parts, strict=False)
+        )
+        if same and known[len(parts) :] == others:
+            return self._usable
         unavailable = frozenset().union(
             *(unavailable_workers(state, pool_id) for pool_id in state.pools)
         )
-        workers = self.held_workers(state) - given_workers - unavailable
-        partitions = frozenset(
-            partition
-            for partition, holder in state.partition_holders.items()
-            if holder == self._incarnation and partition not in given_partitions
-        )
-        return Spendable(workers - self.leaving_workers, self._slots(state), partitions)
-
-    def may_answer_for(self, state: State, partition: int) -> bool:
-        """Tell whether a partition is held and not on its way to a peer."""
-        held = state.partition_holders.get(partition) == self._incarnation
-        return held and PartitionRight(partition) not in self._handed_over
-
-    def _slots(self, state: State) -> dict[str, int]:
-        given = [r for r in self._handed_over if isinstance(r, SlotRight)]
-        slots = {}
-        for team_id in state.teams:
-            held_count = allowance(state, team_id, self._incarnation)
-            given_count = sum(r.slot_count for r in given if r.team_id == team_id)
-            slots[team_id] = max(0, held_count - given_count)
-        return slots
+        in_service = self.held_workers(state) - (unavailable - ejected)
+        self._usable = in_service - self.leaving_workers - self.marked_workers
+        self._usable_by = (*parts, *others)
+        return self._usable
