--- a/features/support/waves_machine.py
+++ b/features/support/waves_machine.py
@@ -66,7 +66,7 @@
 own_or_some_pool = st.sampled_from(("", "", "", "", *POOLS))
 """Stands for the worker's own pool where it is empty."""
 
-some_move = st.sampled_from(("m0", "m1", "m2", "m3"))
+some_move = st.sampled_from(tuple(f"m{index}" for index in range(8)))
 
 
 def small_state() -> State:
@@ -229,16 +229,22 @@
             )
         self.operate(maintenance.start_wave, patches.StartWave(wave))
 
-    @rule(wave_id=some_wave, kind=st.sampled_from(("pause", "resume", "abort")))
-    def change_wave(self, wave_id: str, kind: str) -> None:
-        getattr(self.naive, kind)(wave_id)
+    @rule(
+        wave_id=some_wave,
+        kinds=st.sampled_from(
+            (("pause",), ("resume",), ("abort",), ("pause", "resume"))
+        ),
+    )
+    def change_wave(self, wave_id: str, kinds: tuple[str, ...]) -> None:
         operations: dict[str, Any] = {
             "pause": (maintenance.pause_wave, patches.PauseWave),
             "resume": (maintenance.resume_wave, patches.ResumeWave),
             "abort": (maintenance.abort_wave, patches.AbortWave),
         }
-        apply, operation = operations[kind]
-        self.operate(apply, operation(wave_id))
+        for kind in kinds:
+            getattr(self.naive, kind)(wave_id)
+            apply, operation = operations[kind]
+            self.operate(apply, operation(wave_id))
 
     @rule(wave_id=some_wave)
     def pause_by_record(self, wave_id: str) -> None:
@@ -277,18 +283,26 @@
         self.advance(after, may_breach=True)
 
     @rule(
-        move_id=some_move, worker=some_worker, giver=own_or_some_pool, taker=some_pool
+        started=st.lists(
+            st.tuples(some_move, picked_worker, own_or_some_pool, some_pool),
+            min_size=1,
+            max_size=6,
+        )
     )
-    def start_move(self, move_id: str, worker: str, giver: str, taker: str) -> None:
-        giver = giver or self.naive.pool_of[worker]
-        self.naive.start_move(move_id, worker, giver, taker)
-        operation = patches.StartMove(move_id, worker, giver, taker)
-        self.operate(maintenance.start_move, operation)
-
-    @rule(move_id=some_move)
-    def abort_move(self, move_id: str) -> None:
+    def start_moves(self, started: list[tuple[str, Any, str, str]]) -> None:
+        for move_id, picked, giver, taker in started:
+            worker = self.pick(picked)
+            giver = giver or self.naive.pool_of[worker]
+            self.naive.start_move(move_id, worker, giver, taker)
+            operation = patches.StartMove(move_id, worker, giver, taker)
+            self.operate(maintenance.start_move, operation)
+
+    @rule(move_id=some_move, late_record=st.booleans())
+    def abort_move(self, move_id: str, late_record: bool) -> None:
         self.naive.abort_move(move_id)
         self.operate(maintenance.abort_move, patches.AbortMove(move_id))
+        if late_record:
+            self.finish_move(move_id)
 
     @rule(move_id=some_move)
     def finish_move(self, move_id: str) -> None:
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/availability.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/availability.py
@@ -11,6 +11,7 @@
     MoveStatus,
     StepStatus,
     WaveProgress,
+    WaveStatus,
 )
 from cicadatrail_core.models.state import State
 
@@ -55,19 +56,31 @@
     return state.conditions.get(worker_id) in (Condition.FAILED, Condition.EJECTED)
 
 
-def all_unavailable(state: State) -> frozenset[str]:
-    """Return every worker of the fleet that is out of service.
+def held_workers(state: State) -> frozenset[str]:
+    """Return the workers that a wave drains or maintains or that are moving.
 
-    Counts failed, ejected and leaving workers, those that a wave drains or
-    maintains (also a paused or aborted one) and those that are moving.
+    Counts the begun workers of paused and aborted waves too.
     """
-    out = set(state.conditions)
-    for progress in state.waves.values():
-        out.update(worker for worker, step in progress.steps if step in ACTIVE_STEPS)
+    draining, maintaining = StepStatus.DRAINING, StepStatus.MAINTAINING
+    held = {
+        worker_id
+        for progress in state.waves.values()
+        if progress.status is not WaveStatus.DONE
+        for worker_id, step in progress.steps
+        if step is draining or step is maintaining
+    }
     for move in state.moves.values():
         if move.status is MoveStatus.DRAINING:
-            out.add(move.worker_id)
-    return frozenset(out)
+            held.add(move.worker_id)
+    return frozenset(held)
+
+
+def all_unavailable(state: State) -> frozenset[str]:
+    """Return every worker of the fleet that is out of service.
+
+    Counts failed, ejected and leaving workers and those that are held.
+    """
+    return held_workers(state).union(state.conditions)
 
 
 def unavailable_workers(state: State, pool_id: str) -> frozenset[str]:
--- a/packages/cicadatrail-core/src/cicadatrail_core/waves/budgets.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/waves/budgets.py
@@ -4,8 +4,7 @@
 
 from collections import Counter
 
-from cicadatrail_core.fold.availability import ACTIVE_STEPS, all_unavailable
-from cicadatrail_core.models.maintenance import MoveStatus
+from cicadatrail_core.fold.availability import held_workers
 from cicadatrail_core.models.state import State
 
 
@@ -20,7 +19,8 @@
 
     def __init__(self, state: State) -> None:
         self._pool_of = state.pool_of
-        self._unavailable = all_unavailable(state)
+        self._taken = set(held_workers(state))
+        self._unavailable = self._taken.union(state.conditions)
         self._counts = Counter(
             state.pool_of.get(worker, "") for worker in self._unavailable
         )
@@ -29,18 +29,6 @@
             limit = service.unavailable_limit_count
             known = self._limits.get(service.pool_id, limit)
             self._limits[service.pool_id] = min(known, limit)
-        # Workers that a wave or a move holds already.
-        self._taken = {
-            worker
-            for progress in state.waves.values()
-            for worker, step in progress.steps
-            if step in ACTIVE_STEPS
-        }
-        self._taken |= {
-            move.worker_id
-            for move in state.moves.values()
-            if move.status is MoveStatus.DRAINING
-        }
 
     def try_take(self, worker_id: str) -> bool:
         """Count the worker as drained if that breaks no budget."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/waves/planner.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/waves/planner.py
@@ -9,9 +9,9 @@
 * A wave takes failure domains in its order. The next domain opens while others
   are unfinished only if the open ones can't use the free budget and none of
   their workers has failed.
-* In each pool the first worker is maintained alone. Each one that comes back
-  lets one more be maintained at the same time. Drains start ahead of that, so
-  that the wait costs only maintenance time.
+* The first worker of a wave is maintained alone. Each one that comes back lets
+  ``WIDENING_COUNT`` more be maintained at the same time. Drains start ahead of
+  that, so that the wait costs only maintenance time.
 * Several failures in one rack, or as many as the wave's limit, pause the wave.
 """
 
@@ -22,26 +22,23 @@
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
-from cicadatrail_core.fold.availability import (
-    ACTIVE_STEPS,
-    failed_in_wave,
-)
 from cicadatrail_core.fold.domains import domain_of
 from cicadatrail_core.models.maintenance import (
     DomainOrder,
     StepStatus,
     WaveAction,
-    WaveProgress,
     WaveStatus,
     WorkingHours,
 )
 from cicadatrail_core.models.state import State
 from cicadatrail_core.waves.budgets import Budgets
+from cicadatrail_core.waves.view import WaveView
 
 RACK_FAILURE_LIMIT_COUNT = 2
 """Number of failures in one rack that counts as correlated."""
 
-Domain = tuple[str, ...]
+WIDENING_COUNT = 16
+"""Number of workers that each maintained worker adds to a wave's width."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +46,8 @@
     """Hold what the caller knows about draining beyond the folded state.
 
     ``drained`` names draining workers that run nothing. ``requested`` names
-    workers whose next step is on its way to the log. ``drain_s_of`` estimates
+    workers whose next step is on its way to the log; the plan counts it as
+    taken. ``drain_s_of`` estimates
     how long each worker would take to drain if it started now.
     """
 
@@ -92,27 +90,34 @@
     running waves within their working hours, the oldest wave first.
     """
     budgets = Budgets(state)
+    for worker_id in sorted(knowledge.requested):
+        budgets.try_take(worker_id)
     steps: list[PlannedStep] = []
     pauses: list[PlannedPause] = []
     for progress in state.waves.values():
         if progress.status is WaveStatus.DONE:
             continue
-        if reason := pause_reason(state, progress):
+        view = WaveView.of(state, progress, knowledge.requested)
+        if reason := pause_reason(state, view):
             pauses.append(PlannedPause(progress.wave.wave_id, reason))
             continue
-        view = _WaveView(state, progress)
-        if progress.status is not WaveStatus.RUNNING and view.any_failed():
-            steps += _releases(progress, knowledge)
-            continue
-        steps += _next_maintenance(view, knowledge)
-        if progress.status is not WaveStatus.RUNNING:
-            continue
-        if not within_hours(progress.wave.working_hours, hour):
-            continue
-        steps += _next_drains(view, budgets, knowledge)
+        steps += _wave_steps(view, budgets, hour, knowledge)
     return WavePlan(tuple(steps), tuple(pauses))
 
 
+def _wave_steps(
+    view: WaveView, budgets: Budgets, hour: int, knowledge: DrainingKnowledge
+) -> Iterator[PlannedStep]:
+    wave = view.progress.wave
+    is_running = view.progress.status is WaveStatus.RUNNING
+    if view.failed and not is_running:
+        yield from _releases(view)
+        return
+    yield from _next_maintenance(view, knowledge)
+    if is_running and within_hours(wave.working_hours, hour):
+        yield from _next_drains(view, budgets, knowledge)
+
+
 def within_hours(hours: WorkingHours, hour: int) -> bool:
     """Tell whether drains may start; hours may span midnight."""
     if hours.start_hour < hours.end_hour:
@@ -120,21 +125,18 @@
     return hour >= hours.start_hour or hour < hours.end_hour
 
 
-def pause_reason(state: State, progress: WaveProgress) -> str:
+def pause_reason(state: State, view: WaveView) -> str:
     """Return why the failures of a running wave are to pause it, or nothing.
 
     A worker that was maintained and is failed or ejected now counts as well.
     """
-    if progress.status is not WaveStatus.RUNNING:
+    if view.progress.status is not WaveStatus.RUNNING:
         return ""
-    failed = [
-        worker for worker, step in progress.steps if failed_in_wave(state, worker, step)
-    ]
-    if len(failed) >= progress.wave.failure_limit_count:
-        return f"{len(failed)} workers failed, the limit of the wave"
+    if len(view.failed) >= view.progress.wave.failure_limit_count:
+        return f"{len(view.failed)} workers failed, the limit of the wave"
     racks = Counter(
         domain_of(state.workers[worker], DomainOrder.RACK)
-        for worker in failed
+        for worker in view.failed
         if worker in state.workers
     )
     for rack, count in sorted(racks.items()):
@@ -143,126 +145,51 @@
     return ""
 
 
-class _WaveView:
-    """Hold one wave's workers by domain and by pool."""
-
-    __slots__ = ("done_in_pool", "domains", "maintaining_in_pool", "progress", "state")
-
-    def __init__(self, state: State, progress: WaveProgress) -> None:
-        self.state = state
-        self.progress = progress
-        self.domains: dict[Domain, list[tuple[str, StepStatus]]] = {}
-        self.done_in_pool: Counter[str] = Counter()
-        self.maintaining_in_pool: Counter[str] = Counter()
-        for worker_id, step in progress.steps:
-            worker = state.workers.get(worker_id)
-            if worker is None:
-                continue
-            domain = domain_of(worker, progress.wave.order)
-            self.domains.setdefault(domain, []).append((worker_id, step))
-            pool_id = state.pool_of[worker_id]
-            self.done_in_pool[pool_id] += step is StepStatus.DONE
-            self.maintaining_in_pool[pool_id] += step is StepStatus.MAINTAINING
-
-    def any_failed(self) -> bool:
-        """Tell whether a worker of the wave failed."""
-        return any(
-            failed_in_wave(self.state, worker, step)
-            for worker, step in self.progress.steps
-        )
-
-    def open_domains_failed(self) -> bool:
-        """Tell whether a worker failed in a domain that is not finished."""
-        return any(
-            any(failed_in_wave(self.state, worker, step) for worker, step in members)
-            and not _finished(members)
-            for members in self.domains.values()
-        )
-
-
-def _begun(members: list[tuple[str, StepStatus]]) -> bool:
-    return any(step is not StepStatus.WAITING for _, step in members)
-
-
-def _finished(members: list[tuple[str, StepStatus]]) -> bool:
-    return all(step in (StepStatus.DONE, StepStatus.FAILED) for _, step in members)
-
-
-def _releases(
-    progress: WaveProgress, knowledge: DrainingKnowledge
-) -> Iterator[PlannedStep]:
+def _releases(view: WaveView) -> Iterator[PlannedStep]:
     """Yield the draining workers of a stopped wave, to be put back in service.
 
     After failures no further worker is maintained, and a stopped wave must not
     hold on to budget.
     """
-    for worker_id, step in progress.steps:
-        if step is StepStatus.DRAINING and worker_id not in knowledge.requested:
-            yield PlannedStep(progress.wave.wave_id, worker_id, StepStatus.WAITING)
+    for worker_id in view.draining:
+        yield PlannedStep(view.progress.wave.wave_id, worker_id, StepStatus.WAITING)
 
 
 def _next_maintenance(
-    view: _WaveView, knowledge: DrainingKnowledge
+    view: WaveView, knowledge: DrainingKnowledge
 ) -> Iterator[PlannedStep]:
-    """Yield the drained workers whose pool lets one more be maintained."""
+    """Yield the drained workers that the wave's width lets be maintained."""
     wave = view.progress.wave
-    maintaining = Counter(view.maintaining_in_pool)
-    narrowed = view.open_domains_failed()
-    for worker_id, step in view.progress.steps:
-        if step is not StepStatus.DRAINING or worker_id not in knowledge.drained:
-            continue
-        if worker_id in knowledge.requested:
+    free_count = 1 if view.open_domain_failed else 1 + WIDENING_COUNT * view.done_count
+    free_count -= view.maintaining_count
+    for worker_id in view.draining:
+        if worker_id not in knowledge.drained:
             continue
         if wave.action is WaveAction.DRAIN:
             yield PlannedStep(wave.wave_id, worker_id, StepStatus.DONE)
             continue
-        pool_id = view.state.pool_of.get(worker_id, "")
-        width = 1 if narrowed else 1 + view.done_in_pool[pool_id]
-        if maintaining[pool_id] >= width:
-            continue
-        maintaining[pool_id] += 1
+        if free_count < 1:
+            return
+        free_count -= 1
         yield PlannedStep(wave.wave_id, worker_id, StepStatus.MAINTAINING)
 
 
 def _next_drains(
-    view: _WaveView, budgets: Budgets, knowledge: DrainingKnowledge
+    view: WaveView, budgets: Budgets, knowledge: DrainingKnowledge
 ) -> Iterator[PlannedStep]:
     """Yield the drains to start, opening domains only as far as needed."""
     wave = view.progress.wave
-    steps = view.progress.steps
-    free_count = wave.concurrency_limit_count
-    free_count -= sum(step in ACTIVE_STEPS for _, step in steps)
-    narrowed = view.open_domains_failed()
-    if narrowed:
-        free_count = min(free_count, 1 - sum(s in ACTIVE_STEPS for _, s in steps))
-    for members in _domains_to_take(view, narrowed):
-        for worker_id in _waiting(members, knowledge):
+    proven_count = 1 + view.done_count + view.maintaining_count
+    width = 1 if view.open_domain_failed else 1 + WIDENING_COUNT * proven_count
+    free_count = min(width, wave.concurrency_limit_count) - view.active_count
+    for members in view.waiting_by_domain():
+        if free_count < 1:
+            return
+        if knowledge.drain_s_of:
+            members.sort(key=lambda worker: knowledge.drain_s_of.get(worker, 0.0))
+        for worker_id in members:
             if free_count < 1:
                 return
-            if not budgets.try_take(worker_id):
-                continue
-            free_count -= 1
-            yield PlannedStep(wave.wave_id, worker_id, StepStatus.DRAINING)
-
-
-def _domains_to_take(
-    view: _WaveView, narrowed: bool
-) -> Iterator[list[tuple[str, StepStatus]]]:
-    """Yield the open domains, then those that may be opened, in wave order."""
-    unfinished = [m for m in view.domains.values() if not _finished(m)]
-    yield from (members for members in unfinished if _begun(members))
-    if narrowed:
-        return
-    yield from (members for members in unfinished if not _begun(members))
-
-
-def _waiting(
-    members: list[tuple[str, StepStatus]], knowledge: DrainingKnowledge
-) -> list[str]:
-    """Return the waiting workers, the one that drains soonest first."""
-    waiting = [
-        worker
-        for worker, step in members
-        if step is StepStatus.WAITING and worker not in knowledge.requested
-    ]
-    return sorted(waiting, key=lambda worker: knowledge.drain_s_of.get(worker, 0.0))
+            if budgets.try_take(worker_id):
+                free_count -= 1
+                yield PlannedStep(wave.wave_id, worker_id, StepStatus.DRAINING)
