--- a/packages/cicadatrail-node/src/cicadatraild/serving/request_ids.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/request_ids.py
@@ -113,7 +113,7 @@
         A second copy waits, within its deadline, for the first one's answer.
         """
         ahead_s = uuid7_time_s(request_id) - self._wall_clock()
-        if ahead_s > ID_SETTINGS.clock_skew_s:
+        if ahead_s > ID_SETTINGS.ahead_limit_s:
             return NotRun(Reason.ID_OUT_OF_TIME, 400, None)
         scoped_id = scope_id(team_id, request_id)
         partition = partition_of(scoped_id)
