--- a/features/support/demo.py
+++ b/features/support/demo.py
@@ -217,6 +217,8 @@
     for (team_id, outcome), count in sorted(result.outcomes.items()):
         print(f"  {team_id:14} {outcome:16} {count}")
         findings.check(outcome != "none", f"{count} answers state no outcome")
+    reasons = {name: n for name, n in sorted(result.reasons.items()) if name != "-"}
+    print(f"Reasons of what did not complete: {reasons}")
     total = sum(ledger["completed"].values())
     weight_sum = sum(WEIGHTS.values())
     print("Share of completed tasks (the fleet was not always full)")
