Trace each hop: entry, peer, worker; export from the loop

Without a collector no span is made, so that the hot path pays nothing. Test clusters now listen on loopback addresses of their own: a port of 127.0.0.1 was taken by an outgoing connection in one run.

--- a/features/standins/__main__.py
+++ b/features/standins/__main__.py
@@ -1,7 +1,7 @@
 """Runs all stand-ins in one process: ``python -m features.standins FILE``.
 
 FILE is JSON: ``{"log": [host, port], "instance_list": [..], "maintenance":
-[..], "reboot_s": 1.0, "workers": {"w1": [host, port], ..}}``.
+[..], "collector": [..], "reboot_s": 1.0, "workers": {"w1": [host, port], ..}}``.
 """
 
 from __future__ import annotations
@@ -15,7 +15,11 @@
 
 from cicadatraild.network.http_server import Handler, HttpLimits, HttpServer
 from features.standins.log_store import LogHandler, LogStore
-from features.standins.platform import InstanceListHandler, MaintenanceHandler
+from features.standins.platform import (
+    InstanceListHandler,
+    MaintenanceHandler,
+    SpanCollectorHandler,
+)
 from features.standins.workers import Ledger, StandInWorker
 
 
@@ -25,6 +29,7 @@
         ("log", LogHandler(LogStore()), plan["log"]),
         ("instance list", InstanceListHandler(), plan["instance_list"]),
         ("maintenance", MaintenanceHandler(plan["reboot_s"]), plan["maintenance"]),
+        ("collector", SpanCollectorHandler(), plan["collector"]),
     ]
     for worker_id, address in plan["workers"].items():
         handlers.append((worker_id, StandInWorker(worker_id, ledger), address))
--- a/features/standins/platform.py
+++ b/features/standins/platform.py
@@ -22,6 +22,18 @@
         await exchange.respond(200, json.dumps(self.instances).encode())
 
 
+@dataclass(slots=True)
+class SpanCollectorHandler:
+    """Keep the spans that instances export."""
+
+    spans: list[dict[str, Any]] = field(default_factory=list)
+
+    async def __call__(self, exchange: HttpExchange) -> None:
+        if exchange.method == "POST":
+            self.spans += json.loads(await exchange.read_body())
+        await exchange.respond(200, json.dumps(self.spans).encode())
+
+
 class MaintenanceHandler:
     """Run jobs that take ``duration_s``; a repeated job id is one job."""
 
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -53,9 +53,22 @@
 port = {maintenance_port}
 [logging]
 level = "info"
+[tracing]
+sample_ratio = 0.05
+export_host = "{collector_host}"
+export_port = {collector_port}
 """
 
 
+def loopback_host(number: int) -> str:
+    """Return a loopback address that no other run on this machine uses.
+
+    Ports of 127.0.0.1 may be taken at any time by outgoing connections.
+    """
+    second, third = divmod(os.getpid(), 250)
+    return f"127.{1 + second % 250}.{third}.{number}"
+
+
 def free_ports(host: str, count: int) -> list[int]:
     """Return ports that are free now on a loopback address."""
     with ExitStack() as stack:
@@ -89,12 +102,13 @@
     platform: dict[str, Address] = field(default_factory=dict)
 
     def start_platform(self) -> None:
-        names = ("log", "instance_list", "maintenance")
-        ports = free_ports("127.0.0.1", len(names) + len(self.worker_names))
+        names = ("log", "instance_list", "maintenance", "collector")
+        host = loopback_host(1)
+        ports = free_ports(host, len(names) + len(self.worker_names))
         for name, port in zip(names, ports, strict=False):
-            self.platform[name] = Address("127.0.0.1", port)
+            self.platform[name] = Address(host, port)
         for name, port in zip(self.worker_names, ports[len(names) :], strict=True):
-            self.workers[name] = Address("127.0.0.1", port)
+            self.workers[name] = Address(host, port)
         plan: dict[str, Any] = {
             name: [address.host, address.port]
             for name, address in self.platform.items()
@@ -124,6 +138,8 @@
             list_port=self.platform["instance_list"].port,
             maintenance_host=self.platform["maintenance"].host,
             maintenance_port=self.platform["maintenance"].port,
+            collector_host=self.platform["collector"].host,
+            collector_port=self.platform["collector"].port,
         )
         settings_file = self.folder / f"{name}.toml"
         settings_file.write_text(text)
--- a/features/support/demo.py
+++ b/features/support/demo.py
@@ -20,7 +20,7 @@
 from typing import Any
 
 from cicadatraild.network.http_client import Address, ConnectionPool
-from features.support.cluster import OPERATOR_TOKEN, Cluster
+from features.support.cluster import OPERATOR_TOKEN, Cluster, loopback_host
 from features.support.load import Load, LoadResult, TeamLoad
 
 SEED = 20261204
@@ -32,7 +32,7 @@
 SPARE_POOL = "portal"
 WORKERS_PER_POOL = 6
 UNAVAILABLE_LIMIT_COUNT = 2
-DATA_CENTRES = (("a", "127.0.1.1"), ("b", "127.0.2.1"), ("c", "127.0.3.1"))
+DATA_CENTRES = ("a", "b", "c")
 LIMITS = {"weddings": 30, "stock-control": 24}
 WEIGHTS = {"weddings": 3.0, "stock-control": 1.0}
 
@@ -76,7 +76,7 @@
         operations.append({"type": "put-queue", "queue": queue})
     for name, address in cluster.workers.items():
         pool, _, number = name.rpartition("-")
-        data_centre = DATA_CENTRES[int(number) % 3][0]
+        data_centre = DATA_CENTRES[int(number) % 3]
         worker = {
             "worker_id": name,
             "host": address.host,
@@ -230,6 +230,10 @@
             f"  {team_id:14} reached {reached:.2f}  due {due:.2f}"
             f"  most at once {peak} of {LIMITS[team_id]}"
         )
+    spans = await read_json(pool, cluster.platform["collector"], "/")
+    hops = Counter(span["name"] for span in spans)
+    traces = {span["context"]["trace_id"] for span in spans}
+    print(f"Traces: {len(traces)} sampled, spans by hop {dict(sorted(hops.items()))}")
     versions = set()
     print("Instances")
     for instance in cluster.instances.values():
@@ -253,8 +257,8 @@
     with tempfile.TemporaryDirectory() as folder, ExitStack() as stack:
         cluster = Cluster(Path(folder), stack, worker_names())
         cluster.start_platform()
-        for letter, host in DATA_CENTRES:
-            cluster.start_instance(f"entry-{letter}", letter, host)
+        for number, letter in enumerate(DATA_CENTRES, 2):
+            cluster.start_instance(f"entry-{letter}", letter, loopback_host(number))
         cluster.wait_until_served()
         print(f"Three entry instances serve after {time.monotonic() - began_s:.1f} s.")
         try:
--- a/features/support/edge_world.py
+++ b/features/support/edge_world.py
@@ -47,6 +47,7 @@
 from cicadatraild.serving.running import GivenUpTasks
 from cicadatraild.serving.upstream import Upstream
 from cicadatraild.utils.open_work import OpenWork
+from cicadatraild.utils.tracing import Tracing
 from features.standins.workers import Ledger, StandInWorker
 
 HOST = "127.0.0.1"
@@ -120,6 +121,7 @@
             lambda taker, message: _send(directory, taker, message),
         )
         upstream = Upstream(pool, self.name, self._may_spend, lambda _: None)
+        tracing = Tracing(self.name, 0.0, None, pool)
         places = Places(
             desk,
             upstream,
@@ -127,6 +129,7 @@
             leases,
             lambda worker_id: self.world.state.workers.get(worker_id),
             lambda _: directory.links if self.peers is None else self.peers,
+            tracing,
         )
         budget = RetryBudget(self.world.retries)
         attempts = Attempts(
@@ -141,8 +144,8 @@
             lambda: str(new()),
         )
         open_work = OpenWork()
-        router = Router(admission, attempts, ids, open_work)
-        requests = PeerRequests(admission, desk, places, open_work)
+        router = Router(admission, attempts, ids, open_work, tracing)
+        requests = PeerRequests(admission, desk, places, open_work, tracing)
         self.parts = {
             "pool": pool,
             "directory": directory,
--- a/features/support/process_run.py
+++ b/features/support/process_run.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from cicadatraild.network.http_client import Address, ConnectionPool
-from features.support.cluster import Cluster
+from features.support.cluster import Cluster, loopback_host
 from features.support.demo import (
     DATA_CENTRES,
     LIMITS,
@@ -66,8 +66,8 @@
     folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
     cluster = Cluster(folder, stack, worker_names())
     cluster.start_platform()
-    for letter, host in DATA_CENTRES:
-        cluster.start_instance(f"entry-{letter}", letter, host)
+    for number, letter in enumerate(DATA_CENTRES, 2):
+        cluster.start_instance(f"entry-{letter}", letter, loopback_host(number))
     cluster.wait_until_served()
     return ProcessRun(cluster, set_up(cluster))
 
--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -80,6 +80,7 @@
 from cicadatraild.utils.metrics import InstanceCollector, Metrics
 from cicadatraild.utils.open_work import OpenWork
 from cicadatraild.utils.settings import Settings
+from cicadatraild.utils.tracing import Tracing
 
 logger = logging.getLogger("cicadatrail.instance")
 
@@ -155,6 +156,12 @@
         self._desk = Desk(Dispatcher(DispatcherSettings()), self._loans)
         self._control = HttpWorkerControl(self._pool)
         self._given_up = GivenUpTasks(self._desk, self._control)
+        self._tracing = Tracing(
+            instance.instance_id,
+            settings.tracing.sample_ratio,
+            _collector(settings),
+            self._pool,
+        )
         self._admission = Admission(self._standing.may_judge_keys, new_uuid7)
         self._membership = self._make_membership()
         self._open_work = OpenWork()
@@ -186,7 +193,11 @@
             self._desk.dispatcher, self._control, self._worker
         )
         self._peer_requests = PeerRequests(
-            self._admission, self._desk, self._places, self._open_work
+            self._admission,
+            self._desk,
+            self._places,
+            self._open_work,
+            self._tracing,
         )
         self._maintenance = FleetMaintenance(
             self.incarnation,
@@ -234,6 +245,7 @@
         tasks.start("reclaim", self._standing.reclaim())
         tasks.start("digests", self._digests.run())
         tasks.start("loans", self._loans.run())
+        tasks.start("traces", self._tracing.run())
         tasks.start("desk", self._desk.run())
         tasks.start("peer records", self._peer_records.run())
         tasks.start("snapshots", self._snapshots.run())
@@ -346,6 +358,7 @@
             self._leases,
             self._worker,
             self._peers_with_room,
+            self._tracing,
         )
 
     def _make_router(self) -> Router:
@@ -357,7 +370,9 @@
             time.time,
             _new_id,
         )
-        return Router(self._admission, self._attempts, ids, self._open_work)
+        return Router(
+            self._admission, self._attempts, ids, self._open_work, self._tracing
+        )
 
     def _may_answer_for(self, partition: int) -> bool:
         """Tell whether this instance may say if an id was seen."""
@@ -512,6 +527,11 @@
                 return Done()
 
 
+def _collector(settings: Settings) -> Address | None:
+    host, port = settings.tracing.export_host, settings.tracing.export_port
+    return None if host is None or port is None else Address(host, port)
+
+
 class _Tasks:
     """Run the instance's long-lived tasks; the first to fail ends them all."""
 
--- a/packages/cicadatrail-node/src/cicadatraild/serving/peer_requests.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/peer_requests.py
@@ -31,6 +31,7 @@
 from cicadatraild.serving.places import Places
 from cicadatraild.serving.upstream import Attempt
 from cicadatraild.utils.open_work import OpenWork
+from cicadatraild.utils.tracing import Tracing
 
 GO_TIMEOUT_S = 1.0
 """Time that a reserved place is kept for the request to follow."""
@@ -39,11 +40,17 @@
 class PeerRequests:
     """Reserve places for peers' requests and run those that follow."""
 
-    __slots__ = ("_admission", "_desk", "_open_work", "_places")
+    __slots__ = ("_admission", "_desk", "_open_work", "_places", "_tracing")
 
     def __init__(
-        self, admission: Admission, desk: Desk, places: Places, open_work: OpenWork
+        self,
+        admission: Admission,
+        desk: Desk,
+        places: Places,
+        open_work: OpenWork,
+        tracing: Tracing,
     ) -> None:
+        self._tracing = tracing
         self._admission = admission
         self._desk = desk
         self._places = places
@@ -78,8 +85,10 @@
         finally:
             if go is None:
                 self._desk.finish(request.request_id, TaskEnd.CANCELLED)
-        if go is not None:
-            await self._run(stream, placed, go, opened.traceparent)
+        if go is None:
+            return
+        with self._tracing.hop("peer", opened.traceparent) as hop:
+            await self._run(stream, placed, go, hop.traceparent)
 
     async def _run(
         self, stream: ForwardStream, placed: Placed, go: ForwardGo, traceparent: str
--- a/packages/cicadatrail-node/src/cicadatraild/serving/places.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/places.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from cicadatrail_core.models.fleet import Worker
 from cicadatrail_core.models.requests import TaskRequest
@@ -16,6 +17,7 @@
 from cicadatraild.serving.outcomes import NotRun, Reason
 from cicadatraild.serving.running import GivenUpTasks, RunningTask
 from cicadatraild.serving.upstream import Attempt, Upstream
+from cicadatraild.utils.tracing import Tracing
 
 SEEK_INTERVAL_S = 0.02
 """Wait before a request that found no place here is offered to peers."""
@@ -32,6 +34,7 @@
         "_given_up",
         "_leases",
         "_peers_with_room",
+        "_tracing",
         "_upstream",
         "_worker",
         "forwarded_count",
@@ -45,7 +48,9 @@
         leases: LeaseKeeper,
         worker: Callable[[str], Worker | None],
         peers_with_room: Callable[[TaskRequest], Sequence[PeerLink]],
+        tracing: Tracing,
     ) -> None:
+        self._tracing = tracing
         self._desk = desk
         self._upstream = upstream
         self._given_up = given_up
@@ -81,7 +86,10 @@
             return NotRun(Reason.NO_ROOM)
         lease = self._leases.lease(worker, request.request_id, request.deadline_s)
         task = RunningTask(self._desk, self._given_up, lease)
-        return await self._upstream.run(worker, call, task)
+        with self._tracing.hop("worker", call.traceparent) as hop:
+            hop.note("worker_id", placed.worker_id)
+            traced = replace(call, traceparent=hop.traceparent)
+            return await self._upstream.run(worker, traced, task)
 
     async def _wait(
         self, call: UpstreamCall, decision: asyncio.Future[Decision]
--- a/packages/cicadatrail-node/src/cicadatraild/serving/router.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/router.py
@@ -31,12 +31,20 @@
 )
 from cicadatraild.serving.request_ids import Claim, RequestIds
 from cicadatraild.utils.open_work import OpenWork
+from cicadatraild.utils.tracing import Tracing
 
 
 class Router:
     """Serve callers."""
 
-    __slots__ = ("_admission", "_attempts", "_ids", "_open_work", "outcome_counts")
+    __slots__ = (
+        "_admission",
+        "_attempts",
+        "_ids",
+        "_open_work",
+        "_tracing",
+        "outcome_counts",
+    )
 
     def __init__(
         self,
@@ -44,7 +52,9 @@
         attempts: Attempts,
         ids: RequestIds,
         open_work: OpenWork,
+        tracing: Tracing,
     ) -> None:
+        self._tracing = tracing
         self._admission = admission
         self._attempts = attempts
         self._ids = ids
@@ -74,6 +84,19 @@
 
     async def _serve_admitted(
         self, exchange: HttpExchange, admitted: Admitted, request_id: UUID | None
+    ) -> None:
+        came = next(iter(exchange.header_values(b"traceparent")), "")
+        with self._tracing.hop("entry", came) as hop:
+            hop.note("request_id", admitted.caller_id)
+            hop.note("team_id", admitted.task.team_id)
+            await self._serve_traced(exchange, admitted, request_id, hop.traceparent)
+
+    async def _serve_traced(
+        self,
+        exchange: HttpExchange,
+        admitted: Admitted,
+        request_id: UUID | None,
+        traceparent: str,
     ) -> None:
         task = admitted.task
         try:
@@ -89,6 +112,7 @@
             target=exchange.target,
             headers=(named, *end_to_end_headers(tuple(exchange.request.headers))),
             body=body,
+            traceparent=traceparent,
         )
         if task.repeatable or request_id is None:
             answer = await self._attempts.run(call)
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/utils/tracing.py
@@ -0,0 +1,123 @@
+"""Traces with a span for each hop, exported from the loop without a thread."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from opentelemetry.context import Context
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor, TracerProvider
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.trace import Span, set_span_in_context
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+from cicadatraild.network.http_client import Address, ConnectionPool
+
+logger = logging.getLogger("cicadatrail.trace")
+
+QUEUE_LIMIT_COUNT = 2_048
+"""Ended spans that wait for export; the oldest are dropped beyond."""
+
+EXPORT_INTERVAL_S = 1.0
+EXPORT_TIMEOUT_S = 2.0
+
+_TRACEPARENT = "traceparent"
+
+
+class SpanQueue(SpanProcessor):
+    """Keep ended spans until the loop exports them."""
+
+    def __init__(self) -> None:
+        self.ended: deque[ReadableSpan] = deque(maxlen=QUEUE_LIMIT_COUNT)
+
+    def on_end(self, span: ReadableSpan) -> None:
+        """Keep a span that has ended; called by the tracer."""
+        self.ended.append(span)
+
+
+@dataclass(frozen=True, slots=True)
+class Hop:
+    """Hold the trace context that goes on to the next hop."""
+
+    traceparent: str
+    span: Span | None = None
+
+    def note(self, name: str, value: str) -> None:
+        """Set an attribute of the hop's span, if it is recorded."""
+        if self.span is not None:
+            self.span.set_attribute(name, value)
+
+
+class Tracing:
+    """Start a span for each hop; the entry instance decides on sampling once.
+
+    Without a collector no span is made, and a caller's trace context is
+    passed on as it came.
+    """
+
+    __slots__ = ("_collector", "_pool", "_propagator", "_queue", "_tracer")
+
+    def __init__(
+        self,
+        instance_id: str,
+        sample_ratio: float,
+        collector: Address | None,
+        pool: ConnectionPool,
+    ) -> None:
+        self._collector = collector
+        self._pool = pool
+        self._queue = SpanQueue()
+        self._propagator = TraceContextTextMapPropagator()
+        provider = TracerProvider(
+            sampler=ParentBased(TraceIdRatioBased(sample_ratio)),
+            resource=Resource({"service.name": instance_id}),
+            shutdown_on_exit=False,
+        )
+        provider.add_span_processor(self._queue)
+        self._tracer = provider.get_tracer("cicadatrail")
+
+    @contextmanager
+    def hop(self, name: str, traceparent: str) -> Iterator[Hop]:
+        """Record a hop while the context lasts; the span's parent came with it."""
+        if self._collector is None:
+            yield Hop(traceparent)
+            return
+        parent = self._propagator.extract({_TRACEPARENT: traceparent}, Context())
+        span = self._tracer.start_span(name, parent)
+        carrier: dict[str, str] = {}
+        self._propagator.inject(carrier, set_span_in_context(span, parent))
+        try:
+            yield Hop(carrier.get(_TRACEPARENT, ""), span)
+        finally:
+            span.end()
+
+    async def run(self) -> None:
+        """Export ended spans until cancelled."""
+        while True:
+            await asyncio.sleep(EXPORT_INTERVAL_S)
+            if self._collector is not None:
+                await self._export(self._collector)
+
+    async def _export(self, collector: Address) -> None:
+        """Send what has ended; spans that can't be sent are dropped."""
+        if not self._queue.ended:
+            return
+        spans = [span.to_json(indent=None) for span in self._queue.ended]
+        self._queue.ended.clear()
+        body = f"[{','.join(spans)}]".encode()
+        headers = ((b"Content-Type", b"application/json"),)
+        sent = await self._pool.fetch(
+            collector,
+            "POST",
+            "/spans",
+            headers=headers,
+            body=body,
+            timeout_s=EXPORT_TIMEOUT_S,
+        )
+        if sent.value_or(None) is None:
+            logger.warning("trace: %d spans could not be exported.", len(spans))
