--- /dev/null
+++ b/features/loans.feature
@@ -0,0 +1,33 @@
+Feature: Loans of team slots between members
+  Demand decides who asks whom; cumulative totals make lost, repeated and
+  reordered messages harmless.
+
+  Scenario Outline: Loan demand is asked of the peers with most free slots
+    Given a loan demand of <waiting> waiting and <free> free
+    And loan offers of <offers>
+    Then the loan asks are <asks>
+
+    Examples:
+      | waiting | free | offers         | asks       |
+      | 0       | 0    | p1=4           | nothing    |
+      | 3       | 3    | p1=4           | nothing    |
+      | 3       | 1    | p1=4           | p1=2       |
+      | 9       | 0    | p1=2 p2=5 p3=3 | p2=5 p3=3  |
+      | 4       | 0    | p2=4 p1=4      | p1=4       |
+      | 2       | 0    | p1=0           | nothing    |
+
+  Scenario Outline: Loan lender keeps what its own work needs
+    Given a loan demand of <waiting> waiting and <free> free
+    Then the lender lends <lent> when idle for <idle> s
+    And the lender recalls <recalled> of 3 lent slots
+
+    Examples:
+      | waiting | free | idle | lent | recalled |
+      | 0       | 5    | 0.1  | 2    | 0        |
+      | 0       | 5    | 0.5  | 5    | 0        |
+      | 2       | 0    | 9.0  | 0    | 2        |
+      | 9       | 0    | 9.0  | 0    | 3        |
+
+  Scenario: Loan totals survive lost, repeated and reordered messages
+    When loan messages are lost, repeated and reordered in 300 random histories
+    Then the loan books never let both sides use one slot
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/borrower.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/borrower.py
@@ -152,6 +152,12 @@
         loan = self._loans[lender, team_id]
         return max(0, loan.held_count - loan.running_count)
 
+    def recalled_idle_count(self, lender: IncarnationId, team_id: str) -> int:
+        """Return how many idle slots the lender doesn't let be used any more."""
+        loan = self._loans[lender, team_id]
+        recalled_count = max(0, loan.held_count - loan.usable_count)
+        return min(recalled_count, self.idle_count(lender, team_id))
+
     def running_count(self, lender: IncarnationId, team_id: str) -> int:
         """Return how many tasks are charged to a loan."""
         loan = self._loans.get((lender, team_id))
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/lender.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/lender.py
@@ -53,13 +53,15 @@
         lendable_count: int,
         allowance_count: int,
         remaining_s: float,
+        recalled_count: int = 0,
     ) -> LoanGrant:
         """Note what was returned, lend what is wanted and renew the lease.
 
         ``lendable_count`` is what the lender can do without at this moment:
         at most its usable slots less its own tasks. ``remaining_s`` is how
         long it is supported; it lends nothing where that isn't positive, nor
-        to a stranger, to another region or to a retired member.
+        to a stranger, to another region or to a retired member. The borrower
+        is to stop using ``recalled_count`` of what it has, and return it.
         """
         if not self._may_borrow(state, request.borrower):
             lendable_count = 0
@@ -74,13 +76,14 @@
             loan = replace(loan, lent_total=loan.lent_total + lent_count)
         if loan.lent_total > 0:
             self._loans[key] = loan
+        usable_count = self._usable_by(key, allowance_count)
         return LoanGrant(
             lender=self._incarnation,
             borrower=request.borrower,
             team_id=request.team_id,
             number=request.number,
             lent_total=loan.lent_total,
-            usable_count=self._usable_by(key, allowance_count),
+            usable_count=max(0, usable_count - recalled_count),
             remaining_s=min(remaining_s, self._timing.support_s),
         )
 
