--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/key_withdraw.py
@@ -0,0 +1,29 @@
+"""Withdraws a key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+
+from cicadatrail.commands.change import TargetCommand
+
+if TYPE_CHECKING:
+    from cicadatrail_core.models.patches import Operation
+
+
+class KeyWithdrawCommand(TargetCommand):
+    """Withdraws a key."""
+
+    name = "key withdraw"
+    description = "Withdraws a key for good; it stops working within seconds."
+    arguments: ClassVar[list[Argument]] = [
+        argument("key", description="Id of the key, as key list shows it."),
+    ]
+
+    def operation(self, target_id: str) -> Operation:
+        """Return the operation on the entry that was named."""
+        from cicadatrail_core.models.patches import WithdrawKey
+
+        return WithdrawKey(target_id)
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/move_abort.py
@@ -0,0 +1,29 @@
+"""Aborts a move."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+
+from cicadatrail.commands.change import TargetCommand
+
+if TYPE_CHECKING:
+    from cicadatrail_core.models.patches import Operation
+
+
+class MoveAbortCommand(TargetCommand):
+    """Aborts a move."""
+
+    name = "move abort"
+    description = "Aborts a move that is still draining; the worker stays."
+    arguments: ClassVar[list[Argument]] = [
+        argument("move", description="Id of the move."),
+    ]
+
+    def operation(self, target_id: str) -> Operation:
+        """Return the operation on the entry that was named."""
+        from cicadatrail_core.models.patches import AbortMove
+
+        return AbortMove(target_id)
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/team_remove.py
@@ -0,0 +1,29 @@
+"""Removes a team."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+
+from cicadatrail.commands.change import TargetCommand
+
+if TYPE_CHECKING:
+    from cicadatrail_core.models.patches import Operation
+
+
+class TeamRemoveCommand(TargetCommand):
+    """Removes a team."""
+
+    name = "team remove"
+    description = "Removes a team and withdraws its keys."
+    arguments: ClassVar[list[Argument]] = [
+        argument("team", description="Id of the team."),
+    ]
+
+    def operation(self, target_id: str) -> Operation:
+        """Return the operation on the entry that was named."""
+        from cicadatrail_core.models.patches import RemoveTeam
+
+        return RemoveTeam(target_id)
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/wave_pause.py
@@ -0,0 +1,29 @@
+"""Pauses a wave."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+
+from cicadatrail.commands.change import TargetCommand
+
+if TYPE_CHECKING:
+    from cicadatrail_core.models.patches import Operation
+
+
+class WavePauseCommand(TargetCommand):
+    """Pauses a wave."""
+
+    name = "wave pause"
+    description = "Pauses a wave: no further drain starts."
+    arguments: ClassVar[list[Argument]] = [
+        argument("wave", description="Id of the wave."),
+    ]
+
+    def operation(self, target_id: str) -> Operation:
+        """Return the operation on the entry that was named."""
+        from cicadatrail_core.models.patches import PauseWave
+
+        return PauseWave(target_id)
--- /dev/null
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/wave_resume.py
@@ -0,0 +1,29 @@
+"""Resumes a wave."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+
+from cicadatrail.commands.change import TargetCommand
+
+if TYPE_CHECKING:
+    from cicadatrail_core.models.patches import Operation
+
+
+class WaveResumeCommand(TargetCommand):
+    """Resumes a wave."""
+
+    name = "wave resume"
+    description = "Resumes a paused wave."
+    arguments: ClassVar[list[Argument]] = [
+        argument("wave", description="Id of the wave."),
+    ]
+
+    def operation(self, target_id: str) -> Operation:
+        """Return the operation on the entry that was named."""
+        from cicadatrail_core.models.patches import ResumeWave
+
+        return ResumeWave(target_id)
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/records.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/records.py
@@ -22,13 +22,17 @@
 
 @dataclass(frozen=True, slots=True)
 class JoinRecord:
-    """Enter an incarnation in the roster; it holds no rights yet."""
+    """Enter an incarnation in the roster; it holds no rights yet.
+
+    ``record_format`` is the newest format that its release can fold.
+    """
 
     incarnation: IncarnationId
     instance_id: str
     host: str
     peer_port: int
     place: Place
+    record_format: int = RECORD_FORMAT
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,12 +76,14 @@
 class FreeRecord:
     """Free a retired incarnation's rights; its writer has checked the rule.
 
-    ``gone`` names the incarnations whose death was proven to the writer.
+    ``gone`` names the incarnations whose death was proven to the writer. With
+    ``partitions_only`` the tasks that the incarnation started may still run.
     """
 
     incarnation: IncarnationId
     reclaimer: IncarnationId
     gone: tuple[IncarnationId, ...] = ()
+    partitions_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/process.py
@@ -0,0 +1,35 @@
+"""The life of the process: one incarnation after another until SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+
+from cicadatrail_core.fold.apply import ReleaseTooOldError
+from cicadatraild.app import Instance
+from cicadatraild.utils.settings import Settings
+
+logger = logging.getLogger("cicadatrail.instance")
+
+EXIT_RELEASE_TOO_OLD = 4
+"""Exit code when the log holds records in force that this release can't fold."""
+
+
+async def serve(settings: Settings) -> int:
+    """Serve until SIGTERM or SIGINT; return the exit code.
+
+    An incarnation that its peers struck out, say after a pause, is followed
+    by a new one that holds nothing yet.
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    while not stop.is_set():
+        try:
+            await Instance(settings).run(stop)
+        except ReleaseTooOldError as error:
+            logger.error("instance: this release is too old: %s.", error)
+            return EXIT_RELEASE_TOO_OLD
+    return 0
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/forwarding.py
@@ -0,0 +1,244 @@
+"""Sends a request to a peer that has room, and serves those of peers.
+
+A forward stream carries one request at a time: the peer first reserves a
+place, then gets the request and its body, then sends the reply back. Every
+reply names the request, so that one of another exchange is never taken.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from contextlib import suppress
+from dataclasses import dataclass, replace
+from typing import Any
+
+from returns.result import Failure, Success
+
+from cicadatrail_core.models.peer_messages import (
+    Abandon,
+    BodyChunk,
+    BodyEnd,
+    ForwardGo,
+    ForwardMessage,
+    ForwardOpen,
+    NotReserved,
+    ReplyHead,
+    ReplyNotRun,
+    ReplyUnknown,
+    Reserved,
+)
+from cicadatrail_core.utils import codec
+from cicadatraild.network.frames import FrameError, FrameStream
+from cicadatraild.network.peer_client import PeerLink
+from cicadatraild.serving.calls import BodyCutError, UpstreamCall
+from cicadatraild.serving.outcomes import NotRun, Reason, Reply, ReplyCutError, Unknown
+from cicadatraild.serving.upstream import Attempt
+
+logger = logging.getLogger("cicadatrail.forward")
+
+RESERVE_TIMEOUT_S = 0.5
+"""Time that a peer has to answer a request for a place."""
+
+CHUNK_BYTES = 64 * 1024
+"""Largest part of a body in one frame."""
+
+
+class ForwardStream:
+    """Read and write typed messages on a forward stream."""
+
+    __slots__ = ("frames",)
+
+    def __init__(self, frames: FrameStream) -> None:
+        self.frames = frames
+
+    async def read(self) -> Any:
+        """Return the next message. Raises FrameError."""
+        match codec.from_map(await self.frames.read(), ForwardMessage):
+            case Success(message):
+                return message
+            case Failure(findings):
+                raise FrameError(f"unreadable message: {findings[0]}")
+
+    async def send(self, message: Any) -> None:
+        """Send a message and wait while the peer is slow. Raises FrameError."""
+        self.frames.write(codec.to_map(message, ForwardMessage))
+        await self.frames.drain()
+
+    async def send_body(self, chunks: AsyncIterator[bytes]) -> None:
+        """Send a body to its end."""
+        number = 0
+        async for chunk in chunks:
+            for start in range(0, len(chunk), CHUNK_BYTES):
+                part = chunk[start : start + CHUNK_BYTES]
+                await self.send(BodyChunk(number, part))
+                number += 1
+        await self.send(BodyEnd(number))
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield a body to its end. Raises FrameError when it is cut."""
+        number = 0
+        while True:
+            match await self.read():
+                case BodyChunk(found, data) if found == number:
+                    number += 1
+                    yield data
+                case BodyEnd(chunk_count) if chunk_count == number:
+                    return
+                case other:
+                    raise FrameError(f"a {type(other).__name__} is out of turn")
+
+
+@dataclass(slots=True)
+class Reservation:
+    """Hold a place that a peer keeps for a request."""
+
+    link: PeerLink
+    stream: ForwardStream
+    call: UpstreamCall
+    worker_id: str
+    _sent_whole: bool = False
+    _over: bool = False
+
+    async def abandon(self) -> None:
+        """Give the place back."""
+        try:
+            await self.stream.send(Abandon())
+        except FrameError:
+            self.stream.frames.abort()
+            return
+        self.link.give_back(self.stream.frames)
+
+    async def run(self) -> Attempt:
+        """Let the request run at the peer and return what came of it.
+
+        The reply to a request whose peer was lost is unknown: it may have
+        reached a worker.
+        """
+        if self.stream.frames.closing:
+            self._drop()
+            return NotRun(Reason.PEER_LOST)
+        self.call.mark.workers.add(self.worker_id)
+        self.call.mark.sent = True
+        try:
+            async with asyncio.timeout_at(self.call.request.deadline_s):
+                return self._attempt(await self._exchange())
+        except FrameError:
+            self._drop()
+            return Unknown(Reason.PEER_LOST)
+        except BodyCutError as error:
+            self._drop()
+            return Unknown(error.reason, error.status)
+        except TimeoutError:
+            self._drop()
+            return Unknown(Reason.DEADLINE, 504)
+        except BaseException:
+            self._drop()
+            raise
+
+    async def _exchange(self) -> Any:
+        """Send the request and return the peer's first answer.
+
+        The upstream may answer before the body's end, so that both go on at
+        once. The stream is used again only after the whole body was sent.
+        """
+        call = self.call
+        await self.stream.send(ForwardGo(call.method, call.target, call.headers))
+        loop = asyncio.get_running_loop()
+        sending = loop.create_task(self.stream.send_body(call.body.chunks()))
+        reading = loop.create_task(self.stream.read())
+        try:
+            await asyncio.wait((sending, reading), return_when=asyncio.FIRST_COMPLETED)
+            if not reading.done():
+                with suppress(FrameError):
+                    await sending
+            return await reading
+        finally:
+            self._sent_whole = sending.done() and not sending.cancelled()
+            sending.cancel()
+            reading.cancel()
+            await asyncio.gather(sending, reading, return_exceptions=True)
+
+    def _attempt(self, answer: Any) -> Attempt:
+        request_id = self.call.request.request_id
+        match answer:
+            case ReplyHead(found, status, headers) if found == request_id:
+                return Reply(status, headers, self._body(), self._drop)
+            case ReplyNotRun(found, reason) if found == request_id:
+                self._end()
+                return NotRun(_known_reason(reason))
+            case ReplyUnknown(found, reason) if found == request_id:
+                self._end()
+                return Unknown(_known_reason(reason))
+        raise FrameError("the answer belongs to another request")
+
+    async def _body(self) -> AsyncIterator[bytes]:
+        chunks = self.stream.body()
+        try:
+            while True:
+                async with asyncio.timeout_at(self.call.request.deadline_s):
+                    chunk = await anext(chunks, None)
+                if chunk is None:
+                    break
+                yield chunk
+        except (FrameError, TimeoutError) as error:
+            self._drop()
+            raise ReplyCutError(repr(error)) from error
+        self._end()
+
+    def _end(self) -> None:
+        """Part with the stream, which another request may take at once."""
+        if not self._sent_whole:
+            self._drop()
+            return
+        self._over = True
+        self.link.give_back(self.stream.frames)
+
+    def _drop(self) -> None:
+        if not self._over:
+            self._over = True
+            self.stream.frames.abort()
+
+
+async def reserve_at(link: PeerLink, call: UpstreamCall) -> Reservation | None:
+    """Ask a peer for a place; None when it has none or doesn't answer in time."""
+    request_id = call.request.request_id
+    now_s = asyncio.get_running_loop().time()
+    remaining_s = call.request.deadline_s - now_s
+    frames: FrameStream | None = None
+    try:
+        async with asyncio.timeout(min(RESERVE_TIMEOUT_S, max(0.0, remaining_s))):
+            frames = await link.open_forward()
+            stream = ForwardStream(frames)
+            # The peer's clock differs: the deadline goes as what remains.
+            await stream.send(ForwardOpen(call.request, remaining_s, call.traceparent))
+            match await stream.read():
+                case Reserved(found, worker_id) if found == request_id:
+                    reservation = Reservation(link, stream, call, worker_id)
+                    frames = None
+                    return reservation
+                case NotReserved(found) if found == request_id:
+                    link.give_back(frames)
+                    frames = None
+                    return None
+    except (FrameError, TimeoutError):
+        return None
+    finally:
+        if frames is not None:
+            frames.abort()
+    return None
+
+
+def _known_reason(text: str) -> Reason | str:
+    """Return a peer's reason as one of this release, where it is one."""
+    try:
+        return Reason(text)
+    except ValueError:
+        return text
+
+
+def with_local_deadline(opened: ForwardOpen, now_s: float) -> ForwardOpen:
+    """Return the message with the deadline on this instance's clock."""
+    deadline_s = now_s + opened.remaining_s
+    return replace(opened, request=replace(opened.request, deadline_s=deadline_s))
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/membership.py
@@ -0,0 +1,214 @@
+"""Joins the roster, proves to be alive, and evens out rights by records."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cicadatrail_core.fold.holdings import obsolete_rights
+from cicadatrail_core.models.fleet import Place
+from cicadatrail_core.models.records import (
+    ClaimRecord,
+    JoinRecord,
+    LeaveRecord,
+    ReleaseRecord,
+    TransferRecord,
+)
+from cicadatrail_core.models.rights import IncarnationId, Right, SlotRight, WorkerRight
+from cicadatrail_core.models.state import Member, State
+from cicadatrail_core.rights.balance import fair_claim, handover, surplus
+from cicadatraild.sharing.appender import Appender
+from cicadatraild.sharing.holdings import Holdings
+from cicadatraild.sharing.replica import Replica
+
+logger = logging.getLogger("cicadatrail.member")
+
+BALANCE_INTERVAL_S = 1.0
+"""Time between two looks at whether rights are spread evenly."""
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Name this incarnation and where peers reach it."""
+
+    incarnation: IncarnationId
+    instance_id: str
+    host: str
+    peer_port: int
+    place: Place
+
+
+class StruckOutError(Exception):
+    """Report that peers retired this incarnation; it must not go on."""
+
+
+class Membership:
+    """Keep this incarnation in the roster and its rights in proportion."""
+
+    __slots__ = (
+        "_appender",
+        "_holdings",
+        "_identity",
+        "_joined",
+        "_on_holdings",
+        "_replica",
+        "_keep_records",
+        "_running_on",
+        "_spare_slots",
+        "leaving",
+    )
+
+    def __init__(
+        self,
+        identity: Identity,
+        replica: Replica,
+        appender: Appender,
+        holdings: Holdings,
+        running_on: Callable[[str], int],
+        spare_slots: Callable[[str], int],
+        keep_records: Callable[[], tuple[TransferRecord, ...]],
+        on_holdings: Callable[[], None],
+    ) -> None:
+        self._identity = identity
+        self._replica = replica
+        self._appender = appender
+        self._holdings = holdings
+        self._running_on = running_on
+        self._spare_slots = spare_slots
+        self._keep_records = keep_records
+        self._on_holdings = on_holdings
+        self._joined = False
+        self.leaving = False
+
+    @property
+    def member(self) -> Member | None:
+        """Return this incarnation's entry in the roster."""
+        return self._replica.state.roster.get(self._identity.incarnation)
+
+    async def join(self) -> None:
+        """Enter the roster; waits while the log can't be written."""
+        identity = self._identity
+        self._appender.add(
+            JoinRecord(
+                identity.incarnation,
+                identity.instance_id,
+                identity.host,
+                identity.peer_port,
+                identity.place,
+            )
+        )
+        await self._replica.wait_for(lambda state: identity.incarnation in state.roster)
+        self._joined = True
+        logger.info("member: joined as %s.", identity.incarnation)
+
+    async def balance(self) -> None:
+        """Claim, hand over and release rights, until cancelled.
+
+        Raises StruckOutError when the roster no longer holds this incarnation.
+        """
+        while True:
+            self.check_member()
+            state = self._replica.state
+            if self._is_settled(state) and not self.leaving:
+                self._propose(state)
+            await asyncio.sleep(BALANCE_INTERVAL_S)
+
+    async def leave(self) -> None:
+        """Hand every right to peers, then leave the roster.
+
+        The caller has ended everything that runs. Waits until the hand-over
+        is folded, so that the rights are in use again at once.
+        """
+        self.leaving = True
+        incarnation = self._identity.incarnation
+        await self._replica.wait_for(self._is_settled)
+        state = self._replica.state
+        self._hand_over(state, handover(state, incarnation))
+        await self._replica.wait_for(self._is_settled)
+        self._appender.add(LeaveRecord(incarnation))
+        await self._replica.wait_for(lambda state: incarnation not in state.roster)
+        logger.info("member: left the roster.")
+
+    def check_member(self) -> None:
+        """Raise StruckOutError when this incarnation was retired or freed."""
+        member = self.member
+        retired = member is not None and member.retire_offset is not None
+        if self._joined and (member is None or retired):
+            raise StruckOutError
+
+    def _is_settled(self, state: State) -> bool:
+        """Settle what the state shows; tell whether nothing is on its way."""
+        self._settle(state)
+        return not self._holdings.ledger.pending or self.member is None
+
+    def _settle(self, state: State) -> None:
+        """Forget what was given up once the log shows it."""
+        before = self._holdings.ledger.pending
+        self._holdings.ledger.settle(state)
+        if len(before) != len(self._holdings.ledger.pending):
+            self._on_holdings()
+
+    def _propose(self, state: State) -> None:
+        """Append at most one kind of change to the rights."""
+        incarnation = self._identity.incarnation
+        claims = fair_claim(state, incarnation)
+        if claims:
+            self._appender.add(ClaimRecord(incarnation, claims))
+            return
+        released = self._idle_part(obsolete_rights(state, incarnation))
+        if released:
+            sequence = self._holdings.ledger.next_sequence(state)
+            self._give_up(ReleaseRecord(incarnation, released, sequence))
+            return
+        kept = self._keep_records()
+        if kept:
+            for record in kept:
+                self._appender.add(record)
+            return
+        self._hand_over(state, surplus(state, incarnation))
+
+    def _hand_over(self, state: State, records: tuple[TransferRecord, ...]) -> None:
+        """Give up the idle part of the rights; busy workers go later."""
+        self._mark(records)
+        for record in records:
+            idle = self._idle_part(record.rights)
+            if idle:
+                sequence = self._holdings.ledger.next_sequence(state)
+                self._give_up(
+                    TransferRecord(record.giver, record.taker, idle, sequence)
+                )
+
+    def _mark(self, records: tuple[TransferRecord, ...]) -> None:
+        """Place nothing more on busy workers that are to be handed over."""
+        marked = {
+            right.worker_id
+            for record in records
+            for right in record.rights
+            if isinstance(right, WorkerRight)
+        }
+        if marked != self._holdings.marked_workers:
+            self._holdings.marked_workers = marked
+            self._on_holdings()
+
+    def _give_up(self, record: TransferRecord | ReleaseRecord) -> None:
+        """Stop using rights, then append the record that gives them up."""
+        self._holdings.ledger.stop_using(record)
+        self._on_holdings()
+        self._appender.add(record)
+
+    def _idle_part(self, rights: tuple[Right, ...]) -> tuple[Right, ...]:
+        """Return the rights, or the part of them, that nothing runs on."""
+        idle: list[Right] = []
+        for right in rights:
+            match right:
+                case WorkerRight(worker_id) if self._running_on(worker_id):
+                    continue
+                case SlotRight(team_id, slot_count):
+                    spare_count = self._spare_slots(team_id)
+                    if spare_count > 0:
+                        idle.append(SlotRight(team_id, min(slot_count, spare_count)))
+                case _:
+                    idle.append(right)
+        return tuple(idle)
