--- a/packages/cicadatrail-core/src/cicadatrail_core/moves/buffers.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/moves/buffers.py
@@ -39,7 +39,8 @@
     """Return how many workers of the spare pool the worst loss would call for.
 
     One domain is lost at a time, so that all pools share one buffer: it is the
-    largest sum, over the domains, of what the pools would lack. A domain that
+    largest sum, over the domains, of what the loss adds to the pools' lack (a
+    pool's present lack is no matter of the buffer, it is fed). A domain that
     is lost already is met from the buffer, so that no further one is reserved.
 
     Source: Meta's RAS shares buffers against correlated failure this way.
@@ -52,13 +53,17 @@
             members[pool_of[worker_id]] += 1
     if any(not members for members in lost.values()):
         return 0
-    return max((_lack(members, counts, needed) for members in lost.values()), default=0)
+    return max(
+        (_added_lack(members, counts, needed) for members in lost.values()), default=0
+    )
 
 
-def _lack(
+def _added_lack(
     lost: Mapping[str, int], counts: Mapping[str, int], needed: Mapping[str, int]
 ) -> int:
-    return sum(
-        max(0, needed.get(pool_id, 0) - (counts.get(pool_id, 0) - lost_count))
-        for pool_id, lost_count in lost.items()
-    )
+    """Return what a loss adds to the lack that the pools have already."""
+    added = 0
+    for pool_id, lost_count in lost.items():
+        free_count = counts.get(pool_id, 0) - needed.get(pool_id, 0)
+        added += max(0, min(lost_count, lost_count - free_count))
+    return added
--- a/packages/cicadatrail-core/src/cicadatrail_core/moves/planner.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/moves/planner.py
@@ -150,11 +150,14 @@
         return trend is not None and surplus_long_enough(trend, timing, now_s)
 
     def _surplus_donors(self, taker: str) -> Iterator[str]:
-        """Yield pools with too many workers; only borrowed ones leave them."""
+        """Yield pools with too many workers now; only borrowed ones leave them.
+
+        Their usual load doesn't count here, since the worker is lacking elsewhere.
+        """
         for pool_id in sorted(self._state.pools):
             if pool_id == taker or pool_id in self._spare:
                 continue
-            if self._excess(pool_id) > 0:
+            if self._trend(pool_id) is not None and self._lack(pool_id) < 0:
                 yield pool_id
 
     def _spare_donors(self, taker: str) -> Iterator[str]:
