--- a/packages/cicadatrail-core/src/cicadatrail_core/admission/request_ids.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/admission/request_ids.py
@@ -24,11 +24,13 @@
 class RequestIdSettings:
     """Bound a partition's memory.
 
-    ``clock_skew_s`` bounds the difference of any two clocks, of callers and of
-    entry instances. An id is taken up to ``window_s`` after its time.
+    ``clock_skew_s`` bounds the difference between the clocks of any two entry
+    instances. An id is taken from ``ahead_limit_s`` before its time, by the
+    instance's clock, up to ``window_s`` after it.
     """
 
-    clock_skew_s: float = 5.0
+    clock_skew_s: float = 0.5
+    ahead_limit_s: float = 2.0
     window_s: float = 600.0
     entry_limit_count: int = 4096
     answer_limit_bytes: int = 65_536
@@ -133,10 +135,11 @@
     ) -> PartitionMemory:
         """Begin at ``taken_s`` without the memory of the holder before.
 
-        That holder took ids up to one skew ahead of its clock, which may be one
-        skew ahead of this one.
+        That holder took ids up to the limit ahead of its clock, which may be
+        one skew ahead of this one.
         """
-        return cls(settings, taken_s + 2 * settings.clock_skew_s)
+        ahead_s = settings.ahead_limit_s + settings.clock_skew_s
+        return cls(settings, taken_s + ahead_s)
 
     @classmethod
     def from_copy(
@@ -183,7 +186,7 @@
             return _seen_verdict(entry, attempt)
         if time_s <= self._horizon_s:
             return Unknowable()
-        if time_s > now_s + self._settings.clock_skew_s:
+        if time_s > now_s + self._settings.ahead_limit_s:
             return NotRun("the request id's time lies ahead of this instance's clock")
         if len(self._entries) >= self._settings.entry_limit_count:
             return NotRun("too many request ids of this partition are remembered")
