Decide a request again whose borrowed slot had lapsed

Cause: the desk dropped what the dispatcher said when such a request was submitted again: one that was placed kept its place for ever and its caller never heard. Found by reading; the world of the edge's tests takes the new charges.

--- a/features/support/edge_world.py
+++ b/features/support/edge_world.py
@@ -71,6 +71,16 @@
         return UUID(int=value | (bits >> 62) << 64 | 2 << 62 | bits & ((1 << 62) - 1))
 
 
+class OwnSlots:
+    """Charge every task to an own slot, which never lapses."""
+
+    def start(self, request_id: str, team_id: str) -> bool:
+        return True
+
+    def end(self, request_id: str) -> None:
+        return
+
+
 @dataclass(slots=True)
 class EdgeInstance:
     """Put the parts of the request path together, as ``app`` does."""
@@ -94,7 +104,7 @@
             lambda *_: None,
         )
         await directory.open(self.stack)
-        desk = Desk(Dispatcher(DispatcherSettings()))
+        desk = Desk(Dispatcher(DispatcherSettings()), OwnSlots())
         control = HttpWorkerControl(pool)
         given_up = GivenUpTasks(desk, control)
         await given_up.open(self.stack)
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -143,7 +143,9 @@
         replica = Replica(log, source)
         appender = Appender(log, "x", 5.0, source)  # type: ignore[arg-type]
         token_hash = hashlib.sha256(ADMIN_TOKEN.encode()).hexdigest()
-        api = AdminApi(replica, appender, token_hash, _no_status, lambda: b"")
+        api = AdminApi(
+            replica, appender, token_hash, lambda _: True, _no_status, lambda: b""
+        )
         server = HttpServer("admin", api.serve, LIMITS)
         return Address(HOST, await server.listen(self.stack, HOST, 0))
 
--- a/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
@@ -106,8 +106,16 @@
             if self._note_start(placed):
                 self._decide(placed.request.request_id, placed)
             else:
-                # Its slot was borrowed and has lapsed: it waits again.
-                self.dispatcher.submit(placed.request, _now_s())
+                self._submit_again(placed.request)
+
+    def _submit_again(self, request: TaskRequest) -> None:
+        """Let a request wait again whose borrowed slot had lapsed."""
+        answer = self.dispatcher.submit(request, _now_s())
+        if isinstance(answer, Placed):
+            self.dispatcher.finish(request.request_id, TaskEnd.CANCELLED, _now_s())
+            answer = Rejected(request.request_id, RejectReason.QUEUE_FULL, 1.0)
+        if isinstance(answer, Rejected):
+            self._decide(request.request_id, answer)
 
     async def run(self) -> None:
         """Refuse requests whose deadline passes, until cancelled."""
