Set no timer for what has already come

Cause: eight timeouts were set and taken back for each request, most around events that had been received already. Reading polls first and sending waits only when the other side is slow; three remain (head, body start, attempt).

--- a/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
@@ -43,6 +43,15 @@
     """The response stopped before its end."""
 
 
+class Pending(Enum):
+    """State that nothing has come yet."""
+
+    PENDING = "pending"
+
+
+PENDING = Pending.PENDING
+
+
 class ClientError(Exception):
     """Report a failed request and how far it got."""
 
@@ -146,14 +155,31 @@
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the response's body. Raises ClientError when it is cut."""
-        while True:
-            event = await self._next_event(ClientFault.TRUNCATED)
-            if isinstance(event, h11.EndOfMessage):
-                self._finish()
-                return
-            if not isinstance(event, h11.Data):
-                raise ClientError(ClientFault.TRUNCATED, "the server closed")
-            yield bytes(event.data)
+        while (chunk := await self.next_chunk()) is not None:
+            yield chunk
+
+    async def next_chunk(self) -> bytes | None:
+        """Return the next part of the body, or None at its end.
+
+        Raises ClientError when it is cut.
+        """
+        return self._take_chunk(await self._next_event(ClientFault.TRUNCATED))
+
+    def poll_chunk(self) -> bytes | Pending | None:
+        """Return what ``next_chunk`` would, or PENDING if it has not come."""
+        try:
+            event = self._transport.poll_event()
+        except h11.RemoteProtocolError as error:
+            raise ClientError(ClientFault.TRUNCATED, str(error)) from error
+        return PENDING if event is h11.NEED_DATA else self._take_chunk(event)
+
+    def _take_chunk(self, event: object) -> bytes | None:
+        if isinstance(event, h11.EndOfMessage):
+            self._finish()
+            return None
+        if not isinstance(event, h11.Data):
+            raise ClientError(ClientFault.TRUNCATED, "the server closed")
+        return bytes(event.data)
 
     def is_bounded(self) -> bool:
         """Tell whether the response's end can be told from a cut.
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
@@ -166,16 +166,19 @@
         self._transport.abort()
 
     async def _send(self, *events: h11.Event) -> None:
-        async with asyncio.timeout(self._limits.idle_timeout_s):
-            await self._transport.send(*events)
+        if self._transport.write(*events):
+            async with asyncio.timeout(self._limits.idle_timeout_s):
+                await self._transport.drain()
 
     async def _next_body_event(self) -> h11.Data | h11.EndOfMessage:
         if self._transport.http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await self._transport.send(go_on)
         try:
-            async with asyncio.timeout(self._limits.idle_timeout_s):
-                event = await self._transport.next_event()
+            event = self._transport.poll_event()
+            if event is h11.NEED_DATA:
+                async with asyncio.timeout(self._limits.idle_timeout_s):
+                    event = await self._transport.next_event()
         except (TimeoutError, h11.RemoteProtocolError) as error:
             raise BodyIncompleteError(str(error)) from error
         if isinstance(event, h11.Data | h11.EndOfMessage):
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
@@ -149,12 +149,27 @@
     async def send(self, *events: h11.Event) -> None:
         """Send events and wait while the other side is slow.
 
+        Raises ConnectionEndedError when the connection is lost.
+        """
+        if self.write(*events):
+            await self.drain()
+
+    def write(self, *events: h11.Event) -> bool:
+        """Send events; tell whether the other side is slow.
+
         Raises ConnectionEndedError when the connection is lost.
         """
         if self._lost or self._transport is None:
             raise ConnectionEndedError
-        data = b"".join(self.http.send(event) or b"" for event in events)
+        data = b"".join([self.http.send(event) or b"" for event in events])
         self._transport.write(data)
+        return self._write_paused
+
+    async def drain(self) -> None:
+        """Wait while the other side is slow.
+
+        Raises ConnectionEndedError when the connection is lost.
+        """
         while self._write_paused and not self._lost:
             self._write_waiter = asyncio.get_running_loop().create_future()
             await self._write_waiter
--- a/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
@@ -17,6 +17,7 @@
     ClientExchange,
     ClientFault,
     ConnectionPool,
+    Pending,
 )
 from cicadatraild.network.http_transport import Headers
 from cicadatraild.serving.calls import BodyCutError, RequestBody, UpstreamCall
@@ -148,13 +149,8 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body within the deadline. Raises ReplyCutError."""
-        chunks = self._exchange.body()
         try:
-            while True:
-                async with asyncio.timeout_at(self._deadline_s):
-                    chunk = await anext(chunks, None)
-                if chunk is None:
-                    break
+            while (chunk := await self._next_chunk()) is not None:
                 yield chunk
         except (ClientError, TimeoutError) as error:
             self._exchange.abort()
@@ -164,6 +160,15 @@
         failed = response is not None and response.status_code >= FAILURE_STATUS
         self._task.finish(TaskEnd.FAILED if failed else TaskEnd.SUCCEEDED)
 
+    async def _next_chunk(self) -> bytes | None:
+        if asyncio.get_running_loop().time() >= self._deadline_s:
+            raise TimeoutError
+        chunk = self._exchange.poll_chunk()
+        if not isinstance(chunk, Pending):
+            return chunk
+        async with asyncio.timeout_at(self._deadline_s):
+            return await self._exchange.next_chunk()
+
     def close(self) -> None:
         """Give up what has not been read."""
         self._exchange.abort()
