--- a/features/support/edge_world.py
+++ b/features/support/edge_world.py
@@ -71,8 +71,8 @@
         return UUID(int=value | (bits >> 62) << 64 | 2 << 62 | bits & ((1 << 62) - 1))
 
 
-class OwnSlots:
-    """Charge every task to an own slot, which never lapses."""
+class EndlessSlots:
+    """Charge no slot: these tests are about one request."""
 
     def start(self, request_id: str, team_id: str) -> bool:
         return True
@@ -104,7 +104,7 @@
             lambda *_: None,
         )
         await directory.open(self.stack)
-        desk = Desk(Dispatcher(DispatcherSettings()), OwnSlots())
+        desk = Desk(Dispatcher(DispatcherSettings()), EndlessSlots())
         control = HttpWorkerControl(pool)
         given_up = GivenUpTasks(desk, control)
         await given_up.open(self.stack)
