--- a/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
@@ -21,6 +21,9 @@
 EXPIRY_INTERVAL_S = 0.05
 """Time between two looks for requests whose deadline passed."""
 
+IDLE_INTERVAL_S = 0.25
+"""Time between two looks while no request waits."""
+
 Decision = Placed | Rejected
 
 
@@ -120,7 +123,8 @@
     async def run(self) -> None:
         """Refuse requests whose deadline passes, until cancelled."""
         while True:
-            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            waiting = bool(self._decisions)
+            await asyncio.sleep(EXPIRY_INTERVAL_S if waiting else IDLE_INTERVAL_S)
             for rejected in self.dispatcher.expire(_now_s()):
                 self._decide(rejected.request_id, rejected)
             self.place_waiting()
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/digests.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/digests.py
@@ -13,8 +13,11 @@
 from cicadatrail_core.models.state import State
 from cicadatraild.network.peer_client import PeerDirectory, PeerLink
 
-DIGEST_INTERVAL_S = 0.5
-"""Time between two digests to each peer."""
+BUSY_INTERVAL_S = 0.5
+"""Time between two digests to each peer while requests wait here."""
+
+IDLE_INTERVAL_S = 1.0
+"""Time between two digests to each peer while none waits."""
 
 DIGEST_LIFE_S = 3.0
 """Time after which a peer's digest says nothing any more."""
@@ -87,7 +90,8 @@
             digest = self._make()
             for link in self._directory.links:
                 self._directory.spawn(_send(link, digest))
-            await asyncio.sleep(DIGEST_INTERVAL_S)
+            busy = any(team.waiting_count for team in digest.teams)
+            await asyncio.sleep(BUSY_INTERVAL_S if busy else IDLE_INTERVAL_S)
 
 
 def _room(digest: Digest, pool_id: str, request: TaskRequest) -> Resources | None:
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
@@ -25,6 +25,9 @@
 READ_WAIT_S = 1.0
 """Time that a read may wait for the first record."""
 
+READ_SPACING_S = 0.2
+"""Time between two reads of the tail, so that one read serves many appends."""
+
 TAIL_LIMIT_COUNT = 5_000
 """Newest records kept to give to peers that can't read the log."""
 
@@ -142,8 +145,9 @@
             await self._catch_up(page.first_offset, page.next_offset)
             return
         self.take_records(page.from_offset, page.payloads)
-        # Lets callers' requests run between pages of a long log.
-        await asyncio.sleep(0)
+        # Callers' requests run between pages, also of a long log.
+        at_tail = self.state.next_offset >= page.next_offset
+        await asyncio.sleep(READ_SPACING_S if at_tail else 0)
 
     async def _catch_up(self, first_offset: int, next_offset: int) -> None:
         """Look for the newest snapshot, further back each time."""
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -18,6 +19,14 @@
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import State
 from cicadatrail_core.rights.borrower import BorrowerBook
+from cicadatrail_core.rights.demand import (
+    LoanPolicy,
+    PeerOffer,
+    TeamDemand,
+    lendable_count,
+    plan_asks,
+    returnable_count,
+)
 from cicadatrail_core.rights.lender import LenderBook
 from cicadatrail_core.rights.timing import RightsTiming
 from cicadatraild.network.peer_client import PeerDirectory
@@ -26,12 +35,6 @@
 INTERVAL_S = 0.25
 """Time between two renewals of a loan and two looks at demand."""
 
-IDLE_LIMIT_S = 2.0
-"""Time that a borrowed slot may be idle before it is given back."""
-
-WANTED_LIMIT_COUNT = 64
-"""Most slots that are asked for at once."""
-
 CALL_TIMEOUT_S = 0.5
 
 
@@ -56,7 +59,9 @@
         "_incarnation",
         "_lender",
         "_on_change",
+        "_policy",
         "_peer_digests",
+        "_started_s",
         "_state",
         "_supported_until_s",
     )
@@ -82,7 +87,9 @@
         self._lender = LenderBook(incarnation, timing)
         self._borrower = BorrowerBook(incarnation, timing)
         self._state = State()
+        self._policy = LoanPolicy()
         self._charges: dict[str, tuple[str, IncarnationId | None]] = {}
+        self._started_s: dict[str, float] = {}
         self._idle_since_s: dict[tuple[IncarnationId, str], float] = {}
 
     def take_state(self, state: State) -> None:
@@ -122,13 +129,14 @@
     def start(self, request_id: str, team_id: str) -> bool:
         """Charge a task to a slot; tell whether there was one."""
         state = self._state
+        now_s = asyncio.get_running_loop().time()
+        self._started_s[team_id] = now_s
         lent_count = self._lender.outstanding_count(team_id)
         ledger = self._holdings.ledger
         if ledger.free_count(state, team_id, lent_count) > 0:
             ledger.start(team_id)
             self._charges[request_id] = (team_id, None)
             return True
-        now_s = asyncio.get_running_loop().time()
         lender = self._borrower.start(state, team_id, now_s)
         if lender is None:
             return False
@@ -171,13 +179,13 @@
         free_count = self._holdings.ledger.free_count(
             state, team_id, self._lender.outstanding_count(team_id)
         )
-        waits_here = self._demand().waiting.get(team_id, 0) > 0
-        # Half of what is free stays, so that a burst here starts at once.
-        lendable_count = 0 if waits_here else (free_count + 1) // 2
+        waiting_count = self._demand().waiting.get(team_id, 0)
+        demand = TeamDemand(team_id, waiting_count, free_count)
+        idle_s = now_s - self._started_s.get(team_id, -math.inf)
         grant = self._lender.answer(
             state,
             request,
-            lendable_count,
+            lendable_count(demand, idle_s, self._policy),
             allowance_count,
             self._supported_until_s() - now_s,
         )
@@ -191,39 +199,40 @@
             for lender, team_id in self._borrower.loans():
                 self._return_idle(lender, team_id, now_s)
                 self._ask(lender, team_id, 0)
-            self._ask_for_more(now_s)
+            self._ask_for_more()
             await asyncio.sleep(INTERVAL_S)
 
     def _return_idle(self, lender: IncarnationId, team_id: str, now_s: float) -> None:
         key = (lender, team_id)
-        if not self._borrower.idle_count(lender, team_id):
+        idle_count = self._borrower.idle_count(lender, team_id)
+        if not idle_count:
             self._idle_since_s.pop(key, None)
             return
-        since_s = self._idle_since_s.setdefault(key, now_s)
-        if now_s - since_s >= IDLE_LIMIT_S:
-            idle_count = self._borrower.idle_count(lender, team_id)
-            self._borrower.give_back(self._state, lender, team_id, idle_count)
+        idle_s = now_s - self._idle_since_s.setdefault(key, now_s)
+        count = returnable_count(idle_count, 0, idle_s, self._policy)
+        if count:
+            self._borrower.give_back(self._state, lender, team_id, count)
             self._idle_since_s.pop(key, None)
 
-    def _ask_for_more(self, now_s: float) -> None:
-        """Ask the best lender for each team whose callers wait for a slot."""
+    def _ask_for_more(self) -> None:
+        """Ask peers for slots of each team whose callers wait for one."""
         demand = self._demand()
         slots = self.slots(self._state)
         for team_id, waiting_count in demand.waiting.items():
             running_count = demand.running.get(team_id, 0)
-            short = running_count >= slots.get(team_id, 0)
-            lender = self._best_lender(team_id)
-            if waiting_count and short and lender is not None:
-                self._ask(lender, team_id, min(waiting_count, WANTED_LIMIT_COUNT))
-
-    def _best_lender(self, team_id: str) -> IncarnationId | None:
-        """Return the peer with most free slots of a team by its digest."""
-        best, best_count = None, 0
-        for incarnation, digest in self._peer_digests().items():
-            for use in digest.teams:
-                if use.team_id == team_id and use.free_slot_count > best_count:
-                    best, best_count = incarnation, use.free_slot_count
-        return best
+            free_count = max(0, slots.get(team_id, 0) - running_count)
+            wanted = TeamDemand(team_id, waiting_count, free_count)
+            for ask in plan_asks(wanted, self._offers(team_id), self._policy):
+                self._ask(ask.lender, team_id, ask.slot_count)
+
+    def _offers(self, team_id: str) -> list[PeerOffer]:
+        """Return what peers had free by their newest digests."""
+        return [
+            PeerOffer(incarnation, team_id, use.free_slot_count)
+            for incarnation, digest in self._peer_digests().items()
+            for use in digest.teams
+            if use.team_id == team_id
+        ]
 
     def _ask(self, lender: IncarnationId, team_id: str, wanted_count: int) -> None:
         now_s = asyncio.get_running_loop().time()
