--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -52,7 +52,7 @@
     st.builds(rec.RetireRecord, RETIRED, NAMES),
     st.builds(rec.RetireAckRecord, RETIRED, NAMES),
     st.builds(rec.RetireAckRecord, RETIRED, NAMES),
-    st.builds(rec.FreeRecord, RETIRED, NAMES, GONE),
+    st.builds(rec.FreeRecord, RETIRED, NAMES, GONE, st.booleans()),
     GIVING,
     GIVING,
     st.tuples(st.sampled_from(TEAMS), st.integers(0, 8)),
@@ -66,7 +66,7 @@
         st.builds(rec.RetireRecord, st.just(name), NAMES),
         st.builds(rec.RetireAckRecord, st.just(name), NAMES),
         st.builds(rec.RetireAckRecord, st.just(name), NAMES),
-        st.builds(rec.FreeRecord, st.just(name), NAMES, GONE),
+        st.builds(rec.FreeRecord, st.just(name), NAMES, GONE, st.booleans()),
     )
 )
 LOGS = st.lists(
--- a/features/support/rights_naive.py
+++ b/features/support/rights_naive.py
@@ -53,7 +53,7 @@
             case rec.RetireAckRecord(name) if self._retired(name):
                 self.members[name].acks.add(record.supporter)
             case rec.FreeRecord(name) if self._retired(name):
-                self._free(offset, name, set(record.gone))
+                self._free(offset, record)
             case rec.ClaimRecord(name) if self._live(name):
                 for right in record.rights:
                     self._claim(name, right)
@@ -84,10 +84,16 @@
         self.owned = [pair for pair in self.owned if pair[0] != name]
         self._note_roster(offset, region)
 
-    def _free(self, offset: int, name: str, gone: set[str]) -> None:
+    def _free(self, offset: int, record: rec.FreeRecord) -> None:
+        name, gone = record.incarnation, {str(other) for other in record.gone}
         member = self.members[name]
         if name not in gone and not self._outvoted(name, gone):
             return
+        if record.partitions_only:
+            self.owned = [
+                p for p in self.owned if p[0] != name or p[1][0] != "partition"
+            ]
+            return
         others = [
             (other, m)
             for other, m in self.members.items()
