--- a/features/loans.feature
+++ b/features/loans.feature
@@ -31,3 +31,8 @@
   Scenario: Loan totals survive lost, repeated and reordered messages
     When loan messages are lost, repeated and reordered in 300 random histories
     Then the loan books never let both sides use one slot
+
+  Scenario: Loan kept in records that a snapshot jumped over is counted once
+    Given a loan of 3 slots of which 2 run tasks
+    When the lender is retired and the loan is kept behind a snapshot
+    Then the loan counts 2 tasks as own and none as borrowed
--- a/features/steps/loans_steps.py
+++ b/features/steps/loans_steps.py
@@ -8,7 +8,7 @@
 from cicadatrail_core.fold import membership
 from cicadatrail_core.models import records as rec
 from cicadatrail_core.models.fleet import Place, Team
-from cicadatrail_core.models.rights import IncarnationId
+from cicadatrail_core.models.rights import IncarnationId, SlotRight
 from cicadatrail_core.models.state import State
 from cicadatrail_core.rights import demand
 from cicadatrail_core.rights.borrower import BorrowerBook
@@ -134,3 +134,32 @@
 @then("the loan books never let both sides use one slot")
 def never_both_sides(context: Any) -> None:
     assert context.loans_used > 0
+
+
+@given("a loan of {lent:d} slots of which {running:d} run tasks")
+def lend_slots(context: Any, lent: int, running: int) -> None:
+    pair = Pair(two_members())
+    claim = rec.ClaimRecord(LENDER, (SlotRight("a", SLOTS),))
+    pair.state = membership.apply_claim(pair.state, 0, claim)
+    for kind in ("ask", "answer", "deliver"):
+        pair.step(kind, lent if kind == "ask" else 0)
+    for _ in range(running):
+        pair.step("run", 0)
+    assert pair.loan_count == running
+    context.loan_pair = pair
+
+
+@when("the lender is retired and the loan is kept behind a snapshot")
+def keep_behind_snapshot(context: Any) -> None:
+    pair = context.loan_pair
+    retire = rec.RetireRecord(LENDER, BORROWER)
+    state = membership.apply_retire(pair.state, 1, retire)
+    (kept,) = pair.borrower.keep_records(state)
+    after = membership.apply_transfer(state, 2, kept)
+    context.loan_moved = pair.borrower.note_jump(pair.state, after)
+
+
+@then("the loan counts {own:d} tasks as own and none as borrowed")
+def counted_once(context: Any, own: int) -> None:
+    assert context.loan_moved == (((LENDER, "a"), own),), context.loan_moved
+    assert context.loan_pair.borrower.running_count(LENDER, "a") == 0
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/borrower.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/borrower.py
@@ -213,6 +213,29 @@
                 moved_count += self._move_tasks(before, after, record.giver, right)
         return moved_count
 
+    def note_jump(self, before: State, after: State) -> tuple[tuple[LoanKey, int], ...]:
+        """Move tasks of retired lenders after a jump to a snapshot.
+
+        The records between were not folded here, and one may have kept slots.
+        So every slot gained since counts as kept: at worst a lent slot rests.
+        Returns how many tasks of each loan now count as the member's own.
+        """
+        gained = {
+            team_id: counts.get(self._incarnation, 0)
+            - before.slots.get(team_id, {}).get(self._incarnation, 0)
+            for team_id, counts in after.slots.items()
+        }
+        moved: list[tuple[LoanKey, int]] = []
+        for (lender, team_id), loan in self._loans.items():
+            if loan.running_count == 0 or _may_lend(after, lender):
+                continue
+            count = max(0, min(gained.get(team_id, 0), loan.running_count))
+            loan.kept_total += count
+            loan.running_count -= count
+            gained[team_id] = gained.get(team_id, 0) - count
+            moved.append(((lender, team_id), count))
+        return tuple(moved)
+
     def _move_tasks(
         self, before: State, after: State, lender: IncarnationId, right: SlotRight
     ) -> int:
