--- a/features/rights.feature
+++ b/features/rights.feature
@@ -7,6 +7,10 @@
     Then the rights model broke nothing
     And the rights model saw rights freed, used by peers' support and lent
 
+  Scenario: Rights model frees the rights of all dead once faults end
+    When the rights model walks 25 times from seed 1 and settles
+    Then the rights model broke nothing
+
   Scenario Outline: Rights model catches a weakened rule on random walks
     When the rights model walks with "<weakening>" for <count> seeds from <seed>
     Then the rights model shows the seed that broke
--- a/features/steps/rights_model_steps.py
+++ b/features/steps/rights_model_steps.py
@@ -4,7 +4,7 @@
 from behave import then, when
 
 from features.support.rights_directed import play_once
-from features.support.rights_model import run_once, walk
+from features.support.rights_model import run_once, settle_once, walk
 from features.support.rights_weakened import first_broken
 
 
@@ -14,6 +14,12 @@
     context.rights_broken = broken[0] if broken else None
 
 
+@when("the rights model walks {count:d} times from seed {seed:d} and settles")
+def walk_and_settle(context: Any, count: int, seed: int) -> None:
+    seeds = range(seed, seed + count)
+    context.rights_broken = first_broken("none", seeds, settle_once)
+
+
 @when(
     'the rights model walks with "{weakening}" for {count:d} seeds from {seed:d}',
 )
--- a/features/support/rights_directed.py
+++ b/features/support/rights_directed.py
@@ -11,8 +11,9 @@
 from cicadatrail_core.models import records as rec
 from cicadatrail_core.models.fleet import Place
 from cicadatrail_core.models.rights import IncarnationId
+from features.support.rights_acts import EVERY_RIGHT
 from features.support.rights_model import Run
-from features.support.rights_node import EVERY_RIGHT, SimNode
+from features.support.rights_node import SimNode
 from features.support.rights_world import (
     LIMIT,
     LimitPatch,
--- a/features/support/rights_model.py
+++ b/features/support/rights_model.py
@@ -13,11 +13,13 @@
 
 from cicadatrail_core.models import records as rec
 from cicadatrail_core.rights.timing import RightsTiming
+from features.support.rights_acts import EVERY_RIGHT
 from features.support.rights_checks import check_world
-from features.support.rights_node import EVERY_RIGHT, SimNode
-from features.support.rights_world import DRIFT, ViolationError, World
+from features.support.rights_node import SimNode
+from features.support.rights_world import DRIFT, Faults, ViolationError, World
 
 RUN_S = 12.0
+SETTLE_S = 24.0
 CHECK_S = 0.06
 
 
@@ -58,6 +60,23 @@
         )
         return world.seen
 
+    def settle(self) -> None:
+        """End all faults and check that nothing of the dead rests for good."""
+        world = self.world
+        self.world.healed = True
+        world.log.down = False
+        world.faults = Faults()
+        world.run(RUN_S + SETTLE_S)
+        roster = world.log.states[-1].roster
+        resting = [
+            member.incarnation
+            for member in roster.values()
+            if member.listed and not world.nodes[member.incarnation].alive
+        ]
+        alive = any(node.alive for node in world.nodes.values())
+        if resting and alive:
+            raise ViolationError(f"still in the roster: {sorted(resting)}")
+
     def start(self, name: str, region: str) -> None:
         self.lives[name] += 1
         node = self.node_class(self.world, name, region, self.lives[name])
@@ -80,6 +99,8 @@
 
     def nemesis(self) -> None:
         rng, world = self.rng, self.world
+        if self.world.healed:
+            return
         alive = [node for node in world.nodes.values() if node.alive]
         self.world.at(rng.expovariate(self.fault_rate), self.nemesis)
         if not alive:
@@ -199,6 +220,17 @@
     return None
 
 
+def settle_once(seed: int, node_class: type[SimNode]) -> str | None:
+    """Return what rested or broke when the faults of a run had ended."""
+    run = Run(seed, node_class)
+    try:
+        run.go()
+        run.settle()
+    except ViolationError as violation:
+        return str(violation)
+    return None
+
+
 def main() -> int:
     """Run from the command line; 1 where an invariant was broken."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/features/support/rights_node.py
+++ b/features/support/rights_node.py
@@ -9,10 +9,6 @@
 from cicadatrail_core.models.loans import LoanGrant, LoanRequest
 from cicadatrail_core.models.rights import (
     IncarnationId,
-    PartitionRight,
-    Right,
-    SlotRight,
-    WorkerRight,
 )
 from cicadatrail_core.models.state import State
 from cicadatrail_core.models.support import SupportReply, SupportRequest
@@ -24,26 +20,16 @@
 from cicadatrail_core.rights.proof import GoneProofs
 from cicadatrail_core.rights.support import HolderSupport
 from cicadatrail_core.rights.supporter import Supporter
+from features.support.rights_acts import act
 from features.support.rights_world import (
     DRIFT,
-    LIMIT,
-    PARTITIONS,
     TEAM,
-    WORKERS,
     KeyWithdrawal,
-    LimitPatch,
     Refusal,
     Task,
-    WorkerPatch,
     World,
 )
 
-EVERY_RIGHT: tuple[Right, ...] = (
-    *(WorkerRight(worker_id) for worker_id in WORKERS),
-    SlotRight(TEAM, LIMIT),
-    *(PartitionRight(partition) for partition in PARTITIONS),
-)
-
 
 class SimNode:
     """One incarnation; subclasses weaken single parts of the rule."""
@@ -67,6 +53,7 @@
         self.stopped_s = 0.0
         self.alive = True
         self.leaving = False
+        self.listed = False
         self.machine_lost = False
         self.frozen_until_s = 0.0
         self.state: State = world.log.states[0]
@@ -128,7 +115,7 @@
         self.keep_house()
         self.send_support()
         self.renew_tasks()
-        self.act()
+        act(self)
         next_s = rng.uniform(0.2, 0.4) * self.world.timing.support_s
         self.world.at(next_s * self.world.tick_ratio, self.tick)
 
@@ -225,7 +212,8 @@
     # Support
 
     def send_support(self) -> None:
-        self.append(self.holder.start_pulse(self.state, self.clock_s))
+        pulse = self.holder.start_pulse(self.state, self.clock_s, self.listed)
+        self.append(pulse)
         request = self.holder.start_request(self.state, self.clock_s)
         if request is None:
             return
@@ -331,124 +319,15 @@
         own = self.state.next_offset
         return own if lender is None else min(own, self.loan_floors[lender])
 
-    # Random acts
-
-    def act(self) -> None:
-        rng = self.world.rng
-        self.renew_loans()
-        if self.leaving:
-            self.leave_when_idle()
-            return
-        if self.world.quiet:
-            return
-        for _ in range(2):
-            if rng.random() < 0.5:
-                self.start_task()
-        if rng.random() < 0.25:
-            others = [o for o in self.state.roster if o != self.incarnation]
-            if others:
-                self.ask_loan(rng.choice(others), rng.randint(1, 3))
-        self.claim_something()
-        if rng.random() < 0.15:
-            self.give_up_something()
-        self.retire_somebody()
-        if rng.random() < 0.02:
-            self.patch_something()
-        if rng.random() < 0.3:
-            shown = self.world.list_answer()
-            self.proofs.note_list(self.state, shown, self.clock_s, self.clock_s)
-
-    def renew_loans(self) -> None:
-        rng = self.world.rng
-        for lender, team_id in self.borrower.loans():
-            idle = self.borrower.idle_count(lender, team_id)
-            if idle and rng.random() < 0.2 and not self.world.quiet:
-                count = rng.randint(1, idle)
-                self.borrower.give_back(self.state, lender, team_id, count)
-            self.ask_loan(lender, 0)
+    def read_list(self) -> None:
+        shown = self.world.list_answer()
+        self.listed = self.listed or self.name in shown
+        self.proofs.note_list(self.state, shown, self.clock_s, self.clock_s)
 
     def ask_loan(self, lender: IncarnationId, count: int) -> None:
         request = self.borrower.request(lender, TEAM, count, self.clock_s)
         self.world.send(self, lender, request)
 
-    def give_up_something(self) -> None:
-        rng = self.world.rng
-        if self.ledger.pending:
-            return
-        rights: list[Right] = []
-        for worker_id in WORKERS:
-            if self.ledger.may_place(self.state, worker_id) and rng.random() < 0.5:
-                rights.append(WorkerRight(worker_id))
-        for partition in PARTITIONS:
-            if self.ledger.may_judge(self.state, partition) and rng.random() < 0.5:
-                rights.append(PartitionRight(partition))
-        free = self.spare_slots()
-        if free:
-            rights.append(SlotRight(TEAM, rng.randint(1, free)))
-        if not rights:
-            return
-        sequence = self.ledger.next_sequence(self.state)
-        taker = rng.choice(list(self.state.roster) or [self.incarnation])
-        record: rec.TransferRecord | rec.ReleaseRecord
-        if rng.random() < 0.5:
-            record = rec.ReleaseRecord(self.incarnation, tuple(rights), sequence)
-        else:
-            record = rec.TransferRecord(
-                self.incarnation, taker, tuple(rights), sequence
-            )
-        self.ledger.stop_using(record)
-        self.append(record)
-
-    def spare_slots(self) -> int:
-        """Return the slots held that neither a task nor a loan uses."""
-        held = self.state.slots.get(TEAM, {}).get(self.incarnation, 0)
-        used = self.ledger.running_count(TEAM) + self.lender.outstanding_count(TEAM)
-        return max(0, held - used)
-
-    def claim_something(self) -> None:
-        rng = self.world.rng
-        unheld = [
-            right
-            for right in EVERY_RIGHT
-            if not isinstance(right, WorkerRight)
-            or right.worker_id not in self.state.worker_holders
-        ]
-        if unheld and rng.random() < 0.4:
-            rights = tuple(rng.sample(unheld, min(4, len(unheld))))
-            self.append(rec.ClaimRecord(self.incarnation, rights))
-
-    def retire_somebody(self) -> None:
-        """Propose to retire the most silent member, or now and then any."""
-        rng = self.world.rng
-        others = [o for o in self.state.roster if o != self.incarnation]
-        if not others or not self.may_spend or rng.random() > 0.25:
-            return
-        target = rng.choice(others)
-        if rng.random() < 0.9:
-            target = min(others, key=self.last_pulse_offset)
-            silent_count = self.state.next_offset - self.last_pulse_offset(target)
-            if silent_count < 3 * len(self.state.roster):
-                return
-        self.append(rec.RetireRecord(target, self.incarnation))
-
-    def last_pulse_offset(self, incarnation: IncarnationId) -> int:
-        return self.state.roster[incarnation].last_pulse_offset
-
-    def leave_when_idle(self) -> None:
-        """Leave once nothing runs and nothing is lent; the record comes last."""
-        if self.incarnation not in self.state.roster:
-            self.world.end_process(self)
-        elif not self.own_tasks and not self.lender.outstanding_count(TEAM):
-            self.append(rec.LeaveRecord(self.incarnation))
-            self.world.seen["leave records"] += 1
-
-    def patch_something(self) -> None:
-        rng = self.world.rng
-        if rng.random() < 0.5:
-            self.append(LimitPatch(rng.choice((0, 2, 4, LIMIT, LIMIT))))
-        else:
-            self.append(WorkerPatch(rng.choice(WORKERS), rng.random() < 0.7))
-
     def withdraw_key(self) -> None:
         self.append(KeyWithdrawal())
 
--- a/features/support/rights_world.py
+++ b/features/support/rights_world.py
@@ -170,6 +170,7 @@
         self.listed: list[tuple[float, frozenset[str]]] = []
         self.tick_ratio = 1.0
         self.quiet = False
+        self.healed = False
         self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
         self._event_count = 0
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/membership.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/membership.py
@@ -66,7 +66,12 @@
     if member is None or member.retire_offset is not None:
         return state
     folded_offset = max(member.folded_offset, min(record.folded_offset, offset))
-    pulsed = replace(member, last_pulse_offset=offset, folded_offset=folded_offset)
+    pulsed = replace(
+        member,
+        last_pulse_offset=offset,
+        folded_offset=folded_offset,
+        listed=member.listed or record.listed,
+    )
     return _trimmed(_with_member(state, pulsed), member.place.region)
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/records.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/records.py
@@ -42,11 +42,13 @@
     ``folded_offset`` is the ``next_offset`` of the state that the writer had
     folded when it sent this. From then on the writer judges its support by the
     roster of that offset or of a later one, never of an earlier one.
+    ``listed`` tells that the instance list has shown the writer to itself.
     """
 
     incarnation: IncarnationId
     sequence: int
     folded_offset: int = 0
+    listed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/state.py
@@ -54,6 +54,7 @@
     acknowledged_by: tuple[IncarnationId, ...] = ()
     freed_offset: int | None = None
     rights_sequence: int = 0
+    listed: bool = False
     record_format: int = 1
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/proof.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/proof.py
@@ -62,11 +62,15 @@
 
         An incarnation may have the instance id of an earlier one. So only
         answers that can't be older than its joining count, whether they show
-        the instance or not; one must have shown it first.
+        the instance or not. One must have shown it first, to this instance or,
+        by its pulses, to itself.
         """
         for member in state.roster.values():
             known = _Known(member.instance_id, answered_s)
-            self._known.setdefault(member.incarnation, known)
+            known = self._known.setdefault(member.incarnation, known)
+            if member.listed and known.shown_s is None:
+                listed = replace(known, shown_s=answered_s)
+                self._known[member.incarnation] = listed
         for incarnation, known in self._known.items():
             if not self._is_fresh(asked_s, known.since_s):
                 continue
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/support.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/support.py
@@ -47,12 +47,19 @@
         self._requests_sent_s: dict[int, float] = {}
         self._next_number = 1
 
-    def start_pulse(self, state: State, now_s: float) -> PulseRecord:
-        """Return a pulse to append now; call immediately before sending it."""
+    def start_pulse(
+        self, state: State, now_s: float, listed: bool = False
+    ) -> PulseRecord:
+        """Return a pulse to append now; call immediately before sending it.
+
+        ``listed`` tells whether the instance list has shown this instance.
+        Without it, instances that start after all others ended may never
+        prove this one gone.
+        """
         sequence = self._take_number()
         self._forget_old(self._pulses_sent_s, now_s)
         self._pulses_sent_s[sequence] = now_s
-        return PulseRecord(self._incarnation, sequence, state.next_offset)
+        return PulseRecord(self._incarnation, sequence, state.next_offset, listed)
 
     def note_pulse(self, record: PulseRecord) -> None:
         """Note an own pulse read back from the log.
