Check admission, placement and request ids against naive versions

Cause: the decisions had no tests. A stateful hypothesis test drives the dispatcher beside a naive judge (plain lists, full scans) for limits, capacity, urgency, fair order, work conservation and counts; another drives a partition's memory of ids through lost holders, old copies, skewed clocks and windows beside a record of what truly ran.

Found by the judge and mended: room stayed reserved for a request whose team had no slot left, so that nobody got it. A job that kept failing on one worker was placed there again and again; it is placed elsewhere now, and so is learned never to run.

--- /dev/null
+++ b/features/steps/admission_steps.py
@@ -0,0 +1,428 @@
+from __future__ import annotations
+
+import sys
+from contextlib import nullcontext
+from itertools import count
+from math import log2
+from random import Random
+from typing import Any
+from unittest.mock import patch
+
+from behave import given, then, when
+from hypothesis import Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from cicadatrail_core.admission.fair_queue import Ageing, FairQueue
+from cicadatrail_core.admission.retry_budget import RetryBudget, RetrySettings
+from cicadatrail_core.models.fleet import DrainPolicy, Urgency
+from cicadatrail_core.models.platform import TaskControl
+from cicadatrail_core.models.resources import Resources
+from cicadatrail_core.placement.dispatcher import (
+    Dispatcher,
+    DispatcherSettings,
+    Placed,
+    TaskEnd,
+)
+from cicadatrail_core.placement.placer import Placer
+from features.support.admission_faults import FAULTS
+from features.support.admission_fleet import fleet, request
+from features.support.admission_load import Loop
+from features.support.admission_machine import DispatcherMachine
+
+CAPACITY = Resources(8000, 8000)
+WHOLE = Resources(8000, 8000)
+SMALL = Resources(1000, 1000)
+BOUND_TURNS = Ageing(limit_s=5.0, turn_count=8)
+
+
+def drive(examples: int, **more: Any) -> None:
+    run_state_machine_as_test(
+        DispatcherMachine,
+        settings=settings(max_examples=examples, stateful_step_count=40, **more),
+    )
+
+
+@when("the dispatcher is driven at random beside the naive judge")
+def step_drive(context: Any) -> None:
+    profile = settings.default
+    assert profile is not None
+    drive(profile.max_examples)
+
+
+@then("the judge objects to nothing")
+def step_no_objection(context: Any) -> None:
+    """Reaching this step shows it: an objection is raised while driving."""
+
+
+@when("a dispatcher with {fault} is driven at random beside the naive judge")
+def step_drive_broken(context: Any, fault: str) -> None:
+    context.objection = None
+    with FAULTS[fault]():
+        try:
+            drive(200, phases=[Phase.generate], report_multiple_bugs=False)
+        except AssertionError as error:
+            context.objection = error
+
+
+@then("the judge objects")
+def step_objects(context: Any) -> None:
+    assert context.objection is not None
+
+
+def meet_newcomer() -> set[str]:
+    loop = make_loop(1, [1.0, 1.0])
+    loop.run_s = lambda request: 1e6
+    loop.submit(request("first", size=WHOLE))
+    loop.submit(request("waiting", team=1, size=WHOLE))
+    loop.dispatcher.finish("first", TaskEnd.SUCCEEDED, 1.0)
+    loop.submit(request("newcomer", size=WHOLE))
+    return set(loop.started_s) - {"first"}
+
+
+@when("a task ends and a newcomer comes before the waiting one was placed")
+def step_newcomer(context: Any) -> None:
+    context.started = meet_newcomer()
+
+
+@when("the dispatcher is broken by {fault}")
+def step_newcomer_broken(context: Any, fault: str) -> None:
+    with FAULTS[fault]():
+        context.started = meet_newcomer()
+
+
+@then("the waiting one starts and the newcomer waits")
+def step_waiting_starts(context: Any) -> None:
+    assert context.started == {"waiting"}, context.started
+
+
+@then("the newcomer starts and the waiting one waits")
+def step_newcomer_starts(context: Any) -> None:
+    assert context.started == {"newcomer"}, context.started
+
+
+@given("a dispatcher over {workers:d} workers and teams of weight {weights}")
+def step_fleet(context: Any, workers: int, weights: str) -> None:
+    context.weights = [float(weight) for weight in weights.split(",")]
+    context.workers = workers
+    context.loop = make_loop(workers, context.weights)
+    context.ids = count()
+
+
+def make_loop(workers: int, weights: list[float], **more: Any) -> Loop:
+    state = fleet([workers], weights, CAPACITY, **more)
+    dispatcher = Dispatcher(DispatcherSettings(ageing=BOUND_TURNS))
+    slots = dict.fromkeys(state.teams, 10_000)
+    dispatcher.configure(state, list(state.workers), slots, 0.0)
+    return Loop(state, dispatcher, run_s=lambda request: 1.0)
+
+
+def feed(context: Any, team: int, size: Resources) -> None:
+    name = f"{team}/{next(context.ids)}"
+    assert context.loop.submit(request(name, team=team, size=size))
+
+
+@when("every team always has more work waiting, with tasks of {sizes} for {span:d} s")
+def step_saturate(context: Any, sizes: str, span: int) -> None:
+    loop = context.loop
+    amounts = [Resources(*map(int, size.split("x"))) for size in sizes.split(",")]
+    # Tasks end a few at a time, so that shares are decided all along.
+    random = Random(1)
+    loop.run_s = lambda request: random.uniform(0.5, 1.5)
+    for team, size in enumerate(amounts):
+        for _ in range(500):
+            feed(context, team, size)
+
+    def replace(placed: Placed) -> None:
+        team = int(placed.request.team_id.removeprefix("team-"))
+        feed(context, team, amounts[team])
+
+    # What is lent must be back within two mean run times.
+    loop.run_until(loop.now_s + 2.0, replace)
+    loop.use_seconds.clear()
+    loop.run_until(loop.now_s + span, replace)
+    context.shares = loop.dominant_shares(span)
+
+
+@then("each team's share of the dominant resource is within {error:f} of its due share")
+def step_shares(context: Any, error: float) -> None:
+    """The due shares are to each other as the weights."""
+    shares = [context.shares[f"team-{n}"] for n in range(len(context.weights))]
+    level = sum(shares) / sum(context.weights)
+    assert sum(shares) > 0.85, shares
+    for share, weight in zip(shares, context.weights, strict=True):
+        assert abs(share / (weight * level) - 1) <= error, shares
+
+
+@when("only the first team has work for {span:d} s, with tasks of 1 s")
+def step_one_team(context: Any, span: int) -> None:
+    for _ in range(500):
+        feed(context, 0, SMALL)
+    loop = context.loop
+    loop.run_until(loop.now_s + span, lambda placed: feed(context, 0, SMALL))
+    context.shares = loop.dominant_shares(span)
+
+
+@then("it uses more than {least:f} of the fleet")
+def step_uses(context: Any, least: float) -> None:
+    assert context.shares["team-0"] > least, context.shares
+
+
+def run_batch_under_urgent(ageing: Ageing) -> tuple[Loop, list[str]]:
+    state = fleet([1], [1.0, 1.0], CAPACITY)
+    dispatcher = Dispatcher(DispatcherSettings(ageing=ageing))
+    slots = dict.fromkeys(state.teams, 10_000)
+    dispatcher.configure(state, list(state.workers), slots, 0.0)
+    random = Random(2)
+    loop = Loop(state, dispatcher, run_s=lambda request: random.uniform(0.5, 1.5))
+    ids = count()
+
+    def feed_urgent(_: Any) -> None:
+        name = f"urgent-{next(ids)}"
+        loop.submit(request(name, urgency=Urgency.URGENT))
+
+    for _ in range(100):
+        feed_urgent(None)
+    names = [f"batch-{number}" for number in range(20)]
+    for name in names:
+        loop.submit(request(name, team=1, urgency=Urgency.BATCH))
+    loop.run_until(bound_s(), feed_urgent)
+    return loop, names
+
+
+def bound_s() -> float:
+    """Twenty turns of eight placements after the limit, at eight tasks a second.
+
+    The longest task takes half as long again as the mean, hence the factor.
+    """
+    placements = (20 + 1) * BOUND_TURNS.turn_count
+    return BOUND_TURNS.limit_s + 1.5 * placements / 8
+
+
+@when("urgent work always waits and 20 batch requests come")
+def step_batch(context: Any) -> None:
+    context.loop, context.names = run_batch_under_urgent(BOUND_TURNS)
+
+
+@then("every batch request has started within the stated bound")
+def step_batch_started(context: Any) -> None:
+    assert all(name in context.loop.started_s for name in context.names)
+
+
+@when("the dispatcher is broken so that nothing ages")
+def step_no_ageing(context: Any) -> None:
+    context.loop, context.names = run_batch_under_urgent(Ageing(1e9, 8))
+
+
+@then("some batch request has not started within the stated bound")
+def step_batch_waits(context: Any) -> None:
+    assert any(name not in context.loop.started_s for name in context.names)
+
+
+def run_large_among_small(workers: int, span_s: float) -> float:
+    loop = make_loop(workers, [1.0, 1.0])
+    random = Random(3)
+    loop.run_s = lambda request: random.uniform(0.5, 1.5)
+    ids = count()
+
+    def feed_small(_: Any) -> None:
+        loop.submit(request(f"small-{next(ids)}", size=SMALL))
+
+    for _ in range(200):
+        feed_small(None)
+    loop.submit(request("large", team=1, size=WHOLE))
+    loop.run_until(span_s, feed_small)
+    return loop.started_s.get("large", float("inf"))
+
+
+@when("small requests always wait and one comes that needs a whole worker")
+def step_large(context: Any) -> None:
+    context.started_s = run_large_among_small(context.workers, 60.0)
+
+
+@then("it starts within {limit:f} s")
+def step_starts_within(context: Any, limit: float) -> None:
+    assert context.started_s <= limit, context.started_s
+
+
+@when("the dispatcher is broken so that nothing is reserved")
+def step_no_reservation(context: Any) -> None:
+    with patch.object(Placer, "reserve", lambda *arguments: False):
+        context.started_s = run_large_among_small(context.workers, 60.0)
+
+
+@then("it has not started after {limit:d} s")
+def step_not_started(context: Any, limit: int) -> None:
+    assert context.started_s > limit, context.started_s
+
+
+def cancellation_cost(many: int, teams: int, order: str) -> float:
+    """Return the lines of Python that a cancellation of many takes on average."""
+    state = fleet([1], [1.0] * teams, CAPACITY)
+    limits = DispatcherSettings(queue_limit_count=20_000, team_queue_fraction=1.0)
+    dispatcher = Dispatcher(limits)
+    slots = dict.fromkeys(state.teams, 10_000)
+    dispatcher.configure(state, list(state.workers), slots, 0.0)
+    dispatcher.submit(request("whole", size=WHOLE), 0.0)
+    names = [f"request-{number}" for number in range(many)]
+    for number, name in enumerate(names):
+        one = request(name, team=number % teams, deadline_s=1e6 + number % 977)
+        dispatcher.submit(one, 0.0)
+    match order:
+        case "last":
+            names.reverse()
+        case "random":
+            Random(4).shuffle(names)
+    lines = 0
+
+    def trace(frame: Any, event: str, argument: Any) -> Any:
+        nonlocal lines
+        lines += event == "line"
+        return trace
+
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        for name in names:
+            assert dispatcher.cancel(name, 1.0)
+    finally:
+        sys.settrace(before)
+    assert not dispatcher.waiting_counts
+    return lines / many
+
+
+@when("{many:d} waiting requests of {teams:d} teams are cancelled in {order} order")
+def step_cancel(context: Any, many: int, teams: int, order: str) -> None:
+    context.wave = teams, order, nullcontext
+    context.many, context.cost = many, cancellation_cost(many, teams, order)
+
+
+@when("{many:d} waiting requests of {teams:d} teams are cancelled by a scan")
+def step_cancel_scanning(context: Any, many: int, teams: int) -> None:
+    real = FairQueue.remove
+
+    def scan(queue: FairQueue, request_id: str) -> Any:
+        for name in queue._entries:
+            if name == request_id:
+                break
+        return real(queue, request_id)
+
+    context.wave = teams, "last", lambda: patch.object(FairQueue, "remove", scan)
+    with patch.object(FairQueue, "remove", scan):
+        context.many, context.cost = many, cancellation_cost(many, teams, "last")
+
+
+def cost_among(context: Any, few: int) -> float:
+    teams, order, fault = context.wave
+    with fault():
+        return cancellation_cost(few, teams, order)
+
+
+@then("each costs at most twice what it costs among {few:d}")
+def step_logarithmic(context: Any, few: int) -> None:
+    """From 100 to 10,000 the logarithm doubles, so the cost may."""
+    assert log2(context.many) <= 2 * log2(few) + 1e-9
+    cost = cost_among(context, few)
+    assert context.cost <= 2 * cost, (context.cost, cost)
+
+
+@then("each costs more than twice what it costs among {few:d}")
+def step_not_logarithmic(context: Any, few: int) -> None:
+    cost = cost_among(context, few)
+    assert context.cost > 2 * cost, (context.cost, cost)
+
+
+@given("a full worker of {policy} tasks that are {kind} and repeatable is {repeatable}")
+def step_full_worker(context: Any, policy: str, kind: str, repeatable: str) -> None:
+    loop = make_loop(1, [1.0, 1.0], policy=DrainPolicy(policy))
+    loop.run_s = lambda request: 1e6
+    for number in range(8):
+        one = request(
+            f"tenant-{number}",
+            size=SMALL,
+            urgency=Urgency(kind),
+            repeatable=repeatable == "yes",
+        )
+        assert loop.submit(one)
+    context.loop = loop
+
+
+def follow_steps(loop: Loop, until_s: float, ends: bool) -> dict[str, list[str]]:
+    steps: dict[str, list[str]] = {}
+    while loop.now_s < until_s:
+        loop.run_until(loop.now_s + 0.1, lambda placed: None)
+        for order in loop.dispatcher.next_returns(loop.now_s):
+            steps.setdefault(order.request_id, []).append(order.step.value)
+            if ends and order.step is TaskControl.STOP:
+                loop.end(order.request_id, TaskEnd.CANCELLED, lambda placed: None)
+    return steps
+
+
+@when("an urgent request waits and the steps are followed for {span:f} s")
+def step_follow(context: Any, span: float) -> None:
+    urgent = request("urgent", team=1, size=SMALL, urgency=Urgency.URGENT)
+    context.loop.submit(urgent)
+    context.steps = follow_steps(context.loop, span, ends=False)
+
+
+@then("the steps for a task are {steps}")
+def step_steps(context: Any, steps: str) -> None:
+    wanted = [] if steps == "none" else [steps.split(",")]
+    assert list(context.steps.values()) == wanted, context.steps
+
+
+@when("an urgent request waits and stopped tasks end")
+def step_follow_and_end(context: Any) -> None:
+    urgent = request("urgent", team=1, size=SMALL, urgency=Urgency.URGENT)
+    context.loop.submit(urgent)
+    follow_steps(context.loop, 10.0, ends=True)
+    context.started_s = context.loop.started_s.get("urgent", float("inf"))
+
+
+@given("a worker filled by one team while another of the same weight waits")
+def step_one_above(context: Any) -> None:
+    loop = make_loop(1, [1.0, 1.0])
+    loop.run_s = lambda request: 1e6
+    for number in range(8):
+        loop.submit(request(f"first-{number}", size=SMALL))
+    for number in range(8):
+        loop.submit(request(f"second-{number}", team=1, size=SMALL))
+    context.loop = loop
+
+
+@when("the steps are followed until they end")
+def step_follow_to_end(context: Any) -> None:
+    follow_steps(context.loop, 120.0, ends=True)
+
+
+@then("the two teams end with equal shares")
+def step_equal(context: Any) -> None:
+    counts = context.loop.dispatcher.running_counts
+    assert counts == {"team-0": 4, "team-1": 4}, counts
+
+
+@when("requests and retries come at random")
+def step_retries(context: Any) -> None:
+    context.random = Random(5)
+    context.budget = RetryBudget(RetrySettings())
+
+
+@then("retries never exceed a tenth of the first attempts")
+def step_tenth(context: Any) -> None:
+    first = retries = 0
+    for _ in range(20_000):
+        if context.random.random() < 0.5:
+            first += 1
+            context.budget.count_first_attempt()
+        else:
+            retries += context.budget.try_spend()
+        assert retries <= first / 10, (retries, first)
+    assert retries >= first / 10 - 1, "the budget is not given out"
+
+
+@then("the delays before retries are spread up to the stated limits")
+def step_delays(context: Any) -> None:
+    limits = {1: 0.05, 2: 0.1, 3: 0.2, 9: 2.0, 1000: 2.0}
+    for number, limit_s in limits.items():
+        delays = [context.budget.delay_s(number, context.random) for _ in range(1000)]
+        assert 0 <= min(delays) < 0.1 * limit_s
+        assert 0.9 * limit_s < max(delays) <= limit_s
--- /dev/null
+++ b/features/steps/request_ids_steps.py
@@ -0,0 +1,105 @@
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from typing import Any
+
+from behave import then, when
+from hypothesis import Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from cicadatrail_core.admission.request_ids import (
+    AlreadyDone,
+    FirstSeen,
+    NotRun,
+    PartitionMemory,
+    RequestIdSettings,
+    partition_of,
+)
+from features.support.request_ids_machine import (
+    FAULTS,
+    START_S,
+    RequestIdMachine,
+    make_id,
+)
+
+
+def drive(examples: int, **more: Any) -> None:
+    run_state_machine_as_test(
+        RequestIdMachine,
+        settings=settings(max_examples=examples, stateful_step_count=50, **more),
+    )
+
+
+@when("ids are driven at random through holders that come and go")
+def step_drive(context: Any) -> None:
+    profile = settings.default
+    assert profile is not None
+    drive(3 * profile.max_examples)
+
+
+@then("the naive record objects to no verdict on an id")
+def step_no_objection(context: Any) -> None:
+    """Reaching this step shows it: an objection is raised while driving."""
+
+
+@when("ids are driven at random through holders with {fault}")
+def step_drive_broken(context: Any, fault: str) -> None:
+    context.objection = None
+    with FAULTS[fault]():
+        try:
+            drive(1000, phases=[Phase.generate], report_multiple_bugs=False)
+        except AssertionError as error:
+            context.objection = error
+
+
+@then("the naive record objects to a verdict on an id")
+def step_objection(context: Any) -> None:
+    assert context.objection is not None
+
+
+@when("the id {request_id} is asked of a new memory")
+def step_ask(context: Any, request_id: str) -> None:
+    memory = PartitionMemory(RequestIdSettings(), START_S - 1000)
+    context.verdict = memory.begin(request_id, START_S)
+
+
+@then("the verdict on the id is not run")
+def step_not_run(context: Any) -> None:
+    assert isinstance(context.verdict, NotRun), context.verdict
+
+
+@when("{count:d} requests end with answers of {size:d} bytes in one partition")
+def step_answers(context: Any, count: int, size: int) -> None:
+    context.memory = PartitionMemory(RequestIdSettings(), START_S - 1000)
+    context.ids = [make_id(START_S, number) for number in range(count)]
+    for name in context.ids:
+        assert context.memory.begin(name, START_S) == FirstSeen()
+        context.memory.finish(name, bytes(size))
+
+
+@then("the memory of the partition keeps at most {limit:d} bytes of answers")
+def step_bytes(context: Any, limit: int) -> None:
+    kept = [entry.answer or b"" for entry in context.memory.copy().entries]
+    assert 0 < sum(map(len, kept)) <= limit
+
+
+@then("each of the {count:d} ids is known to be done")
+def step_all_done(context: Any, count: int) -> None:
+    verdicts = [context.memory.begin(name, START_S) for name in context.ids]
+    assert len(verdicts) == count
+    assert all(isinstance(verdict, AlreadyDone) for verdict in verdicts)
+
+
+@when("{count:d} ids are made at one time")
+def step_make(context: Any, count: int) -> None:
+    random = Random(6)
+    context.ids = [make_id(START_S, random.getrandbits(62)) for _ in range(count)]
+
+
+@then("each partition has between {least:d} and {most:d} of the ids")
+def step_partitions(context: Any, least: int, most: int) -> None:
+    counts = Counter(partition_of(name) for name in context.ids)
+    assert len(counts) == 256
+    assert least <= min(counts.values())
+    assert max(counts.values()) <= most
--- /dev/null
+++ b/features/support/admission_load.py
@@ -0,0 +1,94 @@
+"""Closed loops of work on the virtual clock, to see what a dispatcher gives."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cicadatrail_core.models.requests import TaskRequest
+from cicadatrail_core.models.resources import NO_RESOURCES, Resources
+from cicadatrail_core.models.state import State
+from cicadatrail_core.placement.dispatcher import Dispatcher, Placed, TaskEnd, Waiting
+
+
+@dataclass
+class Loop:
+    """Run tasks for the time that ``run_s`` gives, and follow what starts."""
+
+    state: State
+    dispatcher: Dispatcher
+    run_s: Callable[[TaskRequest], float]
+    now_s: float = 0.0
+    ends: list[tuple[float, str]] = field(default_factory=list)
+    running: dict[str, Placed] = field(default_factory=dict)
+    submitted_s: dict[str, float] = field(default_factory=dict)
+    started_s: dict[str, float] = field(default_factory=dict)
+    used: dict[str, Resources] = field(default_factory=dict)
+    use_seconds: dict[str, list[float]] = field(default_factory=dict)
+
+    def submit(self, request: TaskRequest) -> bool:
+        """Submit a request; tell whether it was taken."""
+        self.submitted_s[request.request_id] = self.now_s
+        answer = self.dispatcher.submit(request, self.now_s)
+        if isinstance(answer, Placed):
+            self._start(answer)
+        self.place()
+        return isinstance(answer, Placed | Waiting)
+
+    def place(self) -> None:
+        for placed in self.dispatcher.next_placements(self.now_s):
+            self._start(placed)
+
+    def run_until(self, until_s: float, after_end: Callable[[Placed], None]) -> None:
+        """End tasks as they come due, up to a time."""
+        while self.ends and self.ends[0][0] <= until_s:
+            end_s, request_id = heapq.heappop(self.ends)
+            self.pass_time(end_s)
+            if request_id in self.running:
+                self.end(request_id, TaskEnd.SUCCEEDED, after_end)
+        self.pass_time(until_s)
+
+    def end(
+        self, request_id: str, ended: TaskEnd, after_end: Callable[[Placed], None]
+    ) -> None:
+        placed = self.running.pop(request_id)
+        team_id = placed.request.team_id
+        self.used[team_id] -= placed.size
+        self.dispatcher.finish(request_id, ended, self.now_s)
+        self.place()
+        after_end(placed)
+
+    def pass_time(self, now_s: float) -> None:
+        passed_s = now_s - self.now_s
+        for team_id, used in self.used.items():
+            sums = self.use_seconds.setdefault(team_id, [0.0, 0.0, 0.0])
+            sums[0] += used.cpu_millicores * passed_s
+            sums[1] += used.memory_mib * passed_s
+            sums[2] += used.accelerator_count * passed_s
+        self.now_s = now_s
+
+    def dominant_shares(self, span_s: float) -> dict[str, float]:
+        """Return each team's mean dominant share since the sums were cleared."""
+        total = NO_RESOURCES
+        for worker in self.state.workers.values():
+            total += worker.capacity
+        limits = (total.cpu_millicores, total.memory_mib, total.accelerator_count)
+        return {
+            team_id: max(
+                amount / span_s / limit
+                for amount, limit in zip(sums, limits, strict=True)
+                if limit
+            )
+            for team_id, sums in self.use_seconds.items()
+        }
+
+    def _start(self, placed: Placed) -> None:
+        request = placed.request
+        self.started_s[request.request_id] = self.now_s
+        self.running[request.request_id] = placed
+        used = self.used.get(request.team_id, NO_RESOURCES)
+        self.used[request.team_id] = used + placed.size
+        heapq.heappush(
+            self.ends, (self.now_s + self.run_s(request), request.request_id)
+        )
--- a/packages/cicadatrail-core/src/cicadatrail_core/admission/fair_queue.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/admission/fair_queue.py
@@ -185,13 +185,18 @@
         for line in self._team_lines.get(team_id, {}).values():
             self._order(line)
 
-    def park(self, team_id: str) -> None:
-        """Take a team without a free slot out of the order."""
+    def park(self, team_id: str) -> tuple[str, ...]:
+        """Take a team without a free slot out of the order.
+
+        Returns the pools in which it was in the order.
+        """
         if team_id in self._parked:
-            return
+            return ()
         self._parked.add(team_id)
-        for line in self._team_lines.get(team_id, {}).values():
+        lines = self._team_lines.get(team_id, {})
+        for line in lines.values():
             self._leave_order(line)
+        return tuple(key.pool_id for key in lines)
 
     def unpark(self, team_id: str) -> tuple[str, ...]:
         """Bring a team back into the order; return the pools it waits in."""
@@ -203,15 +208,15 @@
             self._order(line)
         return tuple(key.pool_id for key in lines)
 
-    def has_rivals(self, pool_id: str, rank: int, now_s: float) -> bool:
-        """Tell whether a waiting request comes before a new one of this class."""
+    def rival_count(self, pool_id: str, rank: int, now_s: float) -> int:
+        """Return how many lines come before a new request of this class."""
         pool = self._pools.get(pool_id)
         if pool is None:
-            return False
-        if any(order.fair for order in pool.classes[: rank + 1]):
-            return True
-        return any(
-            self._is_due(pool, later, now_s) for later in range(rank + 1, CLASS_COUNT)
+            return 0
+        return sum(
+            len(pool.classes[other].fair)
+            for other in range(CLASS_COUNT)
+            if other <= rank or self._is_due(pool, other, now_s)
         )
 
     def next_entry(
--- a/packages/cicadatrail-core/src/cicadatrail_core/admission/share_return.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/admission/share_return.py
@@ -2,16 +2,18 @@
 
 The steps come in that order for each task, with time between them for the
 room to come free by itself. Tasks of queues that are never cut are left alone,
-and a task that may not be repeated is checkpointed at most.
+and a task that may not be repeated is checkpointed at most. A throttle can't be
+lifted by any call that the platform offers, so only tasks that are to give way
+are throttled.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
-from enum import Enum
 
 from cicadatrail_core.models.fleet import DrainPolicy, Urgency
+from cicadatrail_core.models.platform import TaskControl
 from cicadatrail_core.models.resources import Resources
 
 
@@ -28,22 +30,13 @@
     grace_s: float = 1.0
 
 
-class ReturnStep(Enum):
-    """Say what a worker is to do with a task."""
-
-    THROTTLE = "throttle"
-    CHECKPOINT = "checkpoint"
-    STOP = "stop"
-    RESUME = "resume"
-
-
 @dataclass(frozen=True, slots=True)
 class ReturnOrder:
-    """Order one step for one running task; RESUME lifts a throttle."""
+    """Order one step for one running task."""
 
     request_id: str
     worker_id: str
-    step: ReturnStep
+    step: TaskControl
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +79,7 @@
 class _Progress:
     worker_id: str
     claim_id: str
-    step: ReturnStep
+    step: TaskControl
     since_s: float
 
 
@@ -116,22 +109,6 @@
         orders = (self._advance(claim, tenant, now_s) for tenant in chosen)
         return tuple(order for order in orders if order is not None)
 
-    def release(self, open_claim_ids: Iterable[str]) -> tuple[ReturnOrder, ...]:
-        """Lift the throttles of claims that are no longer open."""
-        still_open = frozenset(open_claim_ids)
-        done = [
-            (request_id, progress)
-            for request_id, progress in self._progress.items()
-            if progress.claim_id not in still_open
-        ]
-        for request_id, _ in done:
-            del self._progress[request_id]
-        return tuple(
-            ReturnOrder(request_id, progress.worker_id, ReturnStep.RESUME)
-            for request_id, progress in done
-            if progress.step is ReturnStep.THROTTLE
-        )
-
     def forget(self, request_id: str) -> None:
         """Drop a task that has ended."""
         self._progress.pop(request_id, None)
@@ -147,14 +124,10 @@
         self, claim: Claim, tenant: Tenant, now_s: float
     ) -> ReturnOrder | None:
         progress = self._progress.get(tenant.request_id)
-        if progress is None:
-            step: ReturnStep | None = ReturnStep.THROTTLE
-        elif now_s - progress.since_s < self._settings.grace_s:
+        step: TaskControl | None = TaskControl.THROTTLE
+        if progress is not None:
             progress.claim_id = claim.request_id
-            return None
-        else:
-            progress.claim_id = claim.request_id
-            step = _step_after(progress.step, tenant)
+            step = self._due_step(progress, tenant, now_s)
         if step is None:
             return None
         self._progress[tenant.request_id] = _Progress(
@@ -162,15 +135,22 @@
         )
         return ReturnOrder(tenant.request_id, tenant.worker_id, step)
 
+    def _due_step(
+        self, progress: _Progress, tenant: Tenant, now_s: float
+    ) -> TaskControl | None:
+        if now_s - progress.since_s < self._settings.grace_s:
+            return None
+        return _step_after(progress.step, tenant)
+
 
-def _step_after(step: ReturnStep, tenant: Tenant) -> ReturnStep | None:
+def _step_after(step: TaskControl, tenant: Tenant) -> TaskControl | None:
     if tenant.policy is DrainPolicy.NEVER_CUT:
         return None
     match step:
-        case ReturnStep.THROTTLE if tenant.policy is DrainPolicy.CHECKPOINT:
-            return ReturnStep.CHECKPOINT
-        case ReturnStep.THROTTLE | ReturnStep.CHECKPOINT if tenant.repeatable:
-            return ReturnStep.STOP
+        case TaskControl.THROTTLE if tenant.policy is DrainPolicy.CHECKPOINT:
+            return TaskControl.CHECKPOINT
+        case TaskControl.THROTTLE | TaskControl.CHECKPOINT if tenant.repeatable:
+            return TaskControl.STOP
         case _:
             return None
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/dispatcher.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/dispatcher.py
@@ -77,11 +77,11 @@
         never_run = NeverRunJobs(settings.never_run)
         self._checks = SubmissionChecks(self._view, self._estimator, never_run)
         health = WorkerHealth(settings.ejection)
-        self._placer = Placer(self._queue, self._running, self._shares, health)
-        self._filler = PoolFiller(self._placer, self._checks)
-        self._feedback = Feedback(
-            settings, self._placer, self._view, self._estimator, never_run
+        self._placer = Placer(
+            self._queue, self._running, self._shares, health, never_run
         )
+        self._filler = PoolFiller(self._placer, self._checks)
+        self._feedback = Feedback(settings, self._placer, self._view, self._estimator)
         self._returns = ReturnPlanner(
             ShareReturn(settings.share_return), self._placer, self._view, self._checks
         )
@@ -109,7 +109,7 @@
             self._placer.update_share(team_id)
         if state.services is not old_services:
             self._requeue()
-        self._filler.mark(*self._queue.pool_ids)
+        self._placer.mark(*self._queue.pool_ids)
 
     def configure_peer_usage(self, usage: Mapping[str, Resources]) -> None:
         """Replace what teams use through all other instances, by their digests."""
@@ -154,8 +154,8 @@
                 self._placer.ledger.show(task.worker_id)
             case HealthChange.NONE:
                 pass
-        self._filler.mark(*self._placer.update_parking(task.request.team_id))
-        self._filler.mark(task.pool_id)
+        self._placer.update_parking(task.request.team_id)
+        self._placer.mark(task.pool_id)
 
     def cancel(self, request_id: str, now_s: float) -> bool:
         """Remove a waiting request; tell whether it was still waiting."""
@@ -179,7 +179,7 @@
         Tasks that this instance did not start count as taking room, too.
         """
         if self._feedback.take_report(report):
-            self._filler.mark(self._placer.ledger.pool_of(report.worker_id))
+            self._placer.mark(self._placer.ledger.pool_of(report.worker_id))
 
     def next_returns(self, now_s: float) -> tuple[ReturnOrder, ...]:
         """Return the steps due now to give room back to those who are due.
@@ -232,7 +232,7 @@
     def _place_at_once(self, request: TaskRequest, now_s: float) -> Placed | None:
         pool_id = self._view.pool_of_service(request.service_id)
         assert pool_id is not None
-        if self._queue.has_rivals(pool_id, request.urgency.rank, now_s):
+        if self._filler.has_rivals(pool_id, request.urgency.rank, now_s):
             return None
         size = self._checks.size(request, pool_id)
         return self._placer.place(request, pool_id, size, now_s)
@@ -243,7 +243,7 @@
         self._placer.update_share(request.team_id)
         self._placer.update_parking(request.team_id)
         self._queue.add(request, pool_id, now_s)
-        self._filler.mark(pool_id)
+        self._placer.mark(pool_id)
 
     def _requeue(self) -> None:
         """Move waiting requests whose service changed its pool."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/feedback.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/feedback.py
@@ -10,7 +10,7 @@
 from cicadatrail_core.placement.ejection import HealthChange, WorkerHealth
 from cicadatrail_core.placement.estimates import Estimator
 from cicadatrail_core.placement.fleet_view import FleetView
-from cicadatrail_core.placement.never_run import NeverRunJobs, shape_of
+from cicadatrail_core.placement.never_run import shape_of
 from cicadatrail_core.placement.placer import Placer
 from cicadatrail_core.placement.running_tasks import RunningTask
 from cicadatrail_core.placement.settings import DispatcherSettings
@@ -35,14 +35,13 @@
         placer: Placer,
         view: FleetView,
         estimator: Estimator,
-        never_run: NeverRunJobs,
     ) -> None:
         self._settings = settings
         self._placer = placer
         self._health: WorkerHealth = placer.health
         self._view = view
         self._estimator = estimator
-        self._never_run = never_run
+        self._never_run = placer.never_run
         self._newest_s: dict[str, float] = {}
 
     def forget_worker(self, worker_id: str) -> None:
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/never_run.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/never_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from cicadatrail_core.models.requests import TaskRequest
@@ -76,6 +77,11 @@
             case TaskEnd.CANCELLED:
                 return
 
+    def failed_on(self, shape: JobShape) -> Collection[str]:
+        """Return workers on which the job failed since it last succeeded."""
+        failures = self._failures.get(shape)
+        return () if failures is None else failures.worker_ids
+
     def refused_for_s(self, shape: JobShape, now_s: float) -> float | None:
         """Return for how long the job is refused, or None if it may run.
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/placer.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/placer.py
@@ -9,6 +9,7 @@
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 from cicadatrail_core.placement.decisions import Placed
 from cicadatrail_core.placement.ejection import WorkerHealth
+from cicadatrail_core.placement.never_run import NeverRunJobs, shape_of
 from cicadatrail_core.placement.reservations import Reservation, Reservations
 from cicadatrail_core.placement.running_tasks import RunningTask, RunningTasks
 from cicadatrail_core.placement.slots import TeamSlots
@@ -22,8 +23,10 @@
     """Take and free places, slots and shares together."""
 
     __slots__ = (
+        "changed",
         "health",
         "ledger",
+        "never_run",
         "queue",
         "reservations",
         "running",
@@ -37,14 +40,22 @@
         running: RunningTasks,
         shares: TeamShares,
         health: WorkerHealth,
+        never_run: NeverRunJobs,
     ) -> None:
         self.queue = queue
         self.running = running
         self.shares = shares
         self.health = health
+        self.never_run = never_run
         self.ledger = WorkerLedger()
         self.reservations = Reservations()
         self.slots = TeamSlots()
+        # A dict keeps the order, so that equal histories give equal decisions.
+        self.changed: dict[str, None] = {}
+
+    def mark(self, *pool_ids: str) -> None:
+        """Note that something changed in these pools."""
+        self.changed.update(dict.fromkeys(pool_ids))
 
     def place(
         self, request: TaskRequest, pool_id: str, size: Resources, now_s: float
@@ -94,15 +105,19 @@
         """Order a team's waiting requests by its present share."""
         self.queue.set_share(team_id, self.shares.weighted_share(team_id))
 
-    def update_parking(self, team_id: str) -> tuple[str, ...]:
+    def update_parking(self, team_id: str) -> None:
         """Keep a team without a free slot out of the order.
 
-        Returns the pools in which the team came back into the order.
+        What is reserved for its requests goes back to all.
         """
         if self.slots.has_free(team_id, self.running):
-            return self.queue.unpark(team_id)
-        self.queue.park(team_id)
-        return ()
+            self.mark(*self.queue.unpark(team_id))
+            return
+        for pool_id in self.queue.park(team_id):
+            reservation = self.reservations.of_pool(pool_id)
+            if reservation is not None and reservation.team_id == team_id:
+                self.release_reservation(pool_id)
+                self.mark(pool_id)
 
     def reserve(
         self, entry: Entry, pool_id: str, size: Resources, now_s: float
@@ -127,8 +142,13 @@
         worker_id = self.ledger.roomiest(pool_id, size)
         if worker_id is None:
             return False
-        is_aged = self.queue.is_aged(entry, now_s)
-        reservation = Reservation(entry.request.request_id, worker_id, rank, is_aged)
+        reservation = Reservation(
+            request_id=entry.request.request_id,
+            team_id=entry.line.team_id,
+            worker_id=worker_id,
+            rank=rank,
+            is_aged=self.queue.is_aged(entry, now_s),
+        )
         self.reservations.add(pool_id, reservation)
         self.ledger.hide(worker_id, HiddenBy.RESERVATION)
         return False
@@ -152,7 +172,8 @@
         if reserved_id is not None and size.fits_in(self.ledger.free(reserved_id)):
             self.release_reservation(pool_id)
             return reserved_id
-        return self.ledger.best_fit(pool_id, size, request.service_id)
+        avoided_ids = self.never_run.failed_on(shape_of(request))
+        return self.ledger.best_fit(pool_id, size, request.service_id, avoided_ids)
 
     def _reserved_worker(self, request: TaskRequest, pool_id: str) -> str | None:
         reservation = self.reservations.of_pool(pool_id)
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/pool_filler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/pool_filler.py
@@ -10,7 +10,7 @@
 from cicadatrail_core.placement.placer import Placer
 from cicadatrail_core.placement.submission_checks import SubmissionChecks
 
-TRY_LIMIT_COUNT = 8
+TRY_LIMIT_COUNT = 12
 """Lines that may prove not to fit before a pool is left until the next change."""
 
 
@@ -25,17 +25,22 @@
 class PoolFiller:
     """Fill changed pools, the most urgent request of all of them first."""
 
-    __slots__ = ("_changed", "_checks", "_placer")
+    __slots__ = ("_checks", "_placer")
 
     def __init__(self, placer: Placer, checks: SubmissionChecks) -> None:
         self._placer = placer
         self._checks = checks
-        # A dict keeps the order, so that equal histories give equal decisions.
-        self._changed: dict[str, None] = {}
 
-    def mark(self, *pool_ids: str) -> None:
-        """Note that something changed in these pools."""
-        self._changed.update(dict.fromkeys(pool_ids))
+    def has_rivals(self, pool_id: str, rank: int, now_s: float) -> bool:
+        """Tell whether a request that waits might start in place of a new one.
+
+        Where nothing changed since the pool was filled, those that were tried
+        fit nowhere, and a new one takes nothing from them.
+        """
+        count = self._placer.queue.rival_count(pool_id, rank, now_s)
+        if pool_id in self._placer.changed:
+            return count > 0
+        return count >= TRY_LIMIT_COUNT
 
     def withdraw(self, request_id: str) -> Entry | None:
         """Remove a waiting request and its reservation."""
@@ -46,21 +51,27 @@
         if reserved_in is not None:
             self._placer.release_reservation(reserved_in)
         # What waited behind it may fit where it did not.
-        self.mark(entry.line.pool_id)
+        self._placer.mark(entry.line.pool_id)
         return entry
 
     def fill(self, now_s: float) -> tuple[Placed, ...]:
         """Place what fits, until every changed pool is blocked or has no one."""
-        self.mark(*self._placer.health.pools_to_probe(now_s))
-        rounds = [_Round(pool_id) for pool_id in self._changed]
-        self._changed.clear()
+        self._placer.mark(*self._placer.health.pools_to_probe(now_s))
+        placed: list[Placed] = []
+        while self._placer.changed:
+            rounds = [_Round(pool_id) for pool_id in self._placer.changed]
+            self._placer.changed.clear()
+            placed += self._fill_pools(rounds, now_s)
+        return tuple(placed)
+
+    def _fill_pools(self, rounds: list[_Round], now_s: float) -> list[Placed]:
         heap = [
             (rank, number)
             for number, one in enumerate(rounds)
             if (rank := self._next_rank(one, now_s)) is not None
         ]
         heapq.heapify(heap)
-        placed = []
+        placed: list[Placed] = []
         while heap:
             rank, number = heapq.heappop(heap)
             one = rounds[number]
@@ -73,7 +84,7 @@
                 present = self._next_rank(one, now_s)
             if present is not None:
                 heapq.heappush(heap, (present, number))
-        return tuple(placed)
+        return placed
 
     def _next_rank(self, one: _Round, now_s: float) -> int | None:
         entry = self._next(one, now_s)
@@ -91,7 +102,7 @@
         start = self._placer.place(entry.request, one.pool_id, size, now_s)
         if start is not None:
             self.withdraw(entry.request.request_id)
-            self._changed.pop(one.pool_id, None)
+            self._placer.changed.pop(one.pool_id, None)
             return start
         is_first = not one.tried
         if is_first and self._placer.reserve(entry, one.pool_id, size, now_s):
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/reservations.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/reservations.py
@@ -14,6 +14,7 @@
     """Keep one worker's room for one waiting request."""
 
     request_id: str
+    team_id: str
     worker_id: str
     rank: int
     is_aged: bool
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/room_index.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/room_index.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 from operator import attrgetter
 
@@ -23,6 +23,9 @@
 IDLE_ACCELERATOR_PENALTY = 1.0
 """Score of leaving accelerators beside a task that needs none."""
 
+AVOIDED_PENALTY = 10.0
+"""Score of a worker to avoid; it outweighs all else."""
+
 _GETTERS = (
     attrgetter("cpu_millicores"),
     attrgetter("memory_mib"),
@@ -74,14 +77,23 @@
             order.remove((getter(room.free), worker_id))
 
     def best_fit(
-        self, size: Resources, service_id: str, spread: SpreadCounts
+        self,
+        size: Resources,
+        service_id: str,
+        spread: SpreadCounts,
+        avoided_ids: Collection[str] = (),
     ) -> str | None:
-        """Return the worker that the task fits best, or None if none is found."""
+        """Return the worker that the task fits best, or None if none is found.
+
+        An avoided worker is taken only where the task fits no other.
+        """
         best: tuple[float, str] | None = None
         for room in self._candidates(size):
             if not size.fits_in(room.free):
                 continue
             score = _score(room, size) + spread.crowding(service_id, room.place)
+            if room.worker_id in avoided_ids:
+                score += AVOIDED_PENALTY
             if best is None or (score, room.worker_id) < best:
                 best = (score, room.worker_id)
         return None if best is None else best[1]
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/spread.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/spread.py
@@ -9,8 +9,8 @@
 
 K = TypeVar("K")
 
-DATA_CENTRE_WEIGHT = 0.5
-RACK_WEIGHT = 0.5
+DATA_CENTRE_WEIGHT = 1.5
+RACK_WEIGHT = 1.5
 
 
 class SpreadCounts:
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/worker_ledger.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/worker_ledger.py
@@ -148,12 +148,18 @@
         account = self._accounts.get(worker_id)
         return None if account is None else account.hidden_by
 
-    def best_fit(self, pool_id: str, size: Resources, service_id: str) -> str | None:
+    def best_fit(
+        self,
+        pool_id: str,
+        size: Resources,
+        service_id: str,
+        avoided_ids: Collection[str],
+    ) -> str | None:
         """Return the worker of the pool that the task fits best, if any."""
         index = self._indexes.get(pool_id)
         if index is None:
             return None
-        return index.best_fit(size, service_id, self._spread)
+        return index.best_fit(size, service_id, self._spread, avoided_ids)
 
     def roomiest(self, pool_id: str, size: Resources) -> str | None:
         """Return the worker of the pool that comes nearest to holding the task."""
