--- a/features/placement.feature
+++ b/features/placement.feature
@@ -57,9 +57,14 @@
     Then no worker is ejected
 
   Scenario: Ejections are capped
+    Given a placement dispatcher over 12 workers
+    When workers 0,1,2,3,4,5 fail everything for 120 s
+    Then at most 4 workers are ejected at any time
+
+  Scenario: Jobs that fail wherever they run eject nobody
     Given a placement dispatcher over 6 workers
-    When workers 0,1,2,3 fail everything for 60 s
-    Then at most 2 workers are ejected at any time
+    When jobs of two kinds fail on all workers for 60 s
+    Then no worker was ejected for placement
 
   Scenario: Tasks of a service are spread over failure domains
     Given a placement dispatcher over 12 workers
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -305,6 +305,18 @@
     assert context.dispatcher.ejected_workers == ()
 
 
+@when("jobs of two kinds fail on all workers for {span:d} s")
+def step_only_poison(context: Any, span: int) -> None:
+    begin_runs(context)
+    kinds = {"one": {"size": POISON}, "two": {"size": Resources(2500, 500)}}
+    run_all(context, span, lambda placed: TaskEnd.FAILED, **kinds)
+
+
+@then("no worker was ejected for placement")
+def step_never_ejected(context: Any) -> None:
+    assert context.most_ejected == 0, context.most_ejected
+
+
 @when("workers {numbers} fail everything for {span:d} s")
 def step_many_ill(context: Any, numbers: str, span: int) -> None:
     begin_runs(context)
