Divide the queue among teams, so that none keeps another out

The bounded queue was filled by the large teams, and the small ones' requests were refused. Ruled out: the order itself (closed loops of the feature reach the due shares within 5 %). Now half of the queue is divided among the teams.

--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -167,6 +167,33 @@
     assert context.shares["team-0"] > least, context.shares
 
 
+@when("the first team floods the queue until it is refused")
+def step_flood(context: Any) -> None:
+    limit = DispatcherSettings().queue_limit_count
+    submit = context.loop.submit
+    context.taken = sum(submit(request(f"flood-{n}")) for n in range(2 * limit))
+    assert context.taken < limit
+
+
+@then("the other team's requests, urgent ones most of all, are still taken")
+def step_not_kept_out(context: Any) -> None:
+    limit = DispatcherSettings().queue_limit_count
+    submit = context.loop.submit
+    taken = sum(submit(request(f"other-{n}", team=1)) for n in range(limit))
+    assert taken >= limit / 5, taken
+    urgent = Urgency.URGENT
+    taken = sum(
+        submit(request(f"urgent-{n}", team=1, urgency=urgent)) for n in range(limit)
+    )
+    assert taken >= limit / 50, taken
+
+
+@then("the queue never holds more than its limit")
+def step_bounded(context: Any) -> None:
+    waiting = sum(context.loop.dispatcher.waiting_counts.values())
+    assert waiting <= DispatcherSettings().queue_limit_count, waiting
+
+
 def run_batch_under_urgent(ageing: Ageing) -> tuple[Loop, list[str]]:
     state = fleet([1], [1.0, 1.0], CAPACITY)
     dispatcher = Dispatcher(DispatcherSettings(ageing=ageing))
@@ -258,7 +285,7 @@
 def cancellation_cost(many: int, teams: int, order: str) -> float:
     """Return the lines of Python that a cancellation of many takes on average."""
     state = fleet([1], [1.0] * teams, CAPACITY)
-    limits = DispatcherSettings(queue_limit_count=20_000, team_queue_fraction=1.0)
+    limits = DispatcherSettings(queue_limit_count=20_000, shared_queue_fraction=1.0)
     dispatcher = Dispatcher(limits)
     slots = dict.fromkeys(state.teams, 10_000)
     dispatcher.configure(state, list(state.workers), slots, 0.0)
--- a/features/support/admission_machine.py
+++ b/features/support/admission_machine.py
@@ -32,7 +32,7 @@
 QUEUE_LIMIT = 30
 SETTINGS = DispatcherSettings(
     queue_limit_count=QUEUE_LIMIT,
-    team_queue_fraction=1.0,
+    shared_queue_fraction=1.0,
     urgent_queue_fraction=0.0,
     # What is learned has features of its own; here sizes are as declared.
     estimates=EstimateSettings(least_sample_count=10**9),
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/dispatcher.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/dispatcher.py
@@ -271,13 +271,14 @@
             self._expired.append(Rejected(request_id, RejectReason.DEADLINE, again_s))
 
     def _is_full_for(self, request: TaskRequest) -> bool:
-        limit = self._settings.queue_limit_count
-        team_limit = limit * self._settings.team_queue_fraction
-        if self._queue.team_counts.get(request.team_id, 0) >= team_limit:
-            return True
-        if request.urgency is Urgency.URGENT:
-            return len(self._queue) >= limit
-        return len(self._queue) >= limit * (1.0 - self._settings.urgent_queue_fraction)
+        limit = float(self._settings.queue_limit_count)
+        if request.urgency is not Urgency.URGENT:
+            limit *= 1.0 - self._settings.urgent_queue_fraction
+        shared = limit * self._settings.shared_queue_fraction
+        if len(self._queue) < shared:
+            return False
+        own = (limit - shared) / max(1, len(self._view.teams))
+        return self._queue.team_counts.get(request.team_id, 0) >= own
 
     def _retry_after_s(self, request: TaskRequest) -> float:
         """Return how long the queue takes to run down, by what has been learned."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/settings.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/settings.py
@@ -15,8 +15,9 @@
 class DispatcherSettings:
     """Bound what a dispatcher keeps, and set its policies.
 
-    A team may fill ``team_queue_fraction`` of the queue; the last
-    ``urgent_queue_fraction`` of it is for urgent requests only. Of tasks that
+    Any team may fill ``shared_queue_fraction`` of the queue; the rest is divided
+    among the teams, so that none keeps another one out. The last
+    ``urgent_queue_fraction`` of each part is for urgent requests. Of tasks that
     ended, the newest ``ended_limit_count`` are remembered for ``report_lag_s``.
     A task whose kind is not learned yet is charged ``settled_headroom`` times
     its reported peak once it was seen for ``settle_s``. A usage report counts
@@ -24,7 +25,7 @@
     """
 
     queue_limit_count: int = 10_000
-    team_queue_fraction: float = 0.5
+    shared_queue_fraction: float = 0.5
     urgent_queue_fraction: float = 0.1
     retry_after_s: float = 1.0
     longest_retry_after_s: float = 60.0
