--- a/features/admission.feature
+++ b/features/admission.feature
@@ -48,9 +48,9 @@
     When every team always has more work waiting, with tasks of 1000x1000,1000x1000 for 5 s
     Then each team's share of the dominant resource is within 0.05 of its due share
 
-  Scenario: A team that floods the queue keeps no other team out
-    Given a dispatcher over 1 workers and teams of weight 1,1
-    When the first team floods the queue until it is refused
+  Scenario: Teams that flood the queue keep no other team out
+    Given a dispatcher over 1 workers and teams of weight 1,1,1
+    When the first two teams flood the queue until they are refused
     Then the other team's requests, urgent ones most of all, are still taken
     And the queue never holds more than its limit
 
