Part the exchanges from client and server; refuse heads that can't be sent

A peer's reply with an unsendable header cut the caller off; it is unknown now (seen failing: truth.feature, 'a head that is none'). A test was flaky: a free port for a worker that refuses connections could be taken by a listener of the same test; the port is held, without listening.

--- a/features/support/edge_faults.py
+++ b/features/support/edge_faults.py
@@ -201,6 +201,8 @@
         match self.fault:
             case "dies after the request came":
                 return False
+            case "replies with a head that is none":
+                good[0] = ReplyHead(task_id, 200, ((b"a\r\nb", b"c"),))
             case "replies for another request":
                 good[0] = ReplyHead(OTHER_ID, 200, ())
             case "dies in its reply":
--- a/features/support/edge_truth.py
+++ b/features/support/edge_truth.py
@@ -25,7 +25,7 @@
     OTHER_TEAM,
     EdgeInstance,
     EdgeWorld,
-    free_port,
+    refusing_port,
 )
 
 SETTLE_S = 25.0
@@ -139,7 +139,7 @@
         await world.add_worker(worker_id)
         return
     if fault == "refuses connections":
-        world.enter_worker(worker_id, free_port())
+        world.enter_worker(worker_id, refusing_port(stack))
         return
     worker = FaultyWorker(fault, world.ledger)
     server = worker.server = await asyncio.start_server(worker.serve, HOST, 0)
@@ -154,7 +154,7 @@
     directory = world.instances[0].parts["directory"]
     directory.follow({IncarnationId("peer"): Address(HOST, peer.port)})
     # A worker that is too small for any place makes the request wait here.
-    world.enter_worker("away", free_port())
+    world.enter_worker("away", refusing_port(stack))
     world.instances[0].take_state(frozenset(), 50)
 
 
--- a/features/support/edge_world.py
+++ b/features/support/edge_world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field, replace
@@ -181,8 +182,7 @@
             self._serve_control,
             requests.serve,
         )
-        self.peer = Address(HOST, free_port())
-        await server.listen(self.stack, self.peer.host, self.peer.port)
+        self.peer = Address(HOST, await server.listen(self.stack, HOST, 0))
         self.parts["peer_server"] = server
         callers = HttpServer("caller", router.serve_caller, limits)
         self.parts["callers"] = callers
@@ -314,10 +314,9 @@
     await link.call(message, 2.0)
 
 
-def free_port() -> int:
-    import socket
-
-    with socket.socket() as found:
-        found.bind((HOST, 0))
-        port: int = found.getsockname()[1]
-        return port
+def refusing_port(stack: AsyncExitStack) -> int:
+    """Return a port that refuses connections and that nobody else can take."""
+    held = stack.enter_context(socket.socket())
+    held.bind((HOST, 0))
+    port: int = held.getsockname()[1]
+    return port
--- a/features/truth.feature
+++ b/features/truth.feature
@@ -70,6 +70,7 @@
       | dies after it reserved              | unknown  | peer-lost  |
       | dies after the request came         | unknown  | peer-lost  |
       | replies for another request         | unknown  | peer-lost  |
+      | replies with a head that is none    | unknown  | peer-lost  |
       | dies in its reply                   | unknown  | answer-cut |
       | repeats a part of its reply         | unknown  | answer-cut |
       | drops a part of its reply           | unknown  | answer-cut |
--- a/packages/cicadatrail-node/src/cicadatraild/network/peer_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/peer_server.py
@@ -63,10 +63,12 @@
         self.refused_count = 0
         self.received_bytes = 0
 
-    async def listen(self, stack: AsyncExitStack, host: str, port: int) -> None:
-        """Listen until ``stack`` closes."""
+    async def listen(self, stack: AsyncExitStack, host: str, port: int) -> int:
+        """Listen until ``stack`` closes; return the port."""
         server = await asyncio.start_server(self._serve_quietly, host, port)
         stack.push_async_callback(self._close, server)
+        bound_port: int = server.sockets[0].getsockname()[1]
+        return bound_port
 
     async def _serve_quietly(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/packages/cicadatrail-node/src/cicadatraild/serving/forwarding.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/forwarding.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+import h11
 from returns.result import Failure, Success
 
 from cicadatrail_core.models.peer_messages import (
@@ -31,6 +32,7 @@
 )
 from cicadatrail_core.utils import codec
 from cicadatraild.network.frames import FrameError, FrameStream
+from cicadatraild.network.http_transport import Headers
 from cicadatraild.network.peer_client import PeerLink
 from cicadatraild.serving.calls import BodyCutError, UpstreamCall
 from cicadatraild.serving.outcomes import NotRun, Reason, Reply, ReplyCutError, Unknown
@@ -164,6 +166,7 @@
         request_id = self.call.request.request_id
         match answer:
             case ReplyHead(found, status, headers) if found == request_id:
+                _check_head(status, headers)
                 return Reply(status, headers, self._body(), self._drop)
             case ReplyNotRun(found, reason) if found == request_id:
                 self._end()
@@ -230,6 +233,14 @@
     return None
 
 
+def _check_head(status: int, headers: Headers) -> None:
+    """Raise FrameError for a head that no caller can be sent."""
+    try:
+        h11.Response(status_code=status, headers=list(headers))
+    except h11.LocalProtocolError as error:
+        raise FrameError(f"no head of a reply ({error})") from error
+
+
 def _known_reason(text: str) -> Reason | str:
     """Return a peer's reason as one of this release, where it is one."""
     try:
--- a/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
@@ -11,13 +11,13 @@
 from cicadatrail_core.models.fleet import Worker
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.placement.dispatcher import TaskEnd
+from cicadatraild.network.client_exchange import Pending
 from cicadatraild.network.http_client import (
     Address,
     ClientError,
     ClientExchange,
     ClientFault,
     ConnectionPool,
-    Pending,
 )
 from cicadatraild.network.http_transport import Headers
 from cicadatraild.serving.calls import BodyCutError, RequestBody, UpstreamCall
@@ -69,6 +69,9 @@
                     return _not_run(exchange, task, NotRun(Reason.NOT_SUPPORTED))
                 call.mark.sent = True
                 head = await self._exchange(exchange, call, task)
+        except h11.LocalProtocolError:
+            # No request can be made of this head, so that none was sent.
+            return _not_run(exchange, task, NotRun(Reason.MALFORMED, 400, None))
         except ClientError as error:
             return _failed(exchange, task, error)
         except BodyCutError as error:
