--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from features.support import edge_http
+from features.support import edge_http, edge_http_checks
 from features.support.paused_loop import run_paused
 
 
@@ -37,7 +37,7 @@
 
 @then("the http result is {result}")
 def check_result(context: Any, result: str) -> None:
-    problem = edge_http.RESULTS[result](context.result)
+    problem = edge_http_checks.RESULTS[result](context.result)
     assert not problem, (problem, context.result)
 
 
--- a/features/steps/truth_steps.py
+++ b/features/steps/truth_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from features.support import edge_truth
+from features.support import edge_copies, edge_truth
 from features.support.paused_loop import run_paused
 
 
@@ -42,7 +42,7 @@
 
 @when("truth copies of a once request come {copies}")
 def send_copies(context: Any, copies: str) -> None:
-    context.result = run_paused(edge_truth.send_copies(context.plan, copies))
+    context.result = run_paused(edge_copies.send_copies(context.plan, copies))
 
 
 @when("truth callers send {count:d} repeatable requests")
