--- a/packages/cicadatrail-node/src/cicadatraild/serving/id_partitions.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/id_partitions.py
@@ -79,6 +79,7 @@
         "_sees_whole_log",
         "_send",
         "_state",
+        "_wake_times_s",
         "_wall_clock",
     )
 
@@ -104,6 +105,7 @@
         )
         self._ever_claimed: set[int] = set()
         self._first_claims: set[int] = set()
+        self._wake_times_s: set[float] = set()
 
     def take_state(self, state: State) -> None:
         """Follow a new state; its records follow within the same loop turn."""
@@ -218,10 +220,20 @@
         elif loop.time() >= expected.until_s:
             self._memories[partition] = self._new_memory(partition)
         else:
-            loop.call_at(expected.until_s, self._settle)
+            self._wake_at(expected.until_s)
             return
         del self._expected[partition]
 
+    def _wake_at(self, time_s: float) -> None:
+        """Settle again then; partitions of one transfer share the timer."""
+        if time_s not in self._wake_times_s:
+            self._wake_times_s.add(time_s)
+            asyncio.get_running_loop().call_at(time_s, self._wake, time_s)
+
+    def _wake(self, time_s: float) -> None:
+        self._wake_times_s.discard(time_s)
+        self._settle()
+
     def _new_memory(self, partition: int) -> PartitionMemory:
         if partition in self._first_claims:
             self._first_claims.discard(partition)
