--- a/packages/cicadatrail-node/src/cicadatraild/serving/forwarding.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/forwarding.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+import h11
 from returns.result import Failure, Success
 
 from cicadatrail_core.models.peer_messages import (
@@ -31,6 +32,7 @@
 )
 from cicadatrail_core.utils import codec
 from cicadatraild.network.frames import FrameError, FrameStream
+from cicadatraild.network.http_transport import Headers
 from cicadatraild.network.peer_client import PeerLink
 from cicadatraild.serving.calls import BodyCutError, UpstreamCall
 from cicadatraild.serving.outcomes import NotRun, Reason, Reply, ReplyCutError, Unknown
@@ -117,7 +119,7 @@
         reached a worker.
         """
         if self.stream.frames.closing:
-            self._drop()
+            self.drop()
             return NotRun(Reason.PEER_LOST)
         self.call.mark.workers.add(self.worker_id)
         self.call.mark.sent = True
@@ -125,16 +127,16 @@
             async with asyncio.timeout_at(self.call.request.deadline_s):
                 return self._attempt(await self._exchange())
         except FrameError:
-            self._drop()
+            self.drop()
             return Unknown(Reason.PEER_LOST)
         except BodyCutError as error:
-            self._drop()
+            self.drop()
             return Unknown(error.reason, error.status)
         except TimeoutError:
-            self._drop()
+            self.drop()
             return Unknown(Reason.DEADLINE, 504)
         except BaseException:
-            self._drop()
+            self.drop()
             raise
 
     async def _exchange(self) -> Any:
@@ -164,7 +166,8 @@
         request_id = self.call.request.request_id
         match answer:
             case ReplyHead(found, status, headers) if found == request_id:
-                return Reply(status, headers, self._body(), self._drop)
+                _check_head(status, headers)
+                return Reply(status, headers, self._body(), self.drop)
             case ReplyNotRun(found, reason) if found == request_id:
                 self._end()
                 return NotRun(_known_reason(reason))
@@ -183,19 +186,20 @@
                     break
                 yield chunk
         except (FrameError, TimeoutError) as error:
-            self._drop()
+            self.drop()
             raise ReplyCutError(repr(error)) from error
         self._end()
 
     def _end(self) -> None:
         """Part with the stream, which another request may take at once."""
         if not self._sent_whole:
-            self._drop()
+            self.drop()
             return
         self._over = True
         self.link.give_back(self.stream.frames)
 
-    def _drop(self) -> None:
+    def drop(self) -> None:
+        """Drop the stream: the peer frees the place or stops the task."""
         if not self._over:
             self._over = True
             self.stream.frames.abort()
@@ -230,6 +234,14 @@
     return None
 
 
+def _check_head(status: int, headers: Headers) -> None:
+    """Raise FrameError for a head that no caller can be sent."""
+    try:
+        h11.Response(status_code=status, headers=list(headers))
+    except h11.LocalProtocolError as error:
+        raise FrameError(f"no head of a reply ({error})") from error
+
+
 def _known_reason(text: str) -> Reason | str:
     """Return a peer's reason as one of this release, where it is one."""
     try:
