Send digests by columns, within the region and within a byte rate

Cause: worked out for 83 teams and 20 pools, a digest with field names was about 12 KB, which eight peers a second would put far over 17 KB/s.

--- a/packages/cicadatrail-core/src/cicadatrail_core/models/peer_messages.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/peer_messages.py
@@ -44,6 +44,91 @@
     teams: tuple[TeamUse, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PackedDigest:
+    """Carry a digest by columns, since names of fields would be most of it.
+
+    ``pool_amounts`` has POOL_AMOUNT_COUNT integers a pool, ``team_amounts``
+    TEAM_AMOUNT_COUNT a team, in the order of the fields of ``PoolRoom`` and
+    ``TeamUse``.
+    """
+
+    incarnation: IncarnationId
+    next_offset: int
+    version: int
+    pool_ids: tuple[str, ...]
+    pool_amounts: tuple[int, ...]
+    team_ids: tuple[str, ...]
+    team_amounts: tuple[int, ...]
+
+
+POOL_AMOUNT_COUNT = 5
+TEAM_AMOUNT_COUNT = 6
+
+
+def pack_digest(digest: Digest) -> PackedDigest:
+    """Return the digest as it is sent."""
+    return PackedDigest(
+        digest.incarnation,
+        digest.next_offset,
+        digest.version,
+        tuple(pool.pool_id for pool in digest.pools),
+        tuple(amount for pool in digest.pools for amount in _pool_amounts(pool)),
+        tuple(team.team_id for team in digest.teams),
+        tuple(amount for team in digest.teams for amount in _team_amounts(team)),
+    )
+
+
+def unpack_digest(packed: PackedDigest) -> Digest | None:
+    """Return the digest that was sent; None if its columns don't match."""
+    if len(packed.pool_amounts) != POOL_AMOUNT_COUNT * len(packed.pool_ids):
+        return None
+    if len(packed.team_amounts) != TEAM_AMOUNT_COUNT * len(packed.team_ids):
+        return None
+    pools = _rows(packed.pool_amounts, POOL_AMOUNT_COUNT)
+    teams = _rows(packed.team_amounts, TEAM_AMOUNT_COUNT)
+    return Digest(
+        packed.incarnation,
+        packed.next_offset,
+        packed.version,
+        tuple(
+            PoolRoom(pool_id, Resources(*row[:3]), *row[3:])
+            for pool_id, row in zip(packed.pool_ids, pools, strict=True)
+        ),
+        tuple(
+            TeamUse(team_id, Resources(*row[:3]), *row[3:])
+            for team_id, row in zip(packed.team_ids, teams, strict=True)
+        ),
+    )
+
+
+def _rows(amounts: tuple[int, ...], length: int) -> list[tuple[int, ...]]:
+    return [amounts[start : start + length] for start in range(0, len(amounts), length)]
+
+
+def _pool_amounts(pool: PoolRoom) -> tuple[int, ...]:
+    free = pool.largest_free
+    return (
+        free.cpu_millicores,
+        free.memory_mib,
+        free.accelerator_count,
+        pool.waiting_urgent_count,
+        pool.waiting_count,
+    )
+
+
+def _team_amounts(team: TeamUse) -> tuple[int, ...]:
+    used = team.used
+    return (
+        used.cpu_millicores,
+        used.memory_mib,
+        used.accelerator_count,
+        team.free_slot_count,
+        team.waiting_count,
+        team.running_count,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class FetchRecords:
     """Ask a peer for records of the log, when the log can't be read."""
@@ -239,7 +324,7 @@
 ControlMessage = (
     SupportRequest
     | SupportReply
-    | Digest
+    | PackedDigest
     | Done
     | FetchRecords
     | Records
--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -24,6 +24,7 @@
     FetchSnapshot,
     IdOutcome,
     IdQuery,
+    PackedDigest,
     PartitionHandover,
     PoolRoom,
     Records,
@@ -152,7 +153,7 @@
             self._note_list,
             self._loans.unsettled_lenders,
         )
-        self._digests = Digests(self._directory, self._make_digest)
+        self._digests = Digests(self._directory, self._make_digest, self._is_near)
         self._desk = Desk(Dispatcher(DispatcherSettings()), self._loans)
         self._control = HttpWorkerControl(self._pool)
         self._given_up = GivenUpTasks(self._desk, self._control)
@@ -399,6 +400,12 @@
             self._loans.lent_count,
         )
 
+    def _is_near(self, incarnation: IncarnationId) -> bool:
+        """Tell whether a member is of this instance's region."""
+        member = self._replica.state.roster.get(incarnation)
+        own_region = self._settings.instance.region
+        return member is not None and member.place.region == own_region
+
     def _make_digest(self) -> Digest:
         state = self._replica.state
         dispatcher = self._desk.dispatcher
@@ -503,7 +510,7 @@
         match message:
             case SupportRequest():
                 return self._standing.answer(message)
-            case Digest():
+            case PackedDigest():
                 self._digests.take(message)
                 self._desk.dispatcher.configure_peer_usage(self._digests.peer_usage())
                 return Done()
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/digests.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/digests.py
@@ -6,7 +6,12 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from cicadatrail_core.models.peer_messages import Digest
+from cicadatrail_core.models.peer_messages import (
+    Digest,
+    PackedDigest,
+    pack_digest,
+    unpack_digest,
+)
 from cicadatrail_core.models.requests import TaskRequest
 from cicadatrail_core.models.resources import Resources
 from cicadatrail_core.models.rights import IncarnationId
@@ -19,11 +24,19 @@
 IDLE_INTERVAL_S = 1.0
 """Time between two digests to each peer while none waits."""
 
-DIGEST_LIFE_S = 3.0
+DIGEST_LIFE_S = 10.0
 """Time after which a peer's digest says nothing any more."""
 
 CALL_TIMEOUT_S = 1.0
 
+SENT_LIMIT_BYTES_PER_S = 8_000
+"""Bytes of digests sent in a second; with more teams they go less often."""
+
+DIGEST_BASE_BYTES = 100
+TEAM_BYTES = 28
+POOL_BYTES = 24
+"""Sizes by which the length of a digest is estimated before it is coded."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Received:
@@ -32,17 +45,26 @@
 
 
 class Digests:
-    """Keep the newest digest of each peer, and send one's own."""
+    """Keep the newest digest of each peer of the region, and send one's own."""
 
-    __slots__ = ("_directory", "_make", "_received")
+    __slots__ = ("_directory", "_is_near", "_make", "_received")
 
-    def __init__(self, directory: PeerDirectory, make: Callable[[], Digest]) -> None:
+    def __init__(
+        self,
+        directory: PeerDirectory,
+        make: Callable[[], Digest],
+        is_near: Callable[[IncarnationId], bool],
+    ) -> None:
         self._directory = directory
         self._make = make
+        self._is_near = is_near
         self._received: dict[IncarnationId, _Received] = {}
 
-    def take(self, digest: Digest) -> None:
-        """Take in a peer's digest."""
+    def take(self, packed: PackedDigest) -> None:
+        """Take in a peer's digest; one that can't be read is passed over."""
+        digest = unpack_digest(packed)
+        if digest is None:
+            return
         now_s = asyncio.get_running_loop().time()
         self._received[digest.incarnation] = _Received(digest, now_s)
 
@@ -88,10 +110,11 @@
         """Send a digest to every peer each interval, until cancelled."""
         while True:
             digest = self._make()
-            for link in self._directory.links:
-                self._directory.spawn(_send(link, digest))
-            busy = any(team.waiting_count for team in digest.teams)
-            await asyncio.sleep(BUSY_INTERVAL_S if busy else IDLE_INTERVAL_S)
+            packed = pack_digest(digest)
+            links = [link for link in self._directory.links if self._is_near(link.name)]
+            for link in links:
+                self._directory.spawn(_send(link, packed))
+            await asyncio.sleep(_interval_s(digest, len(links)))
 
 
 def _room(digest: Digest, pool_id: str, request: TaskRequest) -> Resources | None:
@@ -105,5 +128,14 @@
     return None
 
 
-async def _send(link: PeerLink, digest: Digest) -> None:
-    await link.call(digest, CALL_TIMEOUT_S)
+def _interval_s(digest: Digest, peer_count: int) -> float:
+    """Return the time to the next digest, within the bytes for a second."""
+    length_bytes = DIGEST_BASE_BYTES
+    length_bytes += TEAM_BYTES * len(digest.teams) + POOL_BYTES * len(digest.pools)
+    busy = any(team.waiting_count for team in digest.teams)
+    wanted_s = BUSY_INTERVAL_S if busy else IDLE_INTERVAL_S
+    return max(wanted_s, length_bytes * peer_count / SENT_LIMIT_BYTES_PER_S)
+
+
+async def _send(link: PeerLink, packed: PackedDigest) -> None:
+    await link.call(packed, CALL_TIMEOUT_S)
