--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/currency.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/currency.py
@@ -74,6 +74,7 @@
         if known is None or known.sent_s < sent_s:
             attestation = _Attestation(reply.version, sent_s)
             self._attestations[reply.supporter] = attestation
+            self._forget_before(sent_s - self._timing.support_s)
 
     def judge(
         self,
@@ -113,6 +114,11 @@
         attested = [m for m in region if self._is_attested(state, m.incarnation, now_s)]
         return len(attested) >= support_needed(len(region))
 
+    def _forget_before(self, oldest_s: float) -> None:
+        for supporter in list(self._attestations):
+            if self._attestations[supporter].sent_s < oldest_s:
+                del self._attestations[supporter]
+
     def _members_to_ask(self, state: State) -> list[Member]:
         own = state.roster.get(self._incarnation)
         members = [
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/support.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/support.py
@@ -91,6 +91,7 @@
         until_s = self._lease_end_s(sent_s)
         known_s = self._granted_until_s.get(reply.supporter, -math.inf)
         self._granted_until_s[reply.supporter] = max(known_s, until_s)
+        self._forget_lapsed(now_s)
 
     def request_sent_s(self, number: int) -> float | None:
         """Return when a request was sent; none for an old or foreign number."""
@@ -151,6 +152,11 @@
         self._next_number += 1
         return number
 
+    def _forget_lapsed(self, now_s: float) -> None:
+        for supporter in list(self._granted_until_s):
+            if self._granted_until_s[supporter] < now_s:
+                del self._granted_until_s[supporter]
+
     def _forget_old(self, sent_s: dict[int, float], now_s: float) -> None:
         """Drop what can't extend support any more; dicts keep sending order."""
         oldest_s = now_s - self._timing.support_s
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/supporter.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/supporter.py
@@ -31,6 +31,7 @@
         """
         granted = self._may_grant(state, request)
         if granted:
+            self._forget_lapsed(now_s)
             self._lapses_s[request.asker] = now_s + self._timing.support_wait_s
         return SupportReply(
             supporter=self._incarnation,
@@ -74,5 +75,10 @@
             return False
         return self._incarnation not in member.acknowledged_by
 
+    def _forget_lapsed(self, now_s: float) -> None:
+        for asker in list(self._lapses_s):
+            if self._lapses_s[asker] <= now_s:
+                del self._lapses_s[asker]
+
     def _has_lapsed(self, incarnation: IncarnationId, now_s: float) -> bool:
         return now_s >= self._lapses_s.get(incarnation, -math.inf)
