Keep a member's balance plan while only pulses change the state

Seen failing: a balancer that always plans and one that never plans again. Not wired into the daemon yet.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -23,3 +23,10 @@
       | 3       | 30      | 100   |
       | 9       | 30      | 4     |
       | 9       | 1800    | 500   |
+
+  Scenario: Membership plan is kept while only pulses change the state
+    Given a membership of 3 members, 30 workers and limit 10
+    When a membership balancer plans, folds 20 pulses and plans again
+    Then the membership balancer kept its plan
+    When one membership member hands over everything
+    Then the membership balancer plans what the whole search finds
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -20,6 +20,7 @@
 )
 from cicadatrail_core.models.state import State
 from cicadatrail_core.rights import balance
+from cicadatrail_core.rights.balancer import Balancer
 from features.support.rights_naive import NaiveRights
 
 NAMES = st.sampled_from([IncarnationId(f"i{n}") for n in range(4)])
@@ -315,3 +316,34 @@
     if len(state.roster) > 1:
         assert not holdings.rights_of(state, giver)
         assert len(state.partition_holders) == PARTITION_COUNT
+
+
+@when("a membership balancer plans, folds {count:d} pulses and plans again")
+def plan_twice(context: Any, count: int) -> None:
+    state = context.membership_state
+    context.membership_balancer = Balancer(IncarnationId("i1"))
+    context.membership_plans = [context.membership_balancer.plan(state)]
+    for number in range(count):
+        name = IncarnationId(f"i{number % 3}")
+        pulse = rec.PulseRecord(name, number, 10 + number)
+        state = membership.apply_pulse(state, 10 + number, pulse)
+    context.membership_plans.append(context.membership_balancer.plan(state))
+    context.membership_state = state
+
+
+@then("the membership balancer kept its plan")
+def kept_plan(context: Any) -> None:
+    first, second = context.membership_plans
+    assert first.claims
+    assert first is second
+
+
+@then("the membership balancer plans what the whole search finds")
+def plans_anew(context: Any) -> None:
+    state, name = context.membership_state, IncarnationId("i1")
+    claimed = rec.ClaimRecord(name, balance.fair_claim(state, name))
+    for changed in (state, membership.apply_claim(state, 99, claimed)):
+        plan = context.membership_balancer.plan(changed)
+        assert plan.claims == balance.fair_claim(changed, name)
+        assert plan.transfers == balance.surplus(changed, name)
+        assert plan.obsolete == holdings.obsolete_rights(changed, name)
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/balancer.py
@@ -0,0 +1,76 @@
+"""Plan claims, releases and transfers again only when their grounds changed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cicadatrail_core.fold.holdings import obsolete_rights
+from cicadatrail_core.models.records import TransferRecord
+from cicadatrail_core.models.rights import IncarnationId, Right
+from cicadatrail_core.models.state import State
+from cicadatrail_core.rights.balance import fair_claim, surplus
+
+
+@dataclass(frozen=True, slots=True)
+class BalancePlan:
+    """Hold what a member should claim, release and hand over by one state."""
+
+    claims: tuple[Right, ...]
+    obsolete: tuple[Right, ...]
+    transfers: tuple[TransferRecord, ...]
+
+
+class Balancer:
+    """Keep the plan of one incarnation while pulses alone change the state.
+
+    Planning looks at every right, which takes milliseconds in a large fleet;
+    the fold keeps the identity of each map that a record didn't touch.
+    """
+
+    __slots__ = ("_grounds", "_incarnation", "_members", "_plan")
+
+    def __init__(self, incarnation: IncarnationId) -> None:
+        self._incarnation = incarnation
+        self._grounds: tuple[object, ...] = ()
+        self._members: tuple[object, ...] = ()
+        self._plan = BalancePlan((), (), ())
+
+    def plan(self, state: State) -> BalancePlan:
+        """Return the plan by ``state``; the former object while it holds."""
+        grounds = (
+            state.workers,
+            state.pool_of,
+            state.teams,
+            state.worker_holders,
+            state.slots,
+            state.partition_holders,
+        )
+        members = self._members_of(state)
+        if self._is_same(grounds) and members == self._members:
+            return self._plan
+        self._grounds = grounds
+        self._members = members
+        self._plan = BalancePlan(
+            claims=fair_claim(state, self._incarnation),
+            obsolete=obsolete_rights(state, self._incarnation),
+            transfers=surplus(state, self._incarnation),
+        )
+        return self._plan
+
+    def _is_same(self, grounds: tuple[object, ...]) -> bool:
+        """Compare by identity; the kept references keep the objects alive."""
+        if len(grounds) != len(self._grounds):
+            return False
+        pairs = zip(grounds, self._grounds, strict=True)
+        return all(new is old for new, old in pairs)
+
+    def _members_of(self, state: State) -> tuple[object, ...]:
+        own = state.roster.get(self._incarnation)
+        live = tuple(
+            sorted(
+                (member.incarnation, member.place.region)
+                for member in state.roster.values()
+                if member.retire_offset is None
+            )
+        )
+        return (None if own is None else own.rights_sequence, live)
