--- a/features/rights.feature
+++ b/features/rights.feature
@@ -8,7 +8,7 @@
     And the rights model saw rights freed, used by peers' support and lent
 
   Scenario: Rights model frees the rights of all dead once faults end
-    When the rights model walks 10 times from seed 10 and settles
+    When the rights model walks 17 times from seed 60 and settles
     Then the rights model broke nothing
 
   Scenario Outline: Rights model catches a weakened rule on random walks
