--- a/features/steps/truth_steps.py
+++ b/features/steps/truth_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from features.support import edge_truth
+from features.support import edge_copies, edge_truth
 from features.support.paused_loop import run_paused
 
 
@@ -42,7 +42,7 @@
 
 @when("truth copies of a once request come {copies}")
 def send_copies(context: Any, copies: str) -> None:
-    context.result = run_paused(edge_truth.send_copies(context.plan, copies))
+    context.result = run_paused(edge_copies.send_copies(context.plan, copies))
 
 
 @when("truth callers send {count:d} repeatable requests")
@@ -56,6 +56,11 @@
     assert least < total <= most, total
 
 
+@when("a truth request waits 1 s for a place beside a frozen peer")
+def wait_beside_frozen(context: Any) -> None:
+    context.result = run_paused(edge_truth.wait_beside_frozen(context.plan))
+
+
 @when("a truth request comes while no instance may spend")
 def send_frozen(context: Any) -> None:
     context.result = run_paused(edge_truth.send_frozen(context.plan))
--- a/features/support/edge_world.py
+++ b/features/support/edge_world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field, replace
@@ -47,6 +48,7 @@
 from cicadatraild.serving.running import GivenUpTasks
 from cicadatraild.serving.upstream import Upstream
 from cicadatraild.utils.open_work import OpenWork
+from cicadatraild.utils.tracing import Tracing
 from features.standins.workers import Ledger, StandInWorker
 
 HOST = "127.0.0.1"
@@ -120,6 +122,7 @@
             lambda taker, message: _send(directory, taker, message),
         )
         upstream = Upstream(pool, self.name, self._may_spend, lambda _: None)
+        tracing = Tracing(self.name, 0.0, None, pool)
         places = Places(
             desk,
             upstream,
@@ -127,6 +130,7 @@
             leases,
             lambda worker_id: self.world.state.workers.get(worker_id),
             lambda _: directory.links if self.peers is None else self.peers,
+            tracing,
         )
         budget = RetryBudget(self.world.retries)
         attempts = Attempts(
@@ -141,8 +145,8 @@
             lambda: str(new()),
         )
         open_work = OpenWork()
-        router = Router(admission, attempts, ids, open_work)
-        requests = PeerRequests(admission, desk, places, open_work)
+        router = Router(admission, attempts, ids, open_work, tracing)
+        requests = PeerRequests(admission, desk, places, open_work, tracing)
         self.parts = {
             "pool": pool,
             "directory": directory,
@@ -181,8 +185,7 @@
             self._serve_control,
             requests.serve,
         )
-        self.peer = Address(HOST, free_port())
-        await server.listen(self.stack, self.peer.host, self.peer.port)
+        self.peer = Address(HOST, await server.listen(self.stack, HOST, 0))
         self.parts["peer_server"] = server
         callers = HttpServer("caller", router.serve_caller, limits)
         self.parts["callers"] = callers
@@ -314,10 +317,9 @@
     await link.call(message, 2.0)
 
 
-def free_port() -> int:
-    import socket
-
-    with socket.socket() as found:
-        found.bind((HOST, 0))
-        port: int = found.getsockname()[1]
-        return port
+def refusing_port(stack: AsyncExitStack) -> int:
+    """Return a port that refuses connections and that nobody else can take."""
+    held = stack.enter_context(socket.socket())
+    held.bind((HOST, 0))
+    port: int = held.getsockname()[1]
+    return port
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/dispatcher.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/dispatcher.py
@@ -77,11 +77,11 @@
         never_run = NeverRunJobs(settings.never_run)
         self._checks = SubmissionChecks(self._view, self._estimator, never_run)
         health = WorkerHealth(settings.ejection)
-        self._placer = Placer(self._queue, self._running, self._shares, health)
-        self._filler = PoolFiller(self._placer, self._checks)
-        self._feedback = Feedback(
-            settings, self._placer, self._view, self._estimator, never_run
+        self._placer = Placer(
+            self._queue, self._running, self._shares, health, never_run
         )
+        self._filler = PoolFiller(self._placer, self._checks)
+        self._feedback = Feedback(settings, self._placer, self._view, self._estimator)
         self._returns = ReturnPlanner(
             ShareReturn(settings.share_return), self._placer, self._view, self._checks
         )
@@ -109,7 +109,7 @@
             self._placer.update_share(team_id)
         if state.services is not old_services:
             self._requeue()
-        self._filler.mark(*self._queue.pool_ids)
+        self._placer.mark(*self._queue.pool_ids)
 
     def configure_peer_usage(self, usage: Mapping[str, Resources]) -> None:
         """Replace what teams use through all other instances, by their digests."""
@@ -164,8 +164,8 @@
                 self._placer.ledger.show(task.worker_id)
             case HealthChange.NONE:
                 pass
-        self._filler.mark(*self._placer.update_parking(task.request.team_id))
-        self._filler.mark(task.pool_id)
+        self._placer.update_parking(task.request.team_id)
+        self._placer.mark(task.pool_id)
 
     def cancel(self, request_id: str, now_s: float) -> bool:
         """Remove a waiting request; tell whether it was still waiting."""
@@ -189,7 +189,7 @@
         Tasks that this instance did not start count as taking room, too.
         """
         if self._feedback.take_report(report):
-            self._filler.mark(self._placer.ledger.pool_of(report.worker_id))
+            self._placer.mark(self._placer.ledger.pool_of(report.worker_id))
 
     def next_returns(self, now_s: float) -> tuple[ReturnOrder, ...]:
         """Return the steps due now to give room back to those who are due.
@@ -242,7 +242,7 @@
     def _place_at_once(self, request: TaskRequest, now_s: float) -> Placed | None:
         pool_id = self._view.pool_of_service(request.service_id)
         assert pool_id is not None
-        if self._queue.has_rivals(pool_id, request.urgency.rank, now_s):
+        if self._filler.has_rivals(pool_id, request.urgency.rank, now_s):
             return None
         size = self._checks.size(request, pool_id)
         return self._placer.place(request, pool_id, size, now_s)
@@ -253,7 +253,7 @@
         self._placer.update_share(request.team_id)
         self._placer.update_parking(request.team_id)
         self._queue.add(request, pool_id, now_s)
-        self._filler.mark(pool_id)
+        self._placer.mark(pool_id)
 
     def _requeue(self) -> None:
         """Move waiting requests whose service changed its pool."""
@@ -281,13 +281,14 @@
             self._expired.append(Rejected(request_id, RejectReason.DEADLINE, again_s))
 
     def _is_full_for(self, request: TaskRequest) -> bool:
-        limit = self._settings.queue_limit_count
-        team_limit = limit * self._settings.team_queue_fraction
-        if self._queue.team_counts.get(request.team_id, 0) >= team_limit:
-            return True
-        if request.urgency is Urgency.URGENT:
-            return len(self._queue) >= limit
-        return len(self._queue) >= limit * (1.0 - self._settings.urgent_queue_fraction)
+        limit = float(self._settings.queue_limit_count)
+        if request.urgency is not Urgency.URGENT:
+            limit *= 1.0 - self._settings.urgent_queue_fraction
+        shared = limit * self._settings.shared_queue_fraction
+        if len(self._queue) < shared:
+            return False
+        own = (limit - shared) / max(1, len(self._view.teams))
+        return self._queue.team_counts.get(request.team_id, 0) >= own
 
     def _retry_after_s(self, request: TaskRequest) -> float:
         """Return how long the queue takes to run down, by what has been learned."""
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
@@ -16,6 +16,15 @@
 """Unsent bytes after which writing waits for the other side."""
 
 
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+def lower_headers(message: h11.Request | h11.Response) -> Headers:
+    """Return a message's headers with their names in lower case."""
+    pairs = message.headers.raw_items()
+    return tuple([(name.lower(), value) for name, value in pairs])
+
+
 class ConnectionEndedError(ConnectionError):
     """Report that the other side is gone, so that nothing can be sent."""
 
@@ -140,12 +149,27 @@
     async def send(self, *events: h11.Event) -> None:
         """Send events and wait while the other side is slow.
 
+        Raises ConnectionEndedError when the connection is lost.
+        """
+        if self.write(*events):
+            await self.drain()
+
+    def write(self, *events: h11.Event) -> bool:
+        """Send events; tell whether the other side is slow.
+
         Raises ConnectionEndedError when the connection is lost.
         """
         if self._lost or self._transport is None:
             raise ConnectionEndedError
-        data = b"".join(self.http.send(event) or b"" for event in events)
+        data = b"".join([self.http.send(event) or b"" for event in events])
         self._transport.write(data)
+        return self._write_paused
+
+    async def drain(self) -> None:
+        """Wait while the other side is slow.
+
+        Raises ConnectionEndedError when the connection is lost.
+        """
         while self._write_paused and not self._lost:
             self._write_waiter = asyncio.get_running_loop().create_future()
             await self._write_waiter
--- a/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
@@ -21,6 +21,9 @@
 EXPIRY_INTERVAL_S = 0.05
 """Time between two looks for requests whose deadline passed."""
 
+IDLE_INTERVAL_S = 0.25
+"""Time between two looks while no request waits."""
+
 Decision = Placed | Rejected
 
 
@@ -106,13 +109,22 @@
             if self._note_start(placed):
                 self._decide(placed.request.request_id, placed)
             else:
-                # Its slot was borrowed and has lapsed: it waits again.
-                self.dispatcher.submit(placed.request, _now_s())
+                self._submit_again(placed.request)
+
+    def _submit_again(self, request: TaskRequest) -> None:
+        """Let a request wait again whose borrowed slot had lapsed."""
+        answer = self.dispatcher.submit(request, _now_s())
+        if isinstance(answer, Placed):
+            self.dispatcher.finish(request.request_id, TaskEnd.CANCELLED, _now_s())
+            answer = Rejected(request.request_id, RejectReason.QUEUE_FULL, 1.0)
+        if isinstance(answer, Rejected):
+            self._decide(request.request_id, answer)
 
     async def run(self) -> None:
         """Refuse requests whose deadline passes, until cancelled."""
         while True:
-            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            waiting = bool(self._decisions)
+            await asyncio.sleep(EXPIRY_INTERVAL_S if waiting else IDLE_INTERVAL_S)
             for rejected in self.dispatcher.expire(_now_s()):
                 self._decide(rejected.request_id, rejected)
             self.place_waiting()
--- a/packages/cicadatrail-node/src/cicadatraild/serving/places.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/places.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from cicadatrail_core.models.fleet import Worker
 from cicadatrail_core.models.requests import TaskRequest
@@ -16,6 +17,7 @@
 from cicadatraild.serving.outcomes import NotRun, Reason
 from cicadatraild.serving.running import GivenUpTasks, RunningTask
 from cicadatraild.serving.upstream import Attempt, Upstream
+from cicadatraild.utils.tracing import Tracing
 
 SEEK_INTERVAL_S = 0.02
 """Wait before a request that found no place here is offered to peers."""
@@ -32,6 +34,7 @@
         "_given_up",
         "_leases",
         "_peers_with_room",
+        "_tracing",
         "_upstream",
         "_worker",
         "forwarded_count",
@@ -45,7 +48,9 @@
         leases: LeaseKeeper,
         worker: Callable[[str], Worker | None],
         peers_with_room: Callable[[TaskRequest], Sequence[PeerLink]],
+        tracing: Tracing,
     ) -> None:
+        self._tracing = tracing
         self._desk = desk
         self._upstream = upstream
         self._given_up = given_up
@@ -81,7 +86,10 @@
             return NotRun(Reason.NO_ROOM)
         lease = self._leases.lease(worker, request.request_id, request.deadline_s)
         task = RunningTask(self._desk, self._given_up, lease)
-        return await self._upstream.run(worker, call, task)
+        with self._tracing.hop("worker", call.traceparent) as hop:
+            hop.note("worker_id", placed.worker_id)
+            traced = replace(call, traceparent=hop.traceparent)
+            return await self._upstream.run(worker, traced, task)
 
     async def _wait(
         self, call: UpstreamCall, decision: asyncio.Future[Decision]
@@ -95,7 +103,7 @@
                 wait_s = min(SEEK_LIMIT_S, wait_s * 2)
                 if decision.done():
                     break
-                reservation = await self._seek(call)
+                reservation = await self._seek_until(call, decision)
                 if reservation is None:
                     continue
                 if not decision.done() and self._desk.withdraw(request_id):
@@ -113,6 +121,27 @@
             return
         self._desk.withdraw(request_id)
 
+    async def _seek_until(
+        self, call: UpstreamCall, decision: asyncio.Future[Decision]
+    ) -> Reservation | None:
+        """Ask peers, but no longer than until a place here is found.
+
+        A silent peer must not keep the request from a place that is free.
+        """
+        seeking = asyncio.get_running_loop().create_task(self._seek(call))
+        try:
+            await asyncio.wait((decision, seeking), return_when=asyncio.FIRST_COMPLETED)
+            if not seeking.done():
+                return None
+            return seeking.result()
+        except BaseException:
+            reservation = seeking.result() if _succeeded(seeking) else None
+            if reservation is not None:
+                reservation.drop()
+            raise
+        finally:
+            seeking.cancel()
+
     async def _seek(self, call: UpstreamCall) -> Reservation | None:
         for link in self._peers_with_room(call.request):
             reservation = await reserve_at(link, call)
@@ -122,3 +151,7 @@
                 return reservation
             await reservation.abandon()
         return None
+
+
+def _succeeded(task: asyncio.Task[Reservation | None]) -> bool:
+    return task.done() and not task.cancelled() and task.exception() is None
--- a/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
@@ -11,14 +11,15 @@
 from cicadatrail_core.models.fleet import Worker
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.placement.dispatcher import TaskEnd
+from cicadatraild.network.client_exchange import Pending
 from cicadatraild.network.http_client import (
     Address,
     ClientError,
     ClientExchange,
     ClientFault,
     ConnectionPool,
-    Headers,
 )
+from cicadatraild.network.http_transport import Headers
 from cicadatraild.serving.calls import BodyCutError, RequestBody, UpstreamCall
 from cicadatraild.serving.outcomes import (
     NotRun,
@@ -68,6 +69,9 @@
                     return _not_run(exchange, task, NotRun(Reason.NOT_SUPPORTED))
                 call.mark.sent = True
                 head = await self._exchange(exchange, call, task)
+        except h11.LocalProtocolError:
+            # No request can be made of this head, so that none was sent.
+            return _not_run(exchange, task, NotRun(Reason.MALFORMED, 400, None))
         except ClientError as error:
             return _failed(exchange, task, error)
         except BodyCutError as error:
@@ -95,7 +99,7 @@
             unknown = Unknown(Reason.ANSWER_UNBOUNDED)
             return _give_up(exchange, task, TaskEnd.CANCELLED, unknown)
         body = _ReplyBody(exchange, task, deadline_s)
-        headers = reply_headers(tuple(head.headers))
+        headers = reply_headers(exchange.headers)
         return Reply(head.status_code, headers, body.chunks(), body.close)
 
     async def _exchange(
@@ -148,13 +152,8 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body within the deadline. Raises ReplyCutError."""
-        chunks = self._exchange.body()
         try:
-            while True:
-                async with asyncio.timeout_at(self._deadline_s):
-                    chunk = await anext(chunks, None)
-                if chunk is None:
-                    break
+            while (chunk := await self._next_chunk()) is not None:
                 yield chunk
         except (ClientError, TimeoutError) as error:
             self._exchange.abort()
@@ -164,6 +163,15 @@
         failed = response is not None and response.status_code >= FAILURE_STATUS
         self._task.finish(TaskEnd.FAILED if failed else TaskEnd.SUCCEEDED)
 
+    async def _next_chunk(self) -> bytes | None:
+        if asyncio.get_running_loop().time() >= self._deadline_s:
+            raise TimeoutError
+        chunk = self._exchange.poll_chunk()
+        if not isinstance(chunk, Pending):
+            return chunk
+        async with asyncio.timeout_at(self._deadline_s):
+            return await self._exchange.next_chunk()
+
     def close(self) -> None:
         """Give up what has not been read."""
         self._exchange.abort()
