--- a/features/steps/waves_steps.py
+++ b/features/steps/waves_steps.py
@@ -25,7 +25,7 @@
     over_working_hours_s,
 )
 from cicadatrail_core.waves.planner import DrainingKnowledge, plan_waves
-from features.support.waves_machine import run_machine, small_state
+from features.support.waves_machine import run_machine
 from features.support.waves_mutants import mutant
 from features.support.waves_simulation import (
     FleetShape,
@@ -33,6 +33,7 @@
     draw_times,
     make_fleet,
 )
+from features.support.waves_small_fleet import small_state
 
 HOUR_S = 3600.0
 CI_HISTORY_COUNT = 100
--- a/features/support/waves_machine.py
+++ b/features/support/waves_machine.py
@@ -23,7 +23,6 @@
 
 from cicadatrail_core.fold import availability, maintenance
 from cicadatrail_core.models import patches
-from cicadatrail_core.models.fleet import Place, Pool, Service, Worker
 from cicadatrail_core.models.maintenance import (
     Condition,
     DomainOrder,
@@ -38,19 +37,21 @@
     PauseRecord,
     StepRecord,
 )
-from cicadatrail_core.models.resources import Resources
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import State
 from cicadatrail_core.waves import planner
 from cicadatrail_core.waves.planner import DrainingKnowledge
 from features.support.waves_naive import NaiveFleet, NaiveWave
-
-REPORTER = IncarnationId("holder")
-POOLS = ("a", "b", "c")
-WORKER_COUNT = 12
-WORKERS = tuple(f"w{index}" for index in range(WORKER_COUNT))
-LIMITS = (("a", 2), ("a", 1), ("b", 1), ("c", 3))
-"""Budgets of four services; pool a runs two of them, c is the spare pool."""
+from features.support.waves_small_fleet import (
+    LIMITS,
+    POOLS,
+    REPORTER,
+    WORKER_COUNT,
+    WORKERS,
+    naive_view,
+    small_state,
+    view,
+)
 
 some_worker = st.sampled_from(WORKERS)
 picked_worker = st.tuples(
@@ -69,53 +70,6 @@
 some_move = st.sampled_from(tuple(f"m{index}" for index in range(8)))
 
 
-def small_state() -> State:
-    """Return a fleet of twelve workers in three pools and three racks."""
-    workers = {
-        name: Worker(
-            worker_id=name,
-            host="127.0.0.1",
-            port=9000 + index,
-            place=Place("r", f"dc{index % 3 // 2}", f"rack{index % 3}"),
-            capacity=Resources(32_000, 65_536),
-        )
-        for index, name in enumerate(WORKERS)
-    }
-    services = [Service(f"s{i}", *limit) for i, limit in enumerate(LIMITS)]
-    return State(
-        pools={name: Pool(name, spare=name == "c") for name in POOLS},
-        services={service.service_id: service for service in services},
-        workers=workers,
-        pool_of={name: POOLS[index // 4] for index, name in enumerate(WORKERS)},
-        worker_holders=dict.fromkeys(WORKERS[::2], REPORTER),
-    )
-
-
-def view(state: State) -> Any:
-    """Return what the real and the naive fold must agree on."""
-    return (
-        dict(state.pool_of),
-        {worker: condition.value for worker, condition in state.conditions.items()},
-        {
-            wave_id: (
-                progress.status.value,
-                {worker: step.value for worker, step in progress.steps},
-            )
-            for wave_id, progress in state.waves.items()
-        },
-        {move_id: move.status.value for move_id, move in state.moves.items()},
-    )
-
-
-def naive_view(fleet: NaiveFleet) -> Any:
-    return (
-        fleet.pool_of,
-        fleet.conditions,
-        {name: (wave.status, wave.steps) for name, wave in fleet.waves.items()},
-        {name: move.status for name, move in fleet.moves.items()},
-    )
-
-
 class MaintenanceMachine(RuleBasedStateMachine):
     """Write records of racing writers, with failures at any step."""
 
