Let the fold keep a wave's width

Cause: each instance knows only of its own drained workers, so that several could each begin the wave's first maintenance, and a late writer could maintain a worker of a wave that failures had paused. The fold now refuses both. Seen failing: the random histories catch the copy without the width; they did not reach the stopped wave in 1,000 histories, so that rule has a direct scenario, which the broken copy fails.

--- a/features/steps/waves_steps.py
+++ b/features/steps/waves_steps.py
@@ -17,6 +17,7 @@
     WaveStatus,
     WorkingHours,
 )
+from cicadatrail_core.models.records import PauseRecord, StepRecord
 from cicadatrail_core.waves.drain import RunningTask, decide_drain
 from cicadatrail_core.waves.forecast import (
     WorkTimes,
@@ -33,7 +34,7 @@
     draw_times,
     make_fleet,
 )
-from features.support.waves_small_fleet import small_state
+from features.support.waves_small_fleet import REPORTER, small_state
 
 HOUR_S = 3600.0
 CI_HISTORY_COUNT = 100
@@ -321,3 +322,28 @@
         assert decision.action.value == expected, decision
         overdue = now_s >= 60.0 and expected == "wait"
         assert decision.overdue == overdue, decision
+
+
+@when("a late writer maintains a drained worker of a paused wave with a failure")
+def step_late_writer(context: Any) -> None:
+    wave = Wave("v", WaveAction.REBOOT, pool_id="c", concurrency_limit_count=2)
+    started = patches.StartWave(wave)
+    state = maintenance.start_wave(small_state(), started, "operations[0]").unwrap()
+    first, second = (worker for worker, _ in state.waves["v"].steps[:2])
+    for worker, step in (
+        (first, StepStatus.DRAINING),
+        (second, StepStatus.DRAINING),
+        (first, StepStatus.MAINTAINING),
+        (first, StepStatus.FAILED),
+    ):
+        state = maintenance.apply_step(state, StepRecord("v", worker, step, REPORTER))
+    context.state = maintenance.apply_pause(state, PauseRecord("v", "", REPORTER))
+    context.record = StepRecord("v", second, StepStatus.MAINTAINING, REPORTER)
+
+
+@then("the fold refuses it, but a copy without the rule doesn't")
+def step_late_refused(context: Any) -> None:
+    assert maintenance.apply_step(context.state, context.record) is context.state
+    with mutant("a stopped wave goes on after failures"):
+        after = maintenance.apply_step(context.state, context.record)
+    assert after is not context.state
--- a/features/support/waves_mutants.py
+++ b/features/support/waves_mutants.py
@@ -139,6 +139,10 @@
     "two waves hold a worker": ((maintenance_records, "active_wave_of", _never),),
     "a wave holds a moving worker": ((maintenance_records, "active_move_of", _never),),
     "a move takes a worker from a wave": ((move_operations, "active_wave_of", _never),),
+    "the first worker is not maintained alone": (
+        (maintenance_records, "may_maintain", _always),
+    ),
+    "a stopped wave goes on after failures": ((availability, "wave_failed", _never),),
     "concurrency is ignored": (
         (
             maintenance_records,
--- a/features/support/waves_naive.py
+++ b/features/support/waves_naive.py
@@ -89,11 +89,25 @@
                 return
             if not self.fits(self.pool_of[worker], 0 if already_out else 1):
                 return
+        if new == "maintaining" and not self.may_maintain(wave):
+            return
         wave.steps[worker] = new
         if new == "failed":
             self.conditions[worker] = "failed"
         self._settle(wave, new)
 
+    def may_maintain(self, wave: NaiveWave) -> bool:
+        steps = list(wave.steps.values())
+        if steps.count("maintaining") > steps.count("done") * 16:
+            return False
+        if wave.status == "running":
+            return True
+        broken = ("failed", "ejected")
+        return "failed" not in steps and not any(
+            step == "done" and self.conditions.get(worker) in broken
+            for worker, step in wave.steps.items()
+        )
+
     def _settle(self, wave: NaiveWave, new: str) -> None:
         if wave.status == "aborted":
             return
--- a/features/waves_histories.feature
+++ b/features/waves_histories.feature
@@ -23,6 +23,7 @@
       | two waves hold a worker                 |
       | a wave holds a moving worker            |
       | concurrency is ignored                  |
+      | the first worker is not maintained alone |
       | failures never pause                    |
       | steps come in any order                 |
       | failed workers are not tried again      |
@@ -31,3 +32,7 @@
       | a stopped wave starts drains            |
       | the plan ignores budgets                |
       | the plan ignores workers under way      |
+
+  Scenario: A stopped wave with failures maintains no further worker
+    When a late writer maintains a drained worker of a paused wave with a failure
+    Then the fold refuses it, but a copy without the rule doesn't
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/availability.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/availability.py
@@ -19,6 +19,10 @@
 """Steps during which a wave keeps a worker out of service."""
 
 
+WIDENING_COUNT = 16
+"""Number of workers that each maintained worker adds to a wave's width."""
+
+
 def services_of(state: State, pool_id: str) -> Iterator[Service]:
     """Yield the services that run on the pool."""
     return (item for item in state.services.values() if item.pool_id == pool_id)
@@ -56,6 +60,25 @@
     return state.conditions.get(worker_id) in (Condition.FAILED, Condition.EJECTED)
 
 
+def wave_failed(state: State, progress: WaveProgress) -> bool:
+    """Tell whether a worker of the wave failed since it was started or resumed."""
+    return any(failed_in_wave(state, worker, step) for worker, step in progress.steps)
+
+
+def may_maintain(state: State, progress: WaveProgress) -> bool:
+    """Tell whether one more worker of the wave may be maintained.
+
+    The first worker of a wave is maintained alone, and each one that came back
+    adds to the width. A stopped wave in which workers failed maintains no more.
+    """
+    steps = [step for _, step in progress.steps]
+    width = 1 + WIDENING_COUNT * steps.count(StepStatus.DONE)
+    if steps.count(StepStatus.MAINTAINING) >= width:
+        return False
+    is_running = progress.status is WaveStatus.RUNNING
+    return is_running or not wave_failed(state, progress)
+
+
 def held_workers(state: State) -> frozenset[str]:
     """Return the workers that a wave drains or maintains or that are moving.
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/maintenance_records.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/maintenance_records.py
@@ -14,6 +14,7 @@
     active_move_of,
     active_wave_of,
     may_bring_in,
+    may_maintain,
     may_take_out,
 )
 from cicadatrail_core.models.maintenance import (
@@ -77,6 +78,8 @@
         state, progress, record.worker_id
     ):
         return state
+    if record.step is StepStatus.MAINTAINING and not may_maintain(state, progress):
+        return state
     if record.step is StepStatus.FAILED and record.worker_id in state.workers:
         # The worker is out of service until its holder reports that it serves.
         conditions = with_entry(state.conditions, record.worker_id, Condition.FAILED)
--- a/packages/cicadatrail-core/src/cicadatrail_core/waves/planner.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/waves/planner.py
@@ -22,6 +22,7 @@
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
+from cicadatrail_core.fold.availability import WIDENING_COUNT
 from cicadatrail_core.fold.domains import domain_of
 from cicadatrail_core.models.maintenance import (
     DomainOrder,
@@ -37,9 +38,6 @@
 RACK_FAILURE_LIMIT_COUNT = 2
 """Number of failures in one rack that counts as correlated."""
 
-WIDENING_COUNT = 16
-"""Number of workers that each maintained worker adds to a wave's width."""
-
 
 @dataclass(frozen=True, slots=True)
 class DrainingKnowledge:
