--- a/features/request_ids.feature
+++ b/features/request_ids.feature
@@ -19,6 +19,12 @@
       | unknown for everything             |
       | no bound on entries                |
 
+  Scenario: An id taken far ahead is unknowable to the next holder
+    When an id as far ahead as may be is run, and its holder is lost to one whose clock is behind
+    Then the id is unknowable to that one
+    When the memory of ids is broken by one skew too few in the horizon
+    Then the id would run twice
+
   Scenario Outline: What is no request id is refused as not run
     When the id <id> is asked of a new memory
     Then the verdict on the id is not run
--- a/features/steps/request_ids_steps.py
+++ b/features/steps/request_ids_steps.py
@@ -11,9 +11,11 @@
 from cicadatrail_core.admission.request_ids import (
     AlreadyDone,
     FirstSeen,
+    IdVerdict,
     NotRun,
     PartitionMemory,
     RequestIdSettings,
+    Unknowable,
     partition_of,
 )
 from features.support.request_ids_machine import (
@@ -58,6 +60,41 @@
     assert context.objection is not None
 
 
+def verdict_after_loss() -> IdVerdict:
+    """The clocks of the two holders differ by the whole skew."""
+    limits = RequestIdSettings()
+    ahead_s = START_S + limits.clock_skew_s
+    before = PartitionMemory(limits, START_S - 1000)
+    name = make_id(ahead_s + limits.clock_skew_s, 1)
+    assert before.begin(name, ahead_s) == FirstSeen()
+    after = PartitionMemory.after_unknown_holder(limits, START_S)
+    return after.begin(name, START_S + 2 * limits.clock_skew_s)
+
+
+@when(
+    "an id as far ahead as may be is run, and its holder is lost to one "
+    "whose clock is behind"
+)
+def step_lose_holder(context: Any) -> None:
+    context.verdict = verdict_after_loss()
+
+
+@then("the id is unknowable to that one")
+def step_unknowable(context: Any) -> None:
+    assert context.verdict == Unknowable(), context.verdict
+
+
+@when("the memory of ids is broken by {fault}")
+def step_break_memory(context: Any, fault: str) -> None:
+    with FAULTS[fault]():
+        context.verdict = verdict_after_loss()
+
+
+@then("the id would run twice")
+def step_twice(context: Any) -> None:
+    assert context.verdict == FirstSeen(), context.verdict
+
+
 @when("the id {request_id} is asked of a new memory")
 def step_ask(context: Any, request_id: str) -> None:
     memory = PartitionMemory(RequestIdSettings(), START_S - 1000)
--- a/features/support/request_ids_machine.py
+++ b/features/support/request_ids_machine.py
@@ -201,6 +201,7 @@
 FAULTS: Mapping[str, Callable[[], AbstractContextManager[Any]]] = {
     "no horizon after an unknown holder": _broken(UNKNOWN_HOLDER, _horizon_at(-1e6)),
     "no skew in the horizon": _broken(UNKNOWN_HOLDER, _horizon_at(0)),
+    "one skew too few in the horizon": _broken(UNKNOWN_HOLDER, _horizon_at(1)),
     "no horizon after dropping": _broken("_drop_old", _drop_without_horizon),
     "running ids taken from an old copy": _broken(
         "from_second_copy", classmethod(_from_copy_with_running)
