--- a/packages/cicadatrail-cli/src/cicadatrail/commands/wave_start.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/wave_start.py
@@ -15,13 +15,12 @@
     from returns.result import Result
 
     from cicadatrail.utils.options import OptionReader
+    from cicadatrail.utils.replies import Reply
     from cicadatrail_core.models.maintenance import WorkingHours
-    from cicadatrail_core.models.patches import Operation
+    from cicadatrail_core.models.patches import Operation, Verdict
     from cicadatrail_core.models.status import ConfigurationView
     from cicadatrail_core.utils.findings import Findings
 
-HOURS_PER_DAY = 24
-
 
 class WaveStartCommand(ChangeCommand):
     """Starts a maintenance wave."""
@@ -68,6 +67,8 @@
         ),
     ]
 
+    _wave_id: str
+
     def plan(
         self, configuration: ConfigurationView
     ) -> Result[tuple[Operation, ...], Findings]:
@@ -79,8 +80,9 @@
         from cicadatrail_core.models.patches import StartWave
 
         reader = OptionReader()
+        self._wave_id = self.option("id") or f"wave-{uuid4().hex[:12]}"
         wave = Wave(
-            wave_id=self.option("id") or f"wave-{uuid4().hex[:12]}",
+            wave_id=self._wave_id,
             action=reader.choice("action", self.argument("action"), WaveAction),
             pool_id=self.option("pool") or "",
             worker_ids=tuple(self.option("worker")),
@@ -99,14 +101,18 @@
             return Failure(tuple(reader.findings))
         return Success((StartWave(wave),))
 
+    def adorn(self, reply: Reply, verdict: Verdict) -> Reply:
+        """Tell the id, as it may have been made here."""
+        from cicadatrail.utils.replies import add_id
+
+        return add_id(reply, "wave", self._wave_id)
+
 
 def _read_hours(reader: OptionReader, text: str) -> WorkingHours:
-    """Read ``START-END`` in whole hours of a UTC day."""
+    """Read ``START-END`` in whole hours of a UTC day; they may span midnight."""
     from cicadatrail_core.models.maintenance import WorkingHours
 
     start_text, _, end_text = text.partition("-")
     start = reader.integer("--hours", start_text)
     end = reader.integer("--hours", end_text)
-    if not start < end <= HOURS_PER_DAY:
-        reader.add("--hours", "must begin before they end, within 0-24")
     return WorkingHours(start, end)
--- a/packages/cicadatrail-cli/src/cicadatrail/utils/waiting.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/utils/waiting.py
@@ -15,13 +15,22 @@
 from cicadatrail.utils.access import Address, parse_address
 from cicadatrail.utils.replies import printable
 from cicadatrail_core.models.maintenance import StepStatus, WaveStatus
-from cicadatrail_core.models.patches import Accepted, Refused, UnknownVerdict, Verdict
+from cicadatrail_core.models.patches import (
+    Accepted,
+    Patch,
+    Refused,
+    UnknownVerdict,
+    Verdict,
+)
 from cicadatrail_core.models.status import InstanceStatus, WaveReport
 from cicadatrail_core.utils.findings import Finding
 
 POLL_S = 0.2
 """Seconds between two rounds of questions after a patch."""
 
+SUBMIT_AGAIN_S = 1.0
+"""Seconds before a patch without a verdict is submitted again."""
+
 WAVE_POLL_S = 1.0
 """Seconds between two looks at a wave."""
 
@@ -39,17 +48,24 @@
 class Progress:
     """Draws a progress bar whose length may still grow, on the error output."""
 
-    __slots__ = ("_bar", "_io", "_maximum")
+    __slots__ = ("_bar", "_drawn", "_io", "_maximum")
 
     def __init__(self, io: IO) -> None:
         self._io = io
-        self._bar = ProgressBar(io)
+        self._bar = ProgressBar(io, min_seconds_between_redraws=0)
         self._bar.set_format(BAR_FORMAT)
         self._maximum = 0
-
-    def show(self, done_count: int, total_count: int, message: str) -> None:
-        """Draw the bar, with what is waited for beside it."""
-        self._bar.set_message(Formatter.escape(printable(message)))
+        self._drawn: tuple[int, int, str] | None = None
+
+    def show(
+        self, done_count: int, total_count: int, message: str, forecast: str = ""
+    ) -> None:
+        """Draw the bar; a new forecast alone is drawn only on a terminal."""
+        drawn = (done_count, total_count, message)
+        if drawn == self._drawn and not self._io.error_output.is_decorated():
+            return
+        self._drawn = drawn
+        self._bar.set_message(Formatter.escape(printable(message + forecast)))
         if total_count != self._maximum:
             self._maximum = total_count
             self._bar.start(total_count)
@@ -62,18 +78,21 @@
 
 
 async def wait_for_verdict(
-    client: AdminClient, unknown: UnknownVerdict, limit_s: float
+    client: AdminClient, patch: Patch, unknown: UnknownVerdict, limit_s: float
 ) -> Verdict:
-    """Ask for the verdict until it is known or ``limit_s`` has passed."""
+    """Submit the patch again until its first verdict comes or the limit ends.
+
+    To ask by its id alone would not do, as it may never have been taken.
+    """
     loop = asyncio.get_running_loop()
     deadline_s = loop.time() + limit_s
     while loop.time() < deadline_s:
-        match await client.read_verdict(unknown.patch_id):
+        await asyncio.sleep(SUBMIT_AGAIN_S)
+        match await client.submit(patch):
             case Success(UnknownVerdict()):
                 pass
             case Success(Accepted() | Refused() as verdict):
                 return verdict
-        await asyncio.sleep(POLL_S)
     return unknown
 
 
@@ -172,6 +191,7 @@
     message = wave.status.value
     if wave.pause_reason:
         message += f": {wave.pause_reason}"
+    forecast = ""
     if report.remaining_s is not None:
-        message += f", forecast to end in {report.remaining_s:.0f} s"
-    progress.show(done_count, len(wave.steps), message)
+        forecast = f", forecast to end in {report.remaining_s:.0f} s"
+    progress.show(done_count, len(wave.steps), message, forecast)
--- a/packages/cicadatrail-core/src/cicadatrail_core/admission/request_ids.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/admission/request_ids.py
@@ -24,11 +24,13 @@
 class RequestIdSettings:
     """Bound a partition's memory.
 
-    ``clock_skew_s`` bounds the difference of any two clocks, of callers and of
-    entry instances. An id is taken up to ``window_s`` after its time.
+    ``clock_skew_s`` bounds the difference between the clocks of any two entry
+    instances. An id is taken from ``ahead_limit_s`` before its time, by the
+    instance's clock, up to ``window_s`` after it.
     """
 
-    clock_skew_s: float = 5.0
+    clock_skew_s: float = 0.5
+    ahead_limit_s: float = 2.0
     window_s: float = 600.0
     entry_limit_count: int = 4096
     answer_limit_bytes: int = 65_536
@@ -69,12 +71,17 @@
 
 @dataclass(frozen=True, slots=True)
 class IdEntry:
-    """Record one id; ``done`` tells whether its request has ended."""
+    """Record one id; ``done`` tells whether its request has ended.
+
+    ``attempt`` names the one whose request runs: asking again for it, since
+    the answer was lost, is no second request.
+    """
 
     request_id: str
     id_time_s: float
     done: bool = False
     answer: bytes | None = None
+    attempt: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,10 +135,11 @@
     ) -> PartitionMemory:
         """Begin at ``taken_s`` without the memory of the holder before.
 
-        That holder took ids up to one skew ahead of its clock, which may be one
-        skew ahead of this one.
+        That holder took ids up to the limit ahead of its clock, which may be
+        one skew ahead of this one.
         """
-        return cls(settings, taken_s + 2 * settings.clock_skew_s)
+        ahead_s = settings.ahead_limit_s + settings.clock_skew_s
+        return cls(settings, taken_s + ahead_s)
 
     @classmethod
     def from_copy(
@@ -163,37 +171,44 @@
         """Return all that the next holder needs to go on."""
         return PartitionCopy(self._horizon_s, tuple(self._entries.values()))
 
-    def begin(self, request_id: str, now_s: float) -> IdVerdict:
-        """Say what is known of an id, and record it if it is new."""
+    def begin(self, request_id: str, now_s: float, attempt: str = "") -> IdVerdict:
+        """Say what is known of an id, and record it if it is new.
+
+        The ``attempt`` that made an id known is told again that it was first,
+        as long as it has not ended.
+        """
         time_s = id_time_s(request_id)
         if time_s is None:
             return NotRun("the request id is not a UUID of version 7")
         self._drop_old(now_s)
         entry = self._entries.get(request_id)
         if entry is not None:
-            return AlreadyDone(entry.answer) if entry.done else AlreadyRunning()
+            return _seen_verdict(entry, attempt)
         if time_s <= self._horizon_s:
             return Unknowable()
-        if time_s > now_s + self._settings.clock_skew_s:
+        if time_s > now_s + self._settings.ahead_limit_s:
             return NotRun("the request id's time lies ahead of this instance's clock")
         if len(self._entries) >= self._settings.entry_limit_count:
             return NotRun("too many request ids of this partition are remembered")
-        self._put(IdEntry(request_id, time_s))
+        self._put(IdEntry(request_id, time_s, attempt=attempt))
         return FirstSeen()
 
-    def finish(self, request_id: str, answer: bytes) -> None:
-        """Record the answer, if it is not too large and the id still known."""
+    def finish(self, request_id: str, answer: bytes | None, attempt: str = "") -> None:
+        """Record the answer, if it is not too large and the id still known.
+
+        None states that there is no whole answer to record.
+        """
         entry = self._entries.get(request_id)
-        if entry is None or entry.done:
+        if entry is None or entry.done or entry.attempt != attempt:
             return
-        kept = self._kept(answer)
+        kept = None if answer is None else self._kept(answer)
         self._answers_bytes += len(kept or b"")
         self._entries[request_id] = IdEntry(request_id, entry.id_time_s, True, kept)
 
-    def abandon(self, request_id: str) -> None:
+    def abandon(self, request_id: str, attempt: str = "") -> None:
         """Forget an id whose request provably never left, so that it may come again."""
         entry = self._entries.get(request_id)
-        if entry is not None and not entry.done:
+        if entry is not None and not entry.done and entry.attempt == attempt:
             self._remove(entry)
 
     def _kept(self, answer: bytes) -> bytes | None:
@@ -219,3 +234,11 @@
         del self._entries[entry.request_id]
         self._by_time.remove((entry.id_time_s, entry.request_id))
         self._answers_bytes -= len(entry.answer or b"")
+
+
+def _seen_verdict(entry: IdEntry, attempt: str) -> IdVerdict:
+    if entry.done:
+        return AlreadyDone(entry.answer)
+    if attempt and entry.attempt == attempt:
+        return FirstSeen()
+    return AlreadyRunning()
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/membership.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/membership.py
@@ -37,9 +37,14 @@
 
 
 def apply_join(state: State, offset: int, record: JoinRecord) -> State:
-    """Enter an incarnation in the roster; a repeated join changes nothing."""
+    """Enter an incarnation in the roster; a repeated join changes nothing.
+
+    A release that can't fold the format in force doesn't get in.
+    """
     if record.incarnation in state.roster:
         return state
+    if record.record_format < state.record_format:
+        return state
     member = Member(
         incarnation=record.incarnation,
         instance_id=record.instance_id,
@@ -49,6 +54,7 @@
         joined_offset=offset,
         last_pulse_offset=offset,
         folded_offset=offset,
+        record_format=record.record_format,
     )
     joined = _with_member(state, member)
     return _with_roster_change(joined, offset, member.place.region)
@@ -60,7 +66,12 @@
     if member is None or member.retire_offset is not None:
         return state
     folded_offset = max(member.folded_offset, min(record.folded_offset, offset))
-    pulsed = replace(member, last_pulse_offset=offset, folded_offset=folded_offset)
+    pulsed = replace(
+        member,
+        last_pulse_offset=offset,
+        folded_offset=folded_offset,
+        listed=member.listed or record.listed,
+    )
     return _trimmed(_with_member(state, pulsed), member.place.region)
 
 
@@ -91,11 +102,17 @@
 def apply_free(state: State, offset: int, record: FreeRecord) -> State:
     """Free a retired incarnation's rights where the log bears the claim out.
 
-    Its workers and partitions come first. Its slots are freed, and it leaves
-    the roster, once no member can run a task on slots that it lent.
+    Its partitions come first: the next holder needs only to know that it says
+    nothing any more. Its workers follow when its tasks have ended. Its slots
+    are freed, and it leaves the roster, once no member can run a task on slots
+    that it lent.
     """
     if not quorum_met(state, record.incarnation, record.gone):
         return state
+    if record.partitions_only:
+        editor = HoldingsEditor(state)
+        editor.release_partitions(record.incarnation)
+        return editor.finish()
     if loans_settled(state, record.incarnation, record.gone):
         return _without_member(state, offset, record.incarnation)
     member = state.roster[record.incarnation]
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/borrower.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/borrower.py
@@ -20,6 +20,7 @@
 
     __slots__ = (
         "grant_number",
+        "kept_total",
         "lent_total",
         "returned_total",
         "running_count",
@@ -31,6 +32,7 @@
     def __init__(self) -> None:
         self.lent_total = 0
         self.returned_total = 0
+        self.kept_total = 0
         self.running_count = 0
         self.usable_count = 0
         self.grant_number = 0
@@ -39,7 +41,7 @@
 
     @property
     def held_count(self) -> int:
-        return self.lent_total - self.returned_total
+        return self.lent_total - self.returned_total - self.kept_total
 
     def free_count(self, now_s: float) -> int:
         if now_s >= self.until_s:
@@ -99,17 +101,24 @@
     def free_count(self, state: State, team_id: str, now_s: float) -> int:
         """Return how many tasks of a team may be started on loans now."""
         return sum(
-            loan.free_count(now_s)
-            for (lender, team), loan in self._loans.items()
-            if team == team_id and _may_lend(state, lender)
+            self.free_on(state, lender, team_id, now_s)
+            for lender, team in self._loans
+            if team == team_id
         )
 
+    def free_on(
+        self, state: State, lender: IncarnationId, team_id: str, now_s: float
+    ) -> int:
+        """Return how many tasks may be started on the loan of one lender now."""
+        loan = self._loans.get((lender, team_id))
+        if loan is None or team_id not in state.teams or not _may_lend(state, lender):
+            return 0
+        return loan.free_count(now_s)
+
     def start(self, state: State, team_id: str, now_s: float) -> IncarnationId | None:
         """Charge a task to a loan and return its lender; none where none is free."""
         for (lender, team), loan in self._loans.items():
-            if team != team_id or not _may_lend(state, lender):
-                continue
-            if loan.free_count(now_s) > 0:
+            if team == team_id and self.free_on(state, lender, team_id, now_s) > 0:
                 loan.running_count += 1
                 return lender
         return None
@@ -118,8 +127,16 @@
         """Note that a task charged to a loan has ended."""
         self._loans[lender, team_id].running_count -= 1
 
-    def give_back(self, lender: IncarnationId, team_id: str, count: int) -> int:
-        """Stop using up to ``count`` idle slots; the next request reports it."""
+    def give_back(
+        self, state: State, lender: IncarnationId, team_id: str, count: int
+    ) -> int:
+        """Stop using up to ``count`` idle slots; the next request reports it.
+
+        Nothing goes back to a retired lender: a record that keeps its slots
+        may be under way, and the lender could use them until it knows.
+        """
+        if not _may_lend(state, lender):
+            return 0
         loan = self._loans[lender, team_id]
         idle_count = max(0, loan.held_count - loan.running_count)
         given_count = min(count, idle_count)
@@ -135,6 +152,12 @@
         loan = self._loans[lender, team_id]
         return max(0, loan.held_count - loan.running_count)
 
+    def recalled_idle_count(self, lender: IncarnationId, team_id: str) -> int:
+        """Return how many idle slots the lender doesn't let be used any more."""
+        loan = self._loans[lender, team_id]
+        recalled_count = max(0, loan.held_count - loan.usable_count)
+        return min(recalled_count, self.idle_count(lender, team_id))
+
     def running_count(self, lender: IncarnationId, team_id: str) -> int:
         """Return how many tasks are charged to a loan."""
         loan = self._loans.get((lender, team_id))
@@ -190,6 +213,29 @@
                 moved_count += self._move_tasks(before, after, record.giver, right)
         return moved_count
 
+    def note_jump(self, before: State, after: State) -> tuple[tuple[LoanKey, int], ...]:
+        """Move tasks of retired lenders after a jump to a snapshot.
+
+        The records between were not folded here, and one may have kept slots.
+        So every slot gained since counts as kept: at worst a lent slot rests.
+        Returns how many tasks of each loan now count as the member's own.
+        """
+        gained = {
+            team_id: counts.get(self._incarnation, 0)
+            - before.slots.get(team_id, {}).get(self._incarnation, 0)
+            for team_id, counts in after.slots.items()
+        }
+        moved: list[tuple[LoanKey, int]] = []
+        for (lender, team_id), loan in self._loans.items():
+            if loan.running_count == 0 or _may_lend(after, lender):
+                continue
+            count = max(0, min(gained.get(team_id, 0), loan.running_count))
+            loan.kept_total += count
+            loan.running_count -= count
+            gained[team_id] = gained.get(team_id, 0) - count
+            moved.append(((lender, team_id), count))
+        return tuple(moved)
+
     def _move_tasks(
         self, before: State, after: State, lender: IncarnationId, right: SlotRight
     ) -> int:
@@ -197,6 +243,7 @@
         gained_count = self._own_slots(after, right) - self._own_slots(before, right)
         if loan is None or gained_count <= 0:
             return 0
+        loan.kept_total += gained_count
         moved_count = min(gained_count, loan.running_count)
         loan.running_count -= moved_count
         return moved_count
--- a/packages/cicadatrail-core/src/cicadatrail_core/utils/codec.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/utils/codec.py
@@ -9,7 +9,7 @@
 import math
 import re
 from functools import cache
-from typing import Any, TypeVar
+from typing import Any, TypeVar, get_args, get_origin
 
 import msgpack
 from cattrs import BaseValidationError, Converter, transform_error
@@ -17,6 +17,7 @@
 from returns.result import Failure, Result, Success
 
 from cicadatrail_core.models.patches import Accepted, Operation, Refused, Verdict
+from cicadatrail_core.models.peer_messages import ControlMessage, ForwardMessage
 from cicadatrail_core.models.records import Record
 from cicadatrail_core.models.rights import Right
 from cicadatrail_core.utils.findings import Finding, Findings
@@ -26,7 +27,18 @@
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 """Largest coded message or record that is decoded, in bytes."""
 
-_UNIONS: tuple[Any, ...] = (Right, Operation, Verdict, Accepted | Refused, Record)
+MAX_INTEGER = 2**63 - 1
+"""Largest amount of an integer, so that msgpack can code it again."""
+
+_UNIONS: tuple[Any, ...] = (
+    Right,
+    Operation,
+    Verdict,
+    Accepted | Refused,
+    Record,
+    ControlMessage,
+    ForwardMessage,
+)
 
 
 def kebab_case(name: str) -> str:
@@ -51,6 +63,10 @@
     for plain_type in (int, str, bool, bytes):
         converter.register_structure_hook(plain_type, _read_plain)
     converter.register_structure_hook(float, _read_float)
+    converter.register_structure_hook_factory(
+        _is_tuple,
+        lambda wanted: _tuple_hook(converter, wanted),
+    )
     for union in _UNIONS:
         register_union(converter, union)
     return converter
@@ -60,6 +76,35 @@
     """Take a plain value only if it has exactly the type asked for."""
     if type(raw) is not as_type:
         raise TypeError(f"expected {as_type.__name__}, got {type(raw).__name__}")
+    if isinstance(raw, int) and abs(raw) > MAX_INTEGER:
+        raise ValueError(f"expected at most {MAX_INTEGER} either way")
+    return raw
+
+
+def _is_tuple(wanted: Any) -> bool:
+    origin: Any = get_origin(wanted)
+    return origin is tuple
+
+
+def _tuple_hook(converter: Converter, wanted: Any) -> Any:
+    """Return a hook that takes only lists; a text or map is none.
+
+    Without it a text would be read as a tuple of its letters.
+    """
+    members = get_args(wanted)
+    if members[-1] is Ellipsis:
+        return lambda raw, _: tuple(
+            converter.structure(_check_list(raw), list[members[0]])  # type: ignore[valid-type]
+        )
+    return lambda raw, _: tuple(
+        converter.structure(value, member)
+        for value, member in zip(_check_list(raw), members, strict=True)
+    )
+
+
+def _check_list(raw: Any) -> Any:
+    if not isinstance(raw, list | tuple):
+        raise TypeError(f"expected a list, got {type(raw).__name__}")
     return raw
 
 
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
@@ -3,15 +3,29 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
-from enum import Enum
 
 import h11
 from returns.result import Failure, Result, Success
 
-from cicadatraild.network.http_transport import ConnectionEndedError, HttpTransport
+from cicadatraild.network.client_exchange import (
+    Address,
+    ClientError,
+    ClientExchange,
+    ClientFault,
+    WholeResponse,
+)
+from cicadatraild.network.http_transport import Headers, HttpTransport
+
+__all__ = [
+    "Address",
+    "ClientError",
+    "ClientExchange",
+    "ClientFault",
+    "ConnectionPool",
+    "WholeResponse",
+]
 
 HEADER_LIMIT_BYTES = 32 * 1024
 """Largest head of a response that is read."""
@@ -22,159 +36,6 @@
 IDLE_LIMIT_S = 4.0
 """Time after which an idle connection is not used again."""
 
-Headers = tuple[tuple[bytes, bytes], ...]
-
-
-class ClientFault(Enum):
-    """Say how far a request got before it failed."""
-
-    NOT_SENT = "not-sent"
-    """No byte of the request left this process."""
-
-    NO_ANSWER = "no-answer"
-    """Bytes may have reached the server; what it did is not known."""
-
-    TRUNCATED = "truncated"
-    """The response stopped before its end."""
-
-
-class ClientError(Exception):
-    """Report a failed request and how far it got."""
-
-    def __init__(self, fault: ClientFault, reason: str) -> None:
-        super().__init__(f"{fault.value}: {reason}")
-        self.fault = fault
-        self.reason = reason
-
-
-@dataclass(frozen=True, slots=True)
-class Address:
-    """Name an IP address and port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-
-@dataclass(frozen=True, slots=True)
-class WholeResponse:
-    """Hold a response that was read to its end."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-    def header(self, name: bytes) -> str | None:
-        """Return the first value of a header, given in lower case."""
-        for key, value in self.headers:
-            if key == name:
-                return value.decode("latin-1")
-        return None
-
-
-class ClientExchange:
-    """Hold one request under way on its own connection.
-
-    A connection goes back to the pool only after the response was read to
-    its end, so that bytes of one response never reach another request.
-    """
-
-    __slots__ = ("_pool", "_transport", "address", "response", "sent")
-
-    def __init__(
-        self, pool: ConnectionPool, address: Address, transport: HttpTransport
-    ) -> None:
-        self.address = address
-        self.response: h11.Response | None = None
-        self.sent = False
-        self._pool = pool
-        self._transport = transport
-
-    async def send_head(self, method: str, target: str, headers: Headers) -> None:
-        """Send the request's head; from here on the request may have run.
-
-        Raises ClientError.
-        """
-        request = h11.Request(method=method, target=target, headers=list(headers))
-        self.sent = True
-        await self._send(request)
-
-    async def send_body(self, chunk: bytes) -> None:
-        """Send a part of the body; waits while the server is slow."""
-        await self._send(h11.Data(data=chunk))
-
-    async def end_body(self) -> None:
-        """End the request."""
-        await self._send(h11.EndOfMessage())
-
-    async def send_whole(
-        self, method: str, target: str, headers: Headers, body: bytes
-    ) -> None:
-        """Send a whole request in one write."""
-        request = h11.Request(method=method, target=target, headers=list(headers))
-        self.sent = True
-        events: list[h11.Event] = [request]
-        if body:
-            events.append(h11.Data(data=body))
-        await self._send(*events, h11.EndOfMessage())
-
-    async def read_head(self) -> h11.Response:
-        """Return the response's head. Raises ClientError."""
-        while True:
-            event = await self._next_event(ClientFault.NO_ANSWER)
-            if isinstance(event, h11.Response):
-                self.response = event
-                return event
-            if not isinstance(event, h11.InformationalResponse):
-                raise ClientError(ClientFault.NO_ANSWER, "the server closed")
-
-    async def body(self) -> AsyncIterator[bytes]:
-        """Yield the response's body. Raises ClientError when it is cut."""
-        while True:
-            event = await self._next_event(ClientFault.TRUNCATED)
-            if isinstance(event, h11.EndOfMessage):
-                self._finish()
-                return
-            if not isinstance(event, h11.Data):
-                raise ClientError(ClientFault.TRUNCATED, "the server closed")
-            yield bytes(event.data)
-
-    def server_closes(self) -> bool:
-        """Tell whether the response says that the server closes."""
-        if self.response is None:
-            return False
-        return any(
-            name == b"connection" and b"close" in value.lower()
-            for name, value in self.response.headers
-        )
-
-    def abort(self) -> None:
-        """Drop the connection; harmless after the end of the exchange."""
-        if not self._pool.has(self.address, self._transport):
-            self._transport.abort()
-
-    def _finish(self) -> None:
-        http = self._transport.http
-        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
-            self._transport.close()
-            return
-        http.start_next_cycle()
-        self._pool.give_back(self.address, self._transport)
-
-    async def _send(self, *events: h11.Event) -> None:
-        try:
-            await self._transport.send(*events)
-        except ConnectionEndedError as error:
-            raise ClientError(ClientFault.NO_ANSWER, "connection lost") from error
-
-    async def _next_event(self, fault: ClientFault) -> object:
-        try:
-            return await self._transport.next_event()
-        except h11.RemoteProtocolError as error:
-            raise ClientError(fault, str(error)) from error
-
 
 @dataclass(slots=True)
 class _Idle:
@@ -200,7 +61,7 @@
 
         Raises ClientError with NOT_SENT when none can be opened in time.
         """
-        transport = self._take_idle(address) or await self._connect(address)
+        transport = await self._take_idle(address) or await self._connect(address)
         return ClientExchange(self, address, transport)
 
     async def fetch(
@@ -233,27 +94,29 @@
             if exchange is not None:
                 exchange.abort()
 
-    def has(self, address: Address, transport: HttpTransport) -> bool:
-        """Tell whether a connection is idle in the pool."""
-        entries = self._idle.get(address, ())
-        return any(entry.transport is transport for entry in entries)
-
     def give_back(self, address: Address, transport: HttpTransport) -> None:
         """Keep an idle connection for the next request."""
         entries = self._idle.setdefault(address, [])
-        if transport.ended or len(entries) >= IDLE_POOL_COUNT:
-            transport.close()
+        if not transport.is_clean or len(entries) >= IDLE_POOL_COUNT:
+            transport.abort()
             return
         entries.append(_Idle(transport, asyncio.get_running_loop().time()))
 
-    def _take_idle(self, address: Address) -> HttpTransport | None:
+    async def _take_idle(self, address: Address) -> HttpTransport | None:
+        """Return an idle connection that its server has left as it was.
+
+        Bytes that nobody asked for may be a late response to another request.
+        """
         entries = self._idle.get(address, [])
         now_s = asyncio.get_running_loop().time()
         while entries:
             entry = entries.pop()
-            if not entry.transport.ended and now_s - entry.since_s < IDLE_LIMIT_S:
+            idle_s = now_s - entry.since_s
+            # Lets the loop see what came while it was busy.
+            await asyncio.sleep(0)
+            if entry.transport.is_clean and idle_s < IDLE_LIMIT_S:
                 return entry.transport
-            entry.transport.close()
+            entry.transport.abort()
         return None
 
     async def _connect(self, address: Address) -> HttpTransport:
@@ -289,9 +152,11 @@
     host = (b"Host", str(exchange.address).encode())
     await exchange.send_whole(method, target, (host, length, *headers), body)
     head = await exchange.read_head()
+    if not exchange.is_bounded():
+        raise ClientError(ClientFault.TRUNCATED, "the response states no end")
     received = bytearray()
     async for chunk in exchange.body():
         received += chunk
         if len(received) > body_limit_bytes:
             raise ClientError(ClientFault.TRUNCATED, "the response is too large")
-    return WholeResponse(head.status_code, tuple(head.headers), bytes(received))
+    return WholeResponse(head.status_code, exchange.headers, bytes(received))
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
@@ -5,144 +5,47 @@
 import asyncio
 import json
 import logging
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 from typing import cast
 
 import h11
 
-from cicadatraild.network.http_transport import ConnectionEndedError, HttpTransport
+from cicadatraild.network.http_transport import (
+    ConnectionEndedError,
+    HttpTransport,
+    lower_headers,
+)
+from cicadatraild.network.server_exchange import (
+    BodyIncompleteError,
+    BodyTooLargeError,
+    HttpExchange,
+    HttpLimits,
+)
+
+__all__ = [
+    "BodyIncompleteError",
+    "BodyTooLargeError",
+    "Handler",
+    "HttpExchange",
+    "HttpLimits",
+    "HttpServer",
+]
 
 logger = logging.getLogger("cicadatrail.http")
 
 CLOSE_GRACE_S = 1.0
 """Time that a finished connection may take to send its last bytes."""
 
+REQUEST_TIMEOUT_STATUS = 408
+HEAD_TOO_LONG_STATUS = 431
+
 _NO_ROOM = (
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
     b"Cicadatrail-Outcome: not-run\r\nCicadatrail-Reason: too-many-connections\r\n"
     b"Retry-After: 1\r\nConnection: close\r\n\r\n"
 )
 
-Headers = tuple[tuple[bytes, bytes], ...]
-
-
-@dataclass(frozen=True, slots=True)
-class HttpLimits:
-    """Bound what one caller may cost."""
-
-    header_limit_bytes: int = 16 * 1024
-    body_limit_bytes: int = 16 * 1024 * 1024
-    connection_limit_count: int = 1000
-    header_timeout_s: float = 10.0
-    idle_timeout_s: float = 30.0
-
-
-class BodyTooLargeError(Exception):
-    """Report a request body over the limit."""
-
-
-class BodyIncompleteError(Exception):
-    """Report a request body that stopped early or came too slowly."""
-
-
-class HttpExchange:
-    """Give a handler one request and let it send the response.
-
-    The handler must call ``start`` and ``end``; a handler that is cancelled
-    or raises leaves a connection that is dropped, so that a cut response
-    never looks whole.
-    """
-
-    __slots__ = ("_limits", "_received_bytes", "_transport", "request", "started")
-
-    def __init__(
-        self, request: h11.Request, transport: HttpTransport, limits: HttpLimits
-    ) -> None:
-        self.request = request
-        self.started = False
-        self._transport = transport
-        self._limits = limits
-        self._received_bytes = 0
-
-    @property
-    def method(self) -> str:
-        """Return the request's method."""
-        return self.request.method.decode("ascii")
-
-    @property
-    def target(self) -> str:
-        """Return the request's target."""
-        return self.request.target.decode("ascii", "replace")
-
-    def header_values(self, name: bytes) -> tuple[str, ...]:
-        """Return every value of a header, given in lower case."""
-        return tuple(
-            value.decode("latin-1")
-            for key, value in self.request.headers
-            if key == name
-        )
-
-    async def body(self) -> AsyncIterator[bytes]:
-        """Yield the body as it comes.
-
-        Raises BodyTooLargeError over the limit, and BodyIncompleteError when
-        the caller stops sending or is silent for the idle timeout.
-        """
-        while True:
-            event = await self._next_body_event()
-            if isinstance(event, h11.EndOfMessage):
-                return
-            self._received_bytes += len(event.data)
-            if self._received_bytes > self._limits.body_limit_bytes:
-                raise BodyTooLargeError
-            yield bytes(event.data)
-
-    async def read_body(self) -> bytes:
-        """Return the whole body; raises as ``body`` does."""
-        return b"".join([chunk async for chunk in self.body()])
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the response's head."""
-        self.started = True
-        response = h11.Response(status_code=status, headers=list(headers))
-        await self._transport.send(response)
-
-    async def send(self, chunk: bytes) -> None:
-        """Send a part of the response's body; waits while the caller is slow."""
-        async with asyncio.timeout(self._limits.idle_timeout_s):
-            await self._transport.send(h11.Data(data=chunk))
-
-    async def end(self, trailers: Headers = ()) -> None:
-        """End the response."""
-        await self._transport.send(h11.EndOfMessage(headers=list(trailers)))
-
-    async def respond(
-        self, status: int, body: bytes = b"", headers: Headers = ()
-    ) -> None:
-        """Send a whole response in one write."""
-        self.started = True
-        length = (b"Content-Length", str(len(body)).encode())
-        response = h11.Response(status_code=status, headers=[length, *headers])
-        events: list[h11.Event] = [response]
-        if body and self.method != "HEAD":
-            events.append(h11.Data(data=body))
-        await self._transport.send(*events, h11.EndOfMessage())
-
-    async def _next_body_event(self) -> h11.Data | h11.EndOfMessage:
-        if self._transport.http.they_are_waiting_for_100_continue:
-            go_on = h11.InformationalResponse(status_code=100, headers=[])
-            await self._transport.send(go_on)
-        try:
-            async with asyncio.timeout(self._limits.idle_timeout_s):
-                event = await self._transport.next_event()
-        except (TimeoutError, h11.RemoteProtocolError) as error:
-            raise BodyIncompleteError(str(error)) from error
-        if isinstance(event, h11.Data | h11.EndOfMessage):
-            return event
-        raise BodyIncompleteError("the caller closed the connection")
-
 
 Handler = Callable[[HttpExchange], Awaitable[None]]
 
@@ -177,7 +80,7 @@
 
     def _made(self, transport: HttpTransport) -> None:
         if len(self._connections) >= self._limits.connection_limit_count:
-            transport.refuse(_NO_ROOM)
+            transport.refuse(_NO_ROOM, CLOSE_GRACE_S)
             return
         task = asyncio.get_running_loop().create_task(self._serve(transport))
         self._connections.add(task)
@@ -189,7 +92,7 @@
         try:
             while await self._serve_one(transport, wait_s):
                 wait_s = self._limits.idle_timeout_s
-            transport.close()
+            transport.close_unread(CLOSE_GRACE_S)
         except (ConnectionEndedError, TimeoutError):
             transport.abort()
         except asyncio.CancelledError:
@@ -203,6 +106,8 @@
         """Serve one request; return whether another may follow."""
         try:
             request = await _read_head(transport, wait_s)
+            if request is not None:
+                _check_head(request, self._limits)
         except h11.RemoteProtocolError as error:
             await _refuse_malformed(transport, error)
             return False
@@ -211,7 +116,7 @@
         exchange = HttpExchange(request, transport, self._limits)
         await self._handle(exchange, transport)
         http = transport.http
-        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+        if http.our_state is not h11.DONE or not _skip_body(transport):
             return False
         if self.draining:
             return False
@@ -237,20 +142,49 @@
             await asyncio.wait(tuple(self._connections), timeout=CLOSE_GRACE_S)
 
 
+def _skip_body(transport: HttpTransport) -> bool:
+    """Skip what has come of an unread body; tell whether that was all."""
+    http = transport.http
+    while http.their_state is h11.SEND_BODY:
+        if not isinstance(transport.poll_event(), h11.Data | h11.EndOfMessage):
+            return False
+    return http.their_state is h11.DONE
+
+
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
 
 
 async def _read_head(transport: HttpTransport, wait_s: float) -> h11.Request | None:
-    """Return the next request's head; None when there is none in time."""
+    """Return the next request's head; None when there is none in time.
+
+    Raises h11.RemoteProtocolError when it is malformed or only a part came.
+    """
     try:
         async with asyncio.timeout(wait_s):
             event = await transport.next_event()
-    except TimeoutError:
-        return None
+    except TimeoutError as error:
+        if not transport.has_unparsed:
+            return None
+        fault = f"its head did not come in {wait_s} s"
+        raise h11.RemoteProtocolError(fault, REQUEST_TIMEOUT_STATUS) from error
     return event if isinstance(event, h11.Request) else None
 
 
+def _check_head(request: h11.Request, limits: HttpLimits) -> None:
+    """Refuse what h11 takes: a long head that came at once, and two framings.
+
+    Raises h11.RemoteProtocolError.
+    """
+    headers = lower_headers(request)
+    size = sum(len(name) + len(value) for name, value in headers)
+    if size + len(request.target) > limits.header_limit_bytes:
+        raise h11.RemoteProtocolError("its head is too long", HEAD_TOO_LONG_STATUS)
+    names = {name for name, _ in headers}
+    if {b"content-length", b"transfer-encoding"} <= names:
+        raise h11.RemoteProtocolError("it has a length and is chunked", 400)
+
+
 async def _refuse_malformed(
     transport: HttpTransport, error: h11.RemoteProtocolError
 ) -> None:
@@ -263,8 +197,10 @@
         (b"Content-Type", b"application/json"),
         (b"Content-Length", str(len(body)).encode()),
         (b"Cicadatrail-Outcome", b"not-run"),
+        (b"Cicadatrail-Reason", b"malformed"),
         (b"Connection", b"close"),
     ]
     status = error.error_status_hint if error.error_status_hint >= 400 else 400
     response = h11.Response(status_code=status, headers=headers)
-    await transport.send(response, h11.Data(data=body), h11.EndOfMessage())
+    async with asyncio.timeout(CLOSE_GRACE_S):
+        await transport.send(response, h11.Data(data=body), h11.EndOfMessage())
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
@@ -16,6 +16,15 @@
 """Unsent bytes after which writing waits for the other side."""
 
 
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+def lower_headers(message: h11.Request | h11.Response) -> Headers:
+    """Return a message's headers with their names in lower case."""
+    pairs = message.headers.raw_items()
+    return tuple([(name.lower(), value) for name, value in pairs])
+
+
 class ConnectionEndedError(ConnectionError):
     """Report that the other side is gone, so that nothing can be sent."""
 
@@ -30,6 +39,7 @@
     __slots__ = (
         "_chunks",
         "_chunks_bytes",
+        "_discarding",
         "_ended",
         "_lost",
         "_paused_reading",
@@ -55,6 +65,7 @@
         self._chunks: deque[bytes] = deque()
         self._chunks_bytes = 0
         self._paused_reading = False
+        self._discarding = False
         self._ended = False
         self._lost = False
         self._read_waiter: asyncio.Future[None] | None = None
@@ -82,6 +93,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Keep received bytes until they are parsed; called by the loop."""
+        if self._discarding:
+            return
         self._chunks.append(data)
         self._chunks_bytes += len(data)
         if self._chunks_bytes > READ_AHEAD_BYTES and not self._paused_reading:
@@ -122,26 +135,79 @@
                 return event
             await self._feed()
 
+    def poll_event(self) -> Any:
+        """Return the next h11 event, or ``h11.NEED_DATA`` if none has come.
+
+        Raises h11.RemoteProtocolError on malformed or truncated input.
+        """
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA or not self._chunks:
+                return event
+            self._feed_chunk()
+
     async def send(self, *events: h11.Event) -> None:
         """Send events and wait while the other side is slow.
 
+        Raises ConnectionEndedError when the connection is lost.
+        """
+        if self.write(*events):
+            await self.drain()
+
+    def write(self, *events: h11.Event) -> bool:
+        """Send events; tell whether the other side is slow.
+
         Raises ConnectionEndedError when the connection is lost.
         """
         if self._lost or self._transport is None:
             raise ConnectionEndedError
-        data = b"".join(self.http.send(event) or b"" for event in events)
+        data = b"".join([self.http.send(event) or b"" for event in events])
         self._transport.write(data)
+        return self._write_paused
+
+    async def drain(self) -> None:
+        """Wait while the other side is slow.
+
+        Raises ConnectionEndedError when the connection is lost.
+        """
         while self._write_paused and not self._lost:
             self._write_waiter = asyncio.get_running_loop().create_future()
             await self._write_waiter
         if self._lost:
             raise ConnectionEndedError
 
-    def refuse(self, response: bytes) -> None:
+    @property
+    def has_unparsed(self) -> bool:
+        """Tell whether a part of an event has come that is not parsed yet."""
+        return bool(self._chunks or self.http.trailing_data[0])
+
+    @property
+    def is_clean(self) -> bool:
+        """Tell whether the connection is open and nothing unread has come."""
+        return not self._ended and not self.has_unparsed
+
+    def refuse(self, response: bytes, grace_s: float) -> None:
         """Send a ready response and close, without reading anything."""
-        transport = self._open_transport()
-        transport.write(response)
-        transport.close()
+        self._open_transport().write(response)
+        self.close_unread(grace_s)
+
+    def close_unread(self, grace_s: float) -> None:
+        """Close though the other side may still send.
+
+        Closing at once would reset the connection, and the other side could
+        lose the response. So its bytes are dropped until it closes, too, or
+        ``grace_s`` has passed.
+        """
+        if self._transport is None or self._lost:
+            return
+        self._discarding = True
+        self._chunks.clear()
+        self._resume_reading()
+        if self._ended or not self._transport.can_write_eof():
+            self._transport.close()
+            return
+        self._transport.write_eof()
+        asyncio.get_running_loop().call_later(grace_s, self._transport.abort)
 
     def close(self) -> None:
         """Close after what was written has been sent."""
@@ -162,6 +228,9 @@
         if not self._chunks:
             self.http.receive_data(b"")
             return
+        self._feed_chunk()
+
+    def _feed_chunk(self) -> None:
         chunk = self._chunks.popleft()
         self._chunks_bytes -= len(chunk)
         self.http.receive_data(chunk)
@@ -185,5 +254,7 @@
             return
         self._ended = True
         self._wake_reader()
+        if self._discarding and self._transport is not None:
+            self._transport.close()
         if self.on_end is not None:
             self.on_end()
--- a/packages/cicadatrail-node/src/cicadatraild/network/peer_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/peer_server.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from typing import Any
 
 from returns.result import Failure, Success
@@ -63,10 +63,19 @@
         self.refused_count = 0
         self.received_bytes = 0
 
-    async def listen(self, stack: AsyncExitStack, host: str, port: int) -> None:
-        """Listen until ``stack`` closes."""
-        server = await asyncio.start_server(self._serve, host, port)
+    async def listen(self, stack: AsyncExitStack, host: str, port: int) -> int:
+        """Listen until ``stack`` closes; return the port."""
+        server = await asyncio.start_server(self._serve_quietly, host, port)
         stack.push_async_callback(self._close, server)
+        bound_port: int = server.sockets[0].getsockname()[1]
+        return bound_port
+
+    async def _serve_quietly(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # The stream server logs a cancelled connection as an error.
+        with suppress(asyncio.CancelledError):
+            await self._serve(reader, writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure, Success
 
-from cicadatrail_core.fold.apply import decode_record, fold_payload
+from cicadatrail_core.fold.apply import Envelope, decode_record, fold_decoded
 from cicadatrail_core.fold.snapshots import SnapshotAssembler
 from cicadatrail_core.models.platform import LogPage, LogService
 from cicadatrail_core.models.records import SnapshotRecord
@@ -25,6 +25,9 @@
 READ_WAIT_S = 1.0
 """Time that a read may wait for the first record."""
 
+READ_SPACING_S = 0.2
+"""Time between two reads of the tail, so that one read serves many appends."""
+
 TAIL_LIMIT_COUNT = 5_000
 """Newest records kept to give to peers that can't read the log."""
 
@@ -35,6 +38,7 @@
 BACKOFF_LIMIT_S = 1.0
 
 Listener = Callable[[State], None]
+RecordListener = Callable[[State, State, Envelope], None]
 
 
 class Replica:
@@ -47,7 +51,9 @@
     __slots__ = (
         "_backoff",
         "_listeners",
+        "_changed",
         "_log",
+        "_record_listeners",
         "_tail",
         "failing_since_s",
         "folded_count",
@@ -57,6 +63,8 @@
     def __init__(self, log: LogService, random_source: random.Random) -> None:
         self._log = log
         self._listeners: list[Listener] = []
+        self._record_listeners: list[RecordListener] = []
+        self._changed = asyncio.Event()
         self._tail: deque[tuple[int, bytes]] = deque(maxlen=TAIL_LIMIT_COUNT)
         self._backoff = Backoff(BACKOFF_BASE_S, BACKOFF_LIMIT_S, random_source)
         self.state = State()
@@ -67,6 +75,18 @@
         """Call ``listener`` with the state after each change."""
         self._listeners.append(listener)
 
+    def listen_to_records(self, listener: RecordListener) -> None:
+        """Call ``listener`` with each record and the states around it.
+
+        It is called before those that listen to the state.
+        """
+        self._record_listeners.append(listener)
+
+    async def wait_for(self, holds: Callable[[State], bool]) -> None:
+        """Wait until ``holds`` is true of the state."""
+        while not holds(self.state):
+            await self._changed.wait()
+
     def records_from(self, offset: int, limit_count: int) -> tuple[bytes, ...] | None:
         """Return kept records from an offset; None when they are not all kept."""
         if not self._tail or offset < self._tail[0][0]:
@@ -78,20 +98,31 @@
     def take_records(self, from_offset: int, payloads: tuple[bytes, ...]) -> None:
         """Fold records from the log or a peer; those known are passed over."""
         state = self.state
+        folded: list[tuple[State, State, Envelope]] = []
         for offset, payload in enumerate(payloads, from_offset):
             if offset != state.next_offset:
                 continue
-            state = fold_payload(state, offset, payload)
+            before, decoded = state, decode_record(payload)
+            state = fold_decoded(before, offset, decoded)
             self._tail.append((offset, payload))
             self.folded_count += 1
-        self._publish(state)
+            if isinstance(decoded, Envelope):
+                folded.append((before, state, decoded))
+        if state is self.state:
+            return
+        self.state = state
+        for before, after, envelope in folded:
+            for listener in self._record_listeners:
+                listener(before, after, envelope)
+        self._publish()
 
     def take_snapshot(self, state: State) -> None:
         """Adopt a newer state from a snapshot; an older one is passed over."""
         if state.next_offset <= self.state.next_offset:
             return
         self._tail.clear()
-        self._publish(state)
+        self.state = state
+        self._publish()
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -114,8 +145,9 @@
             await self._catch_up(page.first_offset, page.next_offset)
             return
         self.take_records(page.from_offset, page.payloads)
-        # Lets callers' requests run between pages of a long log.
-        await asyncio.sleep(0)
+        # Callers' requests run between pages, also of a long log.
+        at_tail = self.state.next_offset >= page.next_offset
+        await asyncio.sleep(READ_SPACING_S if at_tail else 0)
 
     async def _catch_up(self, first_offset: int, next_offset: int) -> None:
         """Look for the newest snapshot, further back each time."""
@@ -149,12 +181,11 @@
             await asyncio.sleep(0)
         return assembler.newest
 
-    def _publish(self, state: State) -> None:
-        if state is self.state:
-            return
-        self.state = state
+    def _publish(self) -> None:
         for listener in self._listeners:
-            listener(state)
+            listener(self.state)
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     def _note_success(self) -> None:
         self._backoff.reset()
@@ -173,5 +204,5 @@
 ) -> None:
     for payload in payloads:
         match decode_record(payload):
-            case Success(envelope) if isinstance(envelope.record, SnapshotRecord):
-                assembler.take(envelope.record)
+            case Envelope(record=SnapshotRecord() as part):
+                assembler.take(part)
