Lift throttles again once nobody claims the room

The names are back and throttles are lifted when their claim is gone. Seen failing without the release (trial).

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -96,6 +96,11 @@
       | never-cut  | batch  | yes        | none                     |
       | checkpoint | urgent | yes        | none                     |
 
+  Scenario: A throttle is lifted when nobody claims the room any more
+    Given a full worker of checkpoint tasks that are batch and repeatable is yes
+    When an urgent request waits and is cancelled once a task is throttled
+    Then the steps for a task are throttle,resume
+
   Scenario: An urgent request starts within 4.9 s though batch work fills the fleet
     Given a full worker of checkpoint tasks that are batch and repeatable is yes
     When an urgent request waits and stopped tasks end
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -14,8 +14,8 @@
 
 from cicadatrail_core.admission.fair_queue import Ageing, FairQueue
 from cicadatrail_core.admission.retry_budget import RetryBudget, RetrySettings
+from cicadatrail_core.admission.share_return import ReturnStep
 from cicadatrail_core.models.fleet import DrainPolicy, Urgency
-from cicadatrail_core.models.platform import TaskControl
 from cicadatrail_core.models.resources import Resources
 from cicadatrail_core.placement.dispatcher import (
     Dispatcher,
@@ -379,7 +379,7 @@
         loop.run_until(loop.now_s + 0.1, lambda placed: None)
         for order in loop.dispatcher.next_returns(loop.now_s):
             steps.setdefault(order.request_id, []).append(order.step.value)
-            if ends and order.step is TaskControl.STOP:
+            if ends and order.step is ReturnStep.STOP:
                 loop.end(order.request_id, TaskEnd.CANCELLED, lambda placed: None)
     return steps
 
@@ -397,6 +397,16 @@
     assert list(context.steps.values()) == wanted, context.steps
 
 
+@when("an urgent request waits and is cancelled once a task is throttled")
+def step_cancel_claim(context: Any) -> None:
+    loop = context.loop
+    loop.submit(request("urgent", team=1, size=SMALL, urgency=Urgency.URGENT))
+    context.steps = follow_steps(loop, 0.8, ends=False)
+    assert loop.dispatcher.cancel("urgent", loop.now_s)
+    for name, steps in follow_steps(loop, 5.0, ends=False).items():
+        context.steps[name] += steps
+
+
 @when("an urgent request waits and stopped tasks end")
 def step_follow_and_end(context: Any) -> None:
     urgent = request("urgent", team=1, size=SMALL, urgency=Urgency.URGENT)
--- a/features/support/decision_policies.py
+++ b/features/support/decision_policies.py
@@ -9,8 +9,8 @@
 from random import Random
 from typing import Protocol
 
+from cicadatrail_core.admission.share_return import ReturnStep
 from cicadatrail_core.models.fleet import Urgency
-from cicadatrail_core.models.platform import TaskControl
 from cicadatrail_core.models.requests import TaskRequest
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 from cicadatrail_core.models.state import State
@@ -102,7 +102,7 @@
     def stop(self, now_s: float) -> list[str]:
         orders = self.dispatcher.next_returns(now_s)
         # A task that was checkpointed ends and goes on later.
-        ending = (TaskControl.CHECKPOINT, TaskControl.STOP)
+        ending = (ReturnStep.CHECKPOINT, ReturnStep.STOP)
         return [order.request_id for order in orders if order.step in ending]
 
     def _place(self, now_s: float) -> list[str]:
--- a/features/support/request_ids_machine.py
+++ b/features/support/request_ids_machine.py
@@ -58,13 +58,18 @@
     def now_s(self) -> float:
         return self.true_s + self.offset_s
 
-    @rule(caller_s=offsets, far_s=st.sampled_from([0.0, 0.0, 0.0, -30.0, 8.0]))
-    def ask_new(self, caller_s: float, far_s: float) -> None:
-        self.count += 1
-        time_s = self.true_s + caller_s + far_s
-        name = make_id(time_s, self.count)
-        self.ids[name] = time_s
-        self.ask(name)
+    @rule(
+        caller_s=offsets,
+        far_s=st.sampled_from([0.0, 0.0, 0.0, -30.0, 5.5, 8.0]),
+        count=st.integers(1, 5),
+    )
+    def ask_new(self, caller_s: float, far_s: float, count: int) -> None:
+        for _ in range(count):
+            self.count += 1
+            time_s = self.true_s + caller_s + far_s
+            name = make_id(time_s, self.count)
+            self.ids[name] = time_s
+            self.ask(name)
 
     @rule(pick=st.integers(0))
     def ask_again(self, pick: int) -> None:
--- a/packages/cicadatrail-core/src/cicadatrail_core/admission/share_return.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/admission/share_return.py
@@ -2,18 +2,18 @@
 
 The steps come in that order for each task, with time between them for the
 room to come free by itself. Tasks of queues that are never cut are left alone,
-and a task that may not be repeated is checkpointed at most. A throttle can't be
-lifted by any call that the platform offers, so only tasks that are to give way
-are throttled.
+and a task that may not be repeated is checkpointed at most. Only tasks that are
+to give way are throttled, and the throttle is lifted once nobody claims their
+room any more.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from enum import Enum
 
 from cicadatrail_core.models.fleet import DrainPolicy, Urgency
-from cicadatrail_core.models.platform import TaskControl
 from cicadatrail_core.models.resources import Resources
 
 
@@ -30,13 +30,22 @@
     grace_s: float = 1.0
 
 
+class ReturnStep(Enum):
+    """Say what a worker is to do with a task; RESUME lifts a throttle."""
+
+    THROTTLE = "throttle"
+    CHECKPOINT = "checkpoint"
+    STOP = "stop"
+    RESUME = "resume"
+
+
 @dataclass(frozen=True, slots=True)
 class ReturnOrder:
     """Order one step for one running task."""
 
     request_id: str
     worker_id: str
-    step: TaskControl
+    step: ReturnStep
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +88,7 @@
 class _Progress:
     worker_id: str
     claim_id: str
-    step: TaskControl
+    step: ReturnStep
     since_s: float
 
 
@@ -109,6 +118,21 @@
         orders = (self._advance(claim, tenant, now_s) for tenant in chosen)
         return tuple(order for order in orders if order is not None)
 
+    def release(self, open_claim_ids: Collection[str]) -> tuple[ReturnOrder, ...]:
+        """Return the lifting of throttles whose claims are no longer open."""
+        released = [
+            (request_id, progress.worker_id)
+            for request_id, progress in self._progress.items()
+            if progress.step is ReturnStep.THROTTLE
+            and progress.claim_id not in open_claim_ids
+        ]
+        for request_id, _ in released:
+            del self._progress[request_id]
+        return tuple(
+            ReturnOrder(request_id, worker_id, ReturnStep.RESUME)
+            for request_id, worker_id in released
+        )
+
     def forget(self, request_id: str) -> None:
         """Drop a task that has ended."""
         self._progress.pop(request_id, None)
@@ -124,7 +148,7 @@
         self, claim: Claim, tenant: Tenant, now_s: float
     ) -> ReturnOrder | None:
         progress = self._progress.get(tenant.request_id)
-        step: TaskControl | None = TaskControl.THROTTLE
+        step: ReturnStep | None = ReturnStep.THROTTLE
         if progress is not None:
             progress.claim_id = claim.request_id
             step = self._due_step(progress, tenant, now_s)
@@ -137,20 +161,20 @@
 
     def _due_step(
         self, progress: _Progress, tenant: Tenant, now_s: float
-    ) -> TaskControl | None:
+    ) -> ReturnStep | None:
         if now_s - progress.since_s < self._settings.grace_s:
             return None
         return _step_after(progress.step, tenant)
 
 
-def _step_after(step: TaskControl, tenant: Tenant) -> TaskControl | None:
+def _step_after(step: ReturnStep, tenant: Tenant) -> ReturnStep | None:
     if tenant.policy is DrainPolicy.NEVER_CUT:
         return None
     match step:
-        case TaskControl.THROTTLE if tenant.policy is DrainPolicy.CHECKPOINT:
-            return TaskControl.CHECKPOINT
-        case TaskControl.THROTTLE | TaskControl.CHECKPOINT if tenant.repeatable:
-            return TaskControl.STOP
+        case ReturnStep.THROTTLE if tenant.policy is DrainPolicy.CHECKPOINT:
+            return ReturnStep.CHECKPOINT
+        case ReturnStep.THROTTLE | ReturnStep.CHECKPOINT if tenant.repeatable:
+            return ReturnStep.STOP
         case _:
             return None
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/placement/return_planner.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/placement/return_planner.py
@@ -43,13 +43,15 @@
     ) -> tuple[ReturnOrder, ...]:
         """Return the steps that are due now in these pools."""
         orders: list[ReturnOrder] = []
+        open_claim_ids = set()
         for pool_id in pool_ids:
             entry = self._claimant(pool_id, now_s)
             if entry is None:
                 continue
             claim = self._claim(entry, pool_id, now_s)
+            open_claim_ids.add(claim.request_id)
             orders += self._returns.next_orders(claim, self._tenants(pool_id), now_s)
-        return tuple(orders)
+        return (*self._returns.release(open_claim_ids), *orders)
 
     def _claimant(self, pool_id: str, now_s: float) -> Entry | None:
         """Return the pool's first request if it has waited past its patience."""
