--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -238,6 +238,7 @@
         """Follow the log, join the roster and begin to serve."""
         self._replica.listen(self._take_state)
         self._replica.listen_to_records(self._take_record)
+        self._replica.listen_to_jumps(self._loans.note_jump)
         tasks.start("replica", self._replica.run())
         tasks.start("appender", self._appender.run())
         tasks.start("list", self._standing.follow_list())
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/fleet_maintenance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/fleet_maintenance.py
@@ -33,6 +33,9 @@
 INTERVAL_S = 0.25
 """Time between two looks at waves and moves."""
 
+PLAN_INTERVAL_S = 1.0
+"""Time between two plans of waves while nothing has changed."""
+
 REQUEST_LIFE_S = 5.0
 """Time after which a step that the log doesn't show is asked for again."""
 
@@ -64,6 +67,8 @@
         "_holdings",
         "_incarnation",
         "_maintenance",
+        "_planned_by",
+        "_planned_s",
         "_replica",
         "_requests",
         "_running_on",
@@ -85,6 +90,12 @@
         self._maintenance = maintenance
         self._running_on = running_on
         self._requests = _Requests()
+        self._planned_by: tuple[object, object, frozenset[str]] = (
+            None,
+            None,
+            frozenset(),
+        )
+        self._planned_s = 0.0
 
     async def run(self) -> None:
         """Take the next steps until cancelled."""
@@ -104,6 +115,8 @@
     def _request_steps(self, state: State, held: frozenset[str]) -> None:
         now_s = asyncio.get_running_loop().time()
         idle = frozenset(worker for worker in held if not self._running_on(worker))
+        if not self._needs_plan(state, idle, now_s):
+            return
         requested = self._requests.workers(now_s)
         knowledge = DrainingKnowledge(drained=idle, requested=requested)
         plan = plan_waves(state, datetime.now(UTC).hour, knowledge)
@@ -115,6 +128,20 @@
             if step.worker_id in held:
                 self._request(step.wave_id, step.worker_id, step.step, now_s)
 
+    def _needs_plan(self, state: State, idle: frozenset[str], now_s: float) -> bool:
+        """Tell whether a plan could differ from the last, or that is old."""
+        waves, conditions, known_idle = self._planned_by
+        changed = (
+            state.waves is not waves
+            or state.conditions is not conditions
+            or idle != known_idle
+        )
+        if not changed and now_s < self._planned_s + PLAN_INTERVAL_S:
+            return False
+        self._planned_by = (state.waves, state.conditions, idle)
+        self._planned_s = now_s
+        return True
+
     def _request(
         self, wave_id: str, worker_id: str, step: StepStatus, now_s: float
     ) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/membership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/membership.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cicadatrail_core.fold.holdings import obsolete_rights
 from cicadatrail_core.models.fleet import Place
 from cicadatrail_core.models.records import (
     ClaimRecord,
@@ -18,7 +17,8 @@
 )
 from cicadatrail_core.models.rights import IncarnationId, Right, SlotRight, WorkerRight
 from cicadatrail_core.models.state import Member, State
-from cicadatrail_core.rights.balance import fair_claim, handover, surplus
+from cicadatrail_core.rights.balance import handover
+from cicadatrail_core.rights.balancer import Balancer
 from cicadatraild.sharing.appender import Appender
 from cicadatraild.sharing.holdings import Holdings
 from cicadatraild.sharing.replica import Replica
@@ -49,6 +49,7 @@
 
     __slots__ = (
         "_appender",
+        "_balancer",
         "_holdings",
         "_identity",
         "_joined",
@@ -80,6 +81,7 @@
         self._keep_records = keep_records
         self._on_holdings = on_holdings
         self._joined = False
+        self._balancer = Balancer(identity.incarnation)
         self.leaving = False
 
     @property
@@ -153,11 +155,11 @@
     def _propose(self, state: State) -> None:
         """Append at most one kind of change to the rights."""
         incarnation = self._identity.incarnation
-        claims = fair_claim(state, incarnation)
-        if claims:
-            self._appender.add(ClaimRecord(incarnation, claims))
+        plan = self._balancer.plan(state)
+        if plan.claims:
+            self._appender.add(ClaimRecord(incarnation, plan.claims))
             return
-        released = self._idle_part(obsolete_rights(state, incarnation))
+        released = self._idle_part(plan.obsolete)
         if released:
             sequence = self._holdings.ledger.next_sequence(state)
             self._give_up(ReleaseRecord(incarnation, released, sequence))
@@ -167,7 +169,7 @@
             for record in kept:
                 self._appender.add(record)
             return
-        self._hand_over(state, surplus(state, incarnation))
+        self._hand_over(state, plan.transfers)
 
     def _hand_over(self, state: State, records: tuple[TransferRecord, ...]) -> None:
         """Give up the idle part of the rights; busy workers go later."""
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/replica.py
@@ -38,6 +38,7 @@
 BACKOFF_LIMIT_S = 1.0
 
 Listener = Callable[[State], None]
+JumpListener = Callable[[State, State], None]
 RecordListener = Callable[[State, State, Envelope], None]
 
 
@@ -52,6 +53,7 @@
         "_backoff",
         "_listeners",
         "_changed",
+        "_jump_listeners",
         "_log",
         "_record_listeners",
         "_tail",
@@ -64,6 +66,7 @@
         self._log = log
         self._listeners: list[Listener] = []
         self._record_listeners: list[RecordListener] = []
+        self._jump_listeners: list[JumpListener] = []
         self._changed = asyncio.Event()
         self._tail: deque[tuple[int, bytes]] = deque(maxlen=TAIL_LIMIT_COUNT)
         self._backoff = Backoff(BACKOFF_BASE_S, BACKOFF_LIMIT_S, random_source)
@@ -82,6 +85,10 @@
         """
         self._record_listeners.append(listener)
 
+    def listen_to_jumps(self, listener: JumpListener) -> None:
+        """Call ``listener`` with the states around the taking of a snapshot."""
+        self._jump_listeners.append(listener)
+
     async def wait_for(self, holds: Callable[[State], bool]) -> None:
         """Wait until ``holds`` is true of the state."""
         while not holds(self.state):
@@ -121,7 +128,9 @@
         if state.next_offset <= self.state.next_offset:
             return
         self._tail.clear()
-        self.state = state
+        before, self.state = self.state, state
+        for listener in self._jump_listeners:
+            listener(before, state)
         self._publish()
 
     async def run(self) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/share_returns.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/share_returns.py
@@ -6,8 +6,9 @@
 import logging
 from collections.abc import Callable
 
-from cicadatrail_core.admission.share_return import ReturnOrder
+from cicadatrail_core.admission.share_return import ReturnOrder, ReturnStep
 from cicadatrail_core.models.fleet import Worker
+from cicadatrail_core.models.platform import TaskControl
 from cicadatrail_core.placement.dispatcher import Dispatcher
 from cicadatraild.platform.worker_client import HttpWorkerControl
 
@@ -17,6 +18,14 @@
 """Time between two looks at what is due."""
 
 
+_CONTROLS = {
+    ReturnStep.THROTTLE: TaskControl.THROTTLE,
+    ReturnStep.CHECKPOINT: TaskControl.CHECKPOINT,
+    ReturnStep.STOP: TaskControl.STOP,
+    ReturnStep.RESUME: TaskControl.RESUME,
+}
+
+
 class ShareReturns:
     """Ask workers to throttle, checkpoint or stop what runs over its share."""
 
@@ -47,4 +56,4 @@
             return
         self.order_count += 1
         logger.info("share: %s for a task on %s.", order.step.value, order.worker_id)
-        await self._control.control(worker, order.request_id, order.step)
+        await self._control.control(worker, order.request_id, _CONTROLS[order.step])
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
@@ -105,15 +105,26 @@
         if record.taker != self._incarnation:
             return
         moved_count = self._borrower.note_kept(before, after, record)
-        charged = [
+        self._move_charges(record.giver, None, moved_count)
+
+    def note_jump(self, before: State, after: State) -> None:
+        """Move tasks to own slots after a jump to a snapshot."""
+        for (lender, team_id), moved_count in self._borrower.note_jump(before, after):
+            self._move_charges(lender, team_id, moved_count)
+
+    def _move_charges(
+        self, lender: IncarnationId, team_id: str | None, count: int
+    ) -> None:
+        """Charge tasks that ran on a loan to own slots; None is any team."""
+        moved = [
             request_id
-            for request_id, (_, giver) in self._charges.items()
-            if giver == record.giver
+            for request_id, (team, giver) in self._charges.items()
+            if giver == lender and team_id in (None, team)
         ]
-        for request_id in charged[:moved_count]:
-            team_id, _ = self._charges[request_id]
-            self._charges[request_id] = (team_id, None)
-            self._holdings.ledger.start(team_id)
+        for request_id in moved[:count]:
+            team, _ = self._charges[request_id]
+            self._charges[request_id] = (team, None)
+            self._holdings.ledger.start(team)
 
     def slots(self, state: State) -> dict[str, int]:
         """Return how many tasks of each team may run here, lent slots aside."""
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/standing.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/standing.py
@@ -179,13 +179,21 @@
         while True:
             now_s = asyncio.get_running_loop().time()
             state = self._replica.state
-            self._appender.add_pulse(self._holder.start_pulse(state, now_s))
+            pulse = self._holder.start_pulse(state, now_s, self._is_listed(state))
+            self._appender.add_pulse(pulse)
             request = self._holder.start_request(state, now_s)
             if request is not None:
                 for link in self._directory.links:
                     self._directory.spawn(self._ask(link, request))
             await asyncio.sleep(self._pulse_s)
 
+    def _is_listed(self, state: State) -> bool:
+        """Tell whether the instance list has shown this instance."""
+        member = state.roster.get(self._incarnation)
+        if member is None:
+            return False
+        return any(found.instance_id == member.instance_id for found in self.listed)
+
     async def reclaim(self) -> None:
         """Retire silent members and free what they held, until cancelled."""
         while True:
