--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -64,6 +64,7 @@
 from cicadatraild.serving.router import Router
 from cicadatraild.serving.running import GivenUpTasks
 from cicadatraild.serving.upstream import Upstream
+from cicadatraild.sharing.alarms import AlarmWatch
 from cicadatraild.sharing.appender import Appender
 from cicadatraild.sharing.digests import Digests
 from cicadatraild.sharing.fleet_maintenance import FleetMaintenance
@@ -184,6 +185,9 @@
             self._control,
             self._note_leaving,
         )
+        self._alarms = AlarmWatch(
+            self._replica, self._appender, self._standing, self._digests, self._desk
+        )
         self._peer_records = PeerRecords(
             self._replica, self._directory, self._digests.fresh
         )
@@ -247,6 +251,7 @@
         tasks.start("reclaim", self._standing.reclaim())
         tasks.start("digests", self._digests.run())
         tasks.start("loans", self._loans.run())
+        tasks.start("alarms", self._alarms.run())
         tasks.start("traces", self._tracing.run())
         tasks.start("desk", self._desk.run())
         tasks.start("peer records", self._peer_records.run())
@@ -398,6 +403,7 @@
             self._digests,
             self._holdings,
             self._desk.dispatcher,
+            self._alarms,
             self._loans.lent_count,
         )
 
--- a/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/desk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Collection, Mapping
 from typing import Protocol
@@ -40,7 +41,14 @@
 class Desk:
     """Hand each request its decision as soon as the dispatcher makes it."""
 
-    __slots__ = ("_charges", "_decisions", "_placed", "dispatcher", "running_on")
+    __slots__ = (
+        "_charges",
+        "_decisions",
+        "_placed",
+        "dispatcher",
+        "refused_full_s",
+        "running_on",
+    )
 
     def __init__(self, dispatcher: Dispatcher, charges: SlotCharges) -> None:
         self.dispatcher = dispatcher
@@ -48,6 +56,7 @@
         self._decisions: dict[str, asyncio.Future[Decision]] = {}
         self._placed: dict[str, str] = {}
         self.running_on: Counter[str] = Counter()
+        self.refused_full_s = -math.inf
 
     @property
     def waiting_count(self) -> int:
@@ -74,6 +83,8 @@
             if isinstance(answer, Placed):
                 self.dispatcher.finish(request.request_id, TaskEnd.CANCELLED, _now_s())
                 return Rejected(request.request_id, RejectReason.QUEUE_FULL, 1.0)
+        if isinstance(answer, Rejected) and answer.reason is RejectReason.QUEUE_FULL:
+            self.refused_full_s = _now_s()
         if not isinstance(answer, Waiting):
             return answer
         decision: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/standing.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/standing.py
@@ -183,10 +183,27 @@
             self._appender.add_pulse(pulse)
             request = self._holder.start_request(state, now_s)
             if request is not None:
-                for link in self._directory.links:
+                for link in self._links_to_ask(state, now_s):
                     self._directory.spawn(self._ask(link, request))
             await asyncio.sleep(self._pulse_s)
 
+    def _links_to_ask(self, state: State, now_s: float) -> list[PeerLink]:
+        """Return whom to ask: other regions only when the log seems away.
+
+        They grant no support, but attest that they know of no newer version.
+        """
+        log_left_s = self._holder.log_until_s - now_s
+        if log_left_s < self._timing.support_s / 2:
+            return list(self._directory.links)
+        own = state.roster.get(self._incarnation)
+        return [
+            link
+            for link in self._directory.links
+            if own is not None
+            and (member := state.roster.get(link.name)) is not None
+            and member.place.region == own.place.region
+        ]
+
     def _is_listed(self, state: State) -> bool:
         """Tell whether the instance list has shown this instance."""
         member = state.roster.get(self._incarnation)
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/status.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/status.py
@@ -6,13 +6,9 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from cicadatrail_core.models.maintenance import WaveStatus
-from cicadatrail_core.models.resources import Resources
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import Member, State
 from cicadatrail_core.models.status import (
-    Alarm,
-    AlarmName,
     InstanceStatus,
     LogCondition,
     LogState,
@@ -22,6 +18,7 @@
     WaveReport,
 )
 from cicadatrail_core.placement.dispatcher import Dispatcher
+from cicadatraild.sharing.alarms import AlarmWatch, team_shares
 from cicadatraild.sharing.appender import Appender
 from cicadatraild.sharing.digests import Digests
 from cicadatraild.sharing.holdings import Holdings
@@ -42,6 +39,7 @@
     digests: Digests
     holdings: Holdings
     dispatcher: Dispatcher
+    alarms: AlarmWatch
     lent_count: Callable[[], int]
 
     def read(self) -> InstanceStatus:
@@ -59,7 +57,7 @@
             teams=tuple(self._teams(state)),
             waves=tuple(WaveReport(progress) for progress in state.waves.values()),
             rights=self._rights(state),
-            alarms=tuple(self._alarms(state, now_s)),
+            alarms=self.alarms.current(now_s),
         )
 
     def _log_state(self, now_s: float) -> LogState:
@@ -87,15 +85,10 @@
         )
 
     def _teams(self, state: State) -> Iterator[TeamStatus]:
-        total = sum((w.capacity for w in state.workers.values()), Resources())
-        weight_sum = sum(team.share_weight for team in state.teams.values())
         peers = self.digests.fresh().values()
-        own_usage = self.dispatcher.own_usage
-        peer_usage = self.digests.peer_usage()
-        for team_id, team in sorted(state.teams.items()):
+        shares = team_shares(state, self.dispatcher, self.digests)
+        for team_id, share in sorted(shares.items()):
             uses = [use for d in peers for use in d.teams if use.team_id == team_id]
-            used = own_usage.get(team_id, Resources())
-            used += peer_usage.get(team_id, Resources())
             running = self.dispatcher.running_counts.get(team_id, 0)
             waiting = self.dispatcher.waiting_counts.get(team_id, 0)
             yield TeamStatus(
@@ -103,8 +96,8 @@
                 running_count=running + sum(use.running_count for use in uses),
                 waiting_count=waiting + sum(use.waiting_count for use in uses),
                 slots_held_count=state.slots.get(team_id, {}).get(self.incarnation, 0),
-                share_due=team.share_weight / weight_sum,
-                share_reached=used.dominant_share(total),
+                share_due=share.due,
+                share_reached=share.reached,
             )
 
     def _rights(self, state: State) -> RightsCounts:
@@ -115,21 +108,3 @@
             partition_count=len(self.holdings.partitions(state)),
             lent_count=self.lent_count(),
         )
-
-    def _alarms(self, state: State, now_s: float) -> Iterator[Alarm]:
-        log_state = self._log_state(now_s)
-        if log_state.condition is LogCondition.DOWN:
-            yield Alarm(AlarmName.LOG_DOWN, log_state.since_s, "the log can't be read")
-        if log_state.condition is LogCondition.SLOW:
-            yield Alarm(AlarmName.LOG_SLOW, log_state.since_s, "appends fail")
-        for member in self.standing.suspects(now_s):
-            yield Alarm(AlarmName.INSTANCE_SUSPECTED, 0.0, member.instance_id)
-        for member in state.roster.values():
-            if member.retire_offset is not None:
-                yield Alarm(AlarmName.RIGHTS_RESTING, 0.0, member.instance_id)
-        for worker_id in self.dispatcher.ejected_workers:
-            yield Alarm(AlarmName.WORKER_EJECTED, 0.0, worker_id)
-        for wave_id, progress in state.waves.items():
-            if progress.status is WaveStatus.PAUSED:
-                detail = f"{wave_id}: {progress.pause_reason}"
-                yield Alarm(AlarmName.WAVE_PAUSED, 0.0, detail)
