Keep both signs of leaving apart; part the daemon's assembly

Cause: one set held both signs, so that a worker listed as leaving was placed on again as soon as its own report said nothing of it.

--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -7,36 +7,20 @@
 import random
 import secrets
 import time
-from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 from typing import Any
 
 from cicadatrail_core.admission.retry_budget import RetryBudget, RetrySettings
 from cicadatrail_core.fold.apply import Envelope
-from cicadatrail_core.fold.snapshots import dump_state
 from cicadatrail_core.models.fleet import Place, Worker
-from cicadatrail_core.models.loans import LoanRequest
 from cicadatrail_core.models.peer_messages import (
     ControlMessage,
-    Digest,
-    Done,
-    FetchRecords,
-    FetchSnapshot,
-    IdOutcome,
-    IdQuery,
-    PackedDigest,
     PartitionHandover,
-    PoolRoom,
-    Records,
-    Snapshot,
-    TeamUse,
 )
 from cicadatrail_core.models.platform import ListedInstance
 from cicadatrail_core.models.requests import TaskRequest
-from cicadatrail_core.models.resources import NO_RESOURCES
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import State
-from cicadatrail_core.models.support import SupportRequest
 from cicadatrail_core.placement.dispatcher import Dispatcher, DispatcherSettings
 from cicadatrail_core.rights.timing import RightsTiming
 from cicadatraild.network.http_client import Address, ConnectionPool
@@ -66,7 +50,8 @@
 from cicadatraild.serving.upstream import Upstream
 from cicadatraild.sharing.alarms import AlarmWatch
 from cicadatraild.sharing.appender import Appender
-from cicadatraild.sharing.digests import Digests
+from cicadatraild.sharing.control_messages import ControlMessages
+from cicadatraild.sharing.digests import Digests, make_digest
 from cicadatraild.sharing.fleet_maintenance import FleetMaintenance
 from cicadatraild.sharing.holdings import Holdings
 from cicadatraild.sharing.membership import Identity, Membership, StruckOutError
@@ -79,6 +64,7 @@
 from cicadatraild.sharing.status import StatusView
 from cicadatraild.sharing.worker_watch import WorkerWatch
 from cicadatraild.utils.identifiers import new_uuid7
+from cicadatraild.utils.long_tasks import LongTasks
 from cicadatraild.utils.metrics import InstanceCollector, Metrics
 from cicadatraild.utils.open_work import OpenWork
 from cicadatraild.utils.settings import Settings
@@ -92,9 +78,6 @@
 HANDOVER_TIMEOUT_S = 2.0
 """Time that the memory of a partition may take to reach its taker."""
 
-RECORDS_PER_ANSWER = 500
-"""Records that are given to a peer at once."""
-
 
 class Instance:
     """Own every part of one incarnation; ``run`` returns when it is over."""
@@ -154,7 +137,16 @@
             self._note_list,
             self._loans.unsettled_lenders,
         )
-        self._digests = Digests(self._directory, self._make_digest, self._is_near)
+        self._digests = Digests(
+            self._directory,
+            lambda: make_digest(
+                self.incarnation,
+                self._replica.state,
+                self._desk.dispatcher,
+                self._loans.slots(self._replica.state),
+            ),
+            self._is_near,
+        )
         self._desk = Desk(Dispatcher(DispatcherSettings()), self._loans)
         self._control = HttpWorkerControl(self._pool)
         self._given_up = GivenUpTasks(self._desk, self._control)
@@ -229,7 +221,7 @@
             await self._directory.open(stack)
             await self._given_up.open(stack)
             await self._leases.open(stack)
-            tasks = await stack.enter_async_context(_Tasks())
+            tasks = await stack.enter_async_context(LongTasks())
             await self._start(tasks)
             servers = await self._listen_to_callers(stack)
             struck_out = await self._serve_until(tasks, stop)
@@ -238,7 +230,7 @@
             await self._finish(struck_out)
             return not struck_out
 
-    async def _start(self, tasks: _Tasks) -> None:
+    async def _start(self, tasks: LongTasks) -> None:
         """Follow the log, join the roster and begin to serve."""
         self._replica.listen(self._take_state)
         self._replica.listen_to_records(self._take_record)
@@ -261,7 +253,7 @@
         tasks.start("waves", self._maintenance.run())
         tasks.start("balance", self._membership.balance())
 
-    async def _serve_until(self, tasks: _Tasks, stop: asyncio.Event) -> bool:
+    async def _serve_until(self, tasks: LongTasks, stop: asyncio.Event) -> bool:
         """Wait for the end; return whether this incarnation was struck out."""
         try:
             await tasks.wait(stop)
@@ -291,7 +283,14 @@
             bytes.fromhex(peer.cluster_key_hex),
             peer.message_limit_bytes,
             ControlMessage,
-            self._serve_control,
+            ControlMessages(
+                self._replica,
+                self._standing,
+                self._digests,
+                self._loans,
+                self._partitions,
+                self._desk.dispatcher,
+            ).serve,
             self._peer_requests.serve,
         )
         await server.listen(stack, peer.host, peer.port)
@@ -413,27 +412,6 @@
         own_region = self._settings.instance.region
         return member is not None and member.place.region == own_region
 
-    def _make_digest(self) -> Digest:
-        state = self._replica.state
-        dispatcher = self._desk.dispatcher
-        waiting, running = dispatcher.waiting_counts, dispatcher.running_counts
-        own_usage = dispatcher.own_usage
-        pools = tuple(
-            PoolRoom(pool_id, dispatcher.free_room(pool_id), 0, 0)
-            for pool_id in state.pools
-        )
-        teams = tuple(
-            TeamUse(
-                team_id,
-                own_usage.get(team_id, NO_RESOURCES),
-                slot_count - running.get(team_id, 0),
-                waiting.get(team_id, 0),
-                running.get(team_id, 0),
-            )
-            for team_id, slot_count in self._loans.slots(state).items()
-        )
-        return Digest(self.incarnation, state.next_offset, state.version, pools, teams)
-
     def _take_state(self, state: State) -> None:
         """Follow a new state: links, admission and the desk."""
         self._admission.state = state
@@ -467,9 +445,10 @@
         self._standing.note_fault(name, fault)
 
     def _note_list(self, listed: tuple[ListedInstance, ...]) -> None:
-        for instance in listed:
-            if instance.leaving:
-                self._note_leaving(instance.instance_id)
+        leaving = {instance.instance_id for instance in listed if instance.leaving}
+        if leaving != self._holdings.listed_leaving:
+            self._holdings.listed_leaving = leaving
+            self._configure_desk()
 
     def _note_leaving(self, worker_id: str, leaving: bool = True) -> None:
         """Place nothing more on a worker that leaves; take it back if it stays."""
@@ -512,73 +491,12 @@
     def _outcomes(self) -> dict[str, int]:
         return self._router.outcome_counts
 
-    async def _serve_control(self, sender: IncarnationId, message: Any) -> Any:
-        """Answer a control message of a peer."""
-        match message:
-            case SupportRequest():
-                return self._standing.answer(message)
-            case PackedDigest():
-                self._digests.take(message)
-                self._desk.dispatcher.configure_peer_usage(self._digests.peer_usage())
-                return Done()
-            case LoanRequest():
-                return self._loans.answer(message)
-            case IdQuery():
-                return self._partitions.answer(message)
-            case IdOutcome():
-                self._partitions.take_outcome(message)
-                return Done()
-            case PartitionHandover():
-                self._partitions.take_handover(sender, message)
-                return Done()
-            case FetchRecords(from_offset):
-                found = self._replica.records_from(from_offset, RECORDS_PER_ANSWER)
-                return Records(from_offset, found or ())
-            case FetchSnapshot():
-                return Snapshot(dump_state(self._replica.state))
-            case _:
-                logger.warning("peer: %s sent an unexpected message.", sender)
-                return Done()
-
 
 def _collector(settings: Settings) -> Address | None:
     host, port = settings.tracing.export_host, settings.tracing.export_port
     return None if host is None or port is None else Address(host, port)
 
 
-class _Tasks:
-    """Run the instance's long-lived tasks; the first to fail ends them all."""
-
-    def __init__(self) -> None:
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def __aenter__(self) -> _Tasks:
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def start(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        """Start a task that runs until the instance ends."""
-        task = asyncio.get_running_loop().create_task(work, name=name)
-        self._tasks.add(task)
-
-    async def wait(self, stop: asyncio.Event) -> None:
-        """Wait for ``stop``; raises what a task raised before."""
-        stopping = asyncio.get_running_loop().create_task(_wait(stop))
-        try:
-            done, _ = await asyncio.wait(
-                {stopping, *self._tasks}, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            stopping.cancel()
-        for task in done - {stopping}:
-            self._tasks.discard(task)
-            await task
-
-
 def _new_id() -> str:
     return str(new_uuid7())
 
@@ -586,7 +504,3 @@
 async def _call(link: PeerLink, message: Any) -> None:
     """Send a message whose answer says nothing."""
     await link.call(message, HANDOVER_TIMEOUT_S)
-
-
-async def _wait(stop: asyncio.Event) -> None:
-    await stop.wait()
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/digests.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/digests.py
@@ -9,13 +9,16 @@
 from cicadatrail_core.models.peer_messages import (
     Digest,
     PackedDigest,
+    PoolRoom,
+    TeamUse,
     pack_digest,
     unpack_digest,
 )
 from cicadatrail_core.models.requests import TaskRequest
-from cicadatrail_core.models.resources import Resources
+from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import State
+from cicadatrail_core.placement.dispatcher import Dispatcher
 from cicadatraild.network.peer_client import PeerDirectory, PeerLink
 
 BUSY_INTERVAL_S = 0.5
@@ -44,6 +47,32 @@
     at_s: float
 
 
+def make_digest(
+    incarnation: IncarnationId,
+    state: State,
+    dispatcher: Dispatcher,
+    slots: Mapping[str, int],
+) -> Digest:
+    """Return what peers should know of this instance."""
+    waiting, running = dispatcher.waiting_counts, dispatcher.running_counts
+    own_usage = dispatcher.own_usage
+    pools = tuple(
+        PoolRoom(pool_id, dispatcher.free_room(pool_id), 0, 0)
+        for pool_id in state.pools
+    )
+    teams = tuple(
+        TeamUse(
+            team_id,
+            own_usage.get(team_id, NO_RESOURCES),
+            slot_count - running.get(team_id, 0),
+            waiting.get(team_id, 0),
+            running.get(team_id, 0),
+        )
+        for team_id, slot_count in slots.items()
+    )
+    return Digest(incarnation, state.next_offset, state.version, pools, teams)
+
+
 class Digests:
     """Keep the newest digest of each peer of the region, and send one's own."""
 
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/holdings.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/holdings.py
@@ -22,8 +22,9 @@
 class Holdings:
     """Add to the ledger of rights what else keeps a worker from use.
 
-    ``leaving_workers`` are those that said so or are listed as leaving, and
-    ``marked_workers`` those that go to a peer once they run nothing.
+    ``leaving_workers`` are those that said so themselves, ``listed_leaving``
+    those that the platform lists so: either is enough. ``marked_workers`` are
+    those that go to a peer once they run nothing.
     """
 
     __slots__ = (
@@ -31,6 +32,7 @@
         "_usable",
         "_usable_by",
         "leaving_workers",
+        "listed_leaving",
         "ledger",
         "marked_workers",
     )
@@ -39,6 +41,7 @@
         self._incarnation = incarnation
         self.ledger = HolderLedger(incarnation)
         self.leaving_workers: set[str] = set()
+        self.listed_leaving: set[str] = set()
         self.marked_workers: set[str] = set()
         self._usable: frozenset[str] = frozenset()
         self._usable_by: tuple[object, ...] = ()
@@ -87,7 +90,7 @@
         others = (
             self.ledger.pending,
             ejected,
-            frozenset(self.leaving_workers),
+            frozenset(self.leaving_workers | self.listed_leaving),
             frozenset(self.marked_workers),
         )
         known = self._usable_by
@@ -100,6 +103,7 @@
             *(unavailable_workers(state, pool_id) for pool_id in state.pools)
         )
         in_service = self.held_workers(state) - (unavailable - ejected)
-        self._usable = in_service - self.leaving_workers - self.marked_workers
+        left = in_service - self.leaving_workers - self.listed_leaving
+        self._usable = left - self.marked_workers
         self._usable_by = (*parts, *others)
         return self._usable
