Leave only once peers gave back the slots lent to them

Cause: leaving handed over what was spare and then left; the fold freed the lent rest for others to claim while a borrower still ran a task on it. Ruled out: the stand-ins' count (no worker had died). A leaver now lends nothing and waits for its loans to end.

--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -256,6 +256,7 @@
         open_count = self._open_work.count
         logger.info("instance: finishing %d requests.", open_count)
         self._admission.draining = True
+        self._loans.leaving = True
         try:
             async with asyncio.timeout(LEAVE_LIMIT_S):
                 await self._open_work.ended()
@@ -323,6 +324,7 @@
             self._running_on,
             self._loans.spare_own_count,
             self._loans.keep_records,
+            self._loans.lent_count,
             self._configure_desk,
         )
 
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/membership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -28,6 +29,9 @@
 BALANCE_INTERVAL_S = 1.0
 """Time between two looks at whether rights are spread evenly."""
 
+LENT_POLL_INTERVAL_S = 0.1
+"""Time between two looks at whether peers gave back all lent slots."""
+
 
 @dataclass(frozen=True, slots=True)
 class Identity:
@@ -55,6 +59,7 @@
         "_on_holdings",
         "_replica",
         "_keep_records",
+        "_lent_count",
         "_running_on",
         "_spare_slots",
         "leaving",
@@ -69,6 +74,7 @@
         running_on: Callable[[str], int],
         spare_slots: Callable[[str], int],
         keep_records: Callable[[], tuple[TransferRecord, ...]],
+        lent_count: Callable[[], int],
         on_holdings: Callable[[], None],
     ) -> None:
         self._identity = identity
@@ -78,6 +84,7 @@
         self._running_on = running_on
         self._spare_slots = spare_slots
         self._keep_records = keep_records
+        self._lent_count = lent_count
         self._on_holdings = on_holdings
         self._joined = False
         self.leaving = False
@@ -124,6 +131,8 @@
         self.leaving = True
         incarnation = self._identity.incarnation
         await self._replica.wait_for(self._is_settled)
+        # Leaving would free lent slots while a peer's tasks still run on them.
+        await self._all_returned()
         state = self._replica.state
         self._hand_over(state, handover(state, incarnation))
         await self._replica.wait_for(self._is_settled)
@@ -131,6 +140,13 @@
         await self._replica.wait_for(lambda state: incarnation not in state.roster)
         logger.info("member: left the roster.")
 
+    async def _all_returned(self) -> None:
+        """Wait until peers gave back all lent slots."""
+        for _ in itertools.count():
+            if not self._lent_count():
+                return
+            await asyncio.sleep(LENT_POLL_INTERVAL_S)
+
     def check_member(self) -> None:
         """Raise StruckOutError when this incarnation was retired or freed."""
         member = self.member
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
@@ -59,6 +59,7 @@
         "_peer_digests",
         "_state",
         "_supported_until_s",
+        "leaving",
     )
 
     def __init__(
@@ -82,6 +83,7 @@
         self._lender = LenderBook(incarnation, timing)
         self._borrower = BorrowerBook(incarnation, timing)
         self._state = State()
+        self.leaving = False
         self._charges: dict[str, tuple[str, IncarnationId | None]] = {}
         self._idle_since_s: dict[tuple[IncarnationId, str], float] = {}
 
@@ -173,7 +175,7 @@
         )
         waits_here = self._demand().waiting.get(team_id, 0) > 0
         # Half of what is free stays, so that a burst here starts at once.
-        lendable_count = 0 if waits_here else (free_count + 1) // 2
+        lendable_count = 0 if waits_here or self.leaving else (free_count + 1) // 2
         grant = self._lender.answer(
             state,
             request,
