--- /dev/null
+++ b/features/steps/matrix_steps.py
@@ -0,0 +1,59 @@
+from __future__ import annotations
+
+from contextlib import ExitStack
+from typing import Any
+
+from behave import then, when
+
+from features.support import matrix_cells
+from features.support.matrix_broken import BROKEN
+
+SEED = 1
+RANDOM_SEEDS = range(100, 104)
+
+
+@when("the matrix cluster meets {fault} at the step {step}")
+def step_cell(context: Any, fault: str, step: str) -> None:
+    context.cell = f"seed {SEED}: {fault} at {step}"
+    context.broken = matrix_cells.broken_in(SEED, fault, step)
+
+
+@when("the matrix cluster meets {fault} and {gap_s:g} s later {second}")
+def step_pair(context: Any, fault: str, gap_s: float, second: str) -> None:
+    context.cell = f"seed {SEED}: {fault}, {gap_s} s later {second}"
+    context.broken = matrix_cells.broken_in(SEED, fault, "sent", second, gap_s)
+
+
+@when("the matrix cluster meets faults picked by fixed seeds")
+def step_random(context: Any) -> None:
+    context.cell = f"seeds {RANDOM_SEEDS}"
+    context.broken = []
+    for seed in RANDOM_SEEDS:
+        cell = matrix_cells.random_cell(seed)
+        found = matrix_cells.broken_in(seed, *cell)
+        context.broken += [f"seed {seed} {cell}: {text}" for text in found]
+
+
+@when(
+    "a matrix cluster that {weakening} meets {fault} at the step {step},"
+    " then {second} after {gap_s:g} s"
+)
+def step_broken(
+    context: Any, weakening: str, fault: str, step: str, second: str, gap_s: float
+) -> None:
+    context.cell = f"seed {SEED}: {fault} at {step}, {weakening}"
+    later = "" if second == "nothing" else second
+    with ExitStack() as stack:
+        BROKEN[weakening](stack)
+        context.broken = matrix_cells.broken_in(SEED, fault, step, later, gap_s)
+
+
+@then("the matrix cluster breaks no promise and serves again in time")
+def step_held(context: Any) -> None:
+    assert not context.broken, f"{context.cell}: {context.broken[:6]}"
+
+
+@then('the matrix finds "{text}"')
+def step_found(context: Any, text: str) -> None:
+    found = [line for line in context.broken if text in line]
+    assert found, f"{context.cell}: {context.broken[:6]}"
--- a/features/support/load.py
+++ b/features/support/load.py
@@ -107,6 +107,9 @@
             outcome = response.header(b"cicadatrail-outcome") or "none"
             self.result.reasons[response.header(b"cicadatrail-reason") or "-"] += 1
             expected = f"{request_id}\norder".encode()
+            # A worker that fails says so in the same words to everyone.
+            if response.status == 500:
+                expected = b"failed"
             if outcome == "complete" and response.body != expected:
                 self.result.faults.append(f"{request_id} got another's answer")
             took_s = asyncio.get_running_loop().time() - began_s
