--- a/packages/cicadatrail-node/src/cicadatraild/sharing/membership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/membership.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from cicadatrail_core.models.fleet import Place
@@ -56,6 +56,7 @@
         "_on_holdings",
         "_replica",
         "_keep_records",
+        "_all_returned",
         "_running_on",
         "_spare_slots",
         "leaving",
@@ -70,6 +71,7 @@
         running_on: Callable[[str], int],
         spare_slots: Callable[[str], int],
         keep_records: Callable[[], tuple[TransferRecord, ...]],
+        all_returned: Callable[[], Awaitable[None]],
         on_holdings: Callable[[], None],
     ) -> None:
         self._identity = identity
@@ -79,6 +81,7 @@
         self._running_on = running_on
         self._spare_slots = spare_slots
         self._keep_records = keep_records
+        self._all_returned = all_returned
         self._on_holdings = on_holdings
         self._joined = False
         self._balancer = Balancer(identity.incarnation)
@@ -126,6 +129,8 @@
         self.leaving = True
         incarnation = self._identity.incarnation
         await self._replica.wait_for(self._is_settled)
+        # Leaving would free lent slots while a peer's tasks still run on them.
+        await self._all_returned()
         state = self._replica.state
         self._hand_over(state, handover(state, incarnation))
         await self._replica.wait_for(self._is_settled)
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
@@ -50,6 +50,7 @@
     """Keep both sides of this incarnation's loans."""
 
     __slots__ = (
+        "_all_returned",
         "_borrower",
         "_charges",
         "_demand",
@@ -64,6 +65,7 @@
         "_started_s",
         "_state",
         "_supported_until_s",
+        "leaving",
     )
 
     def __init__(
@@ -88,6 +90,9 @@
         self._borrower = BorrowerBook(incarnation, timing)
         self._state = State()
         self._policy = LoanPolicy()
+        self.leaving = False
+        self._all_returned = asyncio.Event()
+        self._all_returned.set()
         self._charges: dict[str, tuple[str, IncarnationId | None]] = {}
         self._started_s: dict[str, float] = {}
         self._idle_since_s: dict[tuple[IncarnationId, str], float] = {}
@@ -96,6 +101,7 @@
         """Follow a new state."""
         self._state = state
         self._lender.write_off(state)
+        self._note_lent()
         self._borrower.forget_ended(state)
 
     def note_record(self, before: State, after: State, record: Record) -> None:
@@ -193,16 +199,28 @@
         waiting_count = self._demand().waiting.get(team_id, 0)
         demand = TeamDemand(team_id, waiting_count, free_count)
         idle_s = now_s - self._started_s.get(team_id, -math.inf)
+        may_lend_count = lendable_count(demand, idle_s, self._policy)
         grant = self._lender.answer(
             state,
             request,
-            lendable_count(demand, idle_s, self._policy),
+            0 if self.leaving else may_lend_count,
             allowance_count,
             self._supported_until_s() - now_s,
         )
+        self._note_lent()
         self._on_change()
         return grant
 
+    async def all_returned(self) -> None:
+        """Wait until no slot is lent to a peer any more."""
+        await self._all_returned.wait()
+
+    def _note_lent(self) -> None:
+        if self.lent_count():
+            self._all_returned.clear()
+        else:
+            self._all_returned.set()
+
     async def run(self) -> None:
         """Renew, return and ask for loans until cancelled."""
         while True:
