--- a/features/steps/tracing_steps.py
+++ b/features/steps/tracing_steps.py
@@ -16,14 +16,16 @@
 CALLERS_OWN = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 
 
-async def pass_hops(sample_ratio: float, collector: Address | None) -> str:
+async def pass_hops(
+    sample_ratio: float, collector: Address | None, came: str = CALLERS_OWN
+) -> str:
     """Pass three hops, each with the tracing of its own process."""
     pool = ConnectionPool(0.5)
     entry, peer, worker = (
         Tracing(name, sample_ratio, collector, pool) for name in ("a", "b", "c")
     )
     with (
-        entry.hop("entry", CALLERS_OWN) as first,
+        entry.hop("entry", came) as first,
         peer.hop("peer", first.traceparent) as second,
         worker.hop("worker", second.traceparent) as third,
     ):
@@ -35,13 +37,15 @@
     return last
 
 
-async def run_collected(context: Any, traced: bool) -> None:
+async def run_collected(
+    context: Any, traced: bool, sample_ratio: float = 1.0, came: str = CALLERS_OWN
+) -> None:
     handler = SpanCollectorHandler()
     async with AsyncExitStack() as stack:
         server = HttpServer("collector", handler, HttpLimits())
         port = await server.listen(stack, "127.0.0.1", 0)
         address = Address("127.0.0.1", port) if traced else None
-        context.last = await pass_hops(1.0, address)
+        context.last = await pass_hops(sample_ratio, address, came)
     context.spans = handler.spans
     context.thread_count = threading.active_count()
 
@@ -93,3 +97,15 @@
 @then("its spans are dropped and its hops end as before")
 def step_dropped(context: Any) -> None:
     assert context.last.startswith("00-")
+
+
+@when("a request that is not sampled passes an entry instance, a peer and a worker")
+def step_unsampled(context: Any) -> None:
+    asyncio.run(run_collected(context, True, 0.0, ""))
+
+
+@then("the collector has no span and the traceparent says not sampled")
+def step_says_unsampled(context: Any) -> None:
+    assert not context.spans
+    version, trace_id, span_id, flags = context.last.split("-")
+    assert (version, len(trace_id), len(span_id), flags) == ("00", 32, 16, "00")
--- a/features/tracing.feature
+++ b/features/tracing.feature
@@ -13,3 +13,7 @@
   Scenario: A collector that is down costs spans, not requests
     When a traced request meets a collector that is down
     Then its spans are dropped and its hops end as before
+
+  Scenario: An entry instance that doesn't sample a request decides for all hops
+    When a request that is not sampled passes an entry instance, a peer and a worker
+    Then the collector has no span and the traceparent says not sampled
--- a/packages/cicadatrail-node/src/cicadatraild/utils/tracing.py
+++ b/packages/cicadatrail-node/src/cicadatraild/utils/tracing.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import random
+import secrets
 from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -12,7 +14,7 @@
 from opentelemetry.context import Context
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor, TracerProvider
-from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.sdk.trace.sampling import ALWAYS_ON, ParentBased
 from opentelemetry.trace import Span, set_span_in_context
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
@@ -27,6 +29,7 @@
 EXPORT_TIMEOUT_S = 2.0
 
 _TRACEPARENT = "traceparent"
+_NOT_SAMPLED = "-00"
 
 
 class SpanQueue(SpanProcessor):
@@ -60,7 +63,15 @@
     passed on as it came.
     """
 
-    __slots__ = ("_collector", "_pool", "_propagator", "_queue", "_tracer")
+    __slots__ = (
+        "_collector",
+        "_pool",
+        "_propagator",
+        "_queue",
+        "_random",
+        "_sample_ratio",
+        "_tracer",
+    )
 
     def __init__(
         self,
@@ -70,11 +81,13 @@
         pool: ConnectionPool,
     ) -> None:
         self._collector = collector
+        self._sample_ratio = sample_ratio
+        self._random = random.Random()
         self._pool = pool
         self._queue = SpanQueue()
         self._propagator = TraceContextTextMapPropagator()
         provider = TracerProvider(
-            sampler=ParentBased(TraceIdRatioBased(sample_ratio)),
+            sampler=ParentBased(ALWAYS_ON),
             resource=Resource({"service.name": instance_id}),
             shutdown_on_exit=False,
         )
@@ -84,9 +97,13 @@
     @contextmanager
     def hop(self, name: str, traceparent: str) -> Iterator[Hop]:
         """Record a hop while the context lasts; the span's parent came with it."""
-        if self._collector is None:
+        if self._collector is None or traceparent.endswith(_NOT_SAMPLED):
             yield Hop(traceparent)
             return
+        if not traceparent and self._random.random() >= self._sample_ratio:
+            # No span is made; the decision goes on with the request.
+            yield Hop(_unsampled_traceparent())
+            return
         parent = self._propagator.extract({_TRACEPARENT: traceparent}, Context())
         span = self._tracer.start_span(name, parent)
         carrier: dict[str, str] = {}
@@ -121,3 +138,8 @@
         )
         if sent.value_or(None) is None:
             logger.warning("trace: %d spans could not be exported.", len(spans))
+
+
+def _unsampled_traceparent() -> str:
+    """Return a trace context that asks nobody to record anything."""
+    return f"00-{secrets.token_hex(16)}-{secrets.token_hex(8)}{_NOT_SAMPLED}"
