End when asked while joining waits for the log

Cause: found in the read-through: an instance started while the log is down waited for its join and heard neither SIGTERM nor the failure of its own tasks. Seen failing: the new scenario timed out after 5 s before the mend and passes with it.

--- a/features/process_operators.feature
+++ b/features/process_operators.feature
@@ -24,3 +24,8 @@
     Given three entry instances as processes
     When all processes are killed and started again at once
     Then the processes serve with the configuration from before
+
+  Scenario: An instance that can't join while the log is down still ends when asked
+    Given three entry instances as processes
+    When one of the processes is started again while the log is down
+    Then it ends within 5 s of being asked
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -147,3 +147,19 @@
     run = context.run
     asyncio.run(process_run.wait_until_all_served(run, 30.0))
     assert asyncio.run(process_run.versions(run)) == [context.before] * 3
+
+
+@when("one of the processes is started again while the log is down")
+def step_start_while_down(context: Any) -> None:
+    cluster = context.run.cluster
+    asyncio.run(process_run.set_log_faults(context.run, down=True))
+    cluster.signal("entry-c", signal.SIGKILL)
+    cluster.start_again("entry-c")
+    time.sleep(3.0)
+
+
+@then("it ends within {limit_s:g} s of being asked")
+def step_ends(context: Any, limit_s: float) -> None:
+    process = context.run.cluster.instances["entry-c"].process
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(limit_s) == 0
--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -223,10 +223,12 @@
             await self._leases.open(stack)
             tasks = await stack.enter_async_context(LongTasks())
             try:
-                await self._start(tasks)
+                joined = await self._start_or_stop(tasks, stop)
             except StruckOutError:
                 logger.warning("instance: struck out while joining; starting anew.")
                 return False
+            if not joined:
+                return True
             servers = await self._listen_to_callers(stack)
             struck_out = await self._serve_until(tasks, stop)
             for server in servers:
@@ -234,6 +236,28 @@
             await self._finish(struck_out)
             return not struck_out
 
+    async def _start_or_stop(self, tasks: LongTasks, stop: asyncio.Event) -> bool:
+        """Start; return False if asked to stop before the join took effect.
+
+        Joining lasts as long as the log is away. Raises what a task raised.
+        """
+        loop = asyncio.get_running_loop()
+        starting = loop.create_task(self._start(tasks))
+        # Lets the first tasks begin, so that their failure is seen.
+        await asyncio.sleep(0)
+        ending = loop.create_task(tasks.wait(stop))
+        try:
+            await asyncio.wait({starting, ending}, return_when=asyncio.FIRST_COMPLETED)
+            if not starting.done():
+                await ending
+                return False
+            await starting
+            return True
+        finally:
+            starting.cancel()
+            ending.cancel()
+            await asyncio.gather(starting, ending, return_exceptions=True)
+
     async def _start(self, tasks: LongTasks) -> None:
         """Follow the log, join the roster and begin to serve."""
         self._replica.listen(self._take_state)
