Read the time of an id in one place; drop code that nothing calls

The core and the daemon each took the time out of a UUID of version 7; the daemon now calls the core's. state_size_bytes, connection_count and peer_address had no caller. Behaviour stays as it is.

--- a/packages/cicadatrail-core/src/cicadatrail_core/admission/request_ids.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/admission/request_ids.py
@@ -100,7 +100,12 @@
         return None
     if parsed.version != UUID_TIME_VERSION or str(parsed) != request_id:
         return None
-    return (parsed.int >> UUID_TIME_SHIFT) / 1000
+    return uuid_time_s(parsed)
+
+
+def uuid_time_s(request_id: UUID) -> float:
+    """Return the time in a UUID of version 7, in seconds since 1970."""
+    return (request_id.int >> UUID_TIME_SHIFT) / 1000
 
 
 def partition_of(request_id: str) -> int | None:
--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/snapshots.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/snapshots.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import zlib
-from typing import Any
 
 import msgpack
 from returns.result import Failure, Result, Success
@@ -86,9 +85,3 @@
         match load_state(payload):
             case Success(state) if state.next_offset == record.offset:
                 self.newest = state
-
-
-def state_size_bytes(state: State) -> int:
-    """Return the length of the state's msgpack before compression."""
-    packed: Any = msgpack.packb(codec.to_map(state, State), use_bin_type=True)
-    return len(packed)
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
@@ -62,11 +62,6 @@
         self._connections: set[asyncio.Task[None]] = set()
         self.draining = False
 
-    @property
-    def connection_count(self) -> int:
-        """Return the number of open connections."""
-        return len(self._connections)
-
     async def listen(self, stack: AsyncExitStack, host: str, port: int) -> int:
         """Listen until ``stack`` closes; return the port."""
         loop = asyncio.get_running_loop()
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
@@ -77,13 +77,6 @@
         """Tell whether the other side has stopped sending or is gone."""
         return self._ended
 
-    @property
-    def peer_address(self) -> str:
-        """Return the other side's address as text, for logs only."""
-        if self._transport is None:
-            return "-"
-        return str(self._transport.get_extra_info("peername"))
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport; called by the loop."""
         self._transport = cast(asyncio.Transport, transport)
--- a/packages/cicadatrail-node/src/cicadatraild/serving/request_ids.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/request_ids.py
@@ -11,7 +11,11 @@
 
 from returns.result import Success
 
-from cicadatrail_core.admission.request_ids import id_time_s, partition_of
+from cicadatrail_core.admission.request_ids import (
+    id_time_s,
+    partition_of,
+    uuid_time_s,
+)
 from cicadatrail_core.models.peer_messages import (
     IdAnswer,
     IdOutcome,
@@ -25,7 +29,6 @@
 from cicadatraild.network.peer_client import PeerDirectory
 from cicadatraild.serving.id_partitions import ID_SETTINGS, IdPartitions
 from cicadatraild.serving.outcomes import Answer, NotRun, Reason, Unknown, WholeReply
-from cicadatraild.utils.identifiers import uuid7_time_s
 
 logger = logging.getLogger("cicadatrail.ids")
 
@@ -112,7 +115,7 @@
 
         A second copy waits, within its deadline, for the first one's answer.
         """
-        ahead_s = uuid7_time_s(request_id) - self._wall_clock()
+        ahead_s = uuid_time_s(request_id) - self._wall_clock()
         if ahead_s > ID_SETTINGS.ahead_limit_s:
             return NotRun(Reason.ID_OUT_OF_TIME, 400, None)
         scoped_id = scope_id(team_id, request_id)
--- a/packages/cicadatrail-node/src/cicadatraild/utils/identifiers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/utils/identifiers.py
@@ -27,8 +27,3 @@
     value |= 0b10 << 62
     value |= rand_b
     return UUID(int=value)
-
-
-def uuid7_time_s(identifier: UUID) -> float:
-    """Return the time in a UUID of version 7, in seconds since 1970."""
-    return (identifier.int >> 80) / 1000
