--- a/features/support/edge_world.py
+++ b/features/support/edge_world.py
@@ -35,7 +35,7 @@
 from cicadatraild.network.http_server import Handler, HttpLimits, HttpServer
 from cicadatraild.network.peer_client import LinkSettings, PeerDirectory, PeerLink
 from cicadatraild.network.peer_server import PeerServer
-from cicadatraild.platform.worker_client import HttpWorkerControl
+from cicadatraild.interfaces.worker_client import HttpWorkerControl
 from cicadatraild.serving.admission import Admission
 from cicadatraild.serving.attempts import Attempts
 from cicadatraild.serving.desk import Desk
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -0,0 +1,316 @@
+"""Choice of the subtasks that start next and of their workers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from cicadatrail_core.jobs.models import Queue, Step
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.state import (
+    JobState,
+    StepState,
+    Subtask,
+    SubtaskPhase,
+    WorkerState,
+)
+from cicadatrail_core.models.resources import NO_RESOURCES, Resources
+
+LATE_FACTOR = 3
+"""Times the objective after which a job earns nothing; the platform states it."""
+
+RESERVE_AFTER_S = 1.5
+"""Wait after which a blocked step keeps a worker free of other work."""
+
+COLD_PENALTY_MILLICORES = 16_000
+"""Room by which a worker that still warms up counts as worse."""
+
+FAR_PENALTY_MILLICORES = 64_000
+"""Room by which a worker away from a subtask's data counts as worse."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    order: tuple[float, ...]
+    step: StepState
+    queue: Queue
+
+
+def remaining_chain_ms(steps: list[StepState]) -> int:
+    """Return the longest chain of estimates among steps that are not done."""
+    ends: list[int] = []
+    for step in steps:
+        before = max((ends[k] for k in step.spec.after), default=0)
+        ends.append(before + (0 if step.is_done else step.spec.estimate_ms))
+    return max(ends, default=0)
+
+
+def _objective_s(job: JobState, queue: Queue) -> float:
+    lengths: list[int] = []
+    for step in job.definition.steps:
+        before = max((lengths[k] for k in step.after), default=0)
+        lengths.append(before + step.estimate_ms)
+    chain_ms = max(lengths, default=0)
+    return (queue.stretch * chain_ms + queue.target_latency_ms) / 1000
+
+
+def dispatch(scheduler: Scheduler, now_s: float) -> None:
+    """Place ready subtasks on workers, most urgent first."""
+    pools: dict[str, list[_Candidate]] = {}
+    for job in scheduler.jobs.values():
+        if job.is_final or not job.is_stored:
+            continue
+        queue = scheduler.queues.get(job.definition.queue)
+        if queue is None or queue.needs_advice:
+            continue
+        for steps in job.occurrences.values():
+            for step in steps:
+                if step.ready:
+                    order = _order(scheduler, job, step, steps, queue, now_s)
+                    candidate = _Candidate(order, step, queue)
+                    pools.setdefault(queue.pool, []).append(candidate)
+    if not pools:
+        return
+    unsettled = _unsettled_by_team(scheduler, now_s)
+    for pool, candidates in pools.items():
+        settled = scheduler.pool_is_settled(pool, now_s)
+        candidates.sort(key=lambda candidate: candidate.order)
+        workers = _usable_workers(scheduler, pool, now_s)
+        _fill(scheduler, candidates, workers, settled, unsettled, now_s)
+
+
+def _order(
+    scheduler: Scheduler,
+    job: JobState,
+    step: StepState,
+    steps: list[StepState],
+    queue: Queue,
+    now_s: float,
+) -> tuple[float, ...]:
+    """Return the sort key of a step; smaller starts earlier."""
+    if step.spec.lasting:
+        return (0, queue.priority, 0, 0, job.accepted_s)
+    chain_s = remaining_chain_ms(steps) / 1000
+    objective_s = _objective_s(job, queue)
+    expected_s = now_s + chain_s - job.accepted_s
+    lateness = 0
+    if expected_s > objective_s:
+        lateness = 1 if expected_s <= LATE_FACTOR * objective_s else 2
+    return (1, queue.priority, lateness, chain_s, job.accepted_s)
+
+
+def _unsettled_by_team(scheduler: Scheduler, now_s: float) -> dict[str, Resources]:
+    """Return what each team may have running where nobody has answered yet."""
+    room = scheduler.unsettled_room(now_s)
+    if room == NO_RESOURCES:
+        return {}
+    totals: dict[str, Resources] = {}
+    for job in scheduler.jobs.values():
+        if not job.inherited or job.is_final or not job.definition.team:
+            continue
+        for steps in job.occurrences.values():
+            for step in steps:
+                for subtask in step.subtasks:
+                    if subtask.phase is SubtaskPhase.DONE or subtask.copies:
+                        continue
+                    held = totals.get(job.definition.team, NO_RESOURCES)
+                    totals[job.definition.team] = held + step.spec.need
+    return {team: total.at_most(room) for team, total in totals.items()}
+
+
+def _usable_workers(scheduler: Scheduler, pool: str, now_s: float) -> list[WorkerState]:
+    usable = [
+        worker
+        for worker in scheduler.workers.values()
+        if worker.facts.pool == pool
+        and worker.is_listed
+        and worker.is_resolved
+        and not worker.closed
+        and not worker.facts.draining
+        and worker.clock_at_s is not None
+        and not scheduler.lapsed(worker, now_s)
+    ]
+    sound = [worker for worker in usable if worker.ejected_until_s <= now_s]
+    return sound or usable
+
+
+def _fill(
+    scheduler: Scheduler,
+    candidates: Iterable[_Candidate],
+    workers: list[WorkerState],
+    settled: bool,
+    unsettled: dict[str, Resources],
+    now_s: float,
+) -> None:
+    reserved: set[str] = set()
+    has_reserved = False
+    for candidate in candidates:
+        step = candidate.step
+        if step.job.inherited and not settled:
+            continue
+        if step.spec.gang:
+            _place_gang(scheduler, step, workers, reserved, unsettled, now_s)
+            continue
+        blocked = False
+        for subtask in list(step.ready.values()):
+            if not _within_limit(scheduler, step, 1, unsettled):
+                break
+            worker = _choose(scheduler, subtask, workers, reserved, now_s)
+            if worker is None:
+                blocked = True
+                break
+            scheduler.place(subtask, worker, now_s)
+        if blocked and not has_reserved and _may_reserve(step, now_s):
+            kept = _reserve(step.spec, workers)
+            if kept is not None:
+                reserved.add(kept)
+                has_reserved = True
+
+
+def _may_reserve(step: StepState, now_s: float) -> bool:
+    if step.spec.lasting:
+        return True
+    oldest_s = min(subtask.ready_s for subtask in step.ready.values())
+    return now_s - oldest_s > RESERVE_AFTER_S
+
+
+def _reserve(spec: Step, workers: list[WorkerState]) -> str | None:
+    """Return the worker that is kept free until the step fits there."""
+    able = [
+        worker
+        for worker in workers
+        if spec.reserved.fits_in(worker.facts.capacity)
+        and (not spec.required_label or spec.required_label in worker.facts.labels)
+    ]
+    if not able:
+        return None
+    best = max(able, key=lambda worker: worker.room.cpu_millicores)
+    return best.facts.worker_id
+
+
+def _within_limit(
+    scheduler: Scheduler, step: StepState, count: int, unsettled: dict[str, Resources]
+) -> bool:
+    """Tell whether the team may have more subtasks running."""
+    team = scheduler.configuration.teams.get(step.job.definition.team)
+    if team is None:
+        return True
+    used = scheduler.team_used.get(team.name, NO_RESOURCES)
+    used = used + unsettled.get(team.name, NO_RESOURCES)
+    for _ in range(count):
+        used = used + step.spec.need
+    limit = team.limit
+    return (
+        (not limit.cpu_millicores or used.cpu_millicores <= limit.cpu_millicores)
+        and (not limit.memory_mib or used.memory_mib <= limit.memory_mib)
+        and (
+            not limit.accelerator_count
+            or used.accelerator_count <= limit.accelerator_count
+        )
+    )
+
+
+def _choose(
+    scheduler: Scheduler,
+    subtask: Subtask,
+    workers: list[WorkerState],
+    reserved: set[str],
+    now_s: float,
+) -> WorkerState | None:
+    spec = subtask.step.spec
+    best: WorkerState | None = None
+    best_score = 0
+    for worker in workers:
+        if worker.facts.worker_id in reserved and not spec.lasting:
+            continue
+        if not is_allowed(subtask.step, worker):
+            continue
+        score = _score(scheduler, subtask, worker)
+        if best is None or score < best_score:
+            best, best_score = worker, score
+    return best
+
+
+def is_allowed(step: StepState, worker: WorkerState) -> bool:
+    """Tell whether a worker has room and the labels, and isn't over the spread."""
+    spec = step.spec
+    if not spec.reserved.fits_in(worker.room):
+        return False
+    if spec.required_label and spec.required_label not in worker.facts.labels:
+        return False
+    if not spec.spread_limit_count:
+        return True
+    beside = sum(1 for run in worker.runs.values() if run.subtask.step is step)
+    return beside < spec.spread_limit_count
+
+
+def _score(scheduler: Scheduler, subtask: Subtask, worker: WorkerState) -> int:
+    """Return how bad a worker is for a subtask; the least bad one is taken."""
+    spec = subtask.step.spec
+    score = worker.room.cpu_millicores
+    if spec.lasting or spec.filler:
+        # Lasting work is spread, so that a lost worker costs few of them.
+        score = worker.used.cpu_millicores
+        if worker.facts.machine in scheduler.maintained_next:
+            score += FAR_PENALTY_MILLICORES
+    if spec.data_rack and spec.data_rack not in worker.facts.labels:
+        score += FAR_PENALTY_MILLICORES
+    if worker.facts.cold_ms > 0:
+        score += COLD_PENALTY_MILLICORES
+    if subtask.avoided_worker == worker.facts.worker_id:
+        score += 2 * FAR_PENALTY_MILLICORES
+    return score
+
+
+def _place_gang(
+    scheduler: Scheduler,
+    step: StepState,
+    workers: list[WorkerState],
+    reserved: set[str],
+    unsettled: dict[str, Resources],
+    now_s: float,
+) -> None:
+    """Start all subtasks of a gang with one run number, or none."""
+    members = step.subtasks
+    if len(step.ready) < len(members):
+        return
+    if not _within_limit(scheduler, step, len(members), unsettled):
+        return
+    groups = [workers]
+    if step.spec.same_rack:
+        racks: dict[str, list[WorkerState]] = {}
+        for worker in workers:
+            racks.setdefault(worker.facts.rack, []).append(worker)
+        # Several racks are slower, but better than never.
+        groups = [*racks.values(), workers]
+    for group in groups:
+        chosen = _fit_gang(step, group, reserved)
+        if chosen is not None:
+            break
+    else:
+        return
+    number = max(member.last_run for member in members)
+    for member, worker in zip(members, chosen, strict=True):
+        member.last_run = number
+        scheduler.place(member, worker, now_s)
+
+
+def _fit_gang(
+    step: StepState, workers: list[WorkerState], reserved: set[str]
+) -> list[WorkerState] | None:
+    spec = step.spec
+    chosen: list[WorkerState] = []
+    for worker in sorted(workers, key=lambda w: -w.room.cpu_millicores):
+        if worker.facts.worker_id in reserved or not is_allowed(step, worker):
+            continue
+        room = worker.room
+        taken = 0
+        while len(chosen) < spec.count and spec.reserved.fits_in(room):
+            if spec.spread_limit_count and taken >= spec.spread_limit_count:
+                break
+            room = room - spec.reserved
+            taken += 1
+            chosen.append(worker)
+        if len(chosen) == spec.count:
+            return chosen
+    return None
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
@@ -0,0 +1,92 @@
+"""Moving work off workers that are about to leave or be maintained.
+
+A lasting subtask is stopped only while enough others of its step are at work
+and another worker can take it. Other subtasks may end by themselves first.
+"""
+
+from __future__ import annotations
+
+from cicadatrail_core.jobs.dispatch import is_allowed
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.state import Run, RunPhase, StepState, WorkerState
+
+PATIENCE_S = 1.5
+"""Time that a subtask with a checkpoint may run on before it is moved."""
+
+LONG_PATIENCE_S = 6.0
+"""Time that a subtask without one may run on; longer than nearly all take."""
+
+STALL_S = 2.0
+"""Time without progress after which a run counts as stuck."""
+
+LEAVING_MARGIN_S = 1.0
+"""Time before a worker leaves at which everything on it is stopped."""
+
+
+def may_stop(step: StepState, run: Run) -> bool:
+    """Tell whether a stop keeps the step within what it may miss.
+
+    A step that states no bound gives up one subtask at a time.
+    """
+    others_away_count = sum(
+        not any(copy.at_work for copy in subtask.copies)
+        for subtask in step.subtasks
+        if subtask is not run.subtask
+    )
+    return others_away_count < max(1, step.spec.may_miss_count)
+
+
+def _has_place(scheduler: Scheduler, run: Run, now_s: float) -> bool:
+    pool = run.worker.facts.pool
+    return any(
+        worker is not run.worker
+        and worker.facts.pool == pool
+        and worker.is_listed
+        and worker.is_resolved
+        and not worker.closed
+        and not worker.facts.draining
+        and worker.ejected_until_s <= now_s
+        and is_allowed(run.subtask.step, worker)
+        for worker in scheduler.workers.values()
+    )
+
+
+def evacuate(
+    scheduler: Scheduler, worker: WorkerState, since_s: float, now_s: float
+) -> None:
+    """Stop what must not stay on a worker; call again until it is empty."""
+    leaves_s = worker.draining_until_s
+    for run in list(worker.runs.values()):
+        if run.phase is not RunPhase.RUNNING:
+            continue
+        step = run.subtask.step
+        if leaves_s is not None and now_s > leaves_s - LEAVING_MARGIN_S:
+            scheduler.stop(run)
+        elif step.spec.lasting:
+            # Checked for each run anew: a stop takes the subtask from work.
+            if may_stop(step, run) and _has_place(scheduler, run, now_s):
+                scheduler.stop(run)
+        elif now_s - since_s > _patience_s(run):
+            scheduler.stop(run)
+
+
+def _patience_s(run: Run) -> float:
+    return PATIENCE_S if run.subtask.checkpoint else LONG_PATIENCE_S
+
+
+def stop_stuck_runs(scheduler: Scheduler, now_s: float) -> list[WorkerState]:
+    """Stop runs that make no progress; return the workers that had them."""
+    stuck = []
+    for worker in scheduler.workers.values():
+        for run in list(worker.runs.values()):
+            spec = run.subtask.step.spec
+            if run.phase is not RunPhase.RUNNING or spec.lasting or spec.gang:
+                continue
+            if run.paced_percent < 100 or run.percent >= 100 or spec.filler:
+                continue
+            answered_s = worker.answered_s or 0.0
+            if answered_s - run.progress_s > STALL_S:
+                run.subtask.avoided_worker = worker.facts.worker_id
+                scheduler.stop(run)
+                stuck.append(worker)
+    return stuck
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/records.py
@@ -0,0 +1,139 @@
+"""Coding of jobs and of their progress for the store."""
+
+from __future__ import annotations
+
+from dataclasses import MISSING, fields
+from typing import Any
+
+import msgpack
+
+from cicadatrail_core.jobs.models import JobDefinition, JobPhase, Step
+from cicadatrail_core.jobs.state import JobState, StepState, SubtaskPhase
+from cicadatrail_core.models.resources import Resources
+
+FORMAT = 1
+"""Version of the records."""
+
+
+def _changed_fields(value: Any, skipped: tuple[str, ...]) -> dict[str, Any]:
+    changed = {}
+    for entry in fields(value):
+        held = getattr(value, entry.name)
+        if entry.name in skipped or (
+            entry.default is not MISSING and held == entry.default
+        ):
+            continue
+        changed[entry.name] = held
+    return changed
+
+
+def encode_definition(definition: JobDefinition) -> bytes:
+    """Return a job's record; fields at their default are left out."""
+    steps = []
+    for step in definition.steps:
+        entry = _changed_fields(step, ("need",))
+        need = step.need
+        entry["need"] = [
+            need.cpu_millicores,
+            need.memory_mib,
+            need.accelerator_count,
+        ]
+        steps.append(entry)
+    job = _changed_fields(definition, ("steps",))
+    packed: bytes = msgpack.packb([FORMAT, job, steps])
+    return packed
+
+
+def decode_definition(record: bytes) -> JobDefinition:
+    """Return the job of a record.
+
+    Raises ValueError when the record is of another format.
+    """
+    form, job, steps = msgpack.unpackb(record, strict_map_key=False)
+    if form != FORMAT:
+        raise ValueError(f"job records of format {form} can't be read")
+    return JobDefinition(
+        steps=tuple(
+            Step(
+                **{
+                    **step,
+                    "need": Resources(*step["need"]),
+                    "after": tuple(step.get("after", ())),
+                }
+            )
+            for step in steps
+        ),
+        **job,
+    )
+
+
+def _encode_step(step: StepState) -> list[Any]:
+    done = bytearray((step.spec.count + 7) // 8)
+    attempts: dict[int, list[int]] = {}
+    checkpoints: dict[int, str] = {}
+    for subtask in step.subtasks:
+        if subtask.phase is SubtaskPhase.DONE:
+            done[subtask.index // 8] |= 1 << subtask.index % 8
+            continue
+        if subtask.failures:
+            attempts[subtask.index] = [subtask.failures, subtask.last_counted_run]
+        if subtask.checkpoint:
+            checkpoints[subtask.index] = subtask.checkpoint
+    return [bytes(done), attempts, checkpoints, step.gang_failures]
+
+
+def encode_progress(job: JobState) -> bytes:
+    """Return the record of how far a job has come."""
+    occurrences = [
+        [number, [_encode_step(step) for step in steps]]
+        for number, steps in job.occurrences.items()
+        if any(
+            step.done_count
+            or step.gang_failures
+            or any(subtask.failures or subtask.checkpoint for subtask in step.subtasks)
+            for step in steps
+        )
+    ]
+    value = [
+        FORMAT,
+        job.phase.value,
+        occurrences if not job.is_final else [],
+        sorted(job.done_occurrences) if not job.is_final else [],
+    ]
+    packed: bytes = msgpack.packb(value)
+    return packed
+
+
+def apply_progress(job: JobState, record: bytes) -> None:
+    """Set a fresh job to the progress of a record.
+
+    Raises ValueError when the record is of another format.
+    """
+    value = msgpack.unpackb(record, strict_map_key=False)
+    if value[0] != FORMAT:
+        raise ValueError(f"progress records of format {value[0]} can't be read")
+    job.phase = JobPhase(value[1])
+    job.stored_phase = job.phase
+    if job.is_final:
+        return
+    job.done_occurrences = set(value[3])
+    for number, steps in value[2]:
+        states = [
+            StepState(job, number, position)
+            for position in range(len(job.definition.steps))
+        ]
+        job.occurrences[number] = states
+        for state, entry in zip(states, steps, strict=True):
+            _apply_step(state, entry)
+
+
+def _apply_step(state: StepState, entry: list[Any]) -> None:
+    done, attempts, checkpoints, gang_failures = entry
+    state.gang_failures = gang_failures
+    for subtask in state.subtasks:
+        if done[subtask.index // 8] >> subtask.index % 8 & 1:
+            subtask.phase = SubtaskPhase.DONE
+            state.done_count += 1
+        subtask.checkpoint = checkpoints.get(subtask.index, "")
+        if subtask.index in attempts:
+            subtask.failures, subtask.last_counted_run = attempts[subtask.index]
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -0,0 +1,247 @@
+"""Mutable state of jobs, their steps and subtasks, and of workers and runs."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from cicadatrail_core.jobs.models import (
+    FINAL_PHASES,
+    JobDefinition,
+    JobPhase,
+    Step,
+    SubtaskName,
+    WorkerFacts,
+)
+from cicadatrail_core.models.resources import NO_RESOURCES, Resources
+
+
+class SubtaskPhase(Enum):
+    """Say where a subtask stands."""
+
+    WAITING = "waiting"
+    READY = "ready"
+    ACTIVE = "active"
+    DONE = "done"
+
+
+class RunPhase(Enum):
+    """Say what is known of a run."""
+
+    SENT = "sent"
+    """The order to start has been sent; whether it was carried out is open."""
+
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Run:
+    """Hold one start of a subtask on a worker, until it is known to be over."""
+
+    __slots__ = (
+        "answered_s",
+        "doubted_s",
+        "figure",
+        "number",
+        "paced_percent",
+        "percent",
+        "phase",
+        "progress_s",
+        "sent_s",
+        "start_expires_s",
+        "stop_acked_s",
+        "stop_sent_s",
+        "subtask",
+        "worker",
+    )
+
+    def __init__(
+        self, subtask: Subtask, number: int, worker: WorkerState, sent_s: float
+    ) -> None:
+        self.subtask = subtask
+        self.number = number
+        self.worker = worker
+        self.phase = RunPhase.SENT
+        self.sent_s = sent_s
+        self.answered_s: float | None = None
+        self.doubted_s: float | None = None
+        self.stop_sent_s: float | None = None
+        self.stop_acked_s: float | None = None
+        self.start_expires_s = sent_s
+        self.percent = 0
+        self.progress_s = sent_s
+        self.figure = 0
+        self.paced_percent = 100
+
+    @property
+    def at_work(self) -> bool:
+        """Tell whether a lasting subtask's run does its work."""
+        return self.phase is RunPhase.RUNNING and self.percent >= 100
+
+
+class Subtask:
+    """Hold one subtask and its live runs."""
+
+    __slots__ = (
+        "avoided_worker",
+        "checkpoint",
+        "copies",
+        "failures",
+        "index",
+        "last_counted_run",
+        "last_run",
+        "phase",
+        "ready_s",
+        "step",
+    )
+
+    def __init__(self, step: StepState, index: int) -> None:
+        self.step = step
+        self.index = index
+        self.phase = SubtaskPhase.WAITING
+        self.failures = 0
+        self.checkpoint = ""
+        self.last_run = 0
+        self.last_counted_run = 0
+        self.ready_s = 0.0
+        self.avoided_worker = ""
+        self.copies: list[Run] = []
+
+    @property
+    def name(self) -> SubtaskName:
+        """Return the subtask's name."""
+        step = self.step
+        return SubtaskName(step.job.job_id, step.occurrence, step.position, self.index)
+
+
+class StepState:
+    """Hold one step of one occurrence of a job."""
+
+    __slots__ = (
+        "done_count",
+        "gang_failures",
+        "job",
+        "occurrence",
+        "position",
+        "ready",
+        "spec",
+        "subtasks",
+    )
+
+    def __init__(self, job: JobState, occurrence: int, position: int) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.position = position
+        self.spec: Step = job.definition.steps[position]
+        self.subtasks = [Subtask(self, index) for index in range(self.spec.count)]
+        self.done_count = 0
+        self.gang_failures = 0
+        self.ready: dict[int, Subtask] = {}
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether every subtask has ended as done."""
+        return self.done_count == self.spec.count
+
+
+class JobState:
+    """Hold an accepted job."""
+
+    __slots__ = (
+        "accepted_s",
+        "definition",
+        "done_occurrences",
+        "ended_s",
+        "inherited",
+        "is_stored",
+        "job_id",
+        "occurrences",
+        "phase",
+        "started",
+        "stored_phase",
+        "weight",
+    )
+
+    def __init__(
+        self, job_id: str, definition: JobDefinition, accepted_s: float
+    ) -> None:
+        self.job_id = job_id
+        self.definition = definition
+        self.accepted_s = accepted_s
+        self.phase = JobPhase.PENDING
+        self.stored_phase = JobPhase.PENDING
+        self.is_stored = False
+        self.started = False
+        self.inherited = False
+        self.occurrences: dict[int, list[StepState]] = {}
+        self.done_occurrences: set[int] = set()
+        self.ended_s = 0.0
+        self.weight = 0.0
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether the job has ended."""
+        return self.phase in FINAL_PHASES
+
+    def subtask(self, name: SubtaskName) -> Subtask | None:
+        """Return a subtask by its name, or None if there is none."""
+        steps = self.occurrences.get(name.occurrence)
+        if steps is None or not 0 <= name.step < len(steps):
+            return None
+        subtasks = steps[name.step].subtasks
+        return subtasks[name.index] if 0 <= name.index < len(subtasks) else None
+
+
+class WorkerState:
+    """Hold what is known of a worker and what it may be running."""
+
+    __slots__ = (
+        "answered_s",
+        "born_unix_ms",
+        "clock_at_s",
+        "clock_ms",
+        "closed",
+        "draining_until_s",
+        "ejected_until_s",
+        "end_outcomes",
+        "facts",
+        "is_listed",
+        "is_resolved",
+        "lease_expires_s",
+        "processed_end",
+        "runs",
+        "stored_end",
+        "used",
+    )
+
+    def __init__(self, facts: WorkerFacts) -> None:
+        self.facts = facts
+        self.born_unix_ms = facts.born_unix_ms
+        self.runs: dict[tuple[SubtaskName, int], Run] = {}
+        self.used: Resources = NO_RESOURCES
+        self.answered_s: float | None = None
+        self.clock_ms = 0
+        self.clock_at_s: float | None = None
+        self.lease_expires_s = 0.0
+        self.is_resolved = False
+        self.is_listed = True
+        self.closed = False
+        self.ejected_until_s = 0.0
+        self.end_outcomes: list[bool] = []
+        self.processed_end = 0
+        self.stored_end = 0
+        self.draining_until_s: float | None = None
+
+    @property
+    def room(self) -> Resources:
+        """Return what is left of the capacity."""
+        return self.facts.capacity - self.used
+
+    def add(self, run: Run) -> None:
+        """Count a run against the capacity."""
+        self.runs[run.subtask.name, run.number] = run
+        self.used = self.used + run.subtask.step.spec.reserved
+
+    def remove(self, run: Run) -> None:
+        """Free what a run took."""
+        if self.runs.pop((run.subtask.name, run.number), None) is not None:
+            self.used = self.used - run.subtask.step.spec.reserved
--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -23,6 +23,10 @@
 from cicadatrail_core.models.state import State
 from cicadatrail_core.placement.dispatcher import Dispatcher, DispatcherSettings
 from cicadatrail_core.rights.timing import RightsTiming
+from cicadatraild.interfaces.instance_list_client import HttpInstanceList
+from cicadatraild.interfaces.log_client import HttpLogClient
+from cicadatraild.interfaces.maintenance_client import HttpMaintenance
+from cicadatraild.interfaces.worker_client import HttpWorkerControl
 from cicadatraild.network.http_client import Address, ConnectionPool
 from cicadatraild.network.http_server import HttpLimits, HttpServer
 from cicadatraild.network.peer_client import (
@@ -32,10 +36,6 @@
     PeerLink,
 )
 from cicadatraild.network.peer_server import PeerServer
-from cicadatraild.platform.instance_list_client import HttpInstanceList
-from cicadatraild.platform.log_client import HttpLogClient
-from cicadatraild.platform.maintenance_client import HttpMaintenance
-from cicadatraild.platform.worker_client import HttpWorkerControl
 from cicadatraild.serving.admin import AdminApi
 from cicadatraild.serving.admission import Admission
 from cicadatraild.serving.attempts import Attempts
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/interfaces/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- a/packages/cicadatrail-node/src/cicadatraild/platform/instance_list_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/interfaces/instance_list_client.py
@@ -5,8 +5,8 @@
 from returns.result import Result
 
 from cicadatrail_core.models.platform import ListedInstance, PlatformError
+from cicadatraild.interfaces.json_calls import call_json
 from cicadatraild.network.http_client import Address, ConnectionPool
-from cicadatraild.platform.json_calls import call_json
 
 TIMEOUT_S = 2.0
 """Time that one poll of the list may take."""
--- a/packages/cicadatrail-node/src/cicadatraild/platform/maintenance_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/interfaces/maintenance_client.py
@@ -8,8 +8,8 @@
 
 from cicadatrail_core.models.maintenance import WaveAction
 from cicadatrail_core.models.platform import MaintenanceStatus, PlatformError
+from cicadatraild.interfaces.json_calls import call_json
 from cicadatraild.network.http_client import Address, ConnectionPool
-from cicadatraild.platform.json_calls import call_json
 
 TIMEOUT_S = 2.0
 """Time that one call of the maintenance service may take."""
--- a/packages/cicadatrail-node/src/cicadatraild/platform/worker_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/interfaces/worker_client.py
@@ -11,8 +11,8 @@
 from cicadatrail_core.models.platform import PlatformError, TaskControl
 from cicadatrail_core.models.resources import Resources
 from cicadatrail_core.models.usage import TaskUsage, UsageReport
+from cicadatraild.interfaces.json_calls import call_json
 from cicadatraild.network.http_client import Address, ConnectionPool
-from cicadatraild.platform.json_calls import call_json
 
 TIMEOUT_S = 2.0
 """Time that one call of a worker's control interface may take."""
--- a/packages/cicadatrail-node/src/cicadatraild/main.py
+++ b/packages/cicadatrail-node/src/cicadatraild/main.py
@@ -19,11 +19,22 @@
     parser = argparse.ArgumentParser(
         prog="cicadatraild", description="An entry instance of cicadatrail."
     )
-    parser.add_argument("settings", type=Path, help="the settings file (TOML)")
+    parser.add_argument(
+        "settings", type=Path, nargs="?", help="the settings file (TOML)"
+    )
     parser.add_argument(
         "--check", action="store_true", help="check the settings and start nothing"
     )
+    parser.add_argument(
+        "--platform",
+        action="store_true",
+        help="serve on the platform; it names the settings file by a variable",
+    )
     arguments = parser.parse_args()
+    if arguments.platform:
+        return _run_on_platform(arguments.settings, arguments.check)
+    if arguments.settings is None:
+        parser.error("the settings file is missing")
     match read_settings(arguments.settings):
         case Failure(findings):
             for finding in findings:
@@ -34,6 +45,31 @@
     raise AssertionError("a result is a success or a failure")
 
 
+def _run_on_platform(path: Path | None, only_check: bool) -> int:
+    import asyncio
+    import os
+
+    from cicadatraild.platform.settings import (
+        DEFAULT_PATH,
+        SETTINGS_VARIABLE,
+        read_platform_settings,
+    )
+
+    path = path or Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
+    match read_platform_settings(path):
+        case Failure(findings):
+            for finding in findings:
+                print(finding, file=sys.stderr)
+            return EXIT_BAD_SETTINGS
+        case Success(settings):
+            if only_check:
+                return 0
+    from cicadatraild.scheduling.instance import serve_on_platform
+    from cicadatraild.utils.output import configure_output
+
+    return asyncio.run(serve_on_platform(settings, path, configure_output()))
+
+
 def _serve(settings: Settings) -> int:
     # Imported here so that a check stays fast.
     import asyncio
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
@@ -46,10 +46,13 @@
 class ConnectionPool:
     """Open connections and keep idle ones for the next request."""
 
-    __slots__ = ("_connect_timeout_s", "_idle")
+    __slots__ = ("_connect_timeout_s", "_idle", "_idle_limit_s")
 
-    def __init__(self, connect_timeout_s: float) -> None:
+    def __init__(
+        self, connect_timeout_s: float, idle_limit_s: float = IDLE_LIMIT_S
+    ) -> None:
         self._connect_timeout_s = connect_timeout_s
+        self._idle_limit_s = idle_limit_s
         self._idle: dict[Address, list[_Idle]] = {}
 
     async def open(self, stack: AsyncExitStack) -> None:
@@ -114,7 +117,7 @@
             idle_s = now_s - entry.since_s
             # Lets the loop see what came while it was busy.
             await asyncio.sleep(0)
-            if entry.transport.is_clean and idle_s < IDLE_LIMIT_S:
+            if entry.transport.is_clean and idle_s < self._idle_limit_s:
                 return entry.transport
             entry.transport.abort()
         return None
--- a/packages/cicadatrail-node/src/cicadatraild/platform/__init__.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's services."""
+"""The adapter to the users' platform: the only place that knows its names."""
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/callers.py
@@ -0,0 +1,257 @@
+"""The callers' interface on the platform: jobs over HTTP."""
+
+from __future__ import annotations
+
+import json
+import logging
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from returns.result import Failure, Success
+
+from cicadatrail_core.jobs.models import FleetConfiguration, Queue
+from cicadatrail_core.jobs.records import encode_definition
+from cicadatrail_core.utils.findings import Findings
+from cicadatraild.network.server_exchange import (
+    BodyIncompleteError,
+    BodyTooLargeError,
+    HttpExchange,
+)
+from cicadatraild.platform.documents import decode_job
+from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
+from cicadatraild.scheduling.entry import Entry
+from cicadatraild.scheduling.messages import (
+    AskPhase,
+    Cancel,
+    CountQueued,
+    PhaseIs,
+    QueuedCount,
+    Refused,
+    Reply,
+    Stored,
+    Submit,
+)
+
+logger = logging.getLogger("cicadatrail.entry")
+
+JOB_ID = re.compile(r"[0-9a-f]{16}")
+
+RETRY_AFTER_S = 1
+"""When to come back after a refusal; a takeover takes about as long."""
+
+ANSWER_MARGIN_S = 0.15
+"""Time kept for the answer's way back before the caller's deadline."""
+
+DEFAULT_DEADLINE_S = 3.0
+"""Time for a request that states no deadline; the platform's clients wait so."""
+
+
+class CallKind(Enum):
+    """Say what a caller asks for."""
+
+    SUBMIT = "submit"
+    STATE = "state"
+    CANCEL = "cancel"
+    COUNT = "count"
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """Hold a caller's request after its queue and key were checked."""
+
+    kind: CallKind
+    queue: Queue
+    team: str
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold the status and body of an answer."""
+
+    status: int
+    body: dict[str, object] | None = None
+    reason: str = ""
+
+
+def find_queue(configuration: FleetConfiguration, host: str, path: str) -> Queue | None:
+    """Return the queue with the longest path prefix that fits."""
+    name = host.rsplit(":", 1)[0].lower() if ":" in host else host.lower()
+    fitting = [
+        queue
+        for queue in configuration.queues
+        if queue.host in ("", name) and path.startswith(queue.path_prefix)
+    ]
+    return max(fitting, key=lambda queue: len(queue.path_prefix), default=None)
+
+
+def find_team(configuration: FleetConfiguration, key: str) -> str | None:
+    """Return the name of the team that a key belongs to."""
+    for team in configuration.teams.values():
+        if key and key in team.keys:
+            return team.name
+    return None
+
+
+def check_call(
+    configuration: FleetConfiguration | None,
+    method: str,
+    target: str,
+    host: str,
+    authorization: str,
+) -> Call | Answer:
+    """Return what is asked for, or the answer to a call that isn't allowed."""
+    if configuration is None:
+        return Answer(503, reason="no configuration yet")
+    path = target.split("?", 1)[0]
+    queue = find_queue(configuration, host, path)
+    if queue is None:
+        return Answer(404, reason="no such queue")
+    scheme, _, key = authorization.partition(" ")
+    team = find_team(configuration, key.strip() if scheme.lower() == "bearer" else "")
+    if team is None and not queue.public:
+        return Answer(401, reason="the key is not known")
+    job_id = path[len(queue.path_prefix) :]
+    if method == "GET" and not job_id:
+        return Call(CallKind.COUNT, queue, team or "", "")
+    kinds = {"POST": CallKind.SUBMIT, "GET": CallKind.STATE, "DELETE": CallKind.CANCEL}
+    kind = kinds.get(method)
+    if kind is None:
+        return Answer(405, reason="no such method")
+    if not JOB_ID.fullmatch(job_id):
+        return Answer(404, reason="the id must be 16 hexadecimal digits")
+    return Call(kind, queue, team or "", job_id)
+
+
+class CallerInterface:
+    """Answer callers on one entry instance."""
+
+    def __init__(
+        self,
+        entry: Entry,
+        configuration: Callable[[], FleetConfiguration | None],
+        is_closing: Callable[[], bool],
+    ) -> None:
+        self._entry = entry
+        self._configuration = configuration
+        self._is_closing = is_closing
+        self.answers: dict[tuple[str, int], int] = {}
+        self.on_duration: Callable[[str, float], None] = lambda kind, duration_s: None
+
+    async def handle(self, exchange: HttpExchange) -> None:
+        """Answer one request."""
+        began_s = loop_now_s()
+        configuration = self._configuration()
+        call = check_call(
+            configuration,
+            exchange.method,
+            exchange.target,
+            _header(exchange, b"host"),
+            _header(exchange, b"authorization"),
+        )
+        if isinstance(call, Answer):
+            answer = call
+        else:
+            answer = await self._carry_out(call, exchange, began_s)
+        kind = call.kind.value if isinstance(call, Call) else "none"
+        duration_s = loop_now_s() - began_s
+        key = (kind, answer.status)
+        self.answers[key] = self.answers.get(key, 0) + 1
+        self.on_duration(kind, duration_s)
+        logger.info(
+            "entry: answered.",
+            extra={
+                "request_id": _header(exchange, b"request-id"),
+                "job_id": call.job_id if isinstance(call, Call) else "",
+                "kind": kind,
+                "queue": call.queue.name if isinstance(call, Call) else "",
+                "team": call.team if isinstance(call, Call) else "",
+                "configuration_version": configuration.version if configuration else 0,
+                "status": answer.status,
+                "reason": answer.reason,
+                "duration_s": round(duration_s, 4),
+            },
+        )
+        await self._respond(exchange, answer)
+
+    async def _carry_out(
+        self, call: Call, exchange: HttpExchange, began_s: float
+    ) -> Answer:
+        deadline_s = began_s + _time_limit_s(call.queue, exchange) - ANSWER_MARGIN_S
+        match call.kind:
+            case CallKind.SUBMIT:
+                return await self._submit(call, exchange, deadline_s)
+            case CallKind.STATE:
+                reply = await self._entry.ask(AskPhase(call.job_id), deadline_s)
+            case CallKind.CANCEL:
+                reply = await self._entry.ask(Cancel(call.job_id), deadline_s)
+            case CallKind.COUNT:
+                reply = await self._entry.ask(CountQueued(call.queue.name), deadline_s)
+        return _answer(reply)
+
+    async def _submit(
+        self, call: Call, exchange: HttpExchange, deadline_s: float
+    ) -> Answer:
+        try:
+            body = await exchange.read_body()
+        except BodyTooLargeError:
+            return Answer(413, reason="the body is too large")
+        except (BodyIncompleteError, TimeoutError):
+            return Answer(400, reason="the body is not whole")
+        match decode_job(body, call.queue.name, call.team, unix_now_ms()):
+            case Failure(findings):
+                return _refuse_malformed(findings)
+            case Success(definition):
+                request = Submit(call.job_id, encode_definition(definition))
+                return _answer(await self._entry.ask(request, deadline_s))
+        raise AssertionError("a result is a success or a failure")
+
+    async def _respond(self, exchange: HttpExchange, answer: Answer) -> None:
+        headers: list[tuple[bytes, bytes]] = []
+        body = b""
+        if answer.body is not None:
+            body = json.dumps(answer.body).encode()
+            headers.append((b"Content-Type", b"application/json"))
+        if answer.status in (429, 503):
+            headers.append((b"Retry-After", str(RETRY_AFTER_S).encode()))
+        if self._is_closing():
+            headers.append((b"Connection", b"close"))
+        await exchange.respond(answer.status, body, tuple(headers))
+
+
+def _header(exchange: HttpExchange, name: bytes) -> str:
+    values = exchange.header_values(name)
+    return values[0] if values else ""
+
+
+def _time_limit_s(queue: Queue, exchange: HttpExchange) -> float:
+    limits = [DEFAULT_DEADLINE_S]
+    if queue.timeout_ms > 0:
+        limits = [queue.timeout_ms / 1000]
+    stated = _header(exchange, b"deadline-ms")
+    if stated.isdigit():
+        limits.append(int(stated) / 1000)
+    return min(limits)
+
+
+def _refuse_malformed(findings: Findings) -> Answer:
+    listed = [{"place": f.place, "fault": f.fault} for f in findings]
+    return Answer(400, {"findings": listed}, "the job is malformed")
+
+
+def _answer(reply: Reply) -> Answer:
+    match reply:
+        case Stored():
+            return Answer(200)
+        case PhaseIs(phase=""):
+            return Answer(410, reason="no such job")
+        case PhaseIs(phase=phase):
+            return Answer(200, {"state": phase})
+        case QueuedCount(count=count):
+            return Answer(200, {"queued-jobs": count})
+        case Refused(reason=reason):
+            return Answer(503, reason=reason)
+    # What was asked may yet happen, so it is not refused.
+    return Answer(504, reason=getattr(reply, "reason", ""))
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/documents.py
@@ -0,0 +1,360 @@
+"""Decoding of the platform's documents into the product's types.
+
+Entries may come from other writers. What can't be read names nothing to use:
+it is logged and left out, never an exception.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from cicadatrail_core.jobs.models import (
+    EndKind,
+    EndRow,
+    FleetConfiguration,
+    JobDefinition,
+    Machine,
+    MachineState,
+    Pool,
+    Queue,
+    RunningRow,
+    Step,
+    SubtaskName,
+    Team,
+    Wave,
+    WorkerFacts,
+    WorkerReport,
+)
+from cicadatrail_core.models.resources import Resources
+from cicadatrail_core.utils.findings import Finding, Findings
+from cicadatraild.platform.settings import parse_address
+
+logger = logging.getLogger("cicadatrail.platform")
+
+ENDS_PAGE_COUNT = 500
+"""Ends that a worker lists in one response; a full page may not be the last."""
+
+SPEC_LIMIT_BYTES = 4000
+"""Longest text that describes a job's work."""
+
+STEP_LIMIT_COUNT = 1000
+SUBTASK_LIMIT_COUNT = 100_000
+"""Largest job that is taken, so that one body can't fill the memory."""
+
+
+class _UnreadableError(Exception):
+    """Report a document that is not of the form that the platform describes."""
+
+
+def _table(value: Any) -> dict[str, Any]:
+    if not isinstance(value, dict):
+        raise _UnreadableError(f"{value!r} is no table")
+    return value
+
+
+def _text(table: dict[str, Any], name: str, default: str | None = None) -> str:
+    value = table.get(name, default)
+    if not isinstance(value, str):
+        raise _UnreadableError(f"{name} can't be {value!r}")
+    return value
+
+
+def _integer(table: dict[str, Any], name: str, default: int | None = None) -> int:
+    value = table.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise _UnreadableError(f"{name} can't be {value!r}")
+    return value
+
+
+def _flag(table: dict[str, Any], name: str) -> bool:
+    return table.get(name, False) is True
+
+
+def _resources(table: dict[str, Any]) -> Resources:
+    return Resources(
+        _integer(table, "cpu", 0),
+        _integer(table, "mem-mb", 0),
+        _integer(table, "gpu", 0),
+    )
+
+
+def _parse_json(data: bytes) -> Any:
+    try:
+        return json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise _UnreadableError(f"no JSON: {error}") from error
+
+
+def decode_configuration(data: bytes) -> FleetConfiguration | None:
+    """Return the operators' configuration, or None if it can't be read."""
+    try:
+        table = _table(_parse_json(data))
+        limits = _table(table.get("limits", {}))
+        return FleetConfiguration(
+            version=_integer(table, "version"),
+            queues=tuple(_queue(_table(entry)) for entry in table.get("routes", ())),
+            pools={
+                pool.name: pool
+                for pool in (_pool(_table(e)) for e in table.get("services", ()))
+            },
+            teams={
+                team.name: team
+                for team in (_team(_table(e)) for e in table.get("tenants", ()))
+            },
+            body_limit_bytes=_integer(limits, "max-body-bytes", 262_144),
+            header_limit_bytes=_integer(limits, "max-header-bytes", 16_384),
+        )
+    except _UnreadableError as error:
+        logger.warning(
+            "platform: configuration can't be read.", extra={"reason": str(error)}
+        )
+        return None
+
+
+def _queue(table: dict[str, Any]) -> Queue:
+    return Queue(
+        name=_text(table, "name"),
+        host=_text(table, "host", "").lower(),
+        path_prefix=_text(table, "path-prefix"),
+        pool=_text(table, "service"),
+        priority=_integer(table, "priority", 0),
+        attempt_limit_count=_integer(table, "attempts", 1),
+        stretch=float(table.get("stretch", 1.0)),
+        target_latency_ms=_integer(table, "target-latency-ms", 0),
+        timeout_ms=_integer(table, "timeout-ms", 0),
+        public=_flag(table, "public"),
+        needs_advice=bool(table.get("advice")),
+    )
+
+
+def _pool(table: dict[str, Any]) -> Pool:
+    return Pool(
+        name=_text(table, "name"),
+        guards_capacity=_flag(table, "admission-check"),
+        standby=_flag(table, "standby"),
+    )
+
+
+def _team(table: dict[str, Any]) -> Team:
+    keys = table.get("api-keys", ())
+    return Team(
+        name=_text(table, "name"),
+        keys=tuple(key for key in keys if isinstance(key, str)),
+        weight=_integer(table, "weight", 1),
+        limit=_resources(_table(table.get("cap", {}))),
+    )
+
+
+_WORKER_STATES = ("ready", "draining")
+
+
+def decode_worker(worker_id: str, data: bytes) -> WorkerFacts | None:
+    """Return what a worker's entry says, or None if it names no usable worker."""
+    try:
+        table = _table(_parse_json(data))
+        address = parse_address(_text(table, "address"))
+        state = _text(table, "state")
+        if address is None or state not in _WORKER_STATES:
+            raise _UnreadableError(f"address or state of {table!r}")
+        labels = table.get("labels", [])
+        if not isinstance(labels, list):
+            raise _UnreadableError(f"labels can't be {labels!r}")
+        return WorkerFacts(
+            worker_id=worker_id,
+            pool=_text(table, "service"),
+            host=address.host,
+            port=address.port,
+            zone=_text(table, "zone"),
+            capacity=_resources(_table(table.get("capacity"))),
+            labels=tuple(label for label in labels if isinstance(label, str)),
+            draining=state == "draining",
+            remaining_ms=_integer(table, "remaining-ms", 0),
+            # The wire's name means the start of the worker's present life.
+            born_unix_ms=_integer(table, "born", 0),
+            clock_ms=_integer(table, "clock-ms", 0),
+            machine=_text(table, "machine", ""),
+            cold_ms=_integer(table, "cold-remaining-ms", 0),
+        )
+    except _UnreadableError as error:
+        logger.warning(
+            "platform: worker entry can't be read.",
+            extra={"worker_id": worker_id, "reason": str(error)},
+        )
+        return None
+
+
+def decode_wave(data: bytes) -> Wave | None:
+    """Return a maintenance wave, or None if it can't be read."""
+    try:
+        table = _table(_parse_json(data))
+        machines = table.get("machines", [])
+        if not isinstance(machines, list):
+            raise _UnreadableError(f"machines can't be {machines!r}")
+        return Wave(
+            number=_integer(table, "wave"),
+            machines=tuple(name for name in machines if isinstance(name, str)),
+            duration_s=float(table.get("duration-s", 0)),
+            limit_count=max(1, _integer(table, "cap", 1)),
+        )
+    except (_UnreadableError, TypeError, ValueError) as error:
+        logger.warning("platform: wave can't be read.", extra={"reason": str(error)})
+        return None
+
+
+_MACHINE_STATES = {
+    "up": MachineState.UP,
+    "moving": MachineState.MOVING,
+    "upkeep": MachineState.MAINTENANCE,
+    "down": MachineState.DOWN,
+}
+
+
+def decode_machines(data: bytes) -> tuple[list[Machine], str] | None:
+    """Return a page of machines and the token of the next one ("" at the end)."""
+    try:
+        table = _table(_parse_json(data))
+        machines = []
+        for entry in table.get("machines", ()):
+            row = _table(entry)
+            state = _MACHINE_STATES.get(_text(row, "state"), MachineState.UNKNOWN)
+            machines.append(
+                Machine(
+                    name=_text(row, "machine"),
+                    pool=_text(row, "pool"),
+                    state=state,
+                    worker_id=_text(row, "id", ""),
+                )
+            )
+        token = table.get("next-token")
+        return machines, str(token) if token is not None else ""
+    except _UnreadableError as error:
+        logger.warning(
+            "platform: machine list can't be read.", extra={"reason": str(error)}
+        )
+        return None
+
+
+def parse_subtask_name(text: str) -> SubtaskName | None:
+    """Return the subtask that a worker names, or None if the name is malformed."""
+    parts = text.split(".")
+    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+        return None
+    return SubtaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+
+
+_END_KINDS = {kind.value: kind for kind in EndKind}
+
+
+def decode_report(data: bytes) -> WorkerReport | None:
+    """Return a worker's lists, or None if they can't be read."""
+    try:
+        table = _table(_parse_json(data))
+        running = []
+        for row in table.get("running", ()):
+            name = parse_subtask_name(row[0])
+            if name is None:
+                raise _UnreadableError(f"subtask {row[0]!r}")
+            # The fifth entry is a tail latency or processor use, by the image.
+            figure = int(row[4]) if len(row) > 4 else 0
+            running.append(RunningRow(name, row[1], row[2] or "", int(row[3]), figure))
+        ends = []
+        for number, text, run, how, checkpoint in table.get("finished", ()):
+            name = parse_subtask_name(text)
+            kind = _END_KINDS.get(how)
+            if name is None or kind is None:
+                raise _UnreadableError(f"end of {text!r}: {how!r}")
+            ends.append(EndRow(number, name, run, kind, checkpoint or ""))
+        return WorkerReport(
+            clock_ms=_integer(table, "clock-ms"),
+            born_unix_ms=_integer(table, "born", 0),
+            running=tuple(running),
+            ends=tuple(ends),
+            is_whole=len(ends) < ENDS_PAGE_COUNT,
+        )
+    except (_UnreadableError, TypeError, ValueError, IndexError) as error:
+        logger.warning(
+            "platform: worker's lists can't be read.", extra={"reason": str(error)}
+        )
+        return None
+
+
+def decode_job(
+    data: bytes, queue: str, team: str, now_unix_ms: int
+) -> Result[JobDefinition, Findings]:
+    """Return a submitted job, or every finding in its body."""
+    try:
+        table = _table(_parse_json(data))
+    except _UnreadableError as error:
+        return Failure((Finding("body", str(error)),))
+    findings: list[Finding] = []
+    steps: list[Step] = []
+    entries = table.get("steps")
+    if not isinstance(entries, list) or not 0 < len(entries) <= STEP_LIMIT_COUNT:
+        findings.append(Finding("steps", "must be a list that is not empty"))
+        entries = []
+    for position, entry in enumerate(entries):
+        try:
+            steps.append(_step(_table(entry), position))
+        except _UnreadableError as error:
+            findings.append(Finding(f"steps[{position}]", str(error)))
+    try:
+        spec = _text(table, "spec", "")
+        if len(spec.encode()) > SPEC_LIMIT_BYTES:
+            findings.append(Finding("spec", f"is over {SPEC_LIMIT_BYTES} bytes"))
+        repeat_count = _integer(table, "repeat-count", 0)
+        first_due_ms = _integer(table, "first-run-ms", 0)
+        interval_ms = _integer(table, "interval-ms", 0)
+        if repeat_count < 0 or (repeat_count > 1 and interval_ms < 0):
+            findings.append(Finding("repeat-count", "or interval-ms is negative"))
+    except _UnreadableError as error:
+        findings.append(Finding("body", str(error)))
+    if sum(step.count for step in steps) > SUBTASK_LIMIT_COUNT:
+        findings.append(Finding("steps", f"have over {SUBTASK_LIMIT_COUNT} subtasks"))
+    if findings:
+        return Failure(tuple(findings))
+    return Success(
+        JobDefinition(
+            queue=queue,
+            team=team,
+            spec=spec,
+            steps=tuple(steps),
+            repeat_count=repeat_count,
+            first_due_unix_ms=first_due_ms,
+            interval_ms=interval_ms,
+            submitted_unix_ms=now_unix_ms,
+        )
+    )
+
+
+def _step(table: dict[str, Any], position: int) -> Step:
+    after = table.get("after", [])
+    if not isinstance(after, list) or not all(
+        isinstance(k, int) and 0 <= k < position for k in after
+    ):
+        raise _UnreadableError(f"after can't be {after!r}")
+    count = _integer(table, "count")
+    need = _resources(table)
+    if count < 1 or min(need.cpu_millicores, need.memory_mib) < 0:
+        raise _UnreadableError("count, cpu or mem-mb is too small")
+    return Step(
+        count=count,
+        need=need,
+        estimate_ms=_integer(table, "est-duration-ms", 0),
+        after=tuple(after),
+        saves_progress=_flag(table, "saves-progress"),
+        gang=_flag(table, "gang"),
+        same_rack=_flag(table, "same-rack"),
+        required_label=_text(table, "requires", ""),
+        data_rack=_text(table, "affinity", ""),
+        spread_limit_count=_integer(table, "anti-affinity", 0),
+        copies_allowed=_flag(table, "speculative"),
+        lasting=_flag(table, "long-running"),
+        image=_text(table, "image", ""),
+        target_tail_ms=_integer(table, "target-ms", 0),
+        filler=_flag(table, "fills"),
+        may_miss_count=_integer(table, "may-miss", 0),
+    )
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/machines.py
@@ -0,0 +1,121 @@
+"""The client of the platform's machine service."""
+
+from __future__ import annotations
+
+import json
+import logging
+from enum import Enum
+from urllib.parse import urlencode
+
+from returns.result import Success
+
+from cicadatrail_core.jobs.models import Machine
+from cicadatraild.network.client_exchange import Address, WholeResponse
+from cicadatraild.network.http_client import ConnectionPool
+from cicadatraild.platform.documents import decode_machines
+
+logger = logging.getLogger("cicadatrail.machines")
+
+CALL_TIMEOUT_S = 1.0
+"""Time for a call; the holder must be sure of its epoch when it is sent."""
+
+PAGE_LIMIT_COUNT = 100
+"""Pages of one list that are read at most."""
+
+
+class MachineOutcome(Enum):
+    """Say what became of an order to a machine."""
+
+    DONE = "done"
+    BUSY = "busy"
+    NOT_IN_WAVE = "not-in-wave"
+    FENCED = "fenced"
+    UNKNOWN_MACHINE = "unknown-machine"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    """No answer; the order may have been carried out."""
+
+
+_REASONS = {
+    "busy": MachineOutcome.BUSY,
+    "wave": MachineOutcome.NOT_IN_WAVE,
+    "fence": MachineOutcome.FENCED,
+}
+
+
+class MachineClient:
+    """Read the list of machines and give orders in the name of one epoch."""
+
+    def __init__(self, address: Address, holder: str, epoch: int) -> None:
+        self._address = address
+        self._holder = holder
+        self._epoch = epoch
+        self.pool = ConnectionPool(0.5, 20.0)
+
+    async def list_machines(self) -> list[Machine] | None:
+        """Return every machine, or None if the list can't be had now."""
+        machines: list[Machine] = []
+        token = ""
+        for _ in range(PAGE_LIMIT_COUNT):
+            query = f"?{urlencode({'page-token': token})}" if token else ""
+            response = await self._call("GET", f"machines{query}", b"")
+            if response is None or response.status != 200:
+                return None
+            page = decode_machines(response.body)
+            if page is None:
+                return None
+            machines += page[0]
+            token = page[1]
+            if not token:
+                return machines
+        return None
+
+    async def maintain(self, machine: str, wave: int) -> MachineOutcome:
+        """Begin a machine's maintenance; all that runs on it ends at once."""
+        return await self._order("machine-upkeep", {"machine": machine, "wave": wave})
+
+    async def move(self, machine: str, pool: str) -> MachineOutcome:
+        """Move a machine to another pool; all that runs on it ends at once."""
+        return await self._order("machine-move", {"machine": machine, "pool": pool})
+
+    async def _order(self, call: str, body: dict[str, object]) -> MachineOutcome:
+        response = await self._call("POST", call, json.dumps(body).encode())
+        if response is None:
+            return MachineOutcome.UNKNOWN
+        match response.status:
+            case 200:
+                return MachineOutcome.DONE
+            case 409:
+                return _refusal(response)
+            case 400:
+                return MachineOutcome.UNKNOWN_MACHINE
+        return MachineOutcome.REFUSED
+
+    async def _call(self, method: str, call: str, body: bytes) -> WholeResponse | None:
+        headers = [(b"Content-Type", b"application/json")] if body else []
+        if method == "POST":
+            headers.append((b"Duty-Holder", self._holder.encode()))
+            headers.append((b"Fencing-Token", str(self._epoch).encode()))
+        result = await self.pool.fetch(
+            self._address,
+            method,
+            f"/cicadatrail/{call}",
+            headers=tuple(headers),
+            body=body,
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        if isinstance(result, Success):
+            return result.unwrap()
+        logger.warning(
+            "machines: no answer.",
+            extra={"call": call, "reason": str(result.failure())},
+        )
+        return None
+
+
+def _refusal(response: WholeResponse) -> MachineOutcome:
+    try:
+        reason = json.loads(response.body).get("reason")
+    except (ValueError, AttributeError):
+        return MachineOutcome.REFUSED
+    return _REASONS.get(reason, MachineOutcome.REFUSED)
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
@@ -0,0 +1,149 @@
+"""Reading of the settings file that the platform writes for a process."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from cicadatrail_core.utils.findings import Finding, Findings
+from cicadatraild.network.client_exchange import Address
+
+SETTINGS_VARIABLE = "CICADATRAIL_NODE_FILE"
+"""Environment variable that names the settings file."""
+
+DEFAULT_PATH = "/etc/cicadatrail/local.toml"
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Hold what one entry instance has to know about itself and the platform.
+
+    ``lease_limit_s`` is the longest lease that workers grant. ``order_gap_s``
+    is the time that must pass between machine orders of two holders.
+    ``heartbeat_s`` is how often a worker renews its entry in the store's list.
+    """
+
+    node: str
+    host: str
+    data_centre: str
+    front: Address
+    readiness: Address
+    peer_port: int
+    metrics_port: int
+    seed_hosts: tuple[str, ...]
+    store: Address
+    machines: Address | None
+    advice: Address | None
+    lease_limit_s: float
+    order_gap_s: float
+    heartbeat_s: float
+    grace_s: float
+    status_kept_s: float
+    gang_timeout_s: float
+    pace_delay_s: float
+    harm_limit_s: float
+    maintenance_s: float
+    has_wave_duty: bool
+
+
+class _Reader:
+    """Take typed values out of a table and collect what is wrong."""
+
+    def __init__(self, place: str) -> None:
+        self._place = place
+        self.findings: list[Finding] = []
+
+    def take(
+        self, table: dict[str, Any], path: str, kinds: type | tuple[type, ...]
+    ) -> Any:
+        value: Any = table
+        for part in path.split("."):
+            value = value.get(part) if isinstance(value, dict) else None
+        if value is None:
+            self._add(path, "is missing")
+        elif isinstance(value, bool) is not (kinds is bool) or not isinstance(
+            value, kinds
+        ):
+            self._add(path, f"can't be {value!r}")
+        else:
+            return value
+        return None
+
+    def address(self, table: dict[str, Any], path: str) -> Address:
+        value = self.take(table, path, str)
+        parsed = parse_address(value) if value is not None else None
+        if value is not None and parsed is None:
+            self._add(path, f"is no address: {value!r}")
+        return parsed or Address("", 0)
+
+    def number(self, table: dict[str, Any], path: str, least: float = 0) -> float:
+        value = self.take(table, path, (int, float))
+        if value is not None and value < least:
+            self._add(path, f"must be at least {least}, is {value}")
+        return float(value or 0)
+
+    def _add(self, path: str, fault: str) -> None:
+        self.findings.append(Finding(f"{self._place}: {path}", fault))
+
+
+def parse_address(text: str) -> Address | None:
+    """Return the address of ``host:port``, or None if it is malformed."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        return None
+    return Address(host, int(port))
+
+
+def read_platform_settings(path: Path) -> Result[PlatformSettings, Findings]:
+    """Return the settings of a file, or every finding in it."""
+    try:
+        table = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        return Failure((Finding(str(path), f"can't be read: {error}"),))
+    return parse_platform_settings(table, str(path))
+
+
+def parse_platform_settings(
+    table: dict[str, Any], place: str
+) -> Result[PlatformSettings, Findings]:
+    """Return the settings of a parsed table, or every finding in it."""
+    reader = _Reader(place)
+    ports = reader.take(table, "internal-ports", list) or [0, 0]
+    if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
+        reader.findings.append(
+            Finding(f"{place}: internal-ports", "must be two port numbers")
+        )
+        ports = [0, 0]
+    seeds = [parse_address(str(seed)) for seed in table.get("seeds", ())]
+    cloud = table.get("cloud", {})
+    policies = table.get("policies", ())
+    settings = PlatformSettings(
+        node=str(reader.take(table, "node", str)),
+        host=str(reader.take(table, "ip", str)),
+        data_centre=str(reader.take(table, "zone", str)),
+        front=reader.address(table, "listen.front"),
+        readiness=reader.address(table, "listen.readiness"),
+        peer_port=ports[0],
+        metrics_port=ports[1],
+        seed_hosts=tuple(seed.host for seed in seeds if seed is not None),
+        store=reader.address(table, "platform.address"),
+        machines=parse_address(str(cloud.get("address", ""))),
+        advice=parse_address(str(table.get("advice", ""))),
+        lease_limit_s=reader.number(table, "bounds.hold-max-ms", 1) / 1000,
+        order_gap_s=reader.number(table, "bounds.lease-ms") / 1000,
+        heartbeat_s=reader.number(table, "heartbeat-ms", 1) / 1000,
+        grace_s=reader.number(table, "bounds.grace-s"),
+        status_kept_s=reader.number(table, "bounds.status_s"),
+        gang_timeout_s=reader.number(table, "bounds.gang-timeout-ms") / 1000,
+        pace_delay_s=reader.number(table, "bounds.pace-ms") / 1000,
+        harm_limit_s=reader.number(table, "bounds.harm-ms") / 1000,
+        maintenance_s=reader.number(table, "bounds.maintenance-s"),
+        has_wave_duty="upkeep" in policies,
+    )
+    if reader.findings:
+        return Failure(tuple(reader.findings))
+    return Success(settings)
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/store.py
@@ -0,0 +1,229 @@
+"""The client of the platform's store: logs, keyed topics, fenced appends."""
+
+from __future__ import annotations
+
+import base64
+import json
+import logging
+import struct
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode
+
+from returns.result import Success
+
+from cicadatraild.network.client_exchange import Address, WholeResponse
+from cicadatraild.network.http_client import ConnectionPool
+
+logger = logging.getLogger("cicadatrail.store")
+
+CONNECT_TIMEOUT_S = 0.5
+"""Time to open a connection; the platform states answers of 4 ms."""
+
+APPEND_TIMEOUT_S = 1.0
+"""Time for an append; 60 times the stated answer time and the queue before it."""
+
+READ_TIMEOUT_S = 1.0
+"""Time for a read beyond the time that it may wait at the store."""
+
+IDLE_LIMIT_S = 15.0
+"""Time for which an idle connection is kept."""
+
+RECORD_HEAD = struct.Struct(">I")
+OFFSETS_HEAD = struct.Struct(">QQ")
+
+CONFIGURATION_TOPIC = "keyed.op"
+WORKERS_TOPIC = "keyed.servers"
+STATUS_TOPIC = "keyed.status"
+JOBS_TOPIC = "keyed.jobs"
+HOLDER_TOPIC = "keyed.holder"
+
+
+class StoreUnavailableError(Exception):
+    """Report a call without a usable answer; ``done`` says if it may have run."""
+
+    def __init__(self, reason: str, may_have_run: bool) -> None:
+        super().__init__(reason)
+        self.may_have_run = may_have_run
+
+
+class FencedError(Exception):
+    """Report that a holder with a higher epoch writes now."""
+
+
+class PositionError(Exception):
+    """Report that a topic does not end where a conditional append expects."""
+
+
+class HistoryGoneError(Exception):
+    """Report that the records asked for were dropped."""
+
+
+class SequenceError(Exception):
+    """Report an append out of order; ``expected`` is the next number."""
+
+    def __init__(self, expected: int) -> None:
+        super().__init__(f"sequence number {expected} is expected")
+        self.expected = expected
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """Hold a key's record; ``value`` is None when the key was dropped."""
+
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Producer:
+    """Identify a fenced append of one holder."""
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+class StoreClient:
+    """Call the store; every method raises StoreUnavailableError."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self.pool = ConnectionPool(CONNECT_TIMEOUT_S, IDLE_LIMIT_S)
+        self.call_count = 0
+
+    async def append(
+        self,
+        topic: str,
+        records: Sequence[KeyedRecord],
+        *,
+        producer: Producer | None = None,
+        expected_end: int | None = None,
+    ) -> int:
+        """Append records to a keyed topic, all or none; return its new end.
+
+        Raises FencedError, PositionError, SequenceError. No record only sets
+        the producer's epoch.
+        """
+        query: dict[str, object] = {"topic": topic, "part": 0}
+        if producer is not None:
+            query["producer"] = producer.name
+            query["epoch"] = producer.epoch
+            query["seq"] = producer.sequence
+        if expected_end is not None:
+            query["at"] = expected_end
+        body = b"".join(_encode_record(record) for record in records)
+        response = await self._call(
+            "POST",
+            f"/cicadatrail/log-append?{urlencode(query)}",
+            body,
+            APPEND_TIMEOUT_S,
+        )
+        match response.status:
+            case 200:
+                return int(_json(response).get("end", 0))
+            case 409 if _json(response).get("reason") == "seq":
+                raise SequenceError(_expected_sequence(response))
+            case 409:
+                raise FencedError(response.body.decode("utf-8", "replace"))
+            case 412:
+                raise PositionError
+        raise StoreUnavailableError(f"append: {response.status}", may_have_run=False)
+
+    async def newest(self, topic: str) -> tuple[list[KeyedRecord], int]:
+        """Return the newest record of each key, and the end to read on from.
+
+        The end is the first page's, so that no later change is missed.
+        """
+        records: list[KeyedRecord] = []
+        query: dict[str, object] = {"topic": topic, "part": 0}
+        end = -1
+        while True:
+            response = await self._call(
+                "GET",
+                f"/cicadatrail/log-newest?{urlencode(query)}",
+                b"",
+                READ_TIMEOUT_S,
+            )
+            if response.status != 200:
+                reason = f"newest: {response.status}"
+                raise StoreUnavailableError(reason, may_have_run=False)
+            page = _json(response)
+            end = int(page["end"]) if end < 0 else end
+            for item in page["items"]:
+                value = base64.b64decode(item["value"])
+                records.append(KeyedRecord(item["key"], value))
+            if not page.get("more") or not page["items"]:
+                return records, end
+            query["after"] = records[-1].key
+
+    async def read(
+        self, topic: str, offset: int, wait_ms: int
+    ) -> tuple[list[KeyedRecord], int]:
+        """Return the records from an offset on, and the next offset.
+
+        Waits up to ``wait_ms`` for one. Raises HistoryGoneError.
+        """
+        query = {"topic": topic, "part": 0, "from": offset, "wait-ms": wait_ms}
+        response = await self._call(
+            "GET",
+            f"/cicadatrail/log-read?{urlencode(query)}",
+            b"",
+            READ_TIMEOUT_S + wait_ms / 1000,
+        )
+        if response.status == 410:
+            raise HistoryGoneError
+        if response.status != 200:
+            reason = f"read: {response.status}"
+            raise StoreUnavailableError(reason, may_have_run=False)
+        records = _decode_records(response.body)
+        return records, offset + len(records)
+
+    async def _call(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> WholeResponse:
+        self.call_count += 1
+        result = await self.pool.fetch(
+            self._address, method, target, body=body, timeout_s=timeout_s
+        )
+        if isinstance(result, Success):
+            return result.unwrap()
+        raise StoreUnavailableError(str(result.failure()), may_have_run=True)
+
+
+def _json(response: WholeResponse) -> dict[str, Any]:
+    try:
+        value = json.loads(response.body or b"{}")
+    except ValueError as error:
+        raise StoreUnavailableError(f"no JSON: {error}", may_have_run=True) from error
+    return value if isinstance(value, dict) else {}
+
+
+def _expected_sequence(response: WholeResponse) -> int:
+    numbers = [v for v in _json(response).values() if isinstance(v, int)]
+    return numbers[0] if numbers else 0
+
+
+def _encode_record(record: KeyedRecord) -> bytes:
+    key = record.key.encode()
+    content = bytes([len(key)]) + key + (record.value or b"")
+    return RECORD_HEAD.pack(len(content)) + content
+
+
+def _decode_records(body: bytes) -> list[KeyedRecord]:
+    """Return the records after the two offsets; one cut at the end is left out."""
+    records = []
+    position = OFFSETS_HEAD.size
+    while position + RECORD_HEAD.size <= len(body):
+        (length,) = RECORD_HEAD.unpack_from(body, position)
+        position += RECORD_HEAD.size
+        content = body[position : position + length]
+        if len(content) < length:
+            break
+        position += length
+        key_length = content[0] if content else 0
+        key = content[1 : 1 + key_length].decode("utf-8", "replace")
+        value = content[1 + key_length :]
+        records.append(KeyedRecord(key, value or None))
+    return records
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
@@ -0,0 +1,193 @@
+"""The client of workers: starts, stops, pace, and their lists."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass
+from enum import Enum
+
+from returns.result import Success
+
+from cicadatrail_core.jobs.models import WorkerFacts, WorkerReport
+from cicadatraild.network.client_exchange import Address, ClientFault, WholeResponse
+from cicadatraild.network.http_client import ConnectionPool
+from cicadatraild.platform.documents import decode_report
+
+CONNECT_TIMEOUT_S = 0.5
+"""Time to open a connection to a worker; they are about 1 ms away."""
+
+ORDER_TIMEOUT_S = 0.5
+"""Time for a start or a stop; a sound worker answers in 5 ms."""
+
+LIST_TIMEOUT_S = 0.6
+"""Time for a worker's lists beyond the time that they may wait for an end."""
+
+IDLE_LIMIT_S = 20.0
+"""Time for which an idle connection is kept; new ones are priced."""
+
+ORDERS_AT_ONCE_COUNT = 2
+"""Orders under way to one worker, so that few connections are opened."""
+
+
+class OrderOutcome(Enum):
+    """Say what became of an order to a worker."""
+
+    DONE = "done"
+    FENCED = "fenced"
+    """A holder with a higher token gives orders to this worker."""
+
+    OLD = "old"
+    LATE = "late"
+    NO_ROOM = "no-room"
+    NO_TICKET = "no-ticket"
+    BUSY = "busy"
+    """The worker is not healthy and has done nothing."""
+
+    INVALID = "invalid"
+    GONE = "gone"
+    """Another worker answers at this address."""
+
+    NOT_SENT = "not-sent"
+    UNKNOWN = "unknown"
+    """No answer; the order may be carried out, even seconds later."""
+
+
+@dataclass(frozen=True, slots=True)
+class ListFailure:
+    """Say why a worker's lists could not be had."""
+
+    outcome: OrderOutcome
+
+
+_REASONS = {
+    "fence": OrderOutcome.FENCED,
+    "old": OrderOutcome.OLD,
+    "late": OrderOutcome.LATE,
+    "room": OrderOutcome.NO_ROOM,
+    "ticket": OrderOutcome.NO_TICKET,
+}
+
+
+class WorkerClient:
+    """Give orders to workers in the name of one epoch."""
+
+    def __init__(self, epoch: int) -> None:
+        self._epoch = epoch
+        self.pool = ConnectionPool(CONNECT_TIMEOUT_S, IDLE_LIMIT_S)
+        self._turns: dict[str, asyncio.Semaphore] = {}
+
+    async def start(
+        self,
+        worker: WorkerFacts,
+        subtask: str,
+        run: int,
+        spec: str,
+        checkpoint: str,
+        deadline_ms: int,
+    ) -> OrderOutcome:
+        """Order a run to start before a time on the worker's clock."""
+        body: dict[str, object] = {
+            "task": subtask,
+            "run": run,
+            "spec": spec,
+            "deadline-ms": deadline_ms,
+            "fencing-token": self._epoch,
+        }
+        if checkpoint:
+            body["last-checkpoint"] = checkpoint
+        return await self._order(worker, "run-start", body)
+
+    async def stop(self, worker: WorkerFacts, subtask: str, run: int) -> OrderOutcome:
+        """Order a run to stop, or never to start."""
+        body = {"task": subtask, "run": run, "fencing-token": self._epoch}
+        return await self._order(worker, "run-stop", body)
+
+    async def pace(
+        self, worker: WorkerFacts, subtask: str, run: int, percent: int
+    ) -> OrderOutcome:
+        """Let a run work at a share of its speed, 0 to 100."""
+        body = {
+            "task": subtask,
+            "run": run,
+            "percent": percent,
+            "fencing-token": self._epoch,
+        }
+        return await self._order(worker, "pace", body)
+
+    async def lists(
+        self,
+        worker: WorkerFacts,
+        noted_end: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+    ) -> WorkerReport | ListFailure:
+        """Return what a worker runs and what has ended after ``noted_end``.
+
+        ``noted_end`` lets the worker forget ends up to it. ``deadline_ms``
+        renews the lease of all that it runs. Waits up to ``wait_ms`` for an end.
+        """
+        body: dict[str, object] = {"fencing-token": self._epoch, "last-seen": noted_end}
+        if deadline_ms is not None:
+            body["deadline-ms"] = deadline_ms
+        if wait_ms:
+            body["wait-ms"] = wait_ms
+        response = await self._call(
+            worker, "hold", body, LIST_TIMEOUT_S + wait_ms / 1000
+        )
+        if isinstance(response, OrderOutcome):
+            return ListFailure(response)
+        if response.status != 200:
+            return ListFailure(_outcome(response))
+        report = decode_report(response.body)
+        return report or ListFailure(OrderOutcome.UNKNOWN)
+
+    async def _order(
+        self, worker: WorkerFacts, call: str, body: dict[str, object]
+    ) -> OrderOutcome:
+        turns = self._turns.setdefault(
+            worker.worker_id, asyncio.Semaphore(ORDERS_AT_ONCE_COUNT)
+        )
+        async with turns:
+            response = await self._call(worker, call, body, ORDER_TIMEOUT_S)
+        return response if isinstance(response, OrderOutcome) else _outcome(response)
+
+    async def _call(
+        self, worker: WorkerFacts, call: str, body: dict[str, object], timeout_s: float
+    ) -> WholeResponse | OrderOutcome:
+        result = await self.pool.fetch(
+            Address(worker.host, worker.port),
+            "POST",
+            f"/cicadatrail/{call}",
+            headers=(
+                (b"Content-Type", b"application/json"),
+                # Names the worker meant, as addresses are used again.
+                (b"Expect-Instance", worker.worker_id.encode()),
+            ),
+            body=json.dumps(body, separators=(",", ":")).encode(),
+            timeout_s=timeout_s,
+        )
+        if isinstance(result, Success):
+            return result.unwrap()
+        if result.failure().fault is ClientFault.NOT_SENT:
+            return OrderOutcome.NOT_SENT
+        return OrderOutcome.UNKNOWN
+
+
+def _outcome(response: WholeResponse) -> OrderOutcome:
+    match response.status:
+        case 200:
+            return OrderOutcome.DONE
+        case 409:
+            try:
+                reason = json.loads(response.body).get("reason")
+            except (ValueError, AttributeError):
+                return OrderOutcome.UNKNOWN
+            return _REASONS.get(reason, OrderOutcome.UNKNOWN)
+        case 421:
+            return OrderOutcome.GONE
+        case 429 | 503:
+            return OrderOutcome.BUSY
+        case 400:
+            return OrderOutcome.INVALID
+    return OrderOutcome.UNKNOWN
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""The holder of the fleet's jobs, and the entry instances in front of it."""
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -0,0 +1,144 @@
+"""The way of a request from an entry instance to the holder."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.holder import Holder
+from cicadatraild.scheduling.leadership import HolderRecord, Leadership
+from cicadatraild.scheduling.messages import (
+    AskHolder,
+    HolderIs,
+    Refused,
+    Reply,
+    Request,
+    Unsettled,
+)
+from cicadatraild.scheduling.peers import PeerClient, PeerUnreachableError
+
+logger = logging.getLogger("cicadatrail.entry")
+
+REPLY_TIMEOUT_S = 1.0
+"""Time for the holder's reply before another way is tried."""
+
+VACANT_WAIT_S = 2.2
+"""Longest wait for a holder: a takeover after silence, with some to spare."""
+
+HINT_INTERVAL_S = 0.5
+"""Time between questions to other instances about the holder."""
+
+HINT_TIMEOUT_S = 0.4
+"""Time for another instance's reply about the holder."""
+
+RETRY_S = 0.05
+"""Pause before the same holder is asked again."""
+
+
+class Entry:
+    """Bring requests to the holder, here or on another instance."""
+
+    def __init__(
+        self,
+        leadership: Leadership,
+        peers: PeerClient,
+        own_host: str,
+        seed_hosts: tuple[str, ...],
+        holder: Callable[[], Holder | None],
+    ) -> None:
+        self._leadership = leadership
+        self._peers = peers
+        self._own_host = own_host
+        self._hosts: dict[str, None] = dict.fromkeys(seed_hosts)
+        self._holder = holder
+        self._asked_s = float("-inf")
+        self.answered_s: float | None = None
+
+    async def ask(self, request: Request, deadline_s: float) -> Reply:
+        """Return the holder's reply, or say truly what is known at the deadline."""
+        may_have_run = False
+        reason = "no holder"
+        wait_until_s = min(deadline_s, loop_now_s() + VACANT_WAIT_S)
+        while True:
+            now_s = loop_now_s()
+            if now_s >= (deadline_s if may_have_run else wait_until_s):
+                return Unsettled(reason) if may_have_run else Refused(reason)
+            current = self._leadership.current
+            if current is None or current.released:
+                await self._leadership.changed(min(0.1, max(0.01, deadline_s - now_s)))
+                await self._ask_others()
+                continue
+            try:
+                reply = await self._call(current, request, deadline_s - now_s)
+            except PeerUnreachableError as error:
+                may_have_run = may_have_run or error.may_have_run
+                reason = f"holder of epoch {current.epoch}: {error}"
+                if error.is_refused:
+                    self._leadership.suspect(current.epoch)
+                await self._leadership.changed(RETRY_S)
+                await self._ask_others()
+                continue
+            if isinstance(reply, HolderIs):
+                reason = "the instance asked holds nothing"
+                self._leadership.learn(reply.epoch, reply.host)
+                if reply.epoch <= current.epoch:
+                    await self._leadership.changed(RETRY_S)
+                continue
+            self.answered_s = loop_now_s()
+            if isinstance(reply, Unsettled):
+                may_have_run = True
+                reason = reply.reason
+                await self._leadership.changed(RETRY_S)
+                continue
+            if isinstance(reply, Refused) and may_have_run:
+                # An earlier holder may have stored it; this one can't tell.
+                return Unsettled(reply.reason)
+            return reply
+
+    async def answer_peer(self, request: Request) -> Reply:
+        """Answer a peer's request, if this instance holds the fleet."""
+        holder = self._holder()
+        if isinstance(request, AskHolder) or holder is None:
+            current = self._leadership.current
+            if current is None or current.released:
+                return HolderIs(0, "")
+            return HolderIs(current.epoch, current.host)
+        return await holder.answer(request)
+
+    async def _call(
+        self, current: HolderRecord, request: Request, left_s: float
+    ) -> Reply:
+        timeout_s = max(0.01, left_s)
+        if current.host != self._own_host:
+            self._hosts[current.host] = None
+            return await self._peers.call(current.host, request, timeout_s)
+        holder = self._holder()
+        if holder is None:
+            return HolderIs(0, "")
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await holder.answer(request)
+        except TimeoutError as error:
+            raise PeerUnreachableError("no reply in time", True, False) from error
+
+    async def _ask_others(self) -> None:
+        """Ask other instances about the holder, as the store may be out of reach."""
+        now_s = loop_now_s()
+        if now_s - self._asked_s < HINT_INTERVAL_S:
+            return
+        self._asked_s = now_s
+        for host in [*self._hosts]:
+            if host == self._own_host:
+                continue
+            try:
+                reply = await self._peers.call(host, AskHolder(), HINT_TIMEOUT_S)
+            except PeerUnreachableError as error:
+                logger.info(
+                    "entry: peer not reached.",
+                    extra={"host": host, "reason": str(error)},
+                )
+                continue
+            if isinstance(reply, HolderIs) and reply.epoch:
+                self._leadership.learn(reply.epoch, reply.host)
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/feeds.py
@@ -0,0 +1,93 @@
+"""Following of keyed topics: the configuration, waves, and the list of workers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from cicadatraild.platform.store import (
+    HistoryGoneError,
+    KeyedRecord,
+    StoreClient,
+    StoreUnavailableError,
+)
+from cicadatraild.scheduling.clocks import loop_now_s
+
+logger = logging.getLogger("cicadatrail.feed")
+
+WAIT_MS = 1000
+"""Time that a read waits at the store for the next record."""
+
+RETRY_S = 0.1
+"""Mean pause after the store was not available."""
+
+
+class TopicFeed:
+    """Hand every change of a keyed topic to a handler.
+
+    ``on_record`` gets each change in order. ``on_snapshot`` gets the keys that
+    exist, after the feed began or lost its place.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        topic: str,
+        on_record: Callable[[KeyedRecord], None],
+        on_snapshot: Callable[[set[str]], None] | None = None,
+        pause_s: float = 0.0,
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._on_record = on_record
+        self._on_snapshot = on_snapshot
+        self._pause_s = pause_s
+        self._offset: int | None = None
+        self.failed_s: float | None = None
+        self.answered_s: float | None = None
+
+    async def load(self) -> None:
+        """Read the newest record of each key. Raises StoreUnavailableError."""
+        records, end = await self._store.newest(self._topic)
+        for record in records:
+            self._on_record(record)
+        if self._on_snapshot is not None:
+            self._on_snapshot({record.key for record in records})
+        self._offset = end
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        is_lost = False
+        while True:
+            try:
+                await self._advance()
+                if is_lost:
+                    logger.info("feed: topic is back.", extra={"topic": self._topic})
+                is_lost = False
+                self.answered_s = loop_now_s()
+            except HistoryGoneError:
+                logger.info("feed: history is gone.", extra={"topic": self._topic})
+                self._offset = None
+            except StoreUnavailableError as error:
+                if not is_lost:
+                    logger.warning(
+                        "feed: topic lost.",
+                        extra={"topic": self._topic, "reason": str(error)},
+                    )
+                is_lost = True
+                self.failed_s = loop_now_s()
+                await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
+            if self._pause_s:
+                await asyncio.sleep(self._pause_s)
+
+    async def _advance(self) -> None:
+        if self._offset is None:
+            await self.load()
+            return
+        records, self._offset = await self._store.read(
+            self._topic, self._offset, WAIT_MS
+        )
+        for record in records:
+            self._on_record(record)
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
@@ -0,0 +1,460 @@
+"""The holder of the fleet: takes over, stores, decides, and answers for jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from dataclasses import astuple
+
+import msgpack
+
+from cicadatrail_core.jobs.dispatch import dispatch
+from cicadatrail_core.jobs.ejection import EJECTION_S, eject
+from cicadatrail_core.jobs.evacuation import evacuate, stop_stuck_runs
+from cicadatrail_core.jobs.models import (
+    FleetConfiguration,
+    JobDefinition,
+    JobPhase,
+    Wave,
+    WorkerFacts,
+)
+from cicadatrail_core.jobs.records import (
+    apply_progress,
+    decode_definition,
+    encode_definition,
+    encode_progress,
+)
+from cicadatrail_core.jobs.scheduler import (
+    CLOCK_DRIFT,
+    LEASE_MARGIN_S,
+    Scheduler,
+    SchedulerSettings,
+)
+from cicadatrail_core.jobs.state import JobState, WorkerState
+from cicadatrail_core.models.resources import Resources
+from cicadatraild.platform.documents import decode_worker
+from cicadatraild.platform.machines import MachineClient
+from cicadatraild.platform.settings import PlatformSettings
+from cicadatraild.platform.store import (
+    JOBS_TOPIC,
+    WORKERS_TOPIC,
+    FencedError,
+    KeyedRecord,
+    StoreClient,
+    StoreUnavailableError,
+)
+from cicadatraild.platform.workers import WorkerClient
+from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
+from cicadatraild.scheduling.feeds import TopicFeed
+from cicadatraild.scheduling.journal import RECORD_LIMIT_BYTES, Batch, Journal
+from cicadatraild.scheduling.leadership import Leadership
+from cicadatraild.scheduling.maintenance import WaveKeeper
+from cicadatraild.scheduling.messages import (
+    AskPhase,
+    Cancel,
+    CountQueued,
+    PhaseIs,
+    QueuedCount,
+    Refused,
+    Reply,
+    Request,
+    Stored,
+    Submit,
+    Unsettled,
+)
+from cicadatraild.scheduling.worker_links import WorkerLinks
+
+logger = logging.getLogger("cicadatrail.holder")
+
+LEASE_S = 3.5
+"""Lease given to workers: covers a takeover after silence, and lapses soon."""
+
+FORMER_HOLDER_S = 0.5
+"""Time for which an earlier holder may renew leases before it knows."""
+
+TICK_S = 0.1
+"""Time between checks of leases, due occurrences and stuck runs."""
+
+DISPATCH_PAUSE_S = 0.003
+"""Pause after a decision, so that changes that come together count together."""
+
+LIST_GRACE_S = 2.5
+"""Time for which entries that lapsed with the store away may be missing."""
+
+STORE_TROUBLE_S = 6.0
+"""Time after a failed read of the list in which entries may have lapsed."""
+
+WORKERS_PAUSE_S = 0.15
+"""Pause between reads of the list of workers, so that they are batched."""
+
+RETRY_S = 0.1
+"""Pause before a step of the takeover is repeated."""
+
+JOB_PREFIX = "j/"
+PROGRESS_PREFIX = "p/"
+WAVE_PREFIX = "w/"
+FLEET_KEY = "fleet"
+
+
+class Holder:
+    """Hold the fleet for one epoch."""
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        store: StoreClient,
+        leadership: Leadership,
+        epoch: int,
+        waves: Callable[[], list[Wave]],
+    ) -> None:
+        self.epoch = epoch
+        self.ready = asyncio.Event()
+        lease_s = min(LEASE_S, settings.lease_limit_s)
+        self.scheduler = Scheduler(
+            SchedulerSettings(epoch, lease_s, settings.status_kept_s)
+        )
+        self._settings = settings
+        self._store = store
+        self._leadership = leadership
+        self._dirty = asyncio.Event()
+        self.scheduler.on_change = self._dirty.set
+        self.journal = Journal(store, epoch, self._collect, leadership.depose)
+        self._client = WorkerClient(epoch)
+        self.links = WorkerLinks(
+            self.scheduler, self._client, self.journal, leadership.depose
+        )
+        self.waves = WaveKeeper(
+            settings,
+            MachineClient(settings.machines, settings.node, epoch)
+            if settings.machines is not None
+            else None,
+            store,
+            self.scheduler,
+            leadership.is_sure,
+            waves,
+            self._mark_waves,
+        )
+        self._feed = TopicFeed(
+            store, WORKERS_TOPIC, self._take_worker, self._compare, WORKERS_PAUSE_S
+        )
+        self._missing: dict[str, float] = {}
+        self._submitted: dict[str, asyncio.Future[Reply]] = {}
+        self._fleet: tuple[str, ...] | None = None
+        self._changed_waves = False
+        self._evacuating: dict[str, float] = {}
+
+    def configure(self, configuration: FleetConfiguration) -> None:
+        """Take a newer configuration."""
+        self.scheduler.configure(configuration)
+
+    async def run(self) -> None:
+        """Take over, then hold the fleet until cancelled."""
+        began_s = loop_now_s()
+        async with AsyncExitStack() as stack:
+            stack.callback(self.links.close)
+            stack.callback(self.journal.close)
+            await self._client.pool.open(stack)
+            await self.waves.open(stack)
+            await self._take_over()
+            logger.info(
+                "holder: took over.",
+                extra={
+                    "epoch": self.epoch,
+                    "job_count": len(self.scheduler.jobs),
+                    "worker_count": len(self.scheduler.workers),
+                    "duration_s": round(loop_now_s() - began_s, 3),
+                },
+            )
+            self.ready.set()
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.journal.run())
+                group.create_task(self._feed.run())
+                group.create_task(self._dispatch())
+                group.create_task(self._tick())
+                group.create_task(self.waves.run())
+
+    # Takeover
+
+    async def _take_over(self) -> None:
+        """Fence the store, then read it, until that succeeds."""
+        while True:
+            try:
+                await self.journal.fence()
+                records, _ = await self._store.newest(JOBS_TOPIC)
+                await self._feed.load()
+                break
+            except StoreUnavailableError as error:
+                logger.warning("holder: takeover waits.", extra={"reason": str(error)})
+                await asyncio.sleep(RETRY_S)
+        self._inherit(records)
+
+    def _inherit(self, records: list[KeyedRecord]) -> None:
+        now_s = loop_now_s()
+        lease_s = self.scheduler.settings.lease_s / (1 - CLOCK_DRIFT) + LEASE_MARGIN_S
+        values = {record.key: record.value or b"" for record in records}
+        self._inherit_fleet(values.get(FLEET_KEY))
+        for worker in self.scheduler.workers.values():
+            worker.lease_expires_s = now_s + lease_s + FORMER_HOLDER_S
+        jobs = []
+        for key, value in values.items():
+            try:
+                if key.startswith(JOB_PREFIX):
+                    job_id = key.removeprefix(JOB_PREFIX)
+                    progress = values.get(PROGRESS_PREFIX + job_id)
+                    jobs.append(self._restore(job_id, value, progress, now_s))
+                elif key.startswith(PROGRESS_PREFIX):
+                    job_id = key.removeprefix(PROGRESS_PREFIX)
+                    if JOB_PREFIX + job_id not in values:
+                        jobs.append(self._restore(job_id, None, value, now_s))
+                elif key.startswith(WAVE_PREFIX):
+                    self.waves.restore(int(key.removeprefix(WAVE_PREFIX)), value)
+            except (ValueError, TypeError, KeyError) as error:
+                logger.error(
+                    "holder: record can't be read.",
+                    extra={"key": key, "reason": repr(error)},
+                )
+        self.scheduler.inherit(jobs)
+        for job in jobs:
+            self.scheduler.activate(job, now_s, unix_now_ms())
+
+    def _restore(
+        self,
+        job_id: str,
+        definition: bytes | None,
+        progress: bytes | None,
+        now_s: float,
+    ) -> JobState:
+        plan = JobDefinition("", "", "", ())
+        accepted_s = now_s
+        if definition is not None:
+            plan = decode_definition(definition)
+            age_s = (unix_now_ms() - plan.submitted_unix_ms) / 1000
+            accepted_s = now_s - max(0.0, age_s)
+        job = JobState(job_id, plan, accepted_s)
+        job.ended_s = now_s
+        if progress is not None:
+            apply_progress(job, progress)
+        job.started = bool(job.occurrences or job.done_occurrences)
+        return job
+
+    def _inherit_fleet(self, value: bytes | None) -> None:
+        """Add workers that the last holder used and that aren't listed now."""
+        if value is None:
+            return
+        for entry in msgpack.unpackb(value):
+            worker_id, pool, host, port, capacity, born_unix_ms = entry
+            if worker_id in self.scheduler.workers:
+                continue
+            facts = WorkerFacts(
+                worker_id=worker_id,
+                pool=pool,
+                host=host,
+                port=port,
+                zone="",
+                capacity=Resources(*capacity),
+                born_unix_ms=born_unix_ms,
+            )
+            self.scheduler.workers[worker_id] = WorkerState(facts)
+            self.scheduler.workers[worker_id].is_listed = False
+
+    # The list of workers
+
+    def _take_worker(self, record: KeyedRecord) -> None:
+        now_s = loop_now_s()
+        if record.value is None:
+            if record.key in self.scheduler.workers:
+                trouble_s = self._feed.failed_s
+                is_trouble = (
+                    trouble_s is not None and now_s - trouble_s < STORE_TROUBLE_S
+                )
+                grace_s = LIST_GRACE_S if is_trouble else 0.0
+                self._missing.setdefault(record.key, now_s + grace_s)
+            return
+        facts = decode_worker(record.key, record.value)
+        if facts is None:
+            return
+        self._missing.pop(record.key, None)
+        worker = self.scheduler.update_worker(facts, now_s)
+        if facts.draining:
+            self._evacuating.setdefault(worker.facts.worker_id, now_s)
+        else:
+            self._evacuating.pop(worker.facts.worker_id, None)
+
+    def _compare(self, listed: set[str]) -> None:
+        """Note workers that are missing from a whole list."""
+        now_s = loop_now_s()
+        for worker_id in self.scheduler.workers:
+            if worker_id not in listed:
+                self._missing.setdefault(worker_id, now_s + LIST_GRACE_S)
+
+    def _unlist_missing(self, now_s: float) -> None:
+        for worker_id, due_s in [*self._missing.items()]:
+            if now_s < due_s:
+                continue
+            del self._missing[worker_id]
+            worker = self.scheduler.workers.get(worker_id)
+            if worker is not None and worker.is_listed:
+                worker.is_listed = False
+                logger.info(
+                    "holder: worker left the list.",
+                    extra={"worker_id": worker_id, "run_count": len(worker.runs)},
+                )
+                self.scheduler.on_change()
+
+    # Loops
+
+    async def _dispatch(self) -> None:
+        while True:
+            await self._dirty.wait()
+            self._dirty.clear()
+            self.links.follow_scheduler()
+            dispatch(self.scheduler, loop_now_s())
+            self.links.send_orders()
+            if self.scheduler.changed_jobs or self._fleet_changed():
+                self.journal.request()
+            await asyncio.sleep(DISPATCH_PAUSE_S)
+
+    async def _tick(self) -> None:
+        while True:
+            now_s = loop_now_s()
+            self._unlist_missing(now_s)
+            self.scheduler.tick(now_s, unix_now_ms())
+            for worker in stop_stuck_runs(self.scheduler, now_s):
+                eject(worker, now_s, EJECTION_S, self.scheduler.workers, "no progress")
+            for worker_id, since_s in [*self._evacuating.items()]:
+                draining = self.scheduler.workers.get(worker_id)
+                if draining is None:
+                    del self._evacuating[worker_id]
+                else:
+                    evacuate(self.scheduler, draining, since_s, now_s)
+            self.links.send_orders()
+            await asyncio.sleep(TICK_S)
+
+    # Storing
+
+    def _fleet_changed(self) -> bool:
+        return self._fleet != tuple(self.scheduler.workers)
+
+    def _mark_waves(self) -> None:
+        self._changed_waves = True
+        self.journal.request()
+
+    def _collect(self) -> Batch:
+        """Return the records of what has changed."""
+        scheduler = self.scheduler
+        records: list[KeyedRecord] = []
+        if self._fleet_changed():
+            self._fleet = tuple(scheduler.workers)
+            records.append(KeyedRecord(FLEET_KEY, self._encode_fleet()))
+        if self._changed_waves:
+            self._changed_waves = False
+            for number, value in self.waves.encode():
+                records.append(KeyedRecord(f"{WAVE_PREFIX}{number}", value))
+        changed, scheduler.changed_jobs = scheduler.changed_jobs, {}
+        ended: list[tuple[JobState, JobPhase]] = []
+        accepted: list[JobState] = []
+        for job_id in changed:
+            job = scheduler.jobs.get(job_id)
+            if job is None:
+                continue
+            if not job.is_stored:
+                value = encode_definition(job.definition)
+                records.append(KeyedRecord(JOB_PREFIX + job_id, value))
+                accepted.append(job)
+                continue
+            records.append(KeyedRecord(PROGRESS_PREFIX + job_id, encode_progress(job)))
+            if job.is_final and job.stored_phase is JobPhase.PENDING:
+                ended.append((job, job.phase))
+                # Nothing of an ended job starts again, so its steps can go.
+                records.append(KeyedRecord(JOB_PREFIX + job_id, None))
+        forgotten, scheduler.forgotten_jobs = scheduler.forgotten_jobs, []
+        for job_id in forgotten:
+            records.append(KeyedRecord(PROGRESS_PREFIX + job_id, None))
+
+        def on_stored() -> None:
+            now_s = loop_now_s()
+            for job, phase in ended:
+                job.stored_phase = phase
+                if phase is JobPhase.CANCELLED:
+                    scheduler.stop_runs(job)
+            for job in accepted:
+                scheduler.activate(job, now_s, unix_now_ms())
+
+        return records, on_stored
+
+    def _encode_fleet(self) -> bytes:
+        value: bytes = msgpack.packb(
+            [
+                [
+                    worker.facts.worker_id,
+                    worker.facts.pool,
+                    worker.facts.host,
+                    worker.facts.port,
+                    astuple(worker.facts.capacity),
+                    worker.born_unix_ms,
+                ]
+                for worker in self.scheduler.workers.values()
+            ]
+        )
+        return value
+
+    # Requests
+
+    async def answer(self, request: Request) -> Reply:
+        """Answer a request about jobs."""
+        await self.ready.wait()
+        try:
+            match request:
+                case Submit():
+                    return await self._submit(request)
+                case Cancel():
+                    return await self._cancel(request)
+                case AskPhase():
+                    return self._phase(request)
+                case CountQueued():
+                    return QueuedCount(self.scheduler.queued_count(request.queue))
+        except FencedError as error:
+            return Unsettled(str(error))
+        return Refused("not a request about jobs")
+
+    async def _submit(self, request: Submit) -> Reply:
+        job = self.scheduler.jobs.get(request.job_id)
+        if job is not None and job.is_stored:
+            return Stored()
+        if job is None:
+            if self.journal.is_stalled:
+                return Refused("the store does not answer")
+            if len(request.definition) > RECORD_LIMIT_BYTES:
+                return Refused("the job is too large to store")
+            definition = decode_definition(request.definition)
+            job = self.scheduler.accept(request.job_id, definition, loop_now_s())
+            self.scheduler.changed_jobs[request.job_id] = None
+        # An append without an answer may have been carried out, so whoever
+        # repeats the request waits for the same append.
+        await self.journal.flush()
+        return Stored()
+
+    async def _cancel(self, request: Cancel) -> Reply:
+        job = self.scheduler.jobs.get(request.job_id)
+        if job is None:
+            if not self._leadership.is_sure():
+                return Refused("the store does not answer")
+            return PhaseIs("")
+        if job.is_final and job.stored_phase is job.phase:
+            return Stored()
+        if not job.is_stored:
+            await self.journal.flush()
+        self.scheduler.cancel(job, loop_now_s())
+        await self.journal.flush()
+        return Stored()
+
+    def _phase(self, request: AskPhase) -> Reply:
+        job = self.scheduler.jobs.get(request.job_id)
+        if job is not None and job.is_stored:
+            return PhaseIs(self.scheduler.shown_phase(job).value)
+        # A newer holder may know the job.
+        if job is not None or not self._leadership.is_sure():
+            return Refused("the store does not answer")
+        return PhaseIs("")
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -0,0 +1,260 @@
+"""One entry instance on the platform: what it serves and how it stops."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Success
+
+from cicadatrail_core.jobs.models import FleetConfiguration, Wave
+from cicadatraild.network.http_server import HttpServer
+from cicadatraild.network.server_exchange import HttpExchange, HttpLimits
+from cicadatraild.platform.callers import CallerInterface
+from cicadatraild.platform.documents import decode_configuration, decode_wave
+from cicadatraild.platform.settings import PlatformSettings, read_platform_settings
+from cicadatraild.platform.store import CONFIGURATION_TOPIC, KeyedRecord, StoreClient
+from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.entry import Entry
+from cicadatraild.scheduling.feeds import TopicFeed
+from cicadatraild.scheduling.holder import Holder
+from cicadatraild.scheduling.leadership import Leadership
+from cicadatraild.scheduling.metrics import InstanceMetrics
+from cicadatraild.scheduling.peers import PeerClient, PeerServer
+from cicadatraild.utils.output import OutputHandler
+
+logger = logging.getLogger("cicadatrail.instance")
+
+CONFIGURATION_KEY = "config"
+WAVE_KEY_PREFIX = "wave/"
+
+STOP_MARGIN_S = 1.0
+"""Time before the platform's kill at which a stopping process ends."""
+
+READY_PATH = "/cicadatrail/readyz"
+METRICS_PATH = "/metrics"
+
+CONNECTION_LIMIT_COUNT = 2500
+"""Connections of callers; the platform allows about 4,000 descriptors."""
+
+LAG_PROBE_S = 0.1
+"""Time between probes of the loop's lag."""
+
+HANDOVER_LAG_S = 0.25
+"""Lag of the loop at which a holder counts as too slow."""
+
+HANDOVER_PROBES_COUNT = 5
+"""Slow probes in a row after which a holder gives up the office."""
+
+
+class PlatformInstance:
+    """Serve callers, and hold the fleet when the office falls to it."""
+
+    def __init__(
+        self, settings: PlatformSettings, path: Path, output: OutputHandler
+    ) -> None:
+        self._settings = settings
+        self._path = path
+        self._store = StoreClient(settings.store)
+        self._configuration: FleetConfiguration | None = None
+        self._waves: dict[str, Wave] = {}
+        self._holder: Holder | None = None
+        self._holding: asyncio.Task[None] | None = None
+        self._leadership = Leadership(
+            self._store,
+            settings.node,
+            settings.host,
+            self._begin_holding,
+            self._end_holding,
+        )
+        self._peers = PeerClient(settings.peer_port)
+        self._entry = Entry(
+            self._leadership,
+            self._peers,
+            settings.host,
+            settings.seed_hosts,
+            lambda: self._holder,
+        )
+        self._callers = CallerInterface(
+            self._entry, lambda: self._configuration, lambda: self._stop.is_set()
+        )
+        self._stop = asyncio.Event()
+        self.metrics = InstanceMetrics(
+            self._store, self._leadership, lambda: self._holder, self._callers, output
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what is under way."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        settings = self._settings
+        logger.info(
+            "instance: started.",
+            extra={"node": settings.node, "data_centre": settings.data_centre},
+        )
+        async with AsyncExitStack() as stack:
+            await self._store.pool.open(stack)
+            await self._peers.open(stack)
+            peers = PeerServer(self._entry.answer_peer)
+            await peers.listen(stack, settings.host, settings.peer_port)
+            await self._listen(stack)
+            tasks: list[asyncio.Task[Any]] = [
+                asyncio.create_task(self._follow_configuration()),
+                asyncio.create_task(self._leadership.run()),
+                asyncio.create_task(self._watch_lag()),
+            ]
+            stopping = asyncio.create_task(self._stop.wait())
+            stack.callback(_cancel_all, [*tasks, stopping])
+            stack.callback(self._end_holding, "stopped")
+            done, _ = await asyncio.wait(
+                [*tasks, stopping], return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                if task is not stopping:
+                    task.result()
+            await self._retire()
+
+    async def _listen(self, stack: AsyncExitStack) -> None:
+        settings = self._settings
+        limits = HttpLimits(connection_limit_count=CONNECTION_LIMIT_COUNT)
+        front = HttpServer("callers", self._callers.handle, limits)
+        await front.listen(stack, settings.front.host, settings.front.port)
+        ready = HttpServer("readiness", self._answer_ready, HttpLimits())
+        await ready.listen(stack, settings.readiness.host, settings.readiness.port)
+        metrics = HttpServer("metrics", self._answer_metrics, HttpLimits())
+        await metrics.listen(stack, settings.host, settings.metrics_port)
+
+    async def _answer_ready(self, exchange: HttpExchange) -> None:
+        await exchange.respond(200 if self.is_ready else 503)
+
+    async def _answer_metrics(self, exchange: HttpExchange) -> None:
+        headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+        await exchange.respond(200, self.metrics.expose(), headers)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers can be served."""
+        if self._stop.is_set() or self._configuration is None:
+            return False
+        return self._leadership.current is not None
+
+    # Configuration
+
+    async def _follow_configuration(self) -> None:
+        feed = TopicFeed(self._store, CONFIGURATION_TOPIC, self._take_record)
+        await feed.run()
+
+    def _take_record(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            return
+        if record.key == CONFIGURATION_KEY:
+            self._take_configuration(record.value)
+        elif record.key.startswith(WAVE_KEY_PREFIX):
+            wave = decode_wave(record.value)
+            if wave is not None:
+                logger.info("instance: wave known.", extra={"wave": wave.number})
+                self._waves[record.key] = wave
+
+    def _take_configuration(self, value: bytes) -> None:
+        configuration = decode_configuration(value)
+        present = self._configuration.version if self._configuration else -1
+        if configuration is None or configuration.version <= present:
+            return
+        self._configuration = configuration
+        logger.info(
+            "instance: configuration in force.",
+            extra={
+                "version": configuration.version,
+                "previous_version": present,
+                "queue_count": len(configuration.queues),
+                "team_count": len(configuration.teams),
+            },
+        )
+        if self._holder is not None:
+            self._holder.configure(configuration)
+
+    def _reload(self) -> None:
+        match read_platform_settings(self._path):
+            case Success(settings):
+                changed = settings != self._settings
+                logger.info("instance: settings read.", extra={"changed": changed})
+            case Failure(findings):
+                logger.error(
+                    "instance: settings kept as they were.",
+                    extra={"findings": [str(finding) for finding in findings]},
+                )
+
+    # The office
+
+    def _begin_holding(self, epoch: int) -> None:
+        holder = Holder(
+            self._settings,
+            self._store,
+            self._leadership,
+            epoch,
+            lambda: list(self._waves.values()),
+        )
+        if self._configuration is not None:
+            holder.configure(self._configuration)
+        self._holder = holder
+        self._holding = asyncio.create_task(self._hold(holder))
+
+    async def _hold(self, holder: Holder) -> None:
+        try:
+            await holder.run()
+        except asyncio.CancelledError:
+            raise
+        except BaseException as error:
+            # A successor rebuilds all from the store, so the office is given up.
+            logger.exception("instance: holder failed.")
+            self._leadership.depose(f"failed: {error!r}")
+
+    def _end_holding(self, reason: str) -> None:
+        if self._holding is not None:
+            logger.info("instance: holding ended.", extra={"reason": reason})
+            self._holding.cancel()
+        self._holder = None
+        self._holding = None
+
+    async def _watch_lag(self) -> None:
+        """Give up the office when this machine is too slow for it."""
+        slow_count = 0
+        while True:
+            due_s = loop_now_s() + LAG_PROBE_S
+            await asyncio.sleep(LAG_PROBE_S)
+            lag_s = loop_now_s() - due_s
+            self.metrics.note_lag(lag_s)
+            slow_count = slow_count + 1 if lag_s > HANDOVER_LAG_S else 0
+            if slow_count >= HANDOVER_PROBES_COUNT and self._leadership.held_epoch:
+                logger.warning("instance: too slow.", extra={"lag_s": round(lag_s, 3)})
+                slow_count = 0
+                await self._leadership.release()
+                self._leadership.retiring = False
+
+    async def _retire(self) -> None:
+        """Hand the office over, then serve until the platform's grace ends."""
+        logger.info("instance: stopping.", extra={"epoch": self._leadership.held_epoch})
+        began_s = loop_now_s()
+        await self._leadership.release()
+        left_s = self._settings.grace_s - STOP_MARGIN_S - (loop_now_s() - began_s)
+        await asyncio.sleep(max(0.0, left_s))
+        logger.info("instance: stopped.")
+
+
+def _cancel_all(tasks: list[asyncio.Task[Any]]) -> None:
+    for task in tasks:
+        task.cancel()
+
+
+async def serve_on_platform(
+    settings: PlatformSettings, path: Path, output: OutputHandler
+) -> int:
+    """Serve until SIGTERM; return the exit code."""
+    await PlatformInstance(settings, path, output).run()
+    return 0
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -0,0 +1,309 @@
+"""Choice of the one holder by conditional, fenced records in the store.
+
+The holder renews its record. An instance that sees no new record for a while,
+a record that gives the office up, or a holder whose process is gone, claims the
+next epoch; the store lets one claim win. The epoch fences the holder's appends
+and its orders to workers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import uuid
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from typing import Any
+
+import msgpack
+
+from cicadatraild.platform.store import (
+    HOLDER_TOPIC,
+    FencedError,
+    HistoryGoneError,
+    KeyedRecord,
+    PositionError,
+    Producer,
+    SequenceError,
+    StoreClient,
+    StoreUnavailableError,
+)
+from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
+
+logger = logging.getLogger("cicadatrail.leadership")
+
+RENEWAL_S = 0.3
+"""Time between renewals; four fit into the silence limit."""
+
+SILENCE_LIMIT_S = 1.3
+"""Time without a renewal after which others claim; covers a store 60 times slow."""
+
+SURE_S = 1.0
+"""Time after the sending of a renewal in which nobody can have claimed yet."""
+
+FOLLOW_WAIT_MS = 500
+"""Time that a read waits at the store for the next record."""
+
+CLAIM_JITTER_S = 0.05
+"""Spread of claims, so that few of them collide."""
+
+RETRY_S = 0.1
+"""Pause after the store was not available."""
+
+PRODUCER = "holder"
+HOLDER_KEY = "holder"
+
+
+@dataclass(frozen=True, slots=True)
+class HolderRecord:
+    """Name the holder of an epoch; ``process_id`` is one life of its process."""
+
+    epoch: int
+    node: str
+    host: str
+    process_id: str
+    released: bool = False
+
+
+def _decode(record: KeyedRecord) -> HolderRecord | None:
+    try:
+        value: Any = msgpack.unpackb(record.value or b"")
+        return HolderRecord(**value)
+    except (ValueError, TypeError, msgpack.exceptions.UnpackException) as error:
+        logger.warning(
+            "leadership: holder record can't be read.", extra={"reason": repr(error)}
+        )
+        return None
+
+
+class Leadership:
+    """Follow the holder's record, and hold the office when it falls vacant."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        node: str,
+        host: str,
+        on_elected: Callable[[int], None],
+        on_deposed: Callable[[str], None],
+    ) -> None:
+        self._store = store
+        self._node = node
+        self._host = host
+        self._process_id = uuid.uuid4().hex
+        self._on_elected = on_elected
+        self._on_deposed = on_deposed
+        self._offset: int | None = None
+        self._seen_s = 0.0
+        self._sequence = 0
+        self._sure_until_s = 0.0
+        self._renewing: asyncio.Task[None] | None = None
+        self._changed = asyncio.Event()
+        self._store_failed = False
+        self.current: HolderRecord | None = None
+        self.held_epoch = 0
+        self.retiring = False
+        self.suspected_epoch = 0
+        self.store_answered_s: float | None = None
+        self.claim_count = 0
+
+    def is_sure(self) -> bool:
+        """Tell whether no other instance can have claimed the office yet."""
+        return self.held_epoch > 0 and boot_now_s() < self._sure_until_s
+
+    async def changed(self, timeout_s: float) -> None:
+        """Wait for another holder, for a time at most."""
+        event = self._changed
+        try:
+            async with asyncio.timeout(timeout_s):
+                await event.wait()
+        except TimeoutError:
+            return
+
+    def learn(self, epoch: int, host: str) -> None:
+        """Take a peer's word on a newer holder, to route to it."""
+        if epoch > (self.current.epoch if self.current else 0):
+            self._set(HolderRecord(epoch, "", host, ""))
+
+    def suspect(self, epoch: int) -> None:
+        """Note that the process of an epoch's holder is gone."""
+        self.suspected_epoch = max(self.suspected_epoch, epoch)
+
+    def depose(self, reason: str) -> None:
+        """Give up the office at once; orders of this epoch must end."""
+        if not self.held_epoch:
+            return
+        logger.warning(
+            "leadership: deposed.", extra={"epoch": self.held_epoch, "reason": reason}
+        )
+        self.held_epoch = 0
+        self._sure_until_s = 0.0
+        if self._renewing is not None:
+            self._renewing.cancel()
+            self._renewing = None
+        self._on_deposed(reason)
+
+    async def release(self) -> None:
+        """Give up the office in the store, so that another claims at once."""
+        epoch = self.held_epoch
+        self.retiring = True
+        if not epoch:
+            return
+        self.depose("released")
+        record = HolderRecord(epoch, self._node, self._host, self._process_id, True)
+        for _ in range(3):
+            try:
+                await self._append(record, epoch)
+                return
+            except (StoreUnavailableError, SequenceError) as error:
+                logger.warning(
+                    "leadership: release not stored.", extra={"reason": str(error)}
+                )
+            except FencedError:
+                return
+
+    async def run(self) -> None:
+        """Follow and claim until cancelled."""
+        while True:
+            try:
+                await self._follow()
+                self._note_store(None)
+            except HistoryGoneError:
+                self._offset = None
+            except StoreUnavailableError as error:
+                self._note_store(str(error))
+                await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
+                continue
+            if self._is_vacant():
+                await self._claim()
+
+    def _note_store(self, failure: str | None) -> None:
+        if failure is None:
+            self.store_answered_s = loop_now_s()
+            if self._store_failed:
+                logger.info("leadership: store is back.")
+        else:
+            # Silence counts only while the store answers.
+            self._seen_s = loop_now_s()
+            if not self._store_failed:
+                logger.warning("leadership: store lost.", extra={"reason": failure})
+        self._store_failed = failure is not None
+
+    async def _follow(self) -> None:
+        if self._offset is None:
+            records, self._offset = await self._store.newest(HOLDER_TOPIC)
+            if not records:
+                self._seen_s = loop_now_s() - SILENCE_LIMIT_S
+        else:
+            records, self._offset = await self._store.read(
+                HOLDER_TOPIC, self._offset, FOLLOW_WAIT_MS
+            )
+        for record in records:
+            self._take(record)
+
+    def _take(self, record: KeyedRecord) -> None:
+        holder = _decode(record)
+        if holder is None:
+            return
+        self._seen_s = loop_now_s()
+        if self.current is not None and holder.epoch < self.current.epoch:
+            return
+        is_own = holder.process_id == self._process_id
+        if holder.epoch > self.held_epoch > 0 and not is_own:
+            self.depose(f"epoch {holder.epoch} of {holder.node}")
+        has_won = is_own and not holder.released and holder.epoch > self.held_epoch
+        if has_won and not self.retiring:
+            # A claim without an answer has won after all.
+            self._begin(holder.epoch, boot_now_s())
+        if holder != self.current:
+            self._set(holder)
+
+    def _set(self, holder: HolderRecord) -> None:
+        self.current = holder
+        logger.info("leadership: holder known.", extra=asdict(holder))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _is_vacant(self) -> bool:
+        if self.held_epoch or self.retiring:
+            return False
+        current = self.current
+        if current is None or current.released:
+            return True
+        if current.epoch <= self.suspected_epoch:
+            return True
+        if current.node == self._node and current.process_id != self._process_id:
+            return bool(current.process_id)
+        return loop_now_s() - self._seen_s > SILENCE_LIMIT_S
+
+    async def _claim(self) -> None:
+        await asyncio.sleep(random.uniform(0, CLAIM_JITTER_S))
+        epoch = (self.current.epoch if self.current else 0) + 1
+        record = HolderRecord(epoch, self._node, self._host, self._process_id)
+        sent_s = boot_now_s()
+        self.claim_count += 1
+        logger.info(
+            "leadership: claim.",
+            extra={
+                "epoch": epoch,
+                "silence_s": round(loop_now_s() - self._seen_s, 3),
+                "suspected_epoch": self.suspected_epoch,
+            },
+        )
+        try:
+            self._sequence = 0
+            await self._append(record, epoch, expected_end=self._offset)
+        except (PositionError, FencedError, SequenceError):
+            return
+        except StoreUnavailableError as error:
+            logger.warning("leadership: claim unsettled.", extra={"reason": str(error)})
+            return
+        if not self.retiring:
+            self._begin(epoch, sent_s)
+            self._set(record)
+
+    async def _append(
+        self, record: HolderRecord, epoch: int, expected_end: int | None = None
+    ) -> None:
+        value: bytes = msgpack.packb(asdict(record))
+        producer = Producer(PRODUCER, epoch, self._sequence)
+        await self._store.append(
+            HOLDER_TOPIC,
+            [KeyedRecord(HOLDER_KEY, value)],
+            producer=producer,
+            expected_end=expected_end,
+        )
+        self._sequence += 1
+
+    def _begin(self, epoch: int, sent_s: float) -> None:
+        self.held_epoch = epoch
+        self._sequence = max(self._sequence, 1)
+        self._sure_until_s = sent_s + SURE_S
+        self._seen_s = loop_now_s()
+        self._renewing = asyncio.create_task(self._renew(epoch))
+        logger.info("leadership: elected.", extra={"epoch": epoch})
+        self._on_elected(epoch)
+
+    async def _renew(self, epoch: int) -> None:
+        record = HolderRecord(epoch, self._node, self._host, self._process_id)
+        while self.held_epoch == epoch:
+            began_s = loop_now_s()
+            sent_s = boot_now_s()
+            try:
+                await self._append(record, epoch)
+                self._sure_until_s = max(self._sure_until_s, sent_s + SURE_S)
+            except FencedError as error:
+                self._renewing = None
+                self.depose(str(error))
+                return
+            except SequenceError as error:
+                self._sequence = error.expected
+            except StoreUnavailableError as error:
+                logger.warning(
+                    "leadership: renewal failed.", extra={"reason": str(error)}
+                )
+                await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
+                continue
+            pause_s = began_s + RENEWAL_S - loop_now_s()
+            await asyncio.sleep(max(0.0, pause_s))
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
@@ -0,0 +1,316 @@
+"""Maintenance waves: machines are emptied, maintained, and taken back."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable, Iterator
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+
+import msgpack
+
+from cicadatrail_core.jobs.evacuation import evacuate
+from cicadatrail_core.jobs.models import Machine, MachineState, Wave
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.state import WorkerState
+from cicadatraild.platform.machines import MachineClient, MachineOutcome
+from cicadatraild.platform.settings import PlatformSettings
+from cicadatraild.platform.store import (
+    STATUS_TOPIC,
+    KeyedRecord,
+    StoreClient,
+    StoreUnavailableError,
+)
+from cicadatraild.scheduling.clocks import loop_now_s
+
+logger = logging.getLogger("cicadatrail.maintenance")
+
+STEP_S = 0.1
+"""Time between looks at the machines that are being emptied."""
+
+LIST_S = 0.5
+"""Time between lists of machines while some are being maintained."""
+
+ORDER_GAP_MARGIN_S = 0.3
+"""Time added to the platform's gap between the orders of two holders."""
+
+RETRY_S = 0.5
+"""Pause before a machine that was refused is tried again."""
+
+CLOSED_POOL_FRACTION = 0.34
+"""Largest part of a pool that is closed or away for a wave at once."""
+
+
+@dataclass(slots=True)
+class WaveProgress:
+    """Hold how far a wave has come."""
+
+    wave: Wave
+    begun: set[str] = field(default_factory=set)
+    down: dict[str, float] = field(default_factory=dict)
+    closing: dict[str, float] = field(default_factory=dict)
+    retry_s: dict[str, float] = field(default_factory=dict)
+    shown: str = ""
+    is_completed: bool = False
+    seen_s: float = 0.0
+
+
+class WaveKeeper:
+    """Carry out the waves that operators asked for."""
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        client: MachineClient | None,
+        store: StoreClient,
+        scheduler: Scheduler,
+        is_sure: Callable[[], bool],
+        waves: Callable[[], list[Wave]],
+        on_progress: Callable[[], None],
+    ) -> None:
+        self._settings = settings
+        self._client = client
+        self._store = store
+        self._scheduler = scheduler
+        self._is_sure = is_sure
+        self._waves = waves
+        self._on_progress = on_progress
+        self._restored: dict[int, tuple[set[str], bool]] = {}
+        self._progress: dict[int, WaveProgress] = {}
+        self._machines: dict[str, Machine] = {}
+        self._listed_s = float("-inf")
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        """Close connections when ``stack`` closes."""
+        if self._client is not None:
+            await self._client.pool.open(stack)
+
+    def restore(self, number: int, record: bytes) -> None:
+        """Take a wave's progress that an earlier holder stored."""
+        begun, is_completed = msgpack.unpackb(record)
+        self._restored[number] = (set(begun), is_completed)
+
+    def encode(self) -> Iterator[tuple[int, bytes]]:
+        """Yield the record of each wave."""
+        for number, progress in self._progress.items():
+            record = [sorted(progress.begun), progress.is_completed]
+            yield number, msgpack.packb(record)
+
+    async def run(self) -> None:
+        """Carry out waves until cancelled."""
+        if self._client is None:
+            return
+        # Orders of two holders to one machine must be well apart.
+        await asyncio.sleep(self._settings.order_gap_s + ORDER_GAP_MARGIN_S)
+        while True:
+            for wave in self._waves():
+                await self._advance(wave)
+            await asyncio.sleep(STEP_S)
+
+    async def _advance(self, wave: Wave) -> None:
+        progress = self._progress.get(wave.number)
+        if progress is None:
+            progress = WaveProgress(wave, seen_s=loop_now_s())
+            begun, is_completed = self._restored.get(wave.number, (set(), False))
+            progress.begun |= begun
+            progress.is_completed = is_completed
+            self._progress[wave.number] = progress
+        if progress.is_completed:
+            await self._show(progress, "completed")
+            return
+        await self._show(progress, "running")
+        await self._refresh(progress)
+        if not self._machines:
+            return
+        self._settle_down(progress)
+        self._close_some(progress)
+        for name, since_s in list(progress.closing.items()):
+            await self._empty(progress, name, since_s)
+        self._check_completed(progress)
+
+    async def _refresh(self, progress: WaveProgress) -> None:
+        asked_s = loop_now_s()
+        pause_s = LIST_S if progress.down else 2 * LIST_S
+        if asked_s - self._listed_s < pause_s or self._client is None:
+            return
+        machines = await self._client.list_machines()
+        if machines is None:
+            logger.warning("maintenance: no list of machines.")
+            self._listed_s = asked_s
+            return
+        self._machines = {machine.name: machine for machine in machines}
+        self._listed_s = asked_s
+
+    def _settle_down(self, progress: WaveProgress) -> None:
+        """Take back machines that a newer list shows as up."""
+        for name, ordered_s in list(progress.down.items()):
+            machine = self._machines.get(name)
+            is_up = machine is not None and machine.state is MachineState.UP
+            if (is_up or machine is None) and self._listed_s > ordered_s:
+                del progress.down[name]
+                logger.info(
+                    "maintenance: machine is back.",
+                    extra={"machine": name, "wave": progress.wave.number},
+                )
+
+    def _close_some(self, progress: WaveProgress) -> None:
+        """Choose machines to empty next, within the wave's limit."""
+        wave = progress.wave
+        now_s = loop_now_s()
+        away = sum(
+            1
+            for name in wave.machines
+            if name not in progress.down
+            and name in self._machines
+            and self._machines[name].state is MachineState.MAINTENANCE
+        )
+        busy = len(progress.down) + len(progress.closing) + away
+        candidates = [
+            name
+            for name in wave.machines
+            if name not in progress.begun
+            and name not in progress.closing
+            and progress.retry_s.get(name, 0) <= now_s
+            and name in self._machines
+            and self._machines[name].state is MachineState.UP
+        ]
+        self._scheduler.maintained_next = frozenset(candidates)
+        candidates.sort(key=self._load)
+        for name in candidates:
+            if busy >= wave.limit_count:
+                return
+            if self._pool_is_full(progress, name):
+                continue
+            progress.closing[name] = now_s
+            busy += 1
+            worker = self._worker(name)
+            if worker is not None:
+                worker.closed = True
+            logger.info(
+                "maintenance: machine is being emptied.",
+                extra={
+                    "machine": name,
+                    "wave": wave.number,
+                    "run_count": len(worker.runs) if worker else 0,
+                    "list_age_s": round(now_s - self._listed_s, 3),
+                },
+            )
+
+    def _pool_is_full(self, progress: WaveProgress, name: str) -> bool:
+        pool = self._machines[name].pool
+        size = sum(1 for machine in self._machines.values() if machine.pool == pool)
+        taken = sum(
+            1
+            for other in (*progress.closing, *progress.down)
+            if other in self._machines and self._machines[other].pool == pool
+        )
+        known = self._scheduler.configuration.pools.get(pool)
+        if known is not None and known.standby:
+            return False
+        return taken + 1 > max(1, int(size * CLOSED_POOL_FRACTION))
+
+    def _load(self, name: str) -> tuple[float, int]:
+        """Return how busy a machine's pool and the machine are."""
+        worker = self._worker(name)
+        if worker is None:
+            return (0.0, 0)
+        used = capacity = 0
+        for other in self._scheduler.workers.values():
+            if other.facts.pool == worker.facts.pool:
+                used += other.used.cpu_millicores
+                capacity += other.facts.capacity.cpu_millicores
+        return (used / max(1, capacity), len(worker.runs))
+
+    def _worker(self, machine: str) -> WorkerState | None:
+        for worker in self._scheduler.workers.values():
+            if worker.facts.machine == machine:
+                return worker
+        return None
+
+    async def _empty(self, progress: WaveProgress, name: str, since_s: float) -> None:
+        now_s = loop_now_s()
+        worker = self._worker(name)
+        if worker is not None:
+            worker.closed = True
+            evacuate(self._scheduler, worker, since_s, now_s)
+            if worker.runs or not worker.is_resolved:
+                return
+        if not self._is_sure() or self._client is None:
+            return
+        ordered_s = loop_now_s()
+        outcome = await self._client.maintain(name, progress.wave.number)
+        logger.info(
+            "maintenance: order sent.",
+            extra={
+                "machine": name,
+                "wave": progress.wave.number,
+                "outcome": outcome.value,
+                "list_age_s": round(ordered_s - self._listed_s, 3),
+            },
+        )
+        self._apply(progress, name, worker, outcome)
+
+    def _apply(
+        self,
+        progress: WaveProgress,
+        name: str,
+        worker: WorkerState | None,
+        outcome: MachineOutcome,
+    ) -> None:
+        now_s = loop_now_s()
+        del progress.closing[name]
+        match outcome:
+            case MachineOutcome.DONE:
+                progress.begun.add(name)
+                progress.down[name] = now_s
+                if worker is not None:
+                    self._scheduler.remove_worker(
+                        worker.facts.worker_id, now_s, "maintenance"
+                    )
+                self._on_progress()
+                return
+            case MachineOutcome.NOT_IN_WAVE | MachineOutcome.UNKNOWN_MACHINE:
+                progress.begun.add(name)
+                self._on_progress()
+            case MachineOutcome.UNKNOWN:
+                # It may be under way, so it counts until a list shows it up.
+                progress.down[name] = now_s
+        if worker is not None:
+            worker.closed = False
+        progress.retry_s[name] = now_s + RETRY_S
+
+    def _check_completed(self, progress: WaveProgress) -> None:
+        open_machines = [
+            name
+            for name in progress.wave.machines
+            if name in self._machines and name not in progress.begun
+        ]
+        if open_machines or progress.down or progress.closing:
+            return
+        progress.is_completed = True
+        self._on_progress()
+        logger.info(
+            "maintenance: wave completed.",
+            extra={
+                "wave": progress.wave.number,
+                "duration_s": round(loop_now_s() - progress.seen_s, 3),
+            },
+        )
+
+    async def _show(self, progress: WaveProgress, state: str) -> None:
+        """Write the wave's state for operators."""
+        if progress.shown == state:
+            return
+        number = progress.wave.number
+        value = json.dumps({"wave": number, "state": state}).encode()
+        try:
+            await self._store.append(
+                STATUS_TOPIC, [KeyedRecord(f"wave/{number}", value)]
+            )
+            progress.shown = state
+        except StoreUnavailableError as error:
+            logger.warning(
+                "maintenance: state not stored.", extra={"reason": str(error)}
+            )
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
@@ -0,0 +1,122 @@
+"""Counters and histograms of an instance on the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from cicadatrail_core.jobs.state import RunPhase
+from cicadatraild.platform.store import StoreClient
+from cicadatraild.scheduling.leadership import Leadership
+from cicadatraild.utils.output import OutputHandler
+
+if TYPE_CHECKING:
+    from cicadatraild.platform.callers import CallerInterface
+    from cicadatraild.scheduling.holder import Holder
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+"""Bounds of answers' durations, up to the longest deadline of callers."""
+
+
+class InstanceMetrics(Collector):
+    """Turn the instance's own counts into metrics when they are asked for."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        leadership: Leadership,
+        holder: Callable[[], Holder | None],
+        callers: CallerInterface,
+        output: OutputHandler,
+    ) -> None:
+        self._store = store
+        self._leadership = leadership
+        self._holder = holder
+        self._callers = callers
+        self._output = output
+        self._registry = CollectorRegistry()
+        self._durations = Histogram(
+            "cicadatrail_answer_seconds",
+            "Time from a request to its answer",
+            ["kind"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._lag = Histogram(
+            "cicadatrail_loop_lag_seconds",
+            "Lateness of the loop's timers",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._registry.register(self)
+        callers.on_duration = self._note_duration
+
+    def expose(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+    def note_lag(self, lag_s: float) -> None:
+        """Count one probe of the loop's lag."""
+        self._lag.observe(max(0.0, lag_s))
+
+    def _note_duration(self, kind: str, duration_s: float) -> None:
+        self._durations.labels(kind).observe(duration_s)
+
+    def collect(self) -> Iterable[Metric]:
+        """Yield every metric."""
+        return self._iterate()
+
+    def _iterate(self) -> Iterator[Metric]:
+        answers = CounterMetricFamily(
+            "cicadatrail_answers", "Answers to callers", labels=["kind", "status"]
+        )
+        for (kind, status), count in sorted(self._callers.answers.items()):
+            answers.add_metric([kind, str(status)], count)
+        yield answers
+        for name, value in self._gauges().items():
+            yield GaugeMetricFamily(
+                f"cicadatrail_{name}", name.replace("_", " "), value=value
+            )
+        holder = self._holder()
+        if holder is None:
+            return
+        events = CounterMetricFamily(
+            "cicadatrail_run_events", "Ends and refused starts", labels=["kind"]
+        )
+        for name, count in sorted(holder.scheduler.counts.items()):
+            events.add_metric([name], count)
+        yield events
+        used = GaugeMetricFamily(
+            "cicadatrail_team_cpu_cores", "Processor time in use", labels=["team"]
+        )
+        for team, resources in sorted(holder.scheduler.team_used.items()):
+            used.add_metric([team], resources.cpu_millicores / 1000)
+        yield used
+
+    def _gauges(self) -> dict[str, float]:
+        gauges: dict[str, float] = {
+            "store_calls": self._store.call_count,
+            "held_epoch": self._leadership.held_epoch,
+            "claims": self._leadership.claim_count,
+            "dropped_log_lines": self._output.dropped_count,
+        }
+        holder = self._holder()
+        if holder is None:
+            return gauges
+        scheduler = holder.scheduler
+        runs = [run for w in scheduler.workers.values() for run in w.runs.values()]
+        gauges |= {
+            "jobs": len(scheduler.jobs),
+            "workers": len(scheduler.workers),
+            "runs": len(runs),
+            "unanswered_starts": sum(run.phase is RunPhase.SENT for run in runs),
+            "store_appends": holder.journal.append_count,
+            "stored_bytes": holder.journal.stored_bytes,
+            "worker_lists": holder.links.list_count,
+            "starts": holder.links.start_count,
+        }
+        return gauges
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
@@ -0,0 +1,182 @@
+"""Streams of requests between entry instances."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack, suppress
+from typing import Any
+
+from cicadatraild.network.frames import FrameError, FrameStream
+from cicadatraild.scheduling.messages import (
+    Reply,
+    Request,
+    decode_message,
+    encode_message,
+)
+
+logger = logging.getLogger("cicadatrail.peer")
+
+FRAME_LIMIT_BYTES = 1024 * 1024
+"""Largest frame; a submitted body is at most 256 KiB by the platform."""
+
+CONNECT_TIMEOUT_S = 0.4
+"""Time to reach a peer; they are about 1 ms away."""
+
+REQUESTS_AT_ONCE_COUNT = 2000
+"""Requests of one stream that are under way at once."""
+
+
+class PeerUnreachableError(Exception):
+    """Report a request without a reply.
+
+    ``may_have_run`` tells whether it reached the peer, ``is_refused`` whether
+    the peer's machine answered that no process listens.
+    """
+
+    def __init__(self, reason: str, may_have_run: bool, is_refused: bool) -> None:
+        super().__init__(reason)
+        self.may_have_run = may_have_run
+        self.is_refused = is_refused
+
+
+class PeerServer:
+    """Answer the requests of peers."""
+
+    def __init__(self, answer: Callable[[Request], Awaitable[Reply]]) -> None:
+        self._answer = answer
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self, stack: AsyncExitStack, host: str, port: int) -> int:
+        """Listen until ``stack`` closes; return the port."""
+        server = await asyncio.start_server(self._serve, host, port)
+        stack.push_async_callback(self._close, server)
+        bound_port: int = server.sockets[0].getsockname()[1]
+        return bound_port
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        stream = FrameStream(reader, writer, FRAME_LIMIT_BYTES)
+        room = asyncio.Semaphore(REQUESTS_AT_ONCE_COUNT)
+        try:
+            while True:
+                number, value = await stream.read()
+                request = decode_message(value)
+                await room.acquire()
+                task = asyncio.create_task(self._reply(stream, number, request))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+                task.add_done_callback(lambda _: room.release())
+        except (FrameError, ValueError, TypeError) as error:
+            logger.info("peer: stream ended.", extra={"reason": str(error)})
+        except asyncio.CancelledError:
+            pass
+        finally:
+            stream.abort()
+
+    async def _reply(self, stream: FrameStream, number: int, request: Any) -> None:
+        reply = await self._answer(request)
+        with suppress(FrameError):
+            stream.write([number, encode_message(reply)])
+            await stream.drain()
+
+    async def _close(self, server: asyncio.Server) -> None:
+        server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+
+
+class _Link:
+    """Hold one stream to a peer and the requests that wait for a reply."""
+
+    def __init__(self, stream: FrameStream) -> None:
+        self.stream = stream
+        self.waiting: dict[int, asyncio.Future[Reply]] = {}
+        self.reader: asyncio.Task[None] | None = None
+        self.is_closed = False
+
+    async def read(self) -> None:
+        """Resolve replies until the stream ends."""
+        try:
+            while True:
+                number, value = await self.stream.read()
+                future = self.waiting.pop(number, None)
+                if future is not None and not future.done():
+                    future.set_result(decode_message(value))
+        except (FrameError, ValueError, TypeError) as error:
+            self.close(str(error))
+
+    def close(self, reason: str) -> None:
+        """Drop the stream; fail what waits."""
+        self.is_closed = True
+        self.stream.abort()
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(PeerUnreachableError(reason, True, False))
+        self.waiting.clear()
+
+
+class PeerClient:
+    """Send requests to peers over one stream each."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._links: dict[str, _Link] = {}
+        self._numbers = itertools.count(1)
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        """Close all streams when ``stack`` closes."""
+        stack.callback(self._close)
+
+    async def call(self, host: str, request: Request, timeout_s: float) -> Reply:
+        """Return a peer's reply. Raises PeerUnreachableError."""
+        link = await self._link(host)
+        number = next(self._numbers)
+        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        link.waiting[number] = future
+        try:
+            async with asyncio.timeout(timeout_s):
+                link.stream.write([number, encode_message(request)])
+                await link.stream.drain()
+                return await future
+        except (TimeoutError, FrameError) as error:
+            # A stream can go silent for good, so it is not used again.
+            self._drop(host, link, f"no reply in {timeout_s:.2f} s")
+            raise PeerUnreachableError(repr(error), True, False) from error
+        finally:
+            link.waiting.pop(number, None)
+
+    async def _link(self, host: str) -> _Link:
+        link = self._links.get(host)
+        if link is not None and not link.is_closed and not link.stream.closing:
+            return link
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(host, self._port)
+        except (OSError, TimeoutError) as error:
+            is_refused = isinstance(error, ConnectionRefusedError)
+            raise PeerUnreachableError(repr(error), False, is_refused) from error
+        present = self._links.get(host)
+        if present is not None and not present.is_closed:
+            # Another request has connected meanwhile.
+            writer.close()
+            return present
+        link = _Link(FrameStream(reader, writer, FRAME_LIMIT_BYTES))
+        link.reader = asyncio.create_task(link.read())
+        self._links[host] = link
+        return link
+
+    def _drop(self, host: str, link: _Link, reason: str) -> None:
+        link.close(reason)
+        if self._links.get(host) is link:
+            del self._links[host]
+
+    def _close(self) -> None:
+        for link in self._links.values():
+            link.close("closing")
+            if link.reader is not None:
+                link.reader.cancel()
+        self._links.clear()
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -0,0 +1,276 @@
+"""One link per worker: its lists, its lease, and the orders it gets."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from cicadatrail_core.jobs.ejection import eject
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.state import Run, RunPhase, WorkerState
+from cicadatraild.platform.store import FencedError
+from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
+from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.journal import Journal
+
+logger = logging.getLogger("cicadatrail.worker")
+
+LIST_WAIT_MS = 1000
+"""Time that a worker may wait for an end before it answers with its lists."""
+
+LIST_PAUSE_S = 0.03
+"""Pause between lists, so that ends that come together are read together."""
+
+LIST_RETRY_S = 0.15
+"""Mean pause after a worker did not answer."""
+
+STORE_WAIT_S = 0.4
+"""Time that a link waits for ends to be stored before it renews the lease."""
+
+STOP_RETRY_S = 0.2
+"""Mean pause before an unanswered stop is repeated."""
+
+BUSY_EJECTION_S = 0.7
+"""Time without new runs for a worker that answers that it is not healthy."""
+
+REFUSED = {
+    OrderOutcome.OLD,
+    OrderOutcome.LATE,
+    OrderOutcome.NO_ROOM,
+    OrderOutcome.NO_TICKET,
+    OrderOutcome.BUSY,
+    OrderOutcome.INVALID,
+    OrderOutcome.NOT_SENT,
+}
+"""Outcomes of a start that has not run and will not."""
+
+
+class WorkerLinks:
+    """Keep a link to each worker of the scheduler."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        client: WorkerClient,
+        journal: Journal,
+        on_fenced: Callable[[str], None],
+    ) -> None:
+        self._scheduler = scheduler
+        self._client = client
+        self._journal = journal
+        self._on_fenced = on_fenced
+        self._links: dict[str, asyncio.Task[None]] = {}
+        self._orders: set[asyncio.Task[None]] = set()
+        self.list_count = 0
+        self.start_count = 0
+
+    def follow_scheduler(self) -> None:
+        """Open links to new workers and drop those of workers that are gone."""
+        for worker_id, worker in self._scheduler.workers.items():
+            if worker_id not in self._links:
+                link = asyncio.create_task(self._run(worker))
+                self._links[worker_id] = link
+        for worker_id in [*self._links]:
+            if worker_id not in self._scheduler.workers:
+                self._links.pop(worker_id).cancel()
+
+    def send_orders(self) -> None:
+        """Send the starts and stops that the scheduler has decided on."""
+        scheduler = self._scheduler
+        starts, scheduler.starts = scheduler.starts, []
+        stops, scheduler.stops = scheduler.stops, []
+        for run in starts:
+            self._spawn(self._start(run))
+        for run in stops:
+            self._spawn(self._stop(run))
+
+    def close(self) -> None:
+        """End every link and order."""
+        for task in (*self._links.values(), *self._orders):
+            task.cancel()
+        self._links.clear()
+
+    def _spawn(self, order: object) -> None:
+        task: asyncio.Task[None] = asyncio.create_task(order)  # type: ignore[arg-type]
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _run(self, worker: WorkerState) -> None:
+        # Nothing runs on a worker before the store names it to a successor.
+        try:
+            await self._journal.flush()
+            while self._scheduler.workers.get(worker.facts.worker_id) is worker:
+                await self._exchange(worker)
+        except FencedError:
+            return
+
+    async def _exchange(self, worker: WorkerState) -> None:
+        scheduler = self._scheduler
+        sent_s = loop_now_s()
+        is_behind = worker.processed_end > worker.stored_end
+        is_known = worker.is_resolved and worker.clock_at_s is not None
+        doubtful = any(run.doubted_s is not None for run in worker.runs.values())
+        wait_ms = LIST_WAIT_MS if is_known and not is_behind and not doubtful else 0
+        self.list_count += 1
+        result = await self._client.lists(
+            worker.facts,
+            worker.stored_end,
+            scheduler.renew_lease(worker, sent_s),
+            wait_ms,
+        )
+        if isinstance(result, ListFailure):
+            await self._note_failure(worker, result.outcome)
+            return
+        was_resolved = worker.is_resolved
+        scheduler.apply_report(worker, result, sent_s, loop_now_s())
+        if worker.is_resolved and not was_resolved:
+            logger.info(
+                "worker: lists read.",
+                extra={
+                    "worker_id": worker.facts.worker_id,
+                    "running": len(result.running),
+                    "ends": len(result.ends),
+                },
+            )
+        await self._store_ends(worker)
+        if not worker.is_listed and not worker.runs:
+            scheduler.remove_worker(
+                worker.facts.worker_id, loop_now_s(), "left the list"
+            )
+        if wait_ms or is_behind:
+            await asyncio.sleep(LIST_PAUSE_S)
+
+    async def _store_ends(self, worker: WorkerState) -> None:
+        """Let the worker forget ends only after the store has them."""
+        target = worker.processed_end
+        if target <= worker.stored_end:
+            return
+        born_unix_ms = worker.born_unix_ms
+        waiting = asyncio.ensure_future(self._journal.flush())
+        done, _ = await asyncio.wait({waiting}, timeout=STORE_WAIT_S)
+        if not done:
+            waiting.add_done_callback(lambda future: future.exception())
+            return
+        waiting.result()
+        if worker.born_unix_ms == born_unix_ms:
+            worker.stored_end = max(worker.stored_end, target)
+
+    async def _note_failure(self, worker: WorkerState, outcome: OrderOutcome) -> None:
+        worker_id = worker.facts.worker_id
+        match outcome:
+            case OrderOutcome.FENCED:
+                self._on_fenced(f"worker {worker_id} obeys a newer holder")
+            case OrderOutcome.GONE:
+                self._scheduler.remove_worker(
+                    worker_id, loop_now_s(), "its address names another worker"
+                )
+            case _:
+                logger.warning(
+                    "worker: no lists.",
+                    extra={
+                        "worker_id": worker_id,
+                        "outcome": outcome.value,
+                        "answer_age_s": _age(worker.answered_s),
+                    },
+                )
+                await asyncio.sleep(LIST_RETRY_S * random.uniform(0.5, 1.5))
+
+    async def _start(self, run: Run) -> None:
+        scheduler = self._scheduler
+        worker = run.worker
+        now_s = loop_now_s()
+        deadline_ms = scheduler.renew_lease(worker, now_s)
+        if deadline_ms is None:
+            scheduler.release_refused(run, now_s, "no-clock")
+            return
+        run.start_expires_s = worker.lease_expires_s
+        subtask = run.subtask
+        self.start_count += 1
+        outcome = await self._client.start(
+            worker.facts,
+            str(subtask.name),
+            run.number,
+            subtask.step.job.definition.spec,
+            subtask.checkpoint,
+            deadline_ms,
+        )
+        now_s = loop_now_s()
+        logger.info(
+            "worker: start sent.",
+            extra={
+                "subtask": str(subtask.name),
+                "run": run.number,
+                "worker_id": worker.facts.worker_id,
+                "answer_age_s": _age(worker.answered_s),
+                "waited_s": round(run.sent_s - subtask.ready_s, 3),
+                "outcome": outcome.value,
+            },
+        )
+        self._settle_start(run, outcome, now_s)
+
+    def _settle_start(self, run: Run, outcome: OrderOutcome, now_s: float) -> None:
+        scheduler = self._scheduler
+        worker = run.worker
+        match outcome:
+            case OrderOutcome.DONE:
+                run.answered_s = now_s
+                if run.phase is RunPhase.SENT:
+                    run.phase = RunPhase.RUNNING
+                    run.progress_s = now_s
+            case OrderOutcome.FENCED:
+                self._on_fenced(f"worker {worker.facts.worker_id} refused a start")
+            case OrderOutcome.GONE:
+                scheduler.remove_worker(worker.facts.worker_id, now_s, "replaced")
+            case refusal if refusal in REFUSED:
+                if refusal in (OrderOutcome.BUSY, OrderOutcome.INVALID):
+                    eject(
+                        worker, now_s, BUSY_EJECTION_S, scheduler.workers, refusal.value
+                    )
+                run.subtask.avoided_worker = worker.facts.worker_id
+                scheduler.release_refused(run, now_s, refusal.value)
+                if run.subtask.step.spec.gang:
+                    _stop_gang(scheduler, run)
+            case _:
+                run.doubted_s = now_s
+
+    async def _stop(self, run: Run) -> None:
+        worker = run.worker
+        while run in run.subtask.copies:
+            outcome = await self._client.stop(
+                worker.facts, str(run.subtask.name), run.number
+            )
+            logger.info(
+                "worker: stop sent.",
+                extra={
+                    "subtask": str(run.subtask.name),
+                    "run": run.number,
+                    "worker_id": worker.facts.worker_id,
+                    "outcome": outcome.value,
+                },
+            )
+            match outcome:
+                case OrderOutcome.DONE:
+                    run.stop_acked_s = loop_now_s()
+                    return
+                case OrderOutcome.FENCED:
+                    self._on_fenced(f"worker {worker.facts.worker_id} refused a stop")
+                    return
+                case OrderOutcome.GONE:
+                    self._scheduler.remove_worker(
+                        worker.facts.worker_id, loop_now_s(), "replaced"
+                    )
+                    return
+            await asyncio.sleep(STOP_RETRY_S * random.uniform(0.5, 1.5))
+
+
+def _stop_gang(scheduler: Scheduler, run: Run) -> None:
+    """Stop the other members at once, as they can't work without this one."""
+    for member in run.subtask.step.subtasks:
+        for other in list(member.copies):
+            scheduler.stop(other)
+
+
+def _age(since_s: float | None) -> float | None:
+    return None if since_s is None else round(loop_now_s() - since_s, 3)
--- a/packages/cicadatrail-node/src/cicadatraild/serving/running.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/running.py
@@ -11,7 +11,7 @@
 from cicadatrail_core.models.fleet import Worker
 from cicadatrail_core.models.platform import TaskControl
 from cicadatrail_core.placement.dispatcher import TaskEnd
-from cicadatraild.platform.worker_client import HttpWorkerControl
+from cicadatraild.interfaces.worker_client import HttpWorkerControl
 from cicadatraild.serving.desk import Desk
 from cicadatraild.serving.leases import TaskLease
 
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/share_returns.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/share_returns.py
@@ -10,7 +10,7 @@
 from cicadatrail_core.models.fleet import Worker
 from cicadatrail_core.models.platform import TaskControl
 from cicadatrail_core.placement.dispatcher import Dispatcher
-from cicadatraild.platform.worker_client import HttpWorkerControl
+from cicadatraild.interfaces.worker_client import HttpWorkerControl
 
 logger = logging.getLogger("cicadatrail.share")
 
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/worker_watch.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/worker_watch.py
@@ -15,7 +15,7 @@
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatrail_core.models.state import State
 from cicadatrail_core.placement.dispatcher import Dispatcher
-from cicadatraild.platform.worker_client import (
+from cicadatraild.interfaces.worker_client import (
     HttpWorkerControl,
     WorkerReport,
     usage_report,
