Claim an epoch without a producer number, so that one claim wins

Cause: claims of one epoch shared a producer, an epoch and a number, so the store took the second for a repeat and acknowledged it: four holders at once. Ruled out: a race in the conditional append itself (the log shows the second claim answered with 200 although the end had moved).

--- a/packages/cicadatrail-node/src/cicadatraild/platform/machines.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/machines.py
@@ -105,7 +105,8 @@
             timeout_s=CALL_TIMEOUT_S,
         )
         if isinstance(result, Success):
-            return result.unwrap()
+            response: WholeResponse = result.unwrap()
+            return response
         logger.warning(
             "machines: no answer.",
             extra={"call": call, "reason": str(result.failure())},
--- a/packages/cicadatrail-node/src/cicadatraild/platform/store.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/store.py
@@ -188,7 +188,8 @@
             self._address, method, target, body=body, timeout_s=timeout_s
         )
         if isinstance(result, Success):
-            return result.unwrap()
+            response: WholeResponse = result.unwrap()
+            return response
         raise StoreUnavailableError(str(result.failure()), may_have_run=True)
 
 
--- a/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
@@ -168,7 +168,8 @@
             timeout_s=timeout_s,
         )
         if isinstance(result, Success):
-            return result.unwrap()
+            response: WholeResponse = result.unwrap()
+            return response
         if result.failure().fault is ClientFault.NOT_SENT:
             return OrderOutcome.NOT_SENT
         return OrderOutcome.UNKNOWN
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -66,6 +66,11 @@
     released: bool = False
 
 
+def _encode(holder: HolderRecord) -> KeyedRecord:
+    value: bytes = msgpack.packb(asdict(holder))
+    return KeyedRecord(HOLDER_KEY, value)
+
+
 def _decode(record: KeyedRecord) -> HolderRecord | None:
     try:
         value: Any = msgpack.unpackb(record.value or b"")
@@ -252,9 +257,12 @@
             },
         )
         try:
-            self._sequence = 0
-            await self._append(record, epoch, expected_end=self._offset)
-        except (PositionError, FencedError, SequenceError):
+            # Claims of one epoch must differ, so they name no producer: the
+            # store takes the same numbers of one producer for a repeat.
+            await self._store.append(
+                HOLDER_TOPIC, [_encode(record)], expected_end=self._offset
+            )
+        except PositionError:
             return
         except StoreUnavailableError as error:
             logger.warning("leadership: claim unsettled.", extra={"reason": str(error)})
@@ -263,22 +271,14 @@
             self._begin(epoch, sent_s)
             self._set(record)
 
-    async def _append(
-        self, record: HolderRecord, epoch: int, expected_end: int | None = None
-    ) -> None:
-        value: bytes = msgpack.packb(asdict(record))
+    async def _append(self, record: HolderRecord, epoch: int) -> None:
         producer = Producer(PRODUCER, epoch, self._sequence)
-        await self._store.append(
-            HOLDER_TOPIC,
-            [KeyedRecord(HOLDER_KEY, value)],
-            producer=producer,
-            expected_end=expected_end,
-        )
+        await self._store.append(HOLDER_TOPIC, [_encode(record)], producer=producer)
         self._sequence += 1
 
     def _begin(self, epoch: int, sent_s: float) -> None:
         self.held_epoch = epoch
-        self._sequence = max(self._sequence, 1)
+        self._sequence = 0
         self._sure_until_s = sent_s + SURE_S
         self._seen_s = loop_now_s()
         self._renewing = asyncio.create_task(self._renew(epoch))
