Test instances on stand-ins of the platform

Found by the first run: a stopping instance went on renewing its office (Leadership.close). The stand-in's check of a second start follows the rule's words on when an end counts as noted: a trace of the mute worker shows the case.

--- /dev/null
+++ b/features/standins/platform_fleet.py
@@ -0,0 +1,315 @@
+"""Stand-ins of the users' workers and machine service.
+
+A subtask's work is its spec, such as ``ms=300`` or ``fail``. Workers check what
+the platform's rules check, and note every break in ``faults_seen``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections import Counter
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from typing import Any
+
+from cicadatraild.network.http_server import HttpExchange, HttpLimits, HttpServer
+from features.standins.platform_store import PlatformStore
+
+HEARTBEAT_S = 0.5
+
+
+@dataclass
+class Life:
+    """One run on a worker."""
+
+    task: str
+    run: int
+    began_s: float
+    duration_s: float
+    fails: bool
+    lasts: bool
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass
+class Fleet:
+    """What runs anywhere, to see doubles and what started after its end."""
+
+    running: dict[str, set[str]] = field(default_factory=dict)
+    done: set[str] = field(default_factory=set)
+    starts: Counter[str] = field(default_factory=Counter)
+    last_start_s: dict[str, float] = field(default_factory=dict)
+    faults_seen: list[str] = field(default_factory=list)
+
+    def begin(self, task: str, worker: str) -> None:
+        places = self.running.setdefault(task, set())
+        if places:
+            self.faults_seen.append(f"{task} runs on {places} and {worker}")
+        if task in self.done:
+            self.faults_seen.append(f"{task} starts after it was done")
+        places.add(worker)
+        self.starts[task] += 1
+        self.last_start_s[task] = asyncio.get_running_loop().time()
+
+    def end(self, task: str, worker: str) -> None:
+        self.running.get(task, set()).discard(worker)
+
+    def note_done(self, task: str, ended_s: float) -> None:
+        """Take note of an end; from then on, and since then, nothing may start."""
+        if self.last_start_s[task] > ended_s:
+            self.faults_seen.append(f"{task} started after it had ended as done")
+        self.done.add(task)
+
+
+class PlatformWorker:
+    """``mute`` leaves every call unanswered while runs go on."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        fleet: Fleet,
+        worker_id: str,
+        pool: str,
+        cpu: int = 8000,
+        memory: int = 16_000,
+    ) -> None:
+        self.worker_id = worker_id
+        self.pool = pool
+        self.capacity = {"cpu": cpu, "mem-mb": memory, "gpu": 0}
+        self.machine = f"m-{worker_id}"
+        self.mute = False
+        self.late_starts_s = 0.0
+        self.born = int(time.time() * 1000)
+        self.token = 0
+        self.lives: dict[str, Life] = {}
+        self.ends: list[list[Any]] = []
+        self.ended_runs: dict[str, int] = {}
+        self.noted = 0
+        self.number = 0
+        self.done_at_s: dict[int, tuple[str, float]] = {}
+        self.deadline_s = 0.0
+        self.state = "ready"
+        self._fleet = fleet
+        self._store = store
+        self._seq = 0
+        self._changed = asyncio.Event()
+        self.address = ""
+
+    async def listen(self, stack: AsyncExitStack, host: str) -> None:
+        server = HttpServer("worker", self.handle, HttpLimits())
+        port = await server.listen(stack, host, 0)
+        self.address = f"{host}:{port}"
+        beat = asyncio.create_task(self._beat())
+        watch = asyncio.create_task(self._watch_lease())
+        stack.callback(beat.cancel)
+        stack.callback(watch.cancel)
+
+    def clock_ms(self) -> int:
+        return int(asyncio.get_running_loop().time() * 1000)
+
+    async def _beat(self) -> None:
+        while True:
+            self._seq += 1
+            self._store.put_json("keyed.servers", self.worker_id, self.entry())
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def entry(self) -> dict[str, Any]:
+        return {
+            "service": self.pool,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold-remaining-ms": 0,
+            "born": self.born,
+            "capacity": self.capacity,
+            "labels": ["a", "r1"],
+            "machine": self.machine,
+            "clock-ms": self.clock_ms(),
+            "seq": self._seq,
+        }
+
+    async def _watch_lease(self) -> None:
+        while True:
+            await asyncio.sleep(0.02)
+            if asyncio.get_running_loop().time() > self.deadline_s:
+                # Ends that nobody took note of before count no more.
+                self.done_at_s.clear()
+                for life in list(self.lives.values()):
+                    self._end(life, "lapsed")
+
+    async def handle(self, exchange: HttpExchange) -> None:
+        body = json.loads(await exchange.read_body() or b"{}")
+        expected = exchange.header_values(b"expect-instance")
+        if self.mute:
+            await asyncio.sleep(3600)
+        if expected and expected[0] != self.worker_id:
+            await exchange.respond(421)
+            return
+        call = exchange.target.rsplit("/", 1)[-1]
+        if call == "run-start" and self.late_starts_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late_starts_s, self._answer, call, body)
+            await asyncio.sleep(3600)
+        if call == "hold":
+            await self._wait_for_end(body)
+        status, answer = self._answer(call, body)
+        answer["clock-ms"] = self.clock_ms()
+        answer["born"] = self.born
+        await exchange.respond(status, json.dumps(answer).encode())
+
+    async def _wait_for_end(self, body: dict[str, Any]) -> None:
+        self._renew(body)
+        wait_s = body.get("wait-ms", 0) / 1000
+        if any(end[0] > body["last-seen"] for end in self.ends) or not wait_s:
+            return
+        event = self._changed
+        try:
+            await asyncio.wait_for(event.wait(), wait_s)
+        except TimeoutError:
+            return
+
+    def _renew(self, body: dict[str, Any]) -> None:
+        if body["fencing-token"] < self.token or "deadline-ms" not in body:
+            return
+        self.deadline_s = max(self.deadline_s, body["deadline-ms"] / 1000)
+
+    def _answer(self, call: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        if body["fencing-token"] < self.token:
+            return 409, {"reason": "fence"}
+        self.token = body["fencing-token"]
+        match call:
+            case "hold":
+                self.noted = max(self.noted, body["last-seen"])
+                for number in [n for n in self.done_at_s if n <= self.noted]:
+                    self._fleet.note_done(*self.done_at_s.pop(number))
+                self.ends = [end for end in self.ends if end[0] > self.noted]
+                now_s = asyncio.get_running_loop().time()
+                running = [
+                    [life.task, life.run, "", self._percent(life, now_s)]
+                    for life in self.lives.values()
+                ]
+                return 200, {"running": running, "finished": self.ends[:500]}
+            case "run-start":
+                return self._start(body)
+            case "run-stop":
+                self.ended_runs[body["task"]] = max(
+                    self.ended_runs.get(body["task"], 0), body["run"]
+                )
+                life = self.lives.get(body["task"])
+                if life is not None and life.run == body["run"]:
+                    self._end(life, "stopped")
+                return 200, {}
+        return 404, {}
+
+    @staticmethod
+    def _percent(life: Life, now_s: float) -> int:
+        if life.lasts:
+            return 100
+        return min(99, int(100 * (now_s - life.began_s) / life.duration_s))
+
+    def _start(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        task, run = body["task"], body["run"]
+        now_s = asyncio.get_running_loop().time()
+        if body["deadline-ms"] / 1000 < now_s:
+            return 409, {"reason": "late"}
+        self._renew(body)
+        present = self.lives.get(task)
+        if present is not None and present.run == run:
+            return 200, {}
+        if run <= self.ended_runs.get(task, 0):
+            return 409, {"reason": "old"}
+        words = dict(part.partition("=")[::2] for part in body["spec"].split())
+        duration_s = int(words.get("ms", "50")) / 1000
+        life = Life(task, run, now_s, duration_s, "fail" in words, "lasts" in words)
+        self.lives[task] = life
+        self._fleet.begin(task, self.worker_id)
+        self._check_room(int(words.get("cpu", "1000")))
+        if not life.lasts:
+            loop = asyncio.get_running_loop()
+            how = "failed" if life.fails else "done"
+            life.timer = loop.call_later(duration_s, self._end, life, how)
+        return 200, {}
+
+    def _check_room(self, cpu: int) -> None:
+        if len(self.lives) * cpu > self.capacity["cpu"]:
+            self._fleet.faults_seen.append(f"{self.worker_id} is over its capacity")
+
+    def _end(self, life: Life, how: str) -> None:
+        if self.lives.get(life.task) is not life:
+            return
+        del self.lives[life.task]
+        if life.timer is not None:
+            life.timer.cancel()
+        self._fleet.end(life.task, self.worker_id)
+        if how == "done":
+            now_s = asyncio.get_running_loop().time()
+            self.done_at_s[self.number + 1] = (life.task, now_s)
+        self.ended_runs[life.task] = max(self.ended_runs.get(life.task, 0), life.run)
+        self.number += 1
+        self.ends.append([self.number, life.task, life.run, how, ""])
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def restart(self) -> None:
+        """Lose all that runs, as a crash does."""
+        for life in self.lives.values():
+            if life.timer is not None:
+                life.timer.cancel()
+            self._fleet.end(life.task, self.worker_id)
+        self.lives.clear()
+        self.ends.clear()
+        self.done_at_s.clear()
+        self.ended_runs.clear()
+        self.number = self.noted = self.token = 0
+        self.born += 1000
+
+
+class PlatformMachines:
+    """The machine service; maintenance takes ``maintenance_s``."""
+
+    def __init__(self, workers: list[PlatformWorker], maintenance_s: float) -> None:
+        self.workers = {worker.machine: worker for worker in workers}
+        self.maintained: list[str] = []
+        self.down: set[str] = set()
+        self.most_down = 0
+        self.orders: list[tuple[str, str, int]] = []
+        self._maintenance_s = maintenance_s
+
+    async def listen(self, stack: AsyncExitStack, host: str) -> int:
+        server = HttpServer("machines", self.handle, HttpLimits())
+        return await server.listen(stack, host, 0)
+
+    async def handle(self, exchange: HttpExchange) -> None:
+        body = await exchange.read_body()
+        if exchange.method == "GET":
+            rows = [
+                {
+                    "machine": name,
+                    "pool": worker.pool,
+                    "state": "upkeep" if name in self.down else "up",
+                    "zone": "z1",
+                    "labels": ["a", "r1"],
+                    "capacity": worker.capacity,
+                    "id": worker.worker_id,
+                }
+                for name, worker in self.workers.items()
+            ]
+            answer = {"machines": rows, "next-token": None}
+            await exchange.respond(200, json.dumps(answer).encode())
+            return
+        name = json.loads(body)["machine"]
+        token = int(exchange.header_values(b"fencing-token")[0])
+        holder = exchange.header_values(b"duty-holder")[0]
+        self.orders.append((name, holder, token))
+        if name not in self.maintained:
+            self.maintained.append(name)
+            self.down.add(name)
+            self.most_down = max(self.most_down, len(self.down))
+            self.workers[name].restart()
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._maintenance_s, self.down.discard, name)
+        await exchange.respond(200, b"{}")
--- /dev/null
+++ b/features/standins/platform_store.py
@@ -0,0 +1,183 @@
+"""A stand-in of the users' store: keyed topics, fenced appends, long reads."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import struct
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from cicadatraild.network.http_server import HttpExchange, HttpLimits, HttpServer
+
+HEAD = struct.Struct(">I")
+OFFSETS = struct.Struct(">QQ")
+REPEATS_KEPT_COUNT = 5
+
+
+@dataclass
+class Topic:
+    records: list[bytes] = field(default_factory=list)
+    first: int = 0
+    newest: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+    epochs: dict[str, int] = field(default_factory=dict)
+    last: dict[str, int] = field(default_factory=dict)
+    answers: dict[str, dict[int, Any]] = field(default_factory=dict)
+
+    @property
+    def end(self) -> int:
+        return len(self.records)
+
+
+@dataclass
+class StoreFaults:
+    """``refused_hosts`` get 503; ``lost_answers`` counts down done appends
+    that get no answer; ``mute`` leaves every call unanswered."""
+
+    down: bool = False
+    mute: bool = False
+    lost_answers: int = 0
+    refused_hosts: set[str] = field(default_factory=set)
+
+
+class PlatformStore:
+    def __init__(self) -> None:
+        self.topics: dict[str, Topic] = {}
+        self.faults = StoreFaults()
+        self.append_count = 0
+        self._grown = asyncio.Event()
+
+    async def listen(self, stack: AsyncExitStack, host: str) -> int:
+        server = HttpServer("store", self.handle, HttpLimits())
+        return await server.listen(stack, host, 0)
+
+    def topic(self, name: str) -> Topic:
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic: str, key: str, value: bytes | None) -> None:
+        name = key.encode()
+        content = bytes([len(name)]) + name + (value or b"")
+        self._add(self.topic(topic), content)
+
+    def put_json(self, topic: str, key: str, value: Any) -> None:
+        self.put(topic, key, json.dumps(value).encode())
+
+    def forget_history(self, topic: str) -> None:
+        self.topic(topic).first = self.topic(topic).end
+
+    def _add(self, topic: Topic, content: bytes) -> None:
+        key = content[1 : 1 + content[0]].decode()
+        value = content[1 + content[0] :]
+        if value:
+            topic.newest[key] = (topic.end, value)
+        else:
+            topic.newest.pop(key, None)
+        topic.records.append(content)
+        self._grown.set()
+        self._grown = asyncio.Event()
+
+    async def handle(self, exchange: HttpExchange) -> None:
+        body = await exchange.read_body()
+        host = exchange.header_values(b"x-caller")
+        if self.faults.mute:
+            await asyncio.sleep(3600)
+        refused = host and host[0] in self.faults.refused_hosts
+        if self.faults.down or refused:
+            await exchange.respond(503)
+            return
+        url = urlsplit(exchange.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        topic = self.topic(query.get("topic", ""))
+        match url.path.rsplit("/", 1)[-1]:
+            case "log-append":
+                await self._append(exchange, topic, query, body)
+            case "log-read":
+                await self._read(exchange, topic, query)
+            case "log-newest":
+                await self._newest(exchange, topic, query)
+            case _:
+                await exchange.respond(404)
+
+    async def _append(
+        self, exchange: HttpExchange, topic: Topic, query: dict[str, str], body: bytes
+    ) -> None:
+        status, answer = self._carry_out(topic, query, body)
+        if status == 200 and self.faults.lost_answers:
+            self.faults.lost_answers -= 1
+            exchange.abort()
+            return
+        await exchange.respond(status, json.dumps(answer).encode())
+
+    def _carry_out(
+        self, topic: Topic, query: dict[str, str], body: bytes
+    ) -> tuple[int, Any]:
+        self.append_count += 1
+        if "at" in query and int(query["at"]) != topic.end:
+            return 412, {"end": topic.end}
+        name = query.get("producer")
+        if name is not None:
+            epoch, sequence = int(query["epoch"]), int(query["seq"])
+            known = topic.epochs.get(name, -1)
+            if epoch < known:
+                return 409, {"reason": "fenced", "epoch": known}
+            answers = topic.answers.setdefault(name, {})
+            if epoch > known:
+                answers.clear()
+            elif sequence in answers:
+                return 200, answers[sequence]
+            elif sequence != topic.last[name] + 1:
+                return 409, {"reason": "seq", "seq": topic.last[name] + 1}
+            topic.epochs[name] = epoch
+            topic.last[name] = sequence
+        offset = topic.end
+        position = 0
+        while position < len(body):
+            (length,) = HEAD.unpack_from(body, position)
+            position += HEAD.size
+            self._add(topic, body[position : position + length])
+            position += length
+        answer = {"offset": offset, "end": topic.end}
+        if name is not None:
+            answers[sequence] = answer
+            for old in [n for n in answers if n <= sequence - REPEATS_KEPT_COUNT]:
+                del answers[old]
+        return 200, answer
+
+    async def _read(
+        self, exchange: HttpExchange, topic: Topic, query: dict[str, str]
+    ) -> None:
+        offset = int(query["from"])
+        until = asyncio.get_running_loop().time() + int(query.get("wait-ms", 0)) / 1000
+        while offset >= topic.end:
+            left = until - asyncio.get_running_loop().time()
+            if left <= 0:
+                break
+            try:
+                await asyncio.wait_for(self._grown.wait(), left)
+            except TimeoutError:
+                break
+        if offset < topic.first:
+            await exchange.respond(410, json.dumps({"first": topic.first}).encode())
+            return
+        found = topic.records[offset:]
+        body = OFFSETS.pack(topic.end, topic.first)
+        body += b"".join(HEAD.pack(len(r)) + r for r in found)
+        await exchange.respond(200, body)
+
+    async def _newest(
+        self, exchange: HttpExchange, topic: Topic, query: dict[str, str]
+    ) -> None:
+        keys = sorted(key for key in topic.newest if key > query.get("after", ""))
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(topic.newest[key][1]).decode(),
+                "offset": topic.newest[key][0],
+            }
+            for key in keys[:500]
+        ]
+        answer = {"items": items, "more": len(keys) > 500, "end": topic.end}
+        await exchange.respond(200, json.dumps(answer).encode())
--- a/features/support/edge_world.py
+++ b/features/support/edge_world.py
@@ -31,11 +31,11 @@
 from cicadatrail_core.models.state import State
 from cicadatrail_core.placement.dispatcher import Dispatcher, DispatcherSettings
 from cicadatrail_core.utils.keys import new_key
+from cicadatraild.interfaces.worker_client import HttpWorkerControl
 from cicadatraild.network.http_client import Address, ConnectionPool
 from cicadatraild.network.http_server import Handler, HttpLimits, HttpServer
 from cicadatraild.network.peer_client import LinkSettings, PeerDirectory, PeerLink
 from cicadatraild.network.peer_server import PeerServer
-from cicadatraild.interfaces.worker_client import HttpWorkerControl
 from cicadatraild.serving.admission import Admission
 from cicadatraild.serving.attempts import Attempts
 from cicadatraild.serving.desk import Desk
--- /dev/null
+++ b/features/support/platform_cluster.py
@@ -0,0 +1,239 @@
+"""Instances on the platform in one loop, with stand-ins, for scenarios."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+from returns.result import Success
+
+from cicadatraild.network.client_exchange import Address
+from cicadatraild.network.http_client import ConnectionPool
+from cicadatraild.platform.settings import PlatformSettings, parse_platform_settings
+from cicadatraild.scheduling.instance import PlatformInstance
+from cicadatraild.utils.output import OutputHandler
+from features.standins.platform_fleet import (
+    Fleet,
+    PlatformMachines,
+    PlatformWorker,
+)
+from features.standins.platform_store import PlatformStore
+
+HOST = "127.0.0.1"
+QUEUE_HOST = "jobs.example"
+KEY = "key-of-florists"
+MAINTENANCE_S = 0.5
+
+
+def settings_table(**changes: Any) -> dict[str, Any]:
+    table: dict[str, Any] = {
+        "node": "edge-1",
+        "ip": "127.0.0.11",
+        "zone": "z1",
+        "heartbeat-ms": 500,
+        "internal-ports": [7000, 7015],
+        "policies": ["base", "upkeep"],
+        "listen": {"front": "127.0.0.11:8000", "readiness": "127.0.0.11:8001"},
+        "platform": {"address": "127.0.0.1:9000"},
+        "cloud": {"address": "127.0.0.1:9001"},
+        "bounds": {
+            "hold-max-ms": 6000,
+            "lease-ms": 300,
+            "grace-s": 3,
+            "status_s": 120,
+            "gang-timeout-ms": 3000,
+            "pace-ms": 100,
+            "harm-ms": 4000,
+            "maintenance-s": 2,
+        },
+    }
+    return table | changes
+
+
+def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    queue = {
+        "name": "q",
+        "host": QUEUE_HOST,
+        "path-prefix": "/q/",
+        "service": "pool",
+        "timeout-ms": 3000,
+        "target-latency-ms": 600,
+        "attempts": 3,
+        "stretch": 1.6,
+        "priority": 0,
+    }
+    team = {
+        "name": "florists",
+        "api-keys": [KEY],
+        "weight": 1,
+        "cap": {"cpu": 100_000, "mem-mb": 0, "gpu": 0},
+    }
+    return {
+        "version": version,
+        "routes": [queue],
+        "services": [{"name": "pool"}],
+        "tenants": [team],
+    } | changes
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class PlatformCluster:
+    """Instances have loopback addresses of their own and share port numbers."""
+
+    def __init__(self) -> None:
+        self.store = PlatformStore()
+        self.fleet = Fleet()
+        self.workers: list[PlatformWorker] = []
+        self.instances: dict[str, PlatformInstance] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.machines: PlatformMachines | None = None
+        self._ports = [free_port() for _ in range(4)]
+        self._store_port = 0
+        self._machines_port = 0
+        self._stack = AsyncExitStack()
+        self._clients = ConnectionPool(0.5)
+
+    async def open(self, worker_count: int = 3) -> None:
+        self._store_port = await self.store.listen(self._stack, HOST)
+        for number in range(worker_count):
+            worker = PlatformWorker(self.store, self.fleet, f"i-{number}", "pool")
+            await worker.listen(self._stack, HOST)
+            self.workers.append(worker)
+        self.machines = PlatformMachines(self.workers, MAINTENANCE_S)
+        self._machines_port = await self.machines.listen(self._stack, HOST)
+        self.store.put_json("keyed.op", "config", configuration())
+        await self._clients.open(self._stack)
+
+    def host(self, name: str) -> str:
+        return f"127.0.0.{10 + int(name.rsplit('-', 1)[1])}"
+
+    def settings(self, name: str) -> PlatformSettings:
+        host = self.host(name)
+        front, ready, peer, metrics = self._ports
+        table = settings_table(
+            **{
+                "node": name,
+                "ip": host,
+                "internal-ports": [peer, metrics],
+                "listen": {
+                    "front": f"{host}:{front}",
+                    "readiness": f"{host}:{ready}",
+                },
+                "platform": {"address": f"{HOST}:{self._store_port}"},
+                "cloud": {"address": f"{HOST}:{self._machines_port}"},
+            }
+        )
+        parsed = parse_platform_settings(table, "settings")
+        assert isinstance(parsed, Success), parsed
+        settings: PlatformSettings = parsed.unwrap()
+        return settings
+
+    def start(self, name: str) -> None:
+        output = OutputHandler.__new__(OutputHandler)
+        output.dropped_count = 0
+        instance = PlatformInstance(self.settings(name), Path("/nowhere"), output)
+        self.instances[name] = instance
+        self.tasks[name] = asyncio.create_task(instance.run())
+
+    async def kill(self, name: str) -> None:
+        """End an instance at once, as a kill does: nothing is handed over."""
+        task = self.tasks.pop(name)
+        del self.instances[name]
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    def holder(self) -> str | None:
+        for name, instance in self.instances.items():
+            if instance.holds_fleet:
+                return name
+        return None
+
+    async def until(self, done: Callable[[], Any], timeout_s: float = 8.0) -> None:
+        async with asyncio.timeout(timeout_s):
+            while not done():  # noqa: ASYNC110 - what is awaited has no event
+                await asyncio.sleep(0.02)
+
+    async def call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        key: str = KEY,
+        timeout_s: float = 4.0,
+    ) -> tuple[int, Any]:
+        headers = (
+            (b"Authorization", f"Bearer {key}".encode()),
+            (b"Deadline-Ms", str(int(timeout_s * 1000)).encode()),
+        )
+        data = json.dumps(body).encode() if body is not None else b""
+        result = await self._clients.fetch(
+            _Named(self.host(name), self._ports[0]),
+            method,
+            path,
+            headers=headers,
+            body=data,
+            timeout_s=timeout_s,
+        )
+        if not isinstance(result, Success):
+            return 0, str(result.failure())
+        response = result.unwrap()
+        return response.status, json.loads(response.body or b"null")
+
+    async def state(self, name: str, job_id: str) -> str:
+        status, body = await self.call(name, "GET", f"/q/{job_id}")
+        return str(body["state"]) if status == 200 else str(status)
+
+    async def wait_for_state(
+        self, name: str, job_id: str, state: str, timeout_s: float = 10.0
+    ) -> None:
+        async with asyncio.timeout(timeout_s):
+            while await self.state(name, job_id) != state:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+
+    async def close(self) -> None:
+        for name in list(self.tasks):
+            await self.kill(name)
+        await self._stack.aclose()
+
+
+class _Named(Address):
+    """An address whose Host header names the queue's host."""
+
+    def __str__(self) -> str:
+        return QUEUE_HOST
+
+
+def run_scenario(
+    scenario: Callable[[PlatformCluster], Awaitable[None]], worker_count: int = 3
+) -> None:
+    async def run() -> None:
+        cluster = PlatformCluster()
+        try:
+            await cluster.open(worker_count)
+            await scenario(cluster)
+        finally:
+            await cluster.close()
+
+    asyncio.run(run())
+
+
+def job(ms: int = 50, steps: int = 1, count: int = 2, **step: Any) -> dict[str, Any]:
+    entries = []
+    for position in range(steps):
+        entry: dict[str, Any] = {"count": count, "cpu": 1000, "mem-mb": 100} | step
+        if position:
+            entry["after"] = [position - 1]
+        entries.append(entry)
+    return {"spec": f"ms={ms}", "steps": entries}
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -91,7 +91,7 @@
         """Serve until SIGTERM, then finish what is under way."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
+            loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         settings = self._settings
         logger.info(
@@ -111,6 +111,7 @@
             ]
             stopping = asyncio.create_task(self._stop.wait())
             stack.callback(_cancel_all, [*tasks, stopping])
+            stack.callback(self._leadership.close)
             stack.callback(self._end_holding, "stopped")
             done, _ = await asyncio.wait(
                 [*tasks, stopping], return_when=asyncio.FIRST_COMPLETED
@@ -120,6 +121,10 @@
                     task.result()
             await self._retire()
 
+    def stop(self) -> None:
+        """Begin to stop, as SIGTERM does."""
+        self._stop.set()
+
     async def _listen(self, stack: AsyncExitStack) -> None:
         settings = self._settings
         limits = HttpLimits(connection_limit_count=CONNECTION_LIMIT_COUNT)
@@ -144,6 +149,11 @@
             return False
         return self._leadership.current is not None
 
+    @property
+    def holds_fleet(self) -> bool:
+        """Tell whether this instance holds the fleet and has taken it over."""
+        return self._holder is not None and self._holder.ready.is_set()
+
     # Configuration
 
     async def _follow_configuration(self) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -149,6 +149,11 @@
             self._renewing = None
         self._on_deposed(reason)
 
+    def close(self) -> None:
+        """Renew nothing any more; the office falls vacant by silence."""
+        if self._renewing is not None:
+            self._renewing.cancel()
+
     async def release(self) -> None:
         """Give up the office in the store, so that another claims at once."""
         epoch = self.held_epoch
