Count what still runs of an ended job; let a restarted worker forget nothing

Ruled out: a wrong capacity, or a start without an answer (the log shows the two stopped runs as unknown to the successor).

--- /dev/null
+++ b/features/steps/jobs_steps.py
@@ -0,0 +1,513 @@
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, step, then, when
+from hypothesis import given as any_of
+from hypothesis import strategies as st
+
+from cicadatrail_core.jobs.evacuation import evacuate
+from cicadatrail_core.jobs.models import (
+    EndKind,
+    JobDefinition,
+    JobPhase,
+    Step,
+    SubtaskName,
+)
+from cicadatrail_core.jobs.records import (
+    apply_progress,
+    decode_definition,
+    encode_definition,
+    encode_progress,
+)
+from cicadatrail_core.jobs.state import (
+    JobState,
+    RunPhase,
+    StepState,
+    SubtaskPhase,
+)
+from cicadatrail_core.models.resources import Resources
+from features.support.job_world import (
+    LEASE_S,
+    JobWorld,
+    RandomHistory,
+    configuration,
+    definition,
+)
+
+JOB = "00000000000000a1"
+OTHER = "00000000000000b2"
+
+
+@given("a scheduler with {count:d} workers of {cores:d} cores")
+@given("a scheduler with {count:d} worker of {cores:d} cores")
+def step_scheduler(context: Any, count: int, cores: int) -> None:
+    context.world = JobWorld(count, cores)
+    context.world.report_all()
+
+
+@step("{count:d} subtasks of {cores:d} cores run")
+def step_run(context: Any, count: int, cores: int) -> None:
+    context.job = context.world.submit(JOB, definition(count, cores))
+    context.runs = context.world.run_all()
+    assert len(context.runs) == count, context.runs
+
+
+@step("the team may have {cores:d} cores running")
+def step_limit(context: Any, cores: int) -> None:
+    scheduler = context.world.scheduler
+    scheduler.configuration = configuration(Resources(cores * 1000))
+
+
+@when("{count:d} subtasks of {cores:d} cores are ready")
+def step_ready(context: Any, count: int, cores: int) -> None:
+    context.job = context.world.submit(JOB, definition(count, cores))
+    context.count = count
+    context.runs = context.world.run_all()
+
+
+@then("{count:d} are started and the rest wait")
+def step_started(context: Any, count: int) -> None:
+    assert len(context.runs) == count, len(context.runs)
+    waiting = context.job.occurrences[0][0].ready
+    assert len(waiting) == context.count - count
+
+
+@when("one of them is stopped")
+def step_stop(context: Any) -> None:
+    context.world.submit(OTHER, definition(1, 4))
+    context.world.scheduler.stop(context.runs[0])
+
+
+@then("no other subtask starts before its end is listed")
+def step_none_before(context: Any) -> None:
+    assert context.world.dispatch() == []
+    context.world.report_all()
+    assert context.world.dispatch() == []
+
+
+@then("another subtask starts after its end is listed")
+def step_after_end(context: Any) -> None:
+    sim = context.world.sims["w0"]
+    sim.end(context.runs[0].subtask.name, EndKind.STOPPED)
+    context.world.report_all()
+    assert len(context.world.dispatch()) == 1
+
+
+@when("a start gets no answer and the worker does not list it")
+def step_unanswered(context: Any) -> None:
+    world = context.world
+    world.submit(JOB, definition(1))
+    (context.run,) = world.dispatch()
+    world.scheduler.renew_lease(context.run.worker, world.now_s)
+    context.run.start_expires_s = context.run.worker.lease_expires_s
+    context.run.doubted_s = world.now_s
+    world.now_s += 0.01
+    world.report_all()
+
+
+@then("the run is ordered to stop and nothing else starts the subtask")
+def step_doubt_stopped(context: Any) -> None:
+    assert context.world.stops() == [context.run]
+    assert context.world.dispatch() == []
+    assert context.run.worker.used.cpu_millicores == 3000
+
+
+@then("the subtask starts again after the stop was acknowledged and a list came")
+def step_doubt_settled(context: Any) -> None:
+    world = context.world
+    context.run.stop_acked_s = world.now_s
+    world.now_s += 0.01
+    assert world.dispatch() == []
+    world.report_all()
+    (run,) = world.dispatch()
+    assert run.number > context.run.number
+
+
+@when("a start gets no answer and the worker lists it as running")
+def step_unanswered_listed(context: Any) -> None:
+    world = context.world
+    world.submit(JOB, definition(1))
+    (context.run,) = world.dispatch()
+    context.run.doubted_s = world.now_s
+    sim = world.sims[context.run.worker.facts.worker_id]
+    sim.running[context.run.subtask.name] = context.run.number
+    world.now_s += 0.01
+    world.report_all()
+
+
+@then("the run counts as running")
+def step_is_running(context: Any) -> None:
+    assert context.run.phase is RunPhase.RUNNING
+    assert context.world.stops() == []
+
+
+@when("their worker is silent")
+def step_silent(context: Any) -> None:
+    context.silent = context.runs[0].worker.facts.worker_id
+    context.moved = [
+        run for run in context.runs if run.worker.facts.worker_id == context.silent
+    ]
+
+
+def _report_others(context: Any) -> None:
+    for name in context.world.sims:
+        if name != context.silent:
+            context.world.report(name)
+
+
+@then("nothing is started again before the lease can have lapsed")
+def step_not_before(context: Any) -> None:
+    world = context.world
+    began_s = world.now_s
+    while world.now_s < began_s + LEASE_S:
+        world.tick(0.25)
+        _report_others(context)
+        assert world.dispatch() == [], world.now_s - began_s
+
+
+@then("everything is started again elsewhere after that")
+def step_elsewhere(context: Any) -> None:
+    world = context.world
+    world.tick(0.5)
+    _report_others(context)
+    runs = world.dispatch()
+    assert len(runs) == len(context.moved)
+    assert all(run.worker.facts.worker_id != context.silent for run in runs)
+
+
+@when("a job of two steps has one subtask of the first step left")
+def step_two(context: Any) -> None:
+    world = context.world
+    need = Resources(1000, 10)
+    steps = (Step(3, need), Step(2, need, after=(0,)))
+    world.submit(JOB, JobDefinition("q", "team", "s", steps))
+    context.runs = world.run_all()
+    assert len(context.runs) == 3
+    for run in context.runs[:2]:
+        world.sims[run.worker.facts.worker_id].end(run.subtask.name, EndKind.DONE)
+    world.report_all()
+
+
+@then("nothing of the second step starts")
+def step_no_second(context: Any) -> None:
+    assert context.world.dispatch() == []
+
+
+@then("it starts when the last one is done")
+def step_second(context: Any) -> None:
+    world = context.world
+    run = context.runs[2]
+    world.sims[run.worker.facts.worker_id].end(run.subtask.name, EndKind.DONE)
+    world.report_all()
+    assert len(world.dispatch()) == 2
+
+
+@when("a failed end is listed by two reports and to a successor")
+def step_repeated_end(context: Any) -> None:
+    world = context.world
+    world.submit(JOB, definition(1))
+    (run,) = world.run_all()
+    name = run.worker.facts.worker_id
+    world.sims[name].end(run.subtask.name, EndKind.FAILED)
+    world.report(name, forget=False)
+    world.report(name, forget=False)
+    world.succeed(2)
+    world.report(name, forget=False)
+
+
+@then("one failure is counted")
+def step_one_failure(context: Any) -> None:
+    job = context.world.scheduler.jobs[JOB]
+    assert job.occurrences[0][0].subtasks[0].failures == 1
+
+
+@given("a successor with {count:d} workers and an inherited job")
+def step_successor(context: Any, count: int) -> None:
+    context.world = JobWorld(count)
+    context.world.report_all()
+    context.world.submit(JOB, definition(2))
+    context.former = context.world.run_all()
+    context.world.succeed(2)
+
+
+@when("one worker has answered and the other has not")
+def step_one_answered(context: Any) -> None:
+    world = context.world
+    context.silent = context.former[0].worker.facts.worker_id
+    (context.known,) = [name for name in world.sims if name != context.silent]
+    world.sims[context.known].running.clear()
+    world.report(context.known)
+
+
+@then("nothing of the inherited job starts")
+def step_inherited_waits(context: Any) -> None:
+    assert context.world.dispatch() == []
+
+
+@then("a new job starts on the worker that has answered")
+def step_new_starts(context: Any) -> None:
+    context.world.submit(OTHER, definition(1))
+    (run,) = context.world.run_all()
+    assert run.worker.facts.worker_id == context.known
+    assert run.subtask.step.job.job_id == OTHER
+
+
+@then("the inherited job starts after the other worker's lease has lapsed")
+def step_inherited_starts(context: Any) -> None:
+    world = context.world
+    while world.now_s < world.worker(context.silent).lease_expires_s:
+        assert world.dispatch() == []
+        world.tick(0.3)
+        world.report(context.known)
+    runs = world.dispatch()
+    assert [run.subtask.step.job.job_id for run in runs] == [JOB, JOB][: len(runs)]
+    assert runs
+
+
+@when("both workers answer and one lists a run of the job")
+def step_adopts(context: Any) -> None:
+    world = context.world
+    kept = context.former[0]
+    for sim in world.sims.values():
+        sim.running = {
+            name: run for name, run in sim.running.items() if name == kept.subtask.name
+        }
+    world.report_all()
+    context.kept = kept.subtask.name
+
+
+@then("that subtask is not started again and the others are")
+def step_adopted(context: Any) -> None:
+    runs = context.world.dispatch()
+    assert [run.subtask.name for run in runs] == [SubtaskName(JOB, 0, 0, 1)]
+    assert context.kept == SubtaskName(JOB, 0, 0, 0)
+
+
+@then("its run numbers are above those of the epoch before")
+def step_numbers(context: Any) -> None:
+    for sim in context.world.sims.values():
+        sim.running.clear()
+    context.world.report_all()
+    runs = context.world.dispatch()
+    most = max(run.number for run in context.former)
+    assert runs and all(run.number > most for run in runs)
+
+
+@when("a gang of {count:d} subtasks of {cores:d} cores is ready")
+def step_gang(context: Any, count: int, cores: int) -> None:
+    context.world.submit(JOB, definition(count, cores, gang=True))
+
+
+@then("nothing starts")
+def step_nothing(context: Any) -> None:
+    assert context.world.dispatch() == []
+
+
+@then("with another worker all three start with one run number")
+def step_gang_starts(context: Any) -> None:
+    world = context.world
+    sim = type(world.sims["w0"])("w9", 8)
+    world.sims["w9"] = sim
+    world.scheduler.update_worker(world.facts(sim), world.now_s)
+    world.report_all()
+    runs = world.dispatch()
+    assert len(runs) == 3
+    assert len({run.number for run in runs}) == 1
+
+
+@when("a job repeats 3 times, every 2 seconds from 5 seconds on")
+def step_repeats(context: Any) -> None:
+    world = context.world
+    plan = JobDefinition(
+        "q",
+        "team",
+        "s",
+        (Step(1, Resources(1000, 1)),),
+        repeat_count=3,
+        first_due_unix_ms=world.now_ms + 5000,
+        interval_ms=2000,
+    )
+    context.began_s = world.now_s
+    world.submit(JOB, plan)
+
+
+@then("0, 1, 2 and 3 occurrences have started 4, 5.1, 7.1 and 9.1 seconds on")
+def step_occurrences(context: Any) -> None:
+    world = context.world
+    started = 0
+    seen = []
+    for due_s in (4.0, 5.1, 7.1, 9.1):
+        while world.now_s < context.began_s + due_s:
+            world.tick(0.05)
+            world.report_all()
+            started += len(world.run_all())
+        seen.append(started)
+    assert seen == [0, 1, 2, 3], seen
+
+
+@step("a lasting step of 3 subtasks that may miss 1 is at work")
+def step_lasting(context: Any) -> None:
+    world = context.world
+    plan = definition(3, 2, lasting=True, may_miss_count=1, spread_limit_count=3)
+    world.submit(JOB, plan)
+    context.runs = world.run_all()
+    for run in context.runs:
+        run.percent = 100
+    for sim in world.sims.values():
+        sim.percent = 100
+    assert len({run.worker.facts.worker_id for run in context.runs}) == 3
+
+
+@when("two of its workers are emptied")
+def step_emptied(context: Any) -> None:
+    world = context.world
+    for run in context.runs[:2]:
+        run.worker.closed = True
+    for run in context.runs[:2]:
+        evacuate(world.scheduler, run.worker, world.now_s, world.now_s)
+
+
+@then("one subtask is stopped at a time")
+def step_one_stopped(context: Any) -> None:
+    world = context.world
+    first, second, _ = context.runs
+    assert world.stops() == [first]
+    sim = world.sims[first.worker.facts.worker_id]
+    sim.end(first.subtask.name, EndKind.STOPPED)
+    world.report(sim.worker_id)
+    (again,) = world.run_all()
+    evacuate(world.scheduler, second.worker, world.now_s, world.now_s)
+    assert world.stops() == [], "the moved subtask is not at work yet"
+    again.percent = 100
+    evacuate(world.scheduler, second.worker, world.now_s, world.now_s)
+    assert world.stops() == [second]
+
+
+@when("one of them drains")
+def step_drains(context: Any) -> None:
+    world = context.world
+    facts = world.facts(world.sims["w0"], draining=True)
+    world.scheduler.update_worker(facts, world.now_s)
+    world.submit(JOB, definition(6, 2))
+    context.runs = world.run_all()
+
+
+@then("every start goes to the other")
+def step_other(context: Any) -> None:
+    assert context.runs
+    assert {run.worker.facts.worker_id for run in context.runs} == {"w1"}
+
+
+@when("the worker reports a newer life")
+def step_new_life(context: Any) -> None:
+    sim = context.world.sims["w0"]
+    sim.running.clear()
+    sim.born_ms += 5
+    context.world.report("w0")
+
+
+@then("both subtasks are ready again and its room is free")
+def step_free(context: Any) -> None:
+    worker = context.world.worker("w0")
+    assert worker.used == Resources()
+    assert len(context.job.occurrences[0][0].ready) == 2
+
+
+@when("the job is cancelled and a successor takes over before the runs have ended")
+def step_cancel_succeed(context: Any) -> None:
+    world = context.world
+    world.scheduler.cancel(context.job, world.now_s)
+    assert context.job.has_runs
+    world.succeed(2)
+    world.report_all()
+
+
+@then("the successor stops the runs and counts them until they have ended")
+def step_counted(context: Any) -> None:
+    world = context.world
+    assert len(world.stops()) == 2
+    world.submit(OTHER, definition(1, 4))
+    assert world.dispatch() == []
+    sim = world.sims["w0"]
+    for name in list(sim.running):
+        sim.end(name, EndKind.STOPPED)
+    world.report_all()
+    assert len(world.dispatch()) == 1
+    assert not world.scheduler.jobs[JOB].has_runs
+
+
+@when("a call to the worker fails after its ends were stored")
+def step_suspect(context: Any) -> None:
+    world = context.world
+    world.sims["w0"].end(context.runs[0].subtask.name, EndKind.DONE)
+    world.report_all()
+    assert world.worker("w0").noted_end == 1
+    world.worker("w0").is_suspect = True
+
+
+@then("the next call lets it forget nothing and nothing starts there")
+def step_forgets_nothing(context: Any) -> None:
+    world = context.world
+    assert world.worker("w0").noted_end == 0
+    world.submit(OTHER, definition(1, 1))
+    assert world.dispatch() == []
+    world.report_all()
+    assert len(world.dispatch()) == 1
+
+
+_NEEDS = st.builds(Resources, st.integers(0, 9999), st.integers(0, 99), st.just(0))
+
+
+@st.composite
+def _steps(draw: Any) -> tuple[Step, ...]:
+    steps = []
+    for position in range(draw(st.integers(1, 4))):
+        after = draw(st.sets(st.integers(0, position - 1))) if position else set()
+        steps.append(
+            Step(
+                draw(st.integers(1, 20)),
+                draw(_NEEDS),
+                draw(st.integers(0, 9000)),
+                tuple(sorted(after)),
+                saves_progress=draw(st.booleans()),
+                lasting=draw(st.booleans()),
+                image=draw(st.sampled_from(["", "image"])),
+                may_miss_count=draw(st.integers(0, 3)),
+            )
+        )
+    return tuple(steps)
+
+
+@then("random jobs and their progress survive coding")
+def step_coding(context: Any) -> None:
+    @any_of(_steps(), st.text(max_size=20), st.randoms())
+    def survive(steps: tuple[Step, ...], spec: str, choice: Any) -> None:
+        plan = JobDefinition("q", "t", spec, steps, submitted_unix_ms=5)
+        assert decode_definition(encode_definition(plan)) == plan
+        job = JobState(JOB, plan, 0.0)
+        job.occurrences[0] = [StepState(job, 0, k) for k in range(len(steps))]
+        for state in job.occurrences[0]:
+            for subtask in state.subtasks:
+                if choice.random() < 0.4:
+                    subtask.phase = SubtaskPhase.DONE
+                    state.done_count += 1
+                elif choice.random() < 0.5:
+                    subtask.failures = 2
+                    subtask.last_counted_run = 77
+                    subtask.checkpoint = "abc"
+        restored = JobState(JOB, plan, 0.0)
+        apply_progress(restored, encode_progress(job))
+        assert restored.phase is JobPhase.PENDING
+        assert encode_progress(restored) == encode_progress(job)
+
+    survive()
+
+
+@then("random histories of starts, ends, silence and successors keep the rules")
+def step_histories(context: Any) -> None:
+    @any_of(st.integers(0, 10**9))
+    def keeps(seed: int) -> None:
+        RandomHistory(seed).play(150)
+
+    keeps()
--- /dev/null
+++ b/features/support/job_world.py
@@ -0,0 +1,404 @@
+"""A scheduler with simulated workers, on a clock that scenarios move."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from cicadatrail_core.jobs.dispatch import dispatch
+from cicadatrail_core.jobs.models import (
+    EndKind,
+    EndRow,
+    FleetConfiguration,
+    JobDefinition,
+    JobPhase,
+    Pool,
+    Queue,
+    RunningRow,
+    Step,
+    SubtaskName,
+    Team,
+    WorkerFacts,
+    WorkerReport,
+)
+from cicadatrail_core.jobs.records import (
+    apply_progress,
+    decode_definition,
+    encode_definition,
+    encode_progress,
+)
+from cicadatrail_core.jobs.scheduler import Scheduler, SchedulerSettings
+from cicadatrail_core.jobs.state import JobState, Run, RunPhase, WorkerState
+from cicadatrail_core.models.resources import NO_RESOURCES, Resources
+
+LEASE_S = 3.5
+BORN_MS = 1000
+
+
+def configuration(team_limit: Resources = NO_RESOURCES) -> FleetConfiguration:
+    queue = Queue("q", "", "/q/", "pool", attempt_limit_count=3, stretch=2.0)
+    return FleetConfiguration(
+        1,
+        (queue,),
+        {"pool": Pool("pool")},
+        {"team": Team("team", ("key",), 1, team_limit)},
+    )
+
+
+def definition(count: int, cores: int = 3, **step: object) -> JobDefinition:
+    need = Resources(cores * 1000, 10)
+    return JobDefinition(
+        "q",
+        "team",
+        "spec",
+        (Step(count, need, 500, **step),),  # type: ignore[arg-type]
+    )
+
+
+@dataclass
+class Simulated:
+    """A worker's own view: what it runs and the ends it still lists."""
+
+    worker_id: str
+    cores: int
+    running: dict[SubtaskName, int] = field(default_factory=dict)
+    ended: dict[SubtaskName, int] = field(default_factory=dict)
+    ends: list[EndRow] = field(default_factory=list)
+    number: int = 0
+    born_ms: int = BORN_MS
+    deadline_s: float = 0.0
+    token: int = 0
+    percent: int = 50
+    unnoted_done: set[SubtaskName] = field(default_factory=set)
+    late: list[tuple[float, SubtaskName, int, int, float]] = field(default_factory=list)
+
+    def end(self, name: SubtaskName, kind: EndKind) -> None:
+        run = self.running.pop(name)
+        self.ended[name] = max(run, self.ended.get(name, 0))
+        if kind is EndKind.DONE:
+            self.unnoted_done.add(name)
+        self.number += 1
+        self.ends.append(EndRow(self.number, name, run, kind, ""))
+
+
+class JobWorld:
+    def __init__(self, worker_count: int, cores: int = 8, epoch: int = 1) -> None:
+        self.now_s = 100.0
+        self.sims: dict[str, Simulated] = {}
+        for number in range(worker_count):
+            name = f"w{number}"
+            self.sims[name] = Simulated(name, cores)
+        self.scheduler = self.new_scheduler(epoch)
+
+    def new_scheduler(self, epoch: int) -> Scheduler:
+        scheduler = Scheduler(SchedulerSettings(epoch, LEASE_S, 120.0))
+        scheduler.configure(configuration())
+        for sim in self.sims.values():
+            scheduler.update_worker(self.facts(sim), self.now_s)
+        return scheduler
+
+    def facts(self, sim: Simulated, draining: bool = False) -> WorkerFacts:
+        return WorkerFacts(
+            sim.worker_id,
+            "pool",
+            "10.0.0.1",
+            80,
+            "z",
+            Resources(sim.cores * 1000, 64_000),
+            ("a", "r1"),
+            draining,
+            born_unix_ms=sim.born_ms,
+            machine=f"m-{sim.worker_id}",
+        )
+
+    @property
+    def now_ms(self) -> int:
+        return int(self.now_s * 1000)
+
+    def worker(self, name: str) -> WorkerState:
+        return self.scheduler.workers[name]
+
+    def submit(self, job_id: str, plan: JobDefinition) -> JobState:
+        job = self.scheduler.accept(job_id, plan, self.now_s)
+        self.scheduler.activate(job, self.now_s, self.now_ms)
+        return job
+
+    def report(self, name: str, forget: bool = True) -> None:
+        """Let a worker answer with its lists, as a look just sent."""
+        sim = self.sims[name]
+        worker = self.scheduler.workers.get(name)
+        if worker is None:
+            return
+        sim.token = max(sim.token, self.scheduler.settings.epoch)
+        if forget:
+            sim.ends = [e for e in sim.ends if e.number > worker.noted_end]
+        report = WorkerReport(
+            self.now_ms,
+            sim.born_ms,
+            tuple(RunningRow(n, r, "", sim.percent) for n, r in sim.running.items()),
+            tuple(sim.ends),
+        )
+        self.scheduler.apply_report(worker, report, self.now_s, self.now_s + 0.001)
+        worker.stored_end = worker.processed_end
+        deadline_ms = self.scheduler.renew_lease(worker, self.now_s)
+        if deadline_ms is not None:
+            sim.deadline_s = max(sim.deadline_s, deadline_ms / 1000)
+        self.now_s += 0.002
+
+    def report_all(self) -> None:
+        for name in self.sims:
+            self.report(name)
+
+    def dispatch(self) -> list[Run]:
+        """Decide; return the starts that would be sent."""
+        dispatch(self.scheduler, self.now_s)
+        starts, self.scheduler.starts = self.scheduler.starts, []
+        return starts
+
+    def carry_out(self, run: Run) -> None:
+        """Let a worker obey a start and answer."""
+        sim = self.sims[run.worker.facts.worker_id]
+        sim.running[run.subtask.name] = run.number
+        run.phase = RunPhase.RUNNING
+        run.answered_s = self.now_s
+        self.scheduler.renew_lease(run.worker, self.now_s)
+        run.start_expires_s = run.worker.lease_expires_s
+        sim.deadline_s = max(sim.deadline_s, self.now_s + LEASE_S)
+
+    def run_all(self) -> list[Run]:
+        runs = self.dispatch()
+        for run in runs:
+            self.carry_out(run)
+        return runs
+
+    def stops(self) -> list[Run]:
+        stops, self.scheduler.stops = self.scheduler.stops, []
+        return stops
+
+    def succeed(self, epoch: int) -> None:
+        """Replace the scheduler by a successor that knows the stored records."""
+        jobs = []
+        for job in self.scheduler.jobs.values():
+            plan = decode_definition(encode_definition(job.definition))
+            restored = JobState(job.job_id, plan, self.now_s)
+            apply_progress(restored, encode_progress(job))
+            jobs.append(restored)
+        self.scheduler = self.new_scheduler(epoch)
+        for worker in self.scheduler.workers.values():
+            worker.lease_expires_s = self.now_s + LEASE_S / 0.98 + 0.6
+        self.scheduler.inherit(jobs)
+        for job in jobs:
+            self.scheduler.activate(job, self.now_s, self.now_ms)
+
+    def tick(self, seconds: float) -> None:
+        self.now_s += seconds
+        for sim in self.sims.values():
+            if self.now_s > sim.deadline_s:
+                # An end before the lease lapsed counts only if it was noted.
+                sim.unnoted_done.clear()
+                for name in list(sim.running):
+                    sim.end(name, EndKind.LAPSED)
+        self.scheduler.tick(self.now_s, self.now_ms)
+
+
+class RandomHistory:
+    """Play random acts; check capacity, doubles and order after each."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.world = JobWorld(4)
+        self.silent: set[str] = set()
+        self.noted_done: set[SubtaskName] = set()
+        self.jobs = 0
+        self.epoch = 1
+
+    def play(self, act_count: int) -> None:
+        acts = (
+            self.submit,
+            self.start,
+            self.start,
+            self.finish,
+            self.finish,
+            self.look,
+            self.look,
+            self.look,
+            self.wait,
+            self.toggle_silence,
+            self.late_start,
+            self.succeed,
+            self.cancel,
+            self.restart,
+        )
+        for _ in range(act_count):
+            self.random.choice(acts)()
+            self.check()
+        self.settle()
+
+    def submit(self) -> None:
+        self.jobs += 1
+        need = Resources(self.random.randint(1, 4) * 1000, 10)
+        steps = (
+            Step(self.random.randint(1, 3), need, 300),
+            Step(1, need, 300, after=(0,)),
+        )
+        plan = JobDefinition("q", "team", "s", steps)
+        self.world.submit(f"{self.jobs:016x}", plan)
+
+    def _order(self, run: Run, answered: bool) -> None:
+        world = self.world
+        sim = world.sims[run.worker.facts.worker_id]
+        name = run.subtask.name
+        deadline_ms = world.scheduler.renew_lease(run.worker, world.now_s)
+        assert deadline_ms is not None
+        run.start_expires_s = run.worker.lease_expires_s
+        if answered and run.worker.facts.worker_id not in self.silent:
+            self._begin(sim, name, run.number, self.epoch, deadline_ms / 1000)
+            run.answered_s = world.now_s
+            run.phase = RunPhase.RUNNING
+            return
+        run.doubted_s = world.now_s
+        if self.random.random() < 0.6:
+            due_s = world.now_s + self.random.uniform(0.1, 6)
+            entry = (due_s, name, run.number, self.epoch, deadline_ms / 1000)
+            sim.late.append(entry)
+
+    def _begin(
+        self, sim: Simulated, name: SubtaskName, run: int, epoch: int, until_s: float
+    ) -> None:
+        world = self.world
+        refused = epoch < sim.token or run <= sim.ended.get(name, 0)
+        if refused or until_s < world.now_s or name in sim.running:
+            return
+        places = [s.worker_id for s in world.sims.values() if name in s.running]
+        assert not places, f"{name} runs on {places} and {sim.worker_id}"
+        assert name not in self.noted_done, f"{name} starts after it was done"
+        if name.step == 1:
+            job = world.scheduler.jobs[name.job_id]
+            steps = job.occurrences.get(0)
+            assert steps is None or steps[0].is_done, f"{name} starts too early"
+        sim.token = epoch
+        sim.running[name] = run
+        sim.deadline_s = max(sim.deadline_s, until_s)
+
+    def start(self) -> None:
+        for run in self.world.dispatch():
+            self._order(run, self.random.random() < 0.85)
+        self._send_stops()
+
+    def late_start(self) -> None:
+        world = self.world
+        for sim in world.sims.values():
+            due = [entry for entry in sim.late if entry[0] <= world.now_s]
+            sim.late = [entry for entry in sim.late if entry[0] > world.now_s]
+            for _, name, run, epoch, until_s in due:
+                self._begin(sim, name, run, epoch, until_s)
+
+    def _send_stops(self) -> None:
+        world = self.world
+        for run in world.stops():
+            sim = world.sims[run.worker.facts.worker_id]
+            if sim.worker_id in self.silent or self.random.random() < 0.2:
+                # Repeated until it is answered.
+                if run in run.subtask.copies:
+                    world.scheduler.stops.append(run)
+                continue
+            name = run.subtask.name
+            if sim.running.get(name) == run.number:
+                sim.end(name, EndKind.STOPPED)
+            sim.ended[name] = max(run.number, sim.ended.get(name, 0))
+            run.stop_acked_s = world.now_s
+            world.now_s += 0.001
+
+    def finish(self) -> None:
+        sims = [s for s in self.world.sims.values() if s.running]
+        if sims:
+            sim = self.random.choice(sims)
+            name = self.random.choice(list(sim.running))
+            kind = EndKind.FAILED if self.random.random() < 0.1 else EndKind.DONE
+            sim.end(name, kind)
+
+    def look(self) -> None:
+        names = [n for n in self.world.sims if n not in self.silent]
+        if names:
+            name = self.random.choice(names)
+            sim = self.world.sims[name]
+            if name in self.world.scheduler.workers:
+                self.world.report(name)
+                self.noted_done |= sim.unnoted_done
+                sim.unnoted_done = set()
+        self._send_stops()
+
+    def wait(self) -> None:
+        self.world.tick(self.random.choice((0.05, 0.3, 1.0, 2.5)))
+        self.late_start()
+
+    def toggle_silence(self) -> None:
+        name = self.random.choice(list(self.world.sims))
+        if name in self.silent:
+            self.silent.discard(name)
+        elif len(self.silent) < 2:
+            self.silent.add(name)
+
+    def succeed(self) -> None:
+        if self.random.random() < 0.3:
+            self.epoch += 1
+            self.world.succeed(self.epoch)
+
+    def cancel(self) -> None:
+        jobs = [j for j in self.world.scheduler.jobs.values() if not j.is_final]
+        if jobs and self.random.random() < 0.3:
+            job = self.random.choice(jobs)
+            self.world.scheduler.cancel(job, self.world.now_s)
+            self.world.scheduler.stop_runs(job)
+
+    def restart(self) -> None:
+        if self.random.random() < 0.2:
+            sim = self.random.choice(list(self.world.sims.values()))
+            sim.running.clear()
+            sim.ended.clear()
+            sim.ends.clear()
+            sim.unnoted_done.clear()
+            sim.late.clear()
+            sim.number = sim.token = 0
+            sim.born_ms += 1
+            # A call under way, or the next one, is cut by the crash.
+            worker = self.world.scheduler.workers.get(sim.worker_id)
+            if worker is not None:
+                worker.is_suspect = True
+
+    def check(self) -> None:
+        for sim in self.world.sims.values():
+            used = 0
+            for name in sim.running:
+                job = self.world.scheduler.jobs[name.job_id]
+                used += job.definition.steps[name.step].need.cpu_millicores
+            assert used <= sim.cores * 1000, f"{sim.worker_id} runs {used}"
+        for worker in self.world.scheduler.workers.values():
+            total = Resources()
+            for run in worker.runs.values():
+                total = total + run.subtask.step.spec.reserved
+            assert total == worker.used
+
+    def settle(self) -> None:
+        """Let every job end once all workers answer."""
+        self.silent.clear()
+        world = self.world
+        for _ in range(400):
+            self.late_start()
+            for run in world.dispatch():
+                self._order(run, True)
+            self._send_stops()
+            for sim in world.sims.values():
+                for name in list(sim.running):
+                    sim.end(name, EndKind.DONE)
+            world.report_all()
+            world.tick(0.1)
+            self.check()
+            if all(job.is_final for job in world.scheduler.jobs.values()):
+                break
+        phases = {job.phase for job in world.scheduler.jobs.values()}
+        assert phases <= {
+            JobPhase.COMPLETED,
+            JobPhase.FAILED,
+            JobPhase.CANCELLED,
+        }, phases
--- a/features/support/platform_cluster.py
+++ b/features/support/platform_cluster.py
@@ -50,6 +50,7 @@
             "pace-ms": 100,
             "harm-ms": 4000,
             "maintenance-s": 2,
+            "move-s": 1.5,
         },
     }
     return table | changes
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -125,6 +125,7 @@
         if worker.facts.pool == pool
         and worker.is_listed
         and worker.is_resolved
+        and not worker.is_suspect
         and not worker.closed
         and not worker.facts.draining
         and worker.clock_at_s is not None
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
@@ -43,6 +43,7 @@
         and worker.facts.pool == pool
         and worker.is_listed
         and worker.is_resolved
+        and not worker.is_suspect
         and not worker.closed
         and not worker.facts.draining
         and worker.ejected_until_s <= now_s
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -274,6 +274,8 @@
         self._detach(run)
         subtask = run.subtask
         job = subtask.step.job
+        if job.is_final and not job.has_runs:
+            self.changed_jobs[job.job_id] = None
         if subtask.copies or subtask.phase is SubtaskPhase.DONE or job.is_final:
             return
         self._make_ready(subtask, now_s)
@@ -294,6 +296,7 @@
         if report.born_unix_ms > worker.born_unix_ms:
             self._start_new_life(worker, report.born_unix_ms, now_s)
         worker.answered_s = now_s
+        worker.is_suspect = False
         worker.clock_ms = report.clock_ms
         worker.clock_at_s = now_s
         has_ends = False
@@ -335,7 +338,7 @@
         """Count a run that an earlier holder started, or stop a stray one."""
         job = self.jobs.get(row.name.job_id)
         subtask = job.subtask(row.name) if job is not None else None
-        if job is not None and subtask is None and not job.is_final:
+        if job is not None and subtask is None:
             self._open_inherited(job, row.name.occurrence, now_s)
             subtask = job.subtask(row.name)
         if job is None or subtask is None:
@@ -360,12 +363,16 @@
         return run
 
     def _open_inherited(self, job: JobState, occurrence: int, now_s: float) -> None:
-        if occurrence in job.done_occurrences or occurrence in job.occurrences:
+        if occurrence in job.occurrences:
             return
         job.occurrences[occurrence] = [
             StepState(job, occurrence, position)
             for position in range(len(job.definition.steps))
         ]
+        if job.is_final or occurrence in job.done_occurrences:
+            for step in job.occurrences[occurrence]:
+                step.mark_done()
+            return
         self._ready_steps(job, occurrence, now_s)
 
     def _apply_end(self, worker: WorkerState, row: EndRow, now_s: float) -> None:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -66,7 +66,8 @@
         self.doubted_s: float | None = None
         self.stop_sent_s: float | None = None
         self.stop_acked_s: float | None = None
-        self.start_expires_s = sent_s
+        # Set when the order is sent.
+        self.start_expires_s = float("inf")
         self.percent = 0
         self.progress_s = sent_s
         self.figure = 0
@@ -142,6 +143,12 @@
         """Tell whether every subtask has ended as done."""
         return self.done_count == self.spec.count
 
+    def mark_done(self) -> None:
+        """Take every subtask for done, as one of an ended job is."""
+        for subtask in self.subtasks:
+            subtask.phase = SubtaskPhase.DONE
+        self.done_count = self.spec.count
+
 
 class JobState:
     """Hold an accepted job."""
@@ -182,6 +189,16 @@
         """Tell whether the job has ended."""
         return self.phase in FINAL_PHASES
 
+    @property
+    def has_runs(self) -> bool:
+        """Tell whether a worker may still run something of the job."""
+        return any(
+            subtask.copies
+            for steps in self.occurrences.values()
+            for step in steps
+            for subtask in step.subtasks
+        )
+
     def subtask(self, name: SubtaskName) -> Subtask | None:
         """Return a subtask by its name, or None if there is none."""
         steps = self.occurrences.get(name.occurrence)
@@ -206,6 +223,7 @@
         "facts",
         "is_listed",
         "is_resolved",
+        "is_suspect",
         "lease_expires_s",
         "processed_end",
         "runs",
@@ -223,6 +241,8 @@
         self.clock_at_s: float | None = None
         self.lease_expires_s = 0.0
         self.is_resolved = False
+        # A call failed since the last report: it may have restarted.
+        self.is_suspect = False
         self.is_listed = True
         self.closed = False
         self.ejected_until_s = 0.0
@@ -236,6 +256,15 @@
         """Return what is left of the capacity."""
         return self.facts.capacity - self.used
 
+    @property
+    def noted_end(self) -> int:
+        """Return the last end that the worker may forget.
+
+        A worker that may have restarted counts its ends anew, so that the
+        number of its last life would make it forget ends that nobody has seen.
+        """
+        return 0 if self.is_suspect else self.stored_end
+
     def add(self, run: Run) -> None:
         """Count a run against the capacity."""
         self.runs[run.subtask.name, run.number] = run
--- a/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
@@ -36,7 +36,7 @@
     metrics_port: int
     seed_hosts: tuple[str, ...]
     store: Address
-    machines: Address | None
+    machines: Address
     advice: Address | None
     lease_limit_s: float
     order_gap_s: float
@@ -47,6 +47,7 @@
     pace_delay_s: float
     harm_limit_s: float
     maintenance_s: float
+    move_s: float
     has_wave_duty: bool
 
 
@@ -119,7 +120,6 @@
         )
         ports = [0, 0]
     seeds = [parse_address(str(seed)) for seed in table.get("seeds", ())]
-    cloud = table.get("cloud", {})
     policies = table.get("policies", ())
     settings = PlatformSettings(
         node=str(reader.take(table, "node", str)),
@@ -131,7 +131,7 @@
         metrics_port=ports[1],
         seed_hosts=tuple(seed.host for seed in seeds if seed is not None),
         store=reader.address(table, "platform.address"),
-        machines=parse_address(str(cloud.get("address", ""))),
+        machines=reader.address(table, "cloud.address"),
         advice=parse_address(str(table.get("advice", ""))),
         lease_limit_s=reader.number(table, "bounds.hold-max-ms", 1) / 1000,
         order_gap_s=reader.number(table, "bounds.lease-ms") / 1000,
@@ -142,6 +142,7 @@
         pace_delay_s=reader.number(table, "bounds.pace-ms") / 1000,
         harm_limit_s=reader.number(table, "bounds.harm-ms") / 1000,
         maintenance_s=reader.number(table, "bounds.maintenance-s"),
+        move_s=reader.number(table, "bounds.move-s"),
         has_wave_duty="upkeep" in policies,
     )
     if reader.findings:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
@@ -64,6 +64,7 @@
     Submit,
     Unsettled,
 )
+from cicadatraild.scheduling.roster import MachineRoster
 from cicadatraild.scheduling.worker_links import WorkerLinks
 
 logger = logging.getLogger("cicadatrail.holder")
@@ -89,6 +90,9 @@
 WORKERS_PAUSE_S = 0.15
 """Pause between reads of the list of workers, so that they are batched."""
 
+ORDER_GAP_MARGIN_S = 0.3
+"""Time added to the platform's gap between the orders of two holders."""
+
 RETRY_S = 0.1
 """Pause before a step of the takeover is repeated."""
 
@@ -125,17 +129,9 @@
         self.links = WorkerLinks(
             self.scheduler, self._client, self.journal, leadership.depose
         )
-        self.waves = WaveKeeper(
-            settings,
-            MachineClient(settings.machines, settings.node, epoch)
-            if settings.machines is not None
-            else None,
-            store,
-            self.scheduler,
-            leadership.is_sure,
-            waves,
-            self._mark_waves,
-        )
+        self._machines = MachineClient(settings.machines, settings.node, epoch)
+        roster = MachineRoster(self._machines, leadership.is_sure)
+        self.waves = WaveKeeper(roster, store, self.scheduler, waves, self._mark_waves)
         self._feed = TopicFeed(
             store, WORKERS_TOPIC, self._take_worker, self._compare, WORKERS_PAUSE_S
         )
@@ -156,7 +152,7 @@
             stack.callback(self.links.close)
             stack.callback(self.journal.close)
             await self._client.pool.open(stack)
-            await self.waves.open(stack)
+            await self._machines.pool.open(stack)
             await self._take_over()
             logger.info(
                 "holder: took over.",
@@ -173,7 +169,12 @@
                 group.create_task(self._feed.run())
                 group.create_task(self._dispatch())
                 group.create_task(self._tick())
-                group.create_task(self.waves.run())
+                group.create_task(self._order_machines())
+
+    async def _order_machines(self) -> None:
+        """Give orders to machines, well after those of an earlier holder."""
+        await asyncio.sleep(self._settings.order_gap_s + ORDER_GAP_MARGIN_S)
+        await self.waves.run()
 
     # Takeover
 
@@ -367,7 +368,8 @@
             records.append(KeyedRecord(PROGRESS_PREFIX + job_id, encode_progress(job)))
             if job.is_final and job.stored_phase is JobPhase.PENDING:
                 ended.append((job, job.phase))
-                # Nothing of an ended job starts again, so its steps can go.
+            if job.is_final and not job.has_runs:
+                # A successor has to count what still runs, so the steps go last.
                 records.append(KeyedRecord(JOB_PREFIX + job_id, None))
         forgotten, scheduler.forgotten_jobs = scheduler.forgotten_jobs, []
         for job_id in forgotten:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
@@ -6,17 +6,15 @@
 import json
 import logging
 from collections.abc import Callable, Iterator
-from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 
 import msgpack
 
 from cicadatrail_core.jobs.evacuation import evacuate
-from cicadatrail_core.jobs.models import Machine, MachineState, Wave
+from cicadatrail_core.jobs.models import MachineState, Wave
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import WorkerState
-from cicadatraild.platform.machines import MachineClient, MachineOutcome
-from cicadatraild.platform.settings import PlatformSettings
+from cicadatraild.platform.machines import MachineOutcome
 from cicadatraild.platform.store import (
     STATUS_TOPIC,
     KeyedRecord,
@@ -24,6 +22,7 @@
     StoreUnavailableError,
 )
 from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.roster import MachineRoster
 
 logger = logging.getLogger("cicadatrail.maintenance")
 
@@ -33,9 +32,6 @@
 LIST_S = 0.5
 """Time between lists of machines while some are being maintained."""
 
-ORDER_GAP_MARGIN_S = 0.3
-"""Time added to the platform's gap between the orders of two holders."""
-
 RETRY_S = 0.5
 """Pause before a machine that was refused is tried again."""
 
@@ -62,30 +58,31 @@
 
     def __init__(
         self,
-        settings: PlatformSettings,
-        client: MachineClient | None,
+        roster: MachineRoster,
         store: StoreClient,
         scheduler: Scheduler,
-        is_sure: Callable[[], bool],
         waves: Callable[[], list[Wave]],
         on_progress: Callable[[], None],
     ) -> None:
-        self._settings = settings
-        self._client = client
+        self._roster = roster
         self._store = store
         self._scheduler = scheduler
-        self._is_sure = is_sure
         self._waves = waves
         self._on_progress = on_progress
         self._restored: dict[int, tuple[set[str], bool]] = {}
         self._progress: dict[int, WaveProgress] = {}
-        self._machines: dict[str, Machine] = {}
-        self._listed_s = float("-inf")
 
-    async def open(self, stack: AsyncExitStack) -> None:
-        """Close connections when ``stack`` closes."""
-        if self._client is not None:
-            await self._client.pool.open(stack)
+    def held_machines(self) -> frozenset[str]:
+        """Return the machines that a wave still has to maintain."""
+        held: set[str] = set()
+        for wave in self._waves():
+            progress = self._progress.get(wave.number)
+            if progress is None:
+                held |= set(wave.machines)
+            elif not progress.is_completed:
+                held |= set(wave.machines) - progress.begun
+                held |= set(progress.down)
+        return frozenset(held)
 
     def restore(self, number: int, record: bytes) -> None:
         """Take a wave's progress that an earlier holder stored."""
@@ -100,10 +97,6 @@
 
     async def run(self) -> None:
         """Carry out waves until cancelled."""
-        if self._client is None:
-            return
-        # Orders of two holders to one machine must be well apart.
-        await asyncio.sleep(self._settings.order_gap_s + ORDER_GAP_MARGIN_S)
         while True:
             for wave in self._waves():
                 await self._advance(wave)
@@ -121,8 +114,7 @@
             await self._show(progress, "completed")
             return
         await self._show(progress, "running")
-        await self._refresh(progress)
-        if not self._machines:
+        if not await self._roster.refresh(LIST_S if progress.down else 2 * LIST_S):
             return
         self._settle_down(progress)
         self._close_some(progress)
@@ -130,25 +122,12 @@
             await self._empty(progress, name, since_s)
         self._check_completed(progress)
 
-    async def _refresh(self, progress: WaveProgress) -> None:
-        asked_s = loop_now_s()
-        pause_s = LIST_S if progress.down else 2 * LIST_S
-        if asked_s - self._listed_s < pause_s or self._client is None:
-            return
-        machines = await self._client.list_machines()
-        if machines is None:
-            logger.warning("maintenance: no list of machines.")
-            self._listed_s = asked_s
-            return
-        self._machines = {machine.name: machine for machine in machines}
-        self._listed_s = asked_s
-
     def _settle_down(self, progress: WaveProgress) -> None:
         """Take back machines that a newer list shows as up."""
         for name, ordered_s in list(progress.down.items()):
-            machine = self._machines.get(name)
+            machine = self._roster.machines.get(name)
             is_up = machine is not None and machine.state is MachineState.UP
-            if (is_up or machine is None) and self._listed_s > ordered_s:
+            if (is_up or machine is None) and self._roster.listed_s > ordered_s:
                 del progress.down[name]
                 logger.info(
                     "maintenance: machine is back.",
@@ -163,8 +142,8 @@
             1
             for name in wave.machines
             if name not in progress.down
-            and name in self._machines
-            and self._machines[name].state is MachineState.MAINTENANCE
+            and name in self._roster.machines
+            and self._roster.machines[name].state is MachineState.MAINTENANCE
         )
         busy = len(progress.down) + len(progress.closing) + away
         candidates = [
@@ -173,8 +152,8 @@
             if name not in progress.begun
             and name not in progress.closing
             and progress.retry_s.get(name, 0) <= now_s
-            and name in self._machines
-            and self._machines[name].state is MachineState.UP
+            and name in self._roster.machines
+            and self._roster.machines[name].state is MachineState.UP
         ]
         self._scheduler.maintained_next = frozenset(candidates)
         candidates.sort(key=self._load)
@@ -194,17 +173,20 @@
                     "machine": name,
                     "wave": wave.number,
                     "run_count": len(worker.runs) if worker else 0,
-                    "list_age_s": round(now_s - self._listed_s, 3),
+                    "list_age_s": round(now_s - self._roster.listed_s, 3),
                 },
             )
 
     def _pool_is_full(self, progress: WaveProgress, name: str) -> bool:
-        pool = self._machines[name].pool
-        size = sum(1 for machine in self._machines.values() if machine.pool == pool)
+        pool = self._roster.machines[name].pool
+        size = sum(
+            1 for machine in self._roster.machines.values() if machine.pool == pool
+        )
         taken = sum(
             1
             for other in (*progress.closing, *progress.down)
-            if other in self._machines and self._machines[other].pool == pool
+            if other in self._roster.machines
+            and self._roster.machines[other].pool == pool
         )
         known = self._scheduler.configuration.pools.get(pool)
         if known is not None and known.standby:
@@ -237,19 +219,7 @@
             evacuate(self._scheduler, worker, since_s, now_s)
             if worker.runs or not worker.is_resolved:
                 return
-        if not self._is_sure() or self._client is None:
-            return
-        ordered_s = loop_now_s()
-        outcome = await self._client.maintain(name, progress.wave.number)
-        logger.info(
-            "maintenance: order sent.",
-            extra={
-                "machine": name,
-                "wave": progress.wave.number,
-                "outcome": outcome.value,
-                "list_age_s": round(ordered_s - self._listed_s, 3),
-            },
-        )
+        outcome = await self._roster.maintain(name, progress.wave.number)
         self._apply(progress, name, worker, outcome)
 
     def _apply(
@@ -285,7 +255,7 @@
         open_machines = [
             name
             for name in progress.wave.machines
-            if name in self._machines and name not in progress.begun
+            if name in self._roster.machines and name not in progress.begun
         ]
         if open_machines or progress.down or progress.closing:
             return
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -116,7 +116,7 @@
         self.list_count += 1
         result = await self._client.lists(
             worker.facts,
-            worker.stored_end,
+            worker.noted_end,
             scheduler.renew_lease(worker, sent_s),
             wait_ms,
         )
@@ -159,6 +159,7 @@
 
     async def _note_failure(self, worker: WorkerState, outcome: OrderOutcome) -> None:
         worker_id = worker.facts.worker_id
+        worker.is_suspect = True
         match outcome:
             case OrderOutcome.FENCED:
                 self._on_fenced(f"worker {worker_id} obeys a newer holder")
