--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -37,6 +37,19 @@
     Then nothing is started again before the lease can have lapsed
     And everything is started again elsewhere after that
 
+  Scenario: Calls without an answer renew no lease
+    Given a scheduler with 2 workers of 8 cores
+    And 2 subtasks of 4 cores run
+    When their worker is silent while it is asked again and again
+    Then nothing is started again before the lease can have lapsed
+    And everything is started again elsewhere after that
+
+  Scenario: A lasting subtask on a silent worker is not at work
+    Given a scheduler with 3 workers of 8 cores
+    And a lasting step of 3 subtasks that may miss 1 is at work
+    When one of its workers is silent and another is emptied
+    Then no subtask is stopped
+
   Scenario: A later step waits for every subtask of the earlier one
     Given a scheduler with 2 workers of 8 cores
     When a job of two steps has one subtask of the first step left
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -150,7 +150,30 @@
     ]
 
 
+@when("their worker is silent while it is asked again and again")
+def step_silent_asked(context: Any) -> None:
+    step_silent(context)
+    context.world.worker(context.silent).is_suspect = True
+
+
+@when("one of its workers is silent and another is emptied")
+def step_silent_emptied(context: Any) -> None:
+    world = context.world
+    context.runs[0].worker.is_suspect = True
+    context.runs[1].worker.closed = True
+    evacuate(world.scheduler, context.runs[1].worker, world.now_s, world.now_s)
+
+
+@then("no subtask is stopped")
+def step_none_stopped(context: Any) -> None:
+    assert context.world.stops() == []
+
+
 def _report_others(context: Any) -> None:
+    silent = context.world.worker(context.silent)
+    if silent.is_suspect:
+        # The link tries again and asks for the deadline to send.
+        context.world.scheduler.renew_lease(silent, context.world.now_s)
     for name in context.world.sims:
         if name != context.silent:
             context.world.report(name)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -511,9 +511,11 @@
     def renew_lease(self, worker: WorkerState, now_s: float) -> int | None:
         """Return the deadline on the worker's clock for a lease from now on.
 
-        None before the worker's clock is known.
+        None before the worker's clock is known, and while it does not answer:
+        a call without an answer may renew the lease all the same, so that it
+        could never be known to have lapsed.
         """
-        if worker.clock_at_s is None:
+        if worker.clock_at_s is None or worker.is_suspect:
             return None
         elapsed_s = now_s - worker.clock_at_s
         deadline = worker.clock_ms + int((elapsed_s + self.settings.lease_s) * 1000)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -75,7 +75,9 @@
 
     @property
     def at_work(self) -> bool:
-        """Tell whether a lasting subtask's run does its work."""
+        """Tell whether a lasting subtask's run does its work, as far as is known."""
+        if self.worker.is_suspect:
+            return False
         return self.phase is RunPhase.RUNNING and self.percent >= 100
 
 
