Count each failed run of a subtask once, in whatever order ends come

Both are scenarios now, failing before. Ruled out: ends listed twice (a scenario from before shows one count).

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -61,6 +61,16 @@
     When a failed end is listed by two reports and to a successor
     Then one failure is counted
 
+  Scenario: Failed ends count in whatever order they come
+    Given a scheduler with 2 workers of 8 cores
+    When an older run's failed end comes after a newer one's
+    Then both failures are counted
+
+  Scenario: A run that may have been the last attempt is waited for
+    Given a scheduler with 2 workers of 8 cores
+    When the last attempt of a subtask is lost with a silent worker
+    Then it does not start again before the worker tells how it ended
+
   Scenario: A successor starts nothing before it knows what runs
     Given a successor with 2 workers and an inherited job
     When one worker has answered and the other has not
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -226,6 +226,55 @@
     assert len(world.dispatch()) == 2
 
 
+@when("an older run's failed end comes after a newer one's")
+def step_older_end(context: Any) -> None:
+    world = context.world
+    context.job = world.submit(JOB, definition(1))
+    (first,) = world.run_all()
+    silent = first.worker.facts.worker_id
+    (other,) = [name for name in world.sims if name != silent]
+    world.sims[silent].end(first.subtask.name, EndKind.FAILED)
+    world.worker(silent).is_suspect = True
+    while world.now_s <= world.worker(silent).lease_expires_s:
+        world.tick(0.3)
+        world.report(other)
+    (second,) = world.run_all()
+    world.sims[other].end(second.subtask.name, EndKind.FAILED)
+    world.report(other)
+    world.report(silent)
+
+
+@then("both failures are counted")
+def step_both(context: Any) -> None:
+    assert len(context.job.occurrences[0][0].subtasks[0].failed_runs) == 2
+
+
+@when("the last attempt of a subtask is lost with a silent worker")
+def step_last_attempt(context: Any) -> None:
+    world = context.world
+    context.job = world.submit(JOB, definition(1))
+    for _ in range(2):
+        (run,) = world.run_all()
+        sim = world.sims[run.worker.facts.worker_id]
+        sim.end(run.subtask.name, EndKind.FAILED)
+        world.report_all()
+    (run,) = world.run_all()
+    context.silent = run.worker.facts.worker_id
+    world.worker(context.silent).is_suspect = True
+    (context.known,) = [name for name in world.sims if name != context.silent]
+    while world.now_s <= world.worker(context.silent).lease_expires_s + 1:
+        world.tick(0.3)
+        world.report(context.known)
+
+
+@then("it does not start again before the worker tells how it ended")
+def step_no_last(context: Any) -> None:
+    world = context.world
+    assert world.dispatch() == []
+    world.report(context.silent)
+    assert len(world.dispatch()) == 1
+
+
 @when("a failed end is listed by two reports and to a successor")
 def step_repeated_end(context: Any) -> None:
     world = context.world
@@ -242,7 +291,7 @@
 @then("one failure is counted")
 def step_one_failure(context: Any) -> None:
     job = context.world.scheduler.jobs[JOB]
-    assert job.occurrences[0][0].subtasks[0].failures == 1
+    assert len(job.occurrences[0][0].subtasks[0].failed_runs) == 1
 
 
 @given("a successor with {count:d} workers and an inherited job")
@@ -516,8 +565,7 @@
                     subtask.phase = SubtaskPhase.DONE
                     state.done_count += 1
                 elif choice.random() < 0.5:
-                    subtask.failures = 2
-                    subtask.last_counted_run = 77
+                    subtask.failed_runs = {7, 77}
                     subtask.checkpoint = "abc"
         restored = JobState(JOB, plan, 0.0)
         apply_progress(restored, encode_progress(job))
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -156,6 +156,10 @@
         for subtask in list(step.ready.values()):
             if not _within_limit(scheduler, step, 1, unsettled):
                 break
+            limit = scheduler.attempt_limit(step.job)
+            if not step.spec.lasting and subtask.attempt_count >= limit:
+                # A run on a silent worker may have been its last attempt.
+                continue
             worker = _choose(scheduler, subtask, workers, reserved, now_s)
             if worker is None:
                 blocked = True
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/records.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/records.py
@@ -75,8 +75,8 @@
         if subtask.phase is SubtaskPhase.DONE:
             done[subtask.index // 8] |= 1 << subtask.index % 8
             continue
-        if subtask.failures:
-            attempts[subtask.index] = [subtask.failures, subtask.last_counted_run]
+        if subtask.failed_runs:
+            attempts[subtask.index] = sorted(subtask.failed_runs)
         if subtask.checkpoint:
             checkpoints[subtask.index] = subtask.checkpoint
     return [bytes(done), attempts, checkpoints, step.gang_failures]
@@ -90,7 +90,9 @@
         if any(
             step.done_count
             or step.gang_failures
-            or any(subtask.failures or subtask.checkpoint for subtask in step.subtasks)
+            or any(
+                subtask.failed_runs or subtask.checkpoint for subtask in step.subtasks
+            )
             for step in steps
         )
     ]
@@ -135,5 +137,4 @@
             subtask.phase = SubtaskPhase.DONE
             state.done_count += 1
         subtask.checkpoint = checkpoints.get(subtask.index, "")
-        if subtask.index in attempts:
-            subtask.failures, subtask.last_counted_run = attempts[subtask.index]
+        subtask.failed_runs = set(attempts.get(subtask.index, ()))
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -113,6 +113,7 @@
         worker = self.workers.pop(worker_id, None)
         if worker is None:
             return
+        worker.settle_lapsed()
         fields = _worker_fields(worker)
         logger.info("scheduler: worker gone.", extra={**fields, "reason": reason})
         for run in list(worker.runs.values()):
@@ -126,6 +127,7 @@
             "scheduler: worker restarted.",
             extra={**_worker_fields(worker), "born_unix_ms": born_unix_ms},
         )
+        worker.settle_lapsed()
         worker.born_unix_ms = born_unix_ms
         worker.processed_end = 0
         worker.stored_end = 0
@@ -310,6 +312,7 @@
             listed.add((running.name, running.run))
             self._apply_running(worker, running, now_s)
         if report.is_whole:
+            worker.settle_lapsed()
             self._drop_missing(worker, listed, sent_s, now_s)
             if not worker.is_resolved:
                 worker.is_resolved = True
@@ -402,9 +405,8 @@
             case EndKind.DONE:
                 record_outcome(worker, True, now_s, self.workers)
                 self._apply_done(subtask, now_s)
-            case EndKind.FAILED if row.run > subtask.last_counted_run:
-                subtask.last_counted_run = row.run
-                self._apply_failure(worker, subtask, now_s)
+            case EndKind.FAILED if row.run not in subtask.failed_runs:
+                self._apply_failure(worker, subtask, row.run, now_s)
             case _:
                 pass
         unfinished = subtask.phase is not SubtaskPhase.DONE and not job.is_final
@@ -436,27 +438,29 @@
             self._check_completed(job, now_s)
 
     def _apply_failure(
-        self, worker: WorkerState, subtask: Subtask, now_s: float
+        self, worker: WorkerState, subtask: Subtask, run: int, now_s: float
     ) -> None:
         step = subtask.step
         job = step.job
-        failed_before = subtask.failures > 0
-        subtask.failures += 1
-        if not failed_before:
+        if not subtask.failed_runs:
             record_outcome(worker, False, now_s, self.workers)
+        subtask.failed_runs.add(run)
         subtask.avoided_worker = worker.facts.worker_id
         if step.spec.lasting or job.is_final:
             return
-        failures = subtask.failures
+        failures = len(subtask.failed_runs)
         if step.spec.gang:
             step.gang_failures += 1
             failures = step.gang_failures
-        queue = self.queues.get(job.definition.queue)
-        limit = queue.attempt_limit_count if queue is not None else 1
-        if failures >= limit:
+        if failures >= self.attempt_limit(job):
             self._finish(job, JobPhase.FAILED, now_s)
             self.stop_runs(job)
 
+    def attempt_limit(self, job: JobState) -> int:
+        """Return how many runs of a subtask may fail."""
+        queue = self.queues.get(job.definition.queue)
+        return queue.attempt_limit_count if queue is not None else 1
+
     def _check_completed(self, job: JobState, now_s: float) -> None:
         for number, steps in list(job.occurrences.items()):
             if all(step.is_done for step in steps):
@@ -559,6 +563,9 @@
                 },
             )
         for run in list(worker.runs.values()):
+            if run.phase is not RunPhase.SENT or run.doubted_s is not None:
+                run.subtask.lapsed_runs.add(run.number)
+                worker.lapsed.append(run)
             self._release(run, now_s)
         if not worker.is_listed:
             self.remove_worker(worker.facts.worker_id, now_s, "no longer listed")
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -88,9 +88,9 @@
         "avoided_worker",
         "checkpoint",
         "copies",
-        "failures",
+        "failed_runs",
         "index",
-        "last_counted_run",
+        "lapsed_runs",
         "last_run",
         "phase",
         "ready_s",
@@ -101,14 +101,19 @@
         self.step = step
         self.index = index
         self.phase = SubtaskPhase.WAITING
-        self.failures = 0
+        self.failed_runs: set[int] = set()
+        self.lapsed_runs: set[int] = set()
         self.checkpoint = ""
         self.last_run = 0
-        self.last_counted_run = 0
         self.ready_s = 0.0
         self.avoided_worker = ""
         self.copies: list[Run] = []
 
+    @property
+    def attempt_count(self) -> int:
+        """Return the runs that have failed, or may have failed unseen."""
+        return len(self.failed_runs | self.lapsed_runs)
+
     @property
     def name(self) -> SubtaskName:
         """Return the subtask's name."""
@@ -226,6 +231,7 @@
         "is_listed",
         "is_resolved",
         "is_suspect",
+        "lapsed",
         "lease_expires_s",
         "processed_end",
         "runs",
@@ -237,6 +243,8 @@
         self.facts = facts
         self.born_unix_ms = facts.born_unix_ms
         self.runs: dict[tuple[SubtaskName, int], Run] = {}
+        # Runs whose lease lapsed before the worker told how they ended.
+        self.lapsed: list[Run] = []
         self.used: Resources = NO_RESOURCES
         self.answered_s: float | None = None
         self.clock_ms = 0
@@ -258,6 +266,12 @@
         """Return what is left of the capacity."""
         return self.facts.capacity - self.used
 
+    def settle_lapsed(self) -> None:
+        """Forget lapsed runs: how they ended is known, or never will be."""
+        for run in self.lapsed:
+            run.subtask.lapsed_runs.discard(run.number)
+        self.lapsed.clear()
+
     @property
     def noted_end(self) -> int:
         """Return the last end that the worker may forget.
