Correct stated run times by what ran before

Cause: estimates are off by a factor of e^0.9, so the order of work in a peak and the guess whether a job can still meet its objective were mostly noise.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -36,21 +36,27 @@
     queue: Queue
 
 
-def remaining_chain_ms(steps: list[StepState]) -> int:
-    """Return the longest chain of estimates among steps that are not done."""
-    ends: list[int] = []
+def remaining_chain_s(scheduler: Scheduler, steps: list[StepState]) -> float:
+    """Return the longest chain of expected run times that is still to come."""
+    ends: list[float] = []
     for step in steps:
-        before = max((ends[k] for k in step.spec.after), default=0)
-        ends.append(before + (0 if step.is_done else step.spec.estimate_ms))
-    return max(ends, default=0)
-
-
-def _objective_s(job: JobState, queue: Queue) -> float:
-    lengths: list[int] = []
+        before = max((ends[k] for k in step.spec.after), default=0.0)
+        own = 0.0
+        if not step.is_done:
+            queue = step.job.definition.queue
+            own = scheduler.durations.expected_ms(queue, step.spec.estimate_ms)
+        ends.append(before + own / 1000)
+    return max(ends, default=0.0)
+
+
+def objective_s(scheduler: Scheduler, job: JobState, queue: Queue) -> float:
+    """Return the time in which a job should be completed."""
+    lengths: list[float] = []
     for step in job.definition.steps:
-        before = max((lengths[k] for k in step.after), default=0)
-        lengths.append(before + step.estimate_ms)
-    chain_ms = max(lengths, default=0)
+        before = max((lengths[k] for k in step.after), default=0.0)
+        own = scheduler.durations.expected_ms(queue.name, step.estimate_ms)
+        lengths.append(before + own)
+    chain_ms = max(lengths, default=0.0)
     return (queue.stretch * chain_ms + queue.target_latency_ms) / 1000
 
 
@@ -90,12 +96,12 @@
     """Return the sort key of a step; smaller starts earlier."""
     if step.spec.lasting:
         return (0, queue.priority, 0, 0, job.accepted_s)
-    chain_s = remaining_chain_ms(steps) / 1000
-    objective_s = _objective_s(job, queue)
+    chain_s = remaining_chain_s(scheduler, steps)
+    limit_s = objective_s(scheduler, job, queue)
     expected_s = now_s + chain_s - job.accepted_s
     lateness = 0
-    if expected_s > objective_s:
-        lateness = 1 if expected_s <= LATE_FACTOR * objective_s else 2
+    if expected_s > limit_s:
+        lateness = 1 if expected_s <= LATE_FACTOR * limit_s else 2
     return (1, queue.priority, lateness, chain_s, job.accepted_s)
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from cicadatrail_core.jobs.durations import Durations
 from cicadatrail_core.jobs.ejection import record_outcome
 from cicadatrail_core.jobs.models import (
     EndKind,
@@ -72,6 +73,7 @@
         self.jobs: dict[str, JobState] = {}
         self.workers: dict[str, WorkerState] = {}
         self.team_used: dict[str, Resources] = {}
+        self.durations = Durations()
         self.changed_jobs: dict[str, None] = {}
         self.forgotten_jobs: list[str] = []
         self.starts: list[Run] = []
@@ -404,6 +406,12 @@
         match row.kind:
             case EndKind.DONE:
                 record_outcome(worker, True, now_s, self.workers)
+                if run is not None and run.answered_s is not None:
+                    self.durations.learn(
+                        job.definition.queue,
+                        subtask.step.spec.estimate_ms,
+                        now_s - run.answered_s,
+                    )
                 self._apply_done(subtask, now_s)
             case EndKind.FAILED if row.run not in subtask.failed_runs:
                 self._apply_failure(worker, subtask, row.run, now_s)
