--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -102,7 +102,8 @@
     lateness = 0
     if expected_s > limit_s:
         lateness = 1 if expected_s <= LATE_FACTOR * limit_s else 2
-    return (1, queue.priority, lateness, chain_s, job.accepted_s)
+    urgency_s = chain_s if lateness else job.accepted_s + limit_s
+    return (1, queue.priority, lateness, urgency_s, job.accepted_s)
 
 
 def _unsettled_by_team(scheduler: Scheduler, now_s: float) -> dict[str, Resources]:
