--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -127,6 +127,22 @@
     When a call to the worker fails after its ends were stored
     Then the next call lets it forget nothing and nothing starts there
 
+  Scenario: Fillers slow down beside a serving subtask that is over its target
+    Given a scheduler with 1 worker of 8 cores
+    And a serving subtask with a target of 100 ms and a filler run there
+    Then a tail of 150 ms slows the filler to 30 and then to 0 percent
+    And a tail of 50 ms gives it its speed back in steps after a while
+
+  Scenario: A step that needs advice starts only where it has a ticket
+    Given a scheduler with 3 workers of 8 cores
+    And the queue needs advice
+    When 2 subtasks of 3 cores are ready
+    Then 0 are started and the rest wait
+    And with a ticket for one worker both start there until the ticket expires
+
+  Scenario: Run times are learned where estimates say little
+    Then estimates that are off by a factor of ten are corrected to within a half
+
   Scenario: Records of jobs and progress read back as they were written
     Then random jobs and their progress survive coding
 
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
+import random
+from dataclasses import replace
 from typing import Any
 
 from behave import given, step, then, when
 from hypothesis import given as any_of
 from hypothesis import strategies as st
 
+from cicadatrail_core.jobs.durations import Durations
 from cicadatrail_core.jobs.evacuation import evacuate
 from cicadatrail_core.jobs.models import (
     EndKind,
@@ -14,6 +17,7 @@
     Step,
     SubtaskName,
 )
+from cicadatrail_core.jobs.pacing import plan_pace
 from cicadatrail_core.jobs.records import (
     apply_progress,
     decode_definition,
@@ -528,6 +532,70 @@
     assert len(world.dispatch()) == 1
 
 
+@step("a serving subtask with a target of 100 ms and a filler run there")
+def step_filler(context: Any) -> None:
+    world = context.world
+    serving = definition(1, 2, lasting=True, target_tail_ms=100)
+    world.submit(JOB, serving)
+    world.submit(OTHER, definition(1, 8, filler=True))
+    context.runs = world.run_all()
+    assert len(context.runs) == 2, "a filler's processor time is not reserved"
+    context.serving = next(r for r in context.runs if not r.subtask.step.spec.filler)
+    context.filler = next(r for r in context.runs if r.subtask.step.spec.filler)
+
+
+@then("a tail of 150 ms slows the filler to 30 and then to 0 percent")
+def step_slows(context: Any) -> None:
+    context.serving.figure = 150
+    worker = context.world.worker("w0")
+    for percent in (30, 0):
+        planned = plan_pace(worker, context.world.now_s)
+        assert planned == [(context.filler, percent)], planned
+        context.filler.paced_percent = percent
+    assert plan_pace(worker, context.world.now_s) == []
+
+
+@then("a tail of 50 ms gives it its speed back in steps after a while")
+def step_recovers(context: Any) -> None:
+    context.serving.figure = 50
+    worker = context.world.worker("w0")
+    now_s = context.world.now_s
+    assert plan_pace(worker, now_s) == []
+    assert plan_pace(worker, now_s + 1.0) == []
+    assert plan_pace(worker, now_s + 1.6) == [(context.filler, 20)]
+
+
+@step("the queue needs advice")
+def step_advice(context: Any) -> None:
+    scheduler = context.world.scheduler
+    queue = replace(scheduler.queues["q"], needs_advice=True)
+    scheduler.queues["q"] = queue
+
+
+@then("with a ticket for one worker both start there until the ticket expires")
+def step_ticket(context: Any) -> None:
+    world = context.world
+    state = context.job.occurrences[0][0]
+    state.tickets = {"w1": "ticket"}
+    state.tickets_expire_s = world.now_s - 0.1
+    assert world.dispatch() == []
+    state.tickets_expire_s = world.now_s + 5
+    runs = world.dispatch()
+    assert [run.worker.facts.worker_id for run in runs] == ["w1", "w1"]
+
+
+@then("estimates that are off by a factor of ten are corrected to within a half")
+def step_durations(context: Any) -> None:
+    durations = Durations()
+    choice = random.Random(1)
+    for _ in range(100):
+        durations.learn("q", int(800 * choice.choice((0.1, 1, 10))), 0.8)
+    for estimate_ms in (80, 8000):
+        expected_ms = durations.expected_ms("q", estimate_ms)
+        assert 400 < expected_ms < 1200, expected_ms
+    assert durations.expected_ms("other", 80) == 80
+
+
 _NEEDS = st.builds(Resources, st.integers(0, 9999), st.integers(0, 99), st.just(0))
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -67,7 +67,7 @@
         if job.is_final or not job.is_stored:
             continue
         queue = scheduler.queues.get(job.definition.queue)
-        if queue is None or queue.needs_advice:
+        if queue is None:
             continue
         for steps in job.occurrences.values():
             for step in steps:
@@ -230,6 +230,9 @@
     now_s: float,
 ) -> WorkerState | None:
     spec = subtask.step.spec
+    advised = scheduler.needs_advice(subtask.step)
+    if advised and now_s >= subtask.step.tickets_expire_s:
+        return None
     best: WorkerState | None = None
     best_score = 0
     for worker in workers:
@@ -237,6 +240,8 @@
             continue
         if not is_allowed(subtask.step, worker):
             continue
+        if advised and worker.facts.worker_id not in subtask.step.tickets:
+            continue
         score = _score(scheduler, subtask, worker)
         if best is None or score < best_score:
             best, best_score = worker, score
@@ -286,6 +291,10 @@
     members = step.subtasks
     if len(step.ready) < len(members):
         return
+    if scheduler.needs_advice(step):
+        if now_s >= step.tickets_expire_s:
+            return
+        workers = [w for w in workers if w.facts.worker_id in step.tickets]
     if not _within_limit(scheduler, step, len(members), unsettled):
         return
     groups = [workers]
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -464,6 +464,11 @@
             self._finish(job, JobPhase.FAILED, now_s)
             self.stop_runs(job)
 
+    def needs_advice(self, step: StepState) -> bool:
+        """Tell whether only workers with a ticket may run a step."""
+        queue = self.queues.get(step.job.definition.queue)
+        return queue is not None and queue.needs_advice
+
     def attempt_limit(self, job: JobState) -> int:
         """Return how many runs of a subtask may fail."""
         queue = self.queues.get(job.definition.queue)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -133,6 +133,8 @@
         "ready",
         "spec",
         "subtasks",
+        "tickets",
+        "tickets_expire_s",
     )
 
     def __init__(self, job: JobState, occurrence: int, position: int) -> None:
@@ -144,6 +146,9 @@
         self.done_count = 0
         self.gang_failures = 0
         self.ready: dict[int, Subtask] = {}
+        # Workers that may run the step, where its queue needs advice.
+        self.tickets: dict[str, str] = {}
+        self.tickets_expire_s = 0.0
 
     @property
     def is_done(self) -> bool:
@@ -221,6 +226,7 @@
     __slots__ = (
         "answered_s",
         "born_unix_ms",
+        "calm_since_s",
         "clock_at_s",
         "clock_ms",
         "closed",
@@ -260,6 +266,7 @@
         self.processed_end = 0
         self.stored_end = 0
         self.draining_until_s: float | None = None
+        self.calm_since_s: float | None = None
 
     @property
     def room(self) -> Resources:
--- a/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
@@ -84,6 +84,7 @@
         run: int,
         spec: str,
         checkpoint: str,
+        ticket: str,
         deadline_ms: int,
     ) -> OrderOutcome:
         """Order a run to start before a time on the worker's clock."""
@@ -96,6 +97,8 @@
         }
         if checkpoint:
             body["last-checkpoint"] = checkpoint
+        if ticket:
+            body["ticket"] = ticket
         return await self._order(worker, "run-start", body)
 
     async def stop(self, worker: WorkerFacts, subtask: str, run: int) -> OrderOutcome:
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/adviser.py
@@ -0,0 +1,92 @@
+"""Asking for advice on steps of queues whose policy allows only some workers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.state import StepState
+from cicadatraild.platform.advice import AdviceClient
+from cicadatraild.scheduling.clocks import loop_now_s
+
+logger = logging.getLogger("cicadatrail.advice")
+
+STEP_S = 0.02
+"""Time between looks for steps that need advice."""
+
+WORKERS_ASKED_COUNT = 30
+"""Workers named in a call: more take longer, and are seldom needed."""
+
+RETRY_S = 0.2
+"""Pause after a call without a usable answer."""
+
+RENEW_MARGIN_S = 0.3
+"""Time before tickets expire at which they are asked for again."""
+
+
+class Adviser:
+    """Keep tickets for ready steps, most urgent ones first."""
+
+    def __init__(self, scheduler: Scheduler, client: AdviceClient) -> None:
+        self._scheduler = scheduler
+        self._client = client
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            step = self._next_step()
+            if step is None:
+                await asyncio.sleep(STEP_S)
+                continue
+            await self._ask(step)
+
+    def _next_step(self) -> StepState | None:
+        now_s = loop_now_s()
+        waiting = [
+            step
+            for job in self._scheduler.jobs.values()
+            if not job.is_final and job.is_stored
+            for steps in job.occurrences.values()
+            for step in steps
+            if step.ready
+            and self._scheduler.needs_advice(step)
+            and now_s > step.tickets_expire_s - RENEW_MARGIN_S
+        ]
+        return min(waiting, key=lambda step: step.job.accepted_s, default=None)
+
+    async def _ask(self, step: StepState) -> None:
+        queue = self._scheduler.queues[step.job.definition.queue]
+        workers = [
+            worker
+            for worker in self._scheduler.workers.values()
+            if worker.facts.pool == queue.pool
+            and worker.is_listed
+            and not worker.facts.draining
+        ]
+        # Workers with room first; those that were allowed before stay named.
+        workers.sort(
+            key=lambda worker: (
+                worker.facts.worker_id not in step.tickets,
+                -worker.room.cpu_millicores,
+            )
+        )
+        name = f"{step.job.job_id}.{step.occurrence}.{step.position}"
+        ids = [worker.facts.worker_id for worker in workers[:WORKERS_ASKED_COUNT]]
+        asked_s = loop_now_s()
+        advice = await self._client.ask(name, ids) if ids else None
+        if advice is None:
+            await asyncio.sleep(RETRY_S)
+            return
+        step.tickets = advice.tickets
+        step.tickets_expire_s = asked_s + advice.valid_s
+        logger.info(
+            "advice: step advised.",
+            extra={
+                "step": name,
+                "asked_count": len(ids),
+                "allowed_count": len(advice.tickets),
+                "duration_s": round(loop_now_s() - asked_s, 3),
+            },
+        )
+        self._scheduler.on_change()
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
@@ -34,6 +34,7 @@
 )
 from cicadatrail_core.jobs.state import JobState, WorkerState
 from cicadatrail_core.models.resources import Resources
+from cicadatraild.platform.advice import AdviceClient
 from cicadatraild.platform.documents import decode_worker
 from cicadatraild.platform.machines import MachineClient
 from cicadatraild.platform.settings import PlatformSettings
@@ -46,6 +47,7 @@
     StoreUnavailableError,
 )
 from cicadatraild.platform.workers import WorkerClient
+from cicadatraild.scheduling.adviser import Adviser
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
 from cicadatraild.scheduling.feeds import TopicFeed
 from cicadatraild.scheduling.journal import RECORD_LIMIT_BYTES, Batch, Journal
@@ -129,6 +131,9 @@
         self.links = WorkerLinks(
             self.scheduler, self._client, self.journal, leadership.depose
         )
+        self._advice: AdviceClient | None = None
+        if settings.advice is not None:
+            self._advice = AdviceClient(settings.advice)
         self._machines = MachineClient(settings.machines, settings.node, epoch)
         roster = MachineRoster(self._machines, leadership.is_sure)
         self.waves = WaveKeeper(roster, store, self.scheduler, waves, self._mark_waves)
@@ -153,6 +158,8 @@
             stack.callback(self.journal.close)
             await self._client.pool.open(stack)
             await self._machines.pool.open(stack)
+            if self._advice is not None:
+                await self._advice.pool.open(stack)
             await self._take_over()
             logger.info(
                 "holder: took over.",
@@ -170,6 +177,8 @@
                 group.create_task(self._dispatch())
                 group.create_task(self._tick())
                 group.create_task(self._order_machines())
+                if self._advice is not None:
+                    group.create_task(Adviser(self.scheduler, self._advice).run())
 
     async def _order_machines(self) -> None:
         """Give orders to machines, well after those of an earlier holder."""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from cicadatrail_core.jobs.ejection import eject
+from cicadatrail_core.jobs.pacing import has_both, plan_pace
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, RunPhase, WorkerState
 from cicadatraild.platform.store import FencedError
@@ -20,6 +21,9 @@
 LIST_WAIT_MS = 1000
 """Time that a worker may wait for an end before it answers with its lists."""
 
+PACED_WAIT_MS = 400
+"""The same where fillers run beside serving subtasks, whose tails are looked at."""
+
 LIST_PAUSE_S = 0.03
 """Pause between lists, so that ends that come together are read together."""
 
@@ -112,7 +116,9 @@
         is_behind = worker.processed_end > worker.stored_end
         is_known = worker.is_resolved and worker.clock_at_s is not None
         doubtful = any(run.doubted_s is not None for run in worker.runs.values())
-        wait_ms = LIST_WAIT_MS if is_known and not is_behind and not doubtful else 0
+        wait_ms = PACED_WAIT_MS if has_both(worker) else LIST_WAIT_MS
+        if not is_known or is_behind or doubtful:
+            wait_ms = 0
         self.list_count += 1
         result = await self._client.lists(
             worker.facts,
@@ -134,6 +140,8 @@
                     "ends": len(result.ends),
                 },
             )
+        for run, percent in plan_pace(worker, loop_now_s()):
+            self._spawn(self._pace(run, percent))
         await self._store_ends(worker)
         if not worker.is_listed and not worker.runs:
             scheduler.remove_worker(
@@ -195,6 +203,7 @@
             run.number,
             subtask.step.job.definition.spec,
             subtask.checkpoint,
+            subtask.step.tickets.get(worker.facts.worker_id, ""),
             deadline_ms,
         )
         now_s = loop_now_s()
@@ -229,6 +238,8 @@
                     eject(
                         worker, now_s, BUSY_EJECTION_S, scheduler.workers, refusal.value
                     )
+                if refusal is OrderOutcome.NO_TICKET:
+                    run.subtask.step.tickets_expire_s = now_s
                 run.subtask.avoided_worker = worker.facts.worker_id
                 scheduler.release_refused(run, now_s, refusal.value)
                 if run.subtask.step.spec.gang:
@@ -236,6 +247,27 @@
             case _:
                 run.doubted_s = now_s
 
+    async def _pace(self, run: Run, percent: int) -> None:
+        """Change the speed of a filler; the next look repeats it if that failed."""
+        worker = run.worker
+        outcome = await self._client.pace(
+            worker.facts, str(run.subtask.name), run.number, percent
+        )
+        logger.info(
+            "worker: pace sent.",
+            extra={
+                "subtask": str(run.subtask.name),
+                "worker_id": worker.facts.worker_id,
+                "percent": percent,
+                "outcome": outcome.value,
+            },
+        )
+        match outcome:
+            case OrderOutcome.DONE:
+                run.paced_percent = percent
+            case OrderOutcome.FENCED:
+                self._on_fenced(f"worker {worker.facts.worker_id} refused a pace")
+
     async def _stop(self, run: Run) -> None:
         worker = run.worker
         while run in run.subtask.copies:
