--- a/features/platform.feature
+++ b/features/platform.feature
@@ -81,3 +81,11 @@
     When a wave of three machines is asked for while lasting work runs
     Then the wave is completed within its limit of 1
     And the lasting work lost at most one subtask at a time
+
+  Scenario: Operators see where a job runs and why it waits
+    When a job larger than any worker and one that runs are asked for
+    Then the command line shows the runs of one and why the other waits
+
+  Scenario: A weaker instance leaves the office to a stronger one
+    When a weak instance and a strong one start at once
+    Then the strong one holds the fleet
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,6 +6,9 @@
 
 from behave import then, when
 
+from cicadatrail.commands import job_show
+from cicadatrail.network.admin import AdminClient
+from cicadatrail.utils.access import Access, Address
 from features.support.platform_cluster import (
     PlatformCluster,
     configuration,
@@ -14,6 +17,7 @@
 )
 
 JOB = "00000000000000a1"
+OTHER_JOB = "00000000000000b2"
 OTHER_KEY = "another-key"
 
 
@@ -447,3 +451,48 @@
 @then("the lasting work lost at most one subtask at a time")
 def step_lasting(context: Any) -> None:
     assert context.least >= 1, context.least
+
+
+@when("a job larger than any worker and one that runs are asked for")
+def step_show(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        holder = await _start(cluster)
+        large = job(cpu=9000)
+        small = job(ms=3000)
+        assert await _submit(cluster, holder, JOB, large) == 200
+        assert await _submit(cluster, holder, OTHER_JOB, small) == 200
+        running = cluster.fleet.running
+        await cluster.until(lambda: sum(map(len, running.values())) == 2)
+        addresses = [
+            Address(cluster.host(name), cluster.operator_port)
+            for name in (_other(cluster, holder), holder)
+        ]
+        client = AdminClient(Access(tuple(addresses), "token"), 2.0)
+        context.large = (await client.read_job(JOB)).unwrap()
+        context.small = (await client.read_job(OTHER_JOB)).unwrap()
+
+    _play(context, scenario)
+
+
+@then("the command line shows the runs of one and why the other waits")
+def step_shown(context: Any) -> None:
+    (waiting,) = context.large.steps
+    assert waiting.reason == "no worker of the pool is large enough"
+    (running,) = context.small.steps
+    assert len(running.runs) == 2 and running.reason == ""
+    lines = job_show._reply(context.small).lines
+    assert any(OTHER_JOB in line and "running" in line for line in lines), lines
+
+
+@when("a weak instance and a strong one start at once")
+def step_weak(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        cluster.cores["edge-1"] = 0.5
+        context.holder = await _start(cluster)
+
+    _play(context, scenario)
+
+
+@then("the strong one holds the fleet")
+def step_strong(context: Any) -> None:
+    assert context.holder == "edge-2", context.holder
--- a/features/support/platform_cluster.py
+++ b/features/support/platform_cluster.py
@@ -41,6 +41,7 @@
         "listen": {"front": "127.0.0.11:8000", "readiness": "127.0.0.11:8001"},
         "platform": {"address": "127.0.0.1:9000"},
         "cloud": {"address": "127.0.0.1:9001"},
+        "limits": {"cpu-share": 0.5, "cores": 2},
         "bounds": {
             "hold-max-ms": 6000,
             "lease-ms": 300,
@@ -99,6 +100,7 @@
         self.instances: dict[str, PlatformInstance] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.machines: PlatformMachines | None = None
+        self.cores: dict[str, float] = {}
         self._ports = [free_port() for _ in range(4)]
         self._store_port = 0
         self._machines_port = 0
@@ -116,6 +118,10 @@
         self.store.put_json("keyed.op", "config", configuration())
         await self._clients.open(self._stack)
 
+    @property
+    def operator_port(self) -> int:
+        return self._ports[3]
+
     def host(self, name: str) -> str:
         return f"127.0.0.{10 + int(name.rsplit('-', 1)[1])}"
 
@@ -127,6 +133,7 @@
                 "node": name,
                 "ip": host,
                 "internal-ports": [peer, metrics],
+                "limits": {"cpu-share": self.cores.get(name, 1.0), "cores": 1},
                 "listen": {
                     "front": f"{host}:{front}",
                     "readiness": f"{host}:{ready}",
--- a/packages/cicadatrail-cli/src/cicadatrail/main.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/main.py
@@ -48,6 +48,7 @@
     "wave list",
     "wave watch",
     "status",
+    "job show",
 )
 
 
--- a/packages/cicadatrail-cli/src/cicadatrail/network/admin.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/network/admin.py
@@ -18,6 +18,7 @@
     WrongToken,
 )
 from cicadatrail.utils.access import Access, Address
+from cicadatrail_core.jobs.report import JobReport
 from cicadatrail_core.models.patches import (
     Accepted,
     Patch,
@@ -70,6 +71,10 @@
         """Return the status of ``address``, else of the first that answers."""
         return await self._read("/status", InstanceStatus, address)
 
+    async def read_job(self, job_id: str) -> Result[JobReport, Problem]:
+        """Return where a job stands, from the first that holds the fleet."""
+        return await self._read(f"/jobs/{quote(job_id, safe='')}", JobReport)
+
     async def submit(self, patch: Patch) -> Result[Verdict, Problem]:
         """Submit a patch; its id stays, so a repeat gets the first verdict.
 
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/report.py
@@ -0,0 +1,128 @@
+"""What operators are told of a job: where it runs, and why the rest waits."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.state import Run, StepState, SubtaskPhase
+from cicadatrail_core.models.resources import NO_RESOURCES
+
+
+@dataclass(frozen=True, slots=True)
+class RunReport:
+    """Describe one run; ``lease_left_s`` is how long its worker's lease lasts."""
+
+    subtask: str
+    run: int
+    worker_id: str
+    phase: str
+    percent: int
+    age_s: float
+    lease_left_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StepReport:
+    """Describe one step; ``reason`` says why its ready subtasks wait."""
+
+    occurrence: int
+    step: int
+    count: int
+    done_count: int
+    ready_count: int
+    failed_run_count: int
+    reason: str
+    runs: tuple[RunReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class JobReport:
+    """Describe a job as the holder of an epoch knows it."""
+
+    job_id: str
+    phase: str
+    stored_phase: str
+    queue: str
+    team: str
+    age_s: float
+    epoch: int
+    steps: tuple[StepReport, ...]
+
+
+def report_job(scheduler: Scheduler, job_id: str, now_s: float) -> JobReport | None:
+    """Return what is known of a job, or None if there is none."""
+    job = scheduler.jobs.get(job_id)
+    if job is None:
+        return None
+    return JobReport(
+        job_id=job_id,
+        phase=job.phase.value,
+        stored_phase=scheduler.shown_phase(job).value,
+        queue=job.definition.queue,
+        team=job.definition.team,
+        age_s=round(now_s - job.accepted_s, 3),
+        epoch=scheduler.settings.epoch,
+        steps=tuple(
+            _report_step(scheduler, step, now_s)
+            for steps in job.occurrences.values()
+            for step in steps
+        ),
+    )
+
+
+def _report_step(scheduler: Scheduler, step: StepState, now_s: float) -> StepReport:
+    return StepReport(
+        occurrence=step.occurrence,
+        step=step.position,
+        count=step.spec.count,
+        done_count=step.done_count,
+        ready_count=len(step.ready),
+        failed_run_count=sum(len(subtask.failed_runs) for subtask in step.subtasks),
+        reason=waiting_reason(scheduler, step, now_s),
+        runs=tuple(
+            _report_run(run, now_s)
+            for subtask in step.subtasks
+            for run in subtask.copies
+        ),
+    )
+
+
+def _report_run(run: Run, now_s: float) -> RunReport:
+    return RunReport(
+        subtask=str(run.subtask.name),
+        run=run.number,
+        worker_id=run.worker.facts.worker_id,
+        phase=run.phase.value,
+        percent=run.percent,
+        age_s=round(now_s - run.sent_s, 3),
+        lease_left_s=round(run.worker.lease_expires_s - now_s, 3),
+    )
+
+
+def waiting_reason(scheduler: Scheduler, step: StepState, now_s: float) -> str:
+    """Return why subtasks of a step are not running; "" if none waits."""
+    job = step.job
+    if not job.is_stored:
+        return "the job is not stored yet"
+    if any(subtask.phase is SubtaskPhase.WAITING for subtask in step.subtasks):
+        return "earlier steps are not done"
+    if not step.ready:
+        return ""
+    queue = scheduler.queues.get(job.definition.queue)
+    if queue is None:
+        return "the queue is not in the configuration"
+    if job.inherited and not scheduler.pool_is_settled(queue.pool, now_s):
+        return "a worker of the pool has not answered since the takeover"
+    if scheduler.needs_advice(step) and now_s >= step.tickets_expire_s:
+        return "no advice yet on the workers that may run it"
+    team = scheduler.configuration.teams.get(job.definition.team)
+    if team is not None:
+        used = scheduler.team_used.get(team.name, NO_RESOURCES) + step.spec.need
+        limit = team.limit.cpu_millicores
+        if limit and used.cpu_millicores > limit:
+            return "the team is at its limit"
+    workers = [w for w in scheduler.workers.values() if w.facts.pool == queue.pool]
+    if not any(step.spec.reserved.fits_in(w.facts.capacity) for w in workers):
+        return "no worker of the pool is large enough"
+    return "no worker has room"
--- a/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
@@ -48,7 +48,7 @@
     harm_limit_s: float
     maintenance_s: float
     move_s: float
-    has_wave_duty: bool
+    cores: float
 
 
 class _Reader:
@@ -120,7 +120,6 @@
         )
         ports = [0, 0]
     seeds = [parse_address(str(seed)) for seed in table.get("seeds", ())]
-    policies = table.get("policies", ())
     settings = PlatformSettings(
         node=str(reader.take(table, "node", str)),
         host=str(reader.take(table, "ip", str)),
@@ -143,7 +142,8 @@
         harm_limit_s=reader.number(table, "bounds.harm-ms") / 1000,
         maintenance_s=reader.number(table, "bounds.maintenance-s"),
         move_s=reader.number(table, "bounds.move-s"),
-        has_wave_duty="upkeep" in policies,
+        cores=reader.number(table, "limits.cpu-share")
+        * reader.number(table, "limits.cores"),
     )
     if reader.findings:
         return Failure(tuple(reader.findings))
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import signal
 from contextlib import AsyncExitStack
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
 from returns.result import Failure, Success
 
 from cicadatrail_core.jobs.models import FleetConfiguration, Wave
+from cicadatrail_core.jobs.report import report_job
 from cicadatraild.network.http_server import HttpServer
 from cicadatraild.network.server_exchange import HttpExchange, HttpLimits
 from cicadatraild.platform.callers import CallerInterface
@@ -35,12 +38,19 @@
 STOP_MARGIN_S = 1.0
 """Time before the platform's kill at which a stopping process ends."""
 
-READY_PATH = "/cicadatrail/readyz"
 METRICS_PATH = "/metrics"
+JOBS_PATH = "/jobs/"
 
 CONNECTION_LIMIT_COUNT = 2500
 """Connections of callers; the platform allows about 4,000 descriptors."""
 
+STRONG_CORES = 1.0
+"""Processor at which an instance holds a fleet well: a holder of 250 workers
+used up to 0.6 cores in docs/MEASUREMENTS.md."""
+
+WEAK_CLAIM_DELAY_S = 0.15
+"""Time that weaker instances leave to others; several round trips to the store."""
+
 LAG_PROBE_S = 0.1
 """Time between probes of the loop's lag."""
 
@@ -70,6 +80,7 @@
             settings.host,
             self._begin_holding,
             self._end_holding,
+            0.0 if settings.cores >= STRONG_CORES else WEAK_CLAIM_DELAY_S,
         )
         self._peers = PeerClient(settings.peer_port)
         self._entry = Entry(
@@ -132,16 +143,36 @@
         await front.listen(stack, settings.front.host, settings.front.port)
         ready = HttpServer("readiness", self._answer_ready, HttpLimits())
         await ready.listen(stack, settings.readiness.host, settings.readiness.port)
-        metrics = HttpServer("metrics", self._answer_metrics, HttpLimits())
+        metrics = HttpServer("operators", self._answer_operator, HttpLimits())
         await metrics.listen(stack, settings.host, settings.metrics_port)
 
     async def _answer_ready(self, exchange: HttpExchange) -> None:
         await exchange.respond(200 if self.is_ready else 503)
 
-    async def _answer_metrics(self, exchange: HttpExchange) -> None:
+    async def _answer_operator(self, exchange: HttpExchange) -> None:
+        """Answer on the listener for metrics and operators' questions."""
+        if exchange.target.startswith(JOBS_PATH):
+            await self._answer_job(exchange, exchange.target.removeprefix(JOBS_PATH))
+            return
+        if exchange.target != METRICS_PATH:
+            await exchange.respond(404)
+            return
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         await exchange.respond(200, self.metrics.expose(), headers)
 
+    async def _answer_job(self, exchange: HttpExchange, job_id: str) -> None:
+        """Tell where a job stands; only the holder knows."""
+        holder = self._holder
+        if holder is None or not holder.ready.is_set():
+            await exchange.respond(503)
+            return
+        report = report_job(holder.scheduler, job_id, loop_now_s())
+        if report is None:
+            await exchange.respond(404)
+            return
+        headers = ((b"Content-Type", b"application/json"),)
+        await exchange.respond(200, json.dumps(asdict(report)).encode(), headers)
+
     @property
     def is_ready(self) -> bool:
         """Tell whether callers can be served."""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -92,6 +92,7 @@
         host: str,
         on_elected: Callable[[int], None],
         on_deposed: Callable[[str], None],
+        claim_delay_s: float = 0.0,
     ) -> None:
         self._store = store
         self._node = node
@@ -99,6 +100,7 @@
         self._process_id = uuid.uuid4().hex
         self._on_elected = on_elected
         self._on_deposed = on_deposed
+        self._claim_delay_s = claim_delay_s
         self._offset: int | None = None
         self._seen_s = 0.0
         self._sequence = 0
@@ -248,7 +250,7 @@
         return loop_now_s() - self._seen_s > SILENCE_LIMIT_S
 
     async def _claim(self) -> None:
-        await asyncio.sleep(random.uniform(0, CLAIM_JITTER_S))
+        await asyncio.sleep(self._claim_delay_s + random.uniform(0, CLAIM_JITTER_S))
         epoch = (self.current.epoch if self.current else 0) + 1
         record = HolderRecord(epoch, self._node, self._host, self._process_id)
         sent_s = boot_now_s()
