--- a/features/settings.feature
+++ b/features/settings.feature
@@ -133,4 +133,4 @@
     Then the settings show no secret, nor does a finding about one
 
   Scenario: The operators' page lists every key with its default
-    Then the settings table of docs/OPERATORS.md has every key and its default
+    Then the settings table of docs/OPERATIONS.md has every key and its default
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -32,7 +32,7 @@
 from cicadatrail_core.utils import codec, keys
 from features.support.cli_admin import TOKEN, FakeAdmin, FakeLog
 
-OPERATORS_PAGE = Path("docs/OPERATORS.md")
+OPERATORS_PAGE = Path("docs/OPERATIONS.md")
 EXAMPLE = Path("examples/balloon-association/patch.toml")
 HEAVY_MODULES = ("h11", "msgpack", "cattrs", "asyncio", "cicadatrail_core.utils.codec")
 SHOW_MODULES = "; import sys; print(*sys.modules)"
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -29,7 +29,7 @@
 
 FILE_NAME = "s.toml"
 OTHER_VALUES = ("true", "[]", "{}", "1979-05-27", '"\\u0000"', "nan", "-1", "[[1]]")
-OPERATORS_PAGE = Path("docs/OPERATORS.md")
+OPERATORS_PAGE = Path("docs/OPERATIONS.md")
 
 
 @given("the settings of {deployment}")
@@ -160,7 +160,7 @@
     assert not any(secret in shown for secret in (*secrets, "'secret'")), shown
 
 
-@then("the settings table of docs/OPERATORS.md has every key and its default")
+@then("the settings table of docs/OPERATIONS.md has every key and its default")
 def step_page(context: Any) -> None:
     rows = re.findall(r"(?m)^\| `(\w+\.\w+)` \| ([^|]*) \|", OPERATORS_PAGE.read_text())
     wanted = {place: default_text(item) for place, _, item in settings_keys()}
--- a/packages/cicadatrail-cli/src/cicadatrail/commands/patch_apply.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/patch_apply.py
@@ -29,7 +29,7 @@
     name = "patch apply"
     description = "Submits the operations of a TOML file as one patch."
     arguments: ClassVar[list[Argument]] = [
-        argument("file", description="Patch file; see docs/OPERATORS.md."),
+        argument("file", description="Patch file; see docs/OPERATIONS.md."),
     ]
     options: ClassVar[list[Option]] = [
         option(
--- a/packages/cicadatrail-node/src/cicadatraild/platform/documents.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/documents.py
@@ -205,6 +205,12 @@
         return None
 
 
+def encode_wave_state(number: int, is_completed: bool) -> bytes:
+    """Return what operators read of a wave."""
+    state = "completed" if is_completed else "running"
+    return json.dumps({"wave": number, "state": state}).encode()
+
+
 _MACHINE_STATES = {
     "up": MachineState.UP,
     "moving": MachineState.MOVING,
--- a/packages/cicadatrail-node/src/cicadatraild/platform/store.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/store.py
@@ -36,6 +36,9 @@
 CONFIGURATION_TOPIC = "keyed.op"
 WORKERS_TOPIC = "keyed.servers"
 STATUS_TOPIC = "keyed.status"
+
+CONFIGURATION_KEY = "config"
+WAVE_KEY_PREFIX = "wave/"
 JOBS_TOPIC = "keyed.jobs"
 HOLDER_TOPIC = "keyed.holder"
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -20,7 +20,13 @@
 from cicadatraild.platform.callers import CallerInterface
 from cicadatraild.platform.documents import decode_configuration, decode_wave
 from cicadatraild.platform.settings import PlatformSettings, read_platform_settings
-from cicadatraild.platform.store import CONFIGURATION_TOPIC, KeyedRecord, StoreClient
+from cicadatraild.platform.store import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    WAVE_KEY_PREFIX,
+    KeyedRecord,
+    StoreClient,
+)
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.entry import Entry
 from cicadatraild.scheduling.feeds import TopicFeed
@@ -32,9 +38,6 @@
 
 logger = logging.getLogger("cicadatrail.instance")
 
-CONFIGURATION_KEY = "config"
-WAVE_KEY_PREFIX = "wave/"
-
 STOP_MARGIN_S = 1.0
 """Time before the platform's kill at which a stopping process ends."""
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -14,9 +13,11 @@
 from cicadatrail_core.jobs.models import MachineState, Wave
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import WorkerState
+from cicadatraild.platform.documents import encode_wave_state
 from cicadatraild.platform.machines import MachineOutcome
 from cicadatraild.platform.store import (
     STATUS_TOPIC,
+    WAVE_KEY_PREFIX,
     KeyedRecord,
     StoreClient,
     StoreUnavailableError,
@@ -48,7 +49,7 @@
     down: dict[str, float] = field(default_factory=dict)
     closing: dict[str, float] = field(default_factory=dict)
     retry_s: dict[str, float] = field(default_factory=dict)
-    shown: str = ""
+    shown: bytes = b""
     is_completed: bool = False
     seen_s: float = 0.0
 
@@ -110,10 +111,9 @@
             progress.begun |= begun
             progress.is_completed = is_completed
             self._progress[wave.number] = progress
+        await self._show(progress)
         if progress.is_completed:
-            await self._show(progress, "completed")
             return
-        await self._show(progress, "running")
         if not await self._roster.refresh(LIST_S if progress.down else 2 * LIST_S):
             return
         self._settle_down(progress)
@@ -269,17 +269,17 @@
             },
         )
 
-    async def _show(self, progress: WaveProgress, state: str) -> None:
+    async def _show(self, progress: WaveProgress) -> None:
         """Write the wave's state for operators."""
-        if progress.shown == state:
-            return
         number = progress.wave.number
-        value = json.dumps({"wave": number, "state": state}).encode()
+        value = encode_wave_state(number, progress.is_completed)
+        if progress.shown == value:
+            return
         try:
             await self._store.append(
-                STATUS_TOPIC, [KeyedRecord(f"wave/{number}", value)]
+                STATUS_TOPIC, [KeyedRecord(f"{WAVE_KEY_PREFIX}{number}", value)]
             )
-            progress.shown = state
+            progress.shown = value
         except StoreUnavailableError as error:
             logger.warning(
                 "maintenance: state not stored.", extra={"reason": str(error)}
