Soak real processes under random faults from outside

Daemons as processes, a proxy a daemon on its way to the store, signals, and a store and workers that misbehave; doubles, capacity and lost jobs are checked from what workers and callers see.

--- a/features/support/platform_cluster.py
+++ b/features/support/platform_cluster.py
@@ -125,10 +125,37 @@
     def host(self, name: str) -> str:
         return f"127.0.0.{10 + int(name.rsplit('-', 1)[1])}"
 
+    @property
+    def store_port(self) -> int:
+        return self._store_port
+
+    def settings_text(self, name: str, store_port: int) -> str:
+        """Return an instance's settings file, with its own way to the store."""
+        table = self._settings_table(name)
+        table["platform"] = {"address": f"{HOST}:{store_port}"}
+        tables = {key: value for key, value in table.items() if isinstance(value, dict)}
+        lines = [
+            f"{key} = {json.dumps(value)}"
+            for key, value in table.items()
+            if key not in tables
+        ]
+        for key, entries in tables.items():
+            lines.append(f"[{key}]")
+            lines += [
+                f"{name} = {json.dumps(value)}" for name, value in entries.items()
+            ]
+        return "\n".join(lines)
+
     def settings(self, name: str) -> PlatformSettings:
+        parsed = parse_platform_settings(self._settings_table(name), "settings")
+        assert isinstance(parsed, Success), parsed
+        settings: PlatformSettings = parsed.unwrap()
+        return settings
+
+    def _settings_table(self, name: str) -> dict[str, Any]:
         host = self.host(name)
         front, ready, peer, metrics = self._ports
-        table = settings_table(
+        return settings_table(
             **{
                 "node": name,
                 "ip": host,
@@ -142,10 +169,6 @@
                 "cloud": {"address": f"{HOST}:{self._machines_port}"},
             }
         )
-        parsed = parse_platform_settings(table, "settings")
-        assert isinstance(parsed, Success), parsed
-        settings: PlatformSettings = parsed.unwrap()
-        return settings
 
     def start(self, name: str) -> None:
         output = OutputHandler.__new__(OutputHandler)
--- /dev/null
+++ b/features/support/soak.py
@@ -0,0 +1,342 @@
+"""A randomized soak: real daemons as processes, faults from outside them.
+
+The stand-ins of the store, workers and machines live in this process; the
+daemons are processes on loopback addresses of their own. Faults come in series
+and overlap: processes are killed, paused and told to stop, a proxy delays,
+resets or silences the way to the store, and the store and workers misbehave.
+What callers and workers see is checked: no subtask runs twice or starts after
+its end, no worker is over its capacity, and every accepted job is completed.
+
+    python -m features.support.soak --seed 1 --seconds 20
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+from contextlib import AsyncExitStack, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from features.support.platform_cluster import HOST, PlatformCluster, job
+
+SOURCES = ":".join(
+    str(Path(__file__).resolve().parents[2] / "packages" / name / "src")
+    for name in ("cicadatrail-core", "cicadatrail-node")
+)
+INSTANCE_COUNT = 4
+WORKER_COUNT = 5
+SUBMIT_PAUSE_S = 0.15
+FAULT_PAUSE_S = 0.8
+SETTLE_LIMIT_S = 45.0
+
+
+class FaultyProxy:
+    """Pass connections to the store on, or delay, reset or silence them."""
+
+    def __init__(self, target_port: int) -> None:
+        self.delay_s = 0.0
+        self.silent = False
+        self._target_port = target_port
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def listen(self, stack: AsyncExitStack) -> int:
+        server = await asyncio.start_server(self._serve, HOST, 0)
+        stack.callback(server.close)
+        port: int = server.sockets[0].getsockname()[1]
+        return port
+
+    def reset(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with suppress(OSError, asyncio.CancelledError):
+            far = await asyncio.open_connection(HOST, self._target_port)
+            self._writers |= {writer, far[1]}
+            await asyncio.gather(self._pass(reader, far[1]), self._pass(far[0], writer))
+        self._writers.discard(writer)
+        writer.transport.abort()
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65_536):
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            if not self.silent:
+                writer.write(data)
+                await writer.drain()
+        writer.transport.abort()
+
+
+@dataclass
+class Daemon:
+    """One daemon's process and its proxy to the store."""
+
+    name: str
+    proxy: FaultyProxy
+    settings: Path
+    process: subprocess.Popen[bytes] | None = None
+    restart_due_s: float = 0.0
+
+    def start(self) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "cicadatraild.main", "--platform"],
+            env={
+                **os.environ,
+                "PYTHONPATH": SOURCES,
+                "CICADATRAIL_NODE_FILE": str(self.settings),
+            },
+            stdout=self.settings.with_suffix(".log").open("ab"),
+            stderr=subprocess.STDOUT,
+        )
+
+    def send(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+@dataclass
+class Soak:
+    """Play one seed; ``accepted`` are jobs that callers got 200 for."""
+
+    seed: int
+    seconds: float
+    cluster: PlatformCluster = field(default_factory=PlatformCluster)
+    daemons: list[Daemon] = field(default_factory=list)
+    accepted: set[str] = field(default_factory=set)
+    faults: list[str] = field(default_factory=list)
+    findings: list[str] = field(default_factory=list)
+
+    async def play(self, folder: Path) -> None:
+        self.random = random.Random(self.seed)
+        async with AsyncExitStack() as stack:
+            stack.callback(self._end_all)
+            stack.push_async_callback(self.cluster.close)
+            await self.cluster.open(WORKER_COUNT)
+            for number in range(1, INSTANCE_COUNT + 1):
+                await self._add_daemon(stack, folder, f"edge-{number}")
+            keeper = asyncio.create_task(self._keep_alive())
+            stack.callback(keeper.cancel)
+            await self._wait_for_service()
+            loop = asyncio.get_running_loop()
+            until_s = loop.time() + self.seconds
+            await asyncio.gather(self._submit(until_s), self._disturb(until_s))
+            self._calm()
+            await self._settle()
+            self.findings += self.cluster.fleet.faults_seen
+
+    async def _add_daemon(self, stack: AsyncExitStack, folder: Path, name: str) -> None:
+        proxy = FaultyProxy(self.cluster.store_port)
+        port = await proxy.listen(stack)
+        settings = folder / f"{name}.toml"
+        settings.write_text(self.cluster.settings_text(name, port))
+        daemon = Daemon(name, proxy, settings)
+        daemon.start()
+        self.daemons.append(daemon)
+
+    async def _keep_alive(self) -> None:
+        """Start processes again that have ended, as the platform does."""
+        while True:
+            for daemon in self.daemons:
+                process = daemon.process
+                if process is not None and process.poll() is not None:
+                    await asyncio.sleep(0.3)
+                    daemon.start()
+            await asyncio.sleep(0.1)
+
+    async def _call(self, method: str, path: str, body: object = None) -> int:
+        name = self.random.choice(self.daemons).name
+        status, answer = await self.cluster.call(
+            name, method, path, body, timeout_s=3.0
+        )
+        if method == "GET" and status == 200 and isinstance(answer, dict):
+            self.last_state = str(answer.get("state", ""))
+        return status
+
+    async def _wait_for_service(self) -> None:
+        async with asyncio.timeout(15):
+            while await self._call("GET", "/q/") != 200:  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
+
+    async def _submit(self, until_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        tasks: set[asyncio.Task[None]] = set()
+        number = 0
+        while loop.time() < until_s:
+            number += 1
+            job_id = f"{number:016x}"
+            tasks.add(asyncio.create_task(self._submit_one(job_id)))
+            await asyncio.sleep(SUBMIT_PAUSE_S)
+        await asyncio.gather(*tasks)
+
+    async def _submit_one(self, job_id: str) -> None:
+        body = job(
+            ms=self.random.randint(50, 900),
+            steps=self.random.randint(1, 2),
+            count=self.random.randint(1, 4),
+        )
+        for _ in range(4):
+            if await self._call("POST", f"/q/{job_id}", body) == 200:
+                self.accepted.add(job_id)
+                return
+            await asyncio.sleep(0.3)
+
+    async def _disturb(self, until_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        acts = (
+            self._kill,
+            self._pause,
+            self._terminate,
+            self._silence_store,
+            self._delay_store,
+            self._reset_store,
+            self._store_down,
+            self._lose_answers,
+            self._mute_worker,
+            self._late_starts,
+            self._restart_worker,
+            self._kill_all,
+        )
+        ends: set[asyncio.Task[None]] = set()
+        while loop.time() < until_s:
+            act = self.random.choice(acts)
+            self.faults.append(f"{act.__name__[1:]}")
+            ends.add(asyncio.create_task(act()))
+            await asyncio.sleep(self.random.uniform(0.2, 2 * FAULT_PAUSE_S))
+        await asyncio.gather(*ends)
+
+    def _daemon(self) -> Daemon:
+        return self.random.choice(self.daemons)
+
+    async def _kill(self) -> None:
+        self._daemon().send(signal.SIGKILL)
+
+    async def _kill_all(self) -> None:
+        for daemon in self.daemons:
+            daemon.send(signal.SIGKILL)
+
+    async def _terminate(self) -> None:
+        self._daemon().send(signal.SIGTERM)
+
+    async def _pause(self) -> None:
+        daemon = self._daemon()
+        daemon.send(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        daemon.send(signal.SIGCONT)
+
+    async def _silence_store(self) -> None:
+        proxy = self._daemon().proxy
+        proxy.silent = True
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        proxy.silent = False
+        proxy.reset()
+
+    async def _delay_store(self) -> None:
+        proxy = self._daemon().proxy
+        proxy.delay_s = self.random.uniform(0.02, 0.3)
+        await asyncio.sleep(self.random.uniform(0.5, 3))
+        proxy.delay_s = 0.0
+
+    async def _reset_store(self) -> None:
+        self._daemon().proxy.reset()
+
+    async def _store_down(self) -> None:
+        self.cluster.store.faults.down = True
+        await asyncio.sleep(self.random.uniform(0.3, 3))
+        self.cluster.store.faults.down = False
+
+    async def _lose_answers(self) -> None:
+        self.cluster.store.faults.lost_answers = self.random.randint(1, 5)
+
+    async def _mute_worker(self) -> None:
+        worker = self.random.choice(self.cluster.workers)
+        worker.mute = True
+        await asyncio.sleep(self.random.uniform(0.5, 5))
+        worker.mute = False
+
+    async def _late_starts(self) -> None:
+        worker = self.random.choice(self.cluster.workers)
+        worker.late_starts_s = self.random.uniform(0.6, 4)
+        await asyncio.sleep(self.random.uniform(0.5, 3))
+        worker.late_starts_s = 0.0
+
+    async def _restart_worker(self) -> None:
+        self.random.choice(self.cluster.workers).restart()
+
+    def _calm(self) -> None:
+        self.cluster.store.faults.down = False
+        self.cluster.store.faults.lost_answers = 0
+        for worker in self.cluster.workers:
+            worker.mute = False
+            worker.late_starts_s = 0.0
+
+    async def _settle(self) -> None:
+        """Every accepted job must be completed once nothing is disturbed."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + SETTLE_LIMIT_S
+        waiting = sorted(self.accepted)
+        while waiting and loop.time() < until_s:
+            still = []
+            for job_id in waiting:
+                self.last_state = ""
+                status = await self._call("GET", f"/q/{job_id}")
+                if status == 410:
+                    self.findings.append(f"{job_id} was accepted and is not known")
+                elif self.last_state != "completed":
+                    still.append(job_id)
+            waiting = still
+            await asyncio.sleep(0.3)
+        self.findings += [f"{job_id} is not completed" for job_id in waiting]
+
+    def _end_all(self) -> None:
+        for daemon in self.daemons:
+            daemon.send(signal.SIGCONT)
+            daemon.send(signal.SIGKILL)
+            if daemon.process is not None:
+                daemon.process.wait()
+
+
+def run_seed(seed: int, seconds: float, folder: Path) -> Soak:
+    soak = Soak(seed, seconds)
+    asyncio.run(soak.play(folder))
+    return soak
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1, help="how many, from --seed on")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--keep", type=Path, help="folder that keeps the logs")
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        with tempfile.TemporaryDirectory() as folder:
+            place = options.keep / str(seed) if options.keep else Path(folder)
+            place.mkdir(parents=True, exist_ok=True)
+            soak = run_seed(seed, options.seconds, place)
+        failed += bool(soak.findings)
+        summary = {
+            "seed": seed,
+            "accepted": len(soak.accepted),
+            "faults": len(soak.faults),
+            "findings": soak.findings[:5],
+        }
+        print(json.dumps(summary), flush=True)
+    print(f"{options.seeds - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
