--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -115,6 +115,12 @@
     When the worker reports a newer life
     Then both subtasks are ready again and its room is free
 
+  Scenario: Runs that a restarted worker lists are of its new life
+    Given a scheduler with 1 worker of 8 cores
+    And 2 subtasks of 4 cores run
+    When the worker reports a newer life that has one of them
+    Then only the other is ready again
+
   Scenario: A successor counts what still runs of a cancelled job
     Given a scheduler with 1 worker of 8 cores
     And 2 subtasks of 4 cores run
--- a/features/standins/platform_fleet.py
+++ b/features/standins/platform_fleet.py
@@ -18,6 +18,7 @@
 from features.standins.platform_store import PlatformStore
 
 HEARTBEAT_S = 0.5
+RESTART_S = 0.3
 
 
 @dataclass
@@ -80,6 +81,7 @@
         self.capacity = {"cpu": cpu, "mem-mb": memory, "gpu": 0}
         self.machine = f"m-{worker_id}"
         self.mute = False
+        self.down_until_s = 0.0
         self.late_starts_s = 0.0
         self.born = int(time.time() * 1000)
         self.token = 0
@@ -146,21 +148,33 @@
         expected = exchange.header_values(b"expect-instance")
         if self.mute:
             await asyncio.sleep(3600)
+        if asyncio.get_running_loop().time() < self.down_until_s:
+            exchange.abort()
+            return
+        life = self.born
         if expected and expected[0] != self.worker_id:
             await exchange.respond(421)
             return
         call = exchange.target.rsplit("/", 1)[-1]
         if call == "run-start" and self.late_starts_s:
             loop = asyncio.get_running_loop()
-            loop.call_later(self.late_starts_s, self._answer, call, body)
+            loop.call_later(self.late_starts_s, self._carry_out_late, body, self.born)
             await asyncio.sleep(3600)
         if call == "hold":
             await self._wait_for_end(body)
+        if self.born != life:
+            # The process that took the call is gone.
+            exchange.abort()
+            return
         status, answer = self._answer(call, body)
         answer["clock-ms"] = self.clock_ms()
         answer["born"] = self.born
         await exchange.respond(status, json.dumps(answer).encode())
 
+    def _carry_out_late(self, body: dict[str, Any], born: int) -> None:
+        if born == self.born:
+            self._answer("run-start", body)
+
     async def _wait_for_end(self, body: dict[str, Any]) -> None:
         self._renew(body)
         wait_s = body.get("wait-ms", 0) / 1000
@@ -266,6 +280,9 @@
         self.ended_runs.clear()
         self.number = self.noted = self.token = 0
         self.born += 1000
+        self.down_until_s = asyncio.get_running_loop().time() + RESTART_S
+        self._changed.set()
+        self._changed = asyncio.Event()
 
 
 class PlatformMachines:
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -483,6 +483,21 @@
     context.world.report("w0")
 
 
+@when("the worker reports a newer life that has one of them")
+def step_new_life_one(context: Any) -> None:
+    sim = context.world.sims["w0"]
+    del sim.running[context.runs[0].subtask.name]
+    sim.born_ms += 5
+    context.world.report("w0")
+
+
+@then("only the other is ready again")
+def step_one_ready(context: Any) -> None:
+    ready = context.job.occurrences[0][0].ready
+    assert list(ready.values()) == [context.runs[0].subtask]
+    assert context.world.worker("w0").used.cpu_millicores == 4000
+
+
 @then("both subtasks are ready again and its room is free")
 def step_free(context: Any) -> None:
     worker = context.world.worker("w0")
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -100,13 +100,15 @@
             self.workers[facts.worker_id] = worker
             self.on_change()
         if facts.born_unix_ms > worker.born_unix_ms > 0:
-            self._start_new_life(worker, facts.born_unix_ms, now_s)
+            # Its own lists tell which runs are of the new life.
+            worker.is_suspect = True
         if facts.draining and not worker.facts.draining:
             worker.draining_until_s = now_s + facts.remaining_ms / 1000
             logger.info("scheduler: worker draining.", extra=_worker_fields(worker))
         worker.facts = facts
         worker.is_listed = True
-        worker.born_unix_ms = max(worker.born_unix_ms, facts.born_unix_ms)
+        if not worker.born_unix_ms:
+            worker.born_unix_ms = facts.born_unix_ms
         self.on_change()
         return worker
 
@@ -123,8 +125,10 @@
         self.on_change()
 
     def _start_new_life(
-        self, worker: WorkerState, born_unix_ms: int, now_s: float
+        self, worker: WorkerState, report: WorkerReport, now_s: float
     ) -> None:
+        """Release the runs of a worker's former life; keep what it lists."""
+        born_unix_ms = report.born_unix_ms
         logger.info(
             "scheduler: worker restarted.",
             extra={**_worker_fields(worker), "born_unix_ms": born_unix_ms},
@@ -137,8 +141,11 @@
         worker.clock_at_s = None
         worker.end_outcomes.clear()
         worker.draining_until_s = None
-        for run in list(worker.runs.values()):
-            self._release(run, now_s)
+        listed = {(row.name, row.run) for row in report.running}
+        listed |= {(end.name, end.run) for end in report.ends}
+        for key, run in list(worker.runs.items()):
+            if key not in listed:
+                self._release(run, now_s)
 
     # Jobs
 
@@ -298,7 +305,7 @@
         if report.born_unix_ms < worker.born_unix_ms:
             return False
         if report.born_unix_ms > worker.born_unix_ms:
-            self._start_new_life(worker, report.born_unix_ms, now_s)
+            self._start_new_life(worker, report, now_s)
         worker.answered_s = now_s
         worker.is_suspect = False
         worker.clock_ms = report.clock_ms
