Try a start that got no answer elsewhere; part reports from the scheduler; drop what lost

Not ruled out by a run of its own: an influence of the split of worker_reports.py from scheduler.py, which is in the same commit.

--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -29,6 +29,7 @@
 )
 from cicadatrail_core.jobs.scheduler import Scheduler, SchedulerSettings
 from cicadatrail_core.jobs.state import JobState, Run, RunPhase, WorkerState
+from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 LEASE_S = 3.5
@@ -138,7 +139,7 @@
             tuple(RunningRow(n, r, "", sim.percent) for n, r in sim.running.items()),
             tuple(sim.ends),
         )
-        self.scheduler.apply_report(worker, report, self.now_s, self.now_s + 0.001)
+        apply_report(self.scheduler, worker, report, self.now_s, self.now_s + 0.001)
         worker.stored_end = worker.processed_end
         deadline_ms = self.scheduler.renew_lease(worker, self.now_s)
         if deadline_ms is not None:
--- a/packages/cicadatrail-cli/src/cicadatrail/commands/job_show.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/job_show.py
@@ -14,7 +14,7 @@
     from cicadatrail.network.admin import AdminClient
     from cicadatrail.network.problems import Problem
     from cicadatrail.utils.replies import Reply
-    from cicadatrail_core.jobs.report import JobReport
+    from cicadatrail_core.jobs.job_report import JobReport
 
 
 class JobShowCommand(AdminCommand):
@@ -33,7 +33,7 @@
 def _reply(report: JobReport) -> Reply:
     from cicadatrail.utils.exit_codes import ExitCode
     from cicadatrail.utils.replies import Reply, format_table
-    from cicadatrail_core.jobs.report import JobReport
+    from cicadatrail_core.jobs.job_report import JobReport
     from cicadatrail_core.utils import codec
 
     steps = format_table(
--- a/packages/cicadatrail-cli/src/cicadatrail/network/admin.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/network/admin.py
@@ -18,7 +18,7 @@
     WrongToken,
 )
 from cicadatrail.utils.access import Access, Address
-from cicadatrail_core.jobs.report import JobReport
+from cicadatrail_core.jobs.job_report import JobReport
 from cicadatrail_core.models.patches import (
     Accepted,
     Patch,
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -1,4 +1,4 @@
-"""The life of jobs on workers: acceptance, runs, ends, leases and takeover.
+"""The life of jobs: acceptance, runs, leases, time and takeover.
 
 One holder at a time runs a scheduler. It keeps nothing that a successor can't
 rebuild from the store's records and the workers' own lists. Times ending in
@@ -12,18 +12,12 @@
 from dataclasses import dataclass
 
 from cicadatrail_core.jobs.durations import Durations
-from cicadatrail_core.jobs.ejection import record_outcome
 from cicadatrail_core.jobs.models import (
-    EndKind,
-    EndRow,
     FleetConfiguration,
     JobDefinition,
     JobPhase,
     Queue,
-    RunningRow,
-    SubtaskName,
     WorkerFacts,
-    WorkerReport,
 )
 from cicadatrail_core.jobs.state import (
     JobState,
@@ -104,7 +98,7 @@
             worker.is_suspect = True
         if facts.draining and not worker.facts.draining:
             worker.draining_until_s = now_s + facts.remaining_ms / 1000
-            logger.info("scheduler: worker draining.", extra=_worker_fields(worker))
+            logger.info("scheduler: worker draining.", extra=worker_fields(worker))
         worker.facts = facts
         worker.is_listed = True
         if not worker.born_unix_ms:
@@ -118,35 +112,12 @@
         if worker is None:
             return
         worker.settle_lapsed()
-        fields = _worker_fields(worker)
+        fields = worker_fields(worker)
         logger.info("scheduler: worker gone.", extra={**fields, "reason": reason})
         for run in list(worker.runs.values()):
-            self._release(run, now_s)
+            self.release(run, now_s)
         self.on_change()
 
-    def _start_new_life(
-        self, worker: WorkerState, report: WorkerReport, now_s: float
-    ) -> None:
-        """Release the runs of a worker's former life; keep what it lists."""
-        born_unix_ms = report.born_unix_ms
-        logger.info(
-            "scheduler: worker restarted.",
-            extra={**_worker_fields(worker), "born_unix_ms": born_unix_ms},
-        )
-        worker.settle_lapsed()
-        worker.born_unix_ms = born_unix_ms
-        worker.processed_end = 0
-        worker.stored_end = 0
-        worker.lease_expires_s = now_s
-        worker.clock_at_s = None
-        worker.end_outcomes.clear()
-        worker.draining_until_s = None
-        listed = {(row.name, row.run) for row in report.running}
-        listed |= {(end.name, end.run) for end in report.ends}
-        for key, run in list(worker.runs.items()):
-            if key not in listed:
-                self._release(run, now_s)
-
     # Jobs
 
     def accept(self, job_id: str, definition: JobDefinition, now_s: float) -> JobState:
@@ -165,14 +136,14 @@
         if job.is_final:
             return
         self._open_occurrences(job, now_s, now_unix_ms)
-        self._check_completed(job, now_s)
+        self.check_completed(job, now_s)
         self.on_change()
 
     def cancel(self, job: JobState, now_s: float) -> None:
         """Cancel a job; its runs are stopped once that is stored."""
         if job.is_final:
             return
-        self._finish(job, JobPhase.CANCELLED, now_s)
+        self.finish(job, JobPhase.CANCELLED, now_s)
 
     def stop_runs(self, job: JobState) -> None:
         """Ask for every run of a job to be stopped."""
@@ -215,9 +186,9 @@
                     StepState(job, number, position)
                     for position in range(len(definition.steps))
                 ]
-            self._ready_steps(job, number, now_s)
+            self.ready_steps(job, number, now_s)
 
-    def _ready_steps(self, job: JobState, number: int, now_s: float) -> None:
+    def ready_steps(self, job: JobState, number: int, now_s: float) -> None:
         """Make subtasks ready whose earlier steps are done."""
         steps = job.occurrences[number]
         for step in steps:
@@ -225,9 +196,10 @@
                 continue
             for subtask in step.subtasks:
                 if subtask.phase is SubtaskPhase.WAITING:
-                    self._make_ready(subtask, now_s)
+                    self.make_ready(subtask, now_s)
 
-    def _make_ready(self, subtask: Subtask, now_s: float) -> None:
+    def make_ready(self, subtask: Subtask, now_s: float) -> None:
+        """Let a subtask start when there is room."""
         subtask.phase = SubtaskPhase.READY
         subtask.ready_s = now_s
         subtask.step.ready[subtask.index] = subtask
@@ -238,11 +210,12 @@
         """Count a new run of a subtask on a worker; the order is sent next."""
         number = max(self.settings.epoch * RUNS_PER_EPOCH + 1, subtask.last_run + 1)
         run = Run(subtask, number, worker, now_s)
-        self._attach(run)
+        self.attach(run)
         self.starts.append(run)
         return run
 
-    def _attach(self, run: Run) -> None:
+    def attach(self, run: Run) -> None:
+        """Count a run against its worker, its subtask and its team."""
         subtask = run.subtask
         subtask.last_run = max(subtask.last_run, run.number)
         subtask.copies.append(run)
@@ -268,9 +241,10 @@
         """Take back a run whose start the worker refused: it did nothing."""
         self.counts[reason] = self.counts.get(reason, 0) + 1
         if run.subtask.name in {name for name, _ in run.worker.runs}:
-            self._release(run, now_s)
+            self.release(run, now_s)
 
-    def _detach(self, run: Run) -> None:
+    def detach(self, run: Run) -> None:
+        """Stop counting a run that is over."""
         subtask = run.subtask
         if run not in subtask.copies:
             return
@@ -280,196 +254,19 @@
         if team:
             self.team_used[team] = self.team_used[team] - subtask.step.spec.need
 
-    def _release(self, run: Run, now_s: float) -> None:
+    def release(self, run: Run, now_s: float) -> None:
         """Free a run that is over and let its subtask start again if it must."""
-        self._detach(run)
+        self.detach(run)
         subtask = run.subtask
         job = subtask.step.job
         if job.is_final and not job.has_runs:
             self.changed_jobs[job.job_id] = None
         if subtask.copies or subtask.phase is SubtaskPhase.DONE or job.is_final:
             return
-        self._make_ready(subtask, now_s)
+        self.make_ready(subtask, now_s)
         self.on_change()
 
-    # Reports
-
-    def apply_report(
-        self, worker: WorkerState, report: WorkerReport, sent_s: float, now_s: float
-    ) -> bool:
-        """Apply a worker's lists; tell whether something must be stored.
-
-        ``sent_s`` is when the call was sent: only orders answered before then
-        can be missing from the lists.
-        """
-        if report.born_unix_ms < worker.born_unix_ms:
-            return False
-        if report.born_unix_ms > worker.born_unix_ms:
-            self._start_new_life(worker, report, now_s)
-        worker.answered_s = now_s
-        worker.is_suspect = False
-        worker.clock_ms = report.clock_ms
-        worker.clock_at_s = now_s
-        has_ends = False
-        for row in report.ends:
-            if row.number > worker.processed_end:
-                worker.processed_end = row.number
-                self._apply_end(worker, row, now_s)
-                has_ends = True
-        listed = set()
-        for running in report.running:
-            listed.add((running.name, running.run))
-            self._apply_running(worker, running, now_s)
-        if report.is_whole:
-            worker.settle_lapsed()
-            self._drop_missing(worker, listed, sent_s, now_s)
-            if not worker.is_resolved:
-                worker.is_resolved = True
-                self.on_change()
-        return has_ends
-
-    def _apply_running(
-        self, worker: WorkerState, row: RunningRow, now_s: float
-    ) -> None:
-        run = worker.runs.get((row.name, row.run))
-        if run is None:
-            run = self._adopt(worker, row, now_s)
-        if run is None:
-            return
-        if run.phase is RunPhase.SENT:
-            run.phase = RunPhase.RUNNING
-            run.answered_s = run.answered_s or now_s
-        if row.percent != run.percent:
-            run.percent = row.percent
-            run.progress_s = now_s
-        run.figure = row.figure
-        if row.checkpoint and row.checkpoint != run.subtask.checkpoint:
-            run.subtask.checkpoint = row.checkpoint
-
-    def _adopt(self, worker: WorkerState, row: RunningRow, now_s: float) -> Run | None:
-        """Count a run that an earlier holder started, or stop a stray one."""
-        job = self.jobs.get(row.name.job_id)
-        subtask = job.subtask(row.name) if job is not None else None
-        if job is not None and subtask is None:
-            self._open_inherited(job, row.name.occurrence, now_s)
-            subtask = job.subtask(row.name)
-        if job is None or subtask is None:
-            self.counts["stray"] = self.counts.get("stray", 0) + 1
-            logger.warning(
-                "scheduler: run of an unknown job.",
-                extra={
-                    **_worker_fields(worker),
-                    "subtask": str(row.name),
-                    "run": row.run,
-                },
-            )
-            return None
-        run = Run(subtask, row.run, worker, now_s)
-        run.phase = RunPhase.RUNNING
-        run.answered_s = now_s
-        run.start_expires_s = now_s
-        has_other = bool(subtask.copies) and not subtask.step.spec.copies_allowed
-        self._attach(run)
-        if job.is_final or subtask.phase is SubtaskPhase.DONE or has_other:
-            self.stop(run)
-        return run
-
-    def _open_inherited(self, job: JobState, occurrence: int, now_s: float) -> None:
-        if occurrence in job.occurrences:
-            return
-        job.occurrences[occurrence] = [
-            StepState(job, occurrence, position)
-            for position in range(len(job.definition.steps))
-        ]
-        if job.is_final or occurrence in job.done_occurrences:
-            for step in job.occurrences[occurrence]:
-                step.mark_done()
-            return
-        self._ready_steps(job, occurrence, now_s)
-
-    def _apply_end(self, worker: WorkerState, row: EndRow, now_s: float) -> None:
-        run = worker.runs.get((row.name, row.run))
-        job = self.jobs.get(row.name.job_id)
-        subtask = job.subtask(row.name) if job is not None else None
-        if run is not None:
-            subtask = run.subtask
-            self._detach(run)
-        if job is None or subtask is None:
-            return
-        if row.checkpoint:
-            subtask.checkpoint = row.checkpoint
-        logger.info(
-            "scheduler: run ended.",
-            extra={
-                **_worker_fields(worker),
-                "subtask": str(row.name),
-                "run": row.run,
-                "outcome": row.kind.value,
-                "age_s": round(now_s - run.sent_s, 3) if run else None,
-            },
-        )
-        self._count_end(row.kind)
-        self.changed_jobs[job.job_id] = None
-        match row.kind:
-            case EndKind.DONE:
-                record_outcome(worker, True, now_s, self.workers)
-                if run is not None and run.answered_s is not None:
-                    self.durations.learn(
-                        job.definition.queue,
-                        subtask.step.spec.estimate_ms,
-                        now_s - run.answered_s,
-                    )
-                self._apply_done(subtask, now_s)
-            case EndKind.FAILED if row.run not in subtask.failed_runs:
-                self._apply_failure(worker, subtask, row.run, now_s)
-            case _:
-                pass
-        unfinished = subtask.phase is not SubtaskPhase.DONE and not job.is_final
-        if unfinished and not subtask.copies and run is not None:
-            self._make_ready(subtask, now_s)
-        self.on_change()
-
-    def _count_end(self, kind: EndKind) -> None:
-        name = f"end-{kind.value}"
-        self.counts[name] = self.counts.get(name, 0) + 1
-
-    def _apply_done(self, subtask: Subtask, now_s: float) -> None:
-        step = subtask.step
-        job = step.job
-        if step.spec.lasting or job.is_final:
-            return
-        members = step.subtasks if step.spec.gang else [subtask]
-        for member in members:
-            if member.phase is SubtaskPhase.DONE:
-                continue
-            member.phase = SubtaskPhase.DONE
-            member.checkpoint = ""
-            step.ready.pop(member.index, None)
-            step.done_count += 1
-        for run in list(subtask.copies):
-            self.stop(run)
-        if step.is_done:
-            self._ready_steps(job, step.occurrence, now_s)
-            self._check_completed(job, now_s)
-
-    def _apply_failure(
-        self, worker: WorkerState, subtask: Subtask, run: int, now_s: float
-    ) -> None:
-        step = subtask.step
-        job = step.job
-        if not subtask.failed_runs:
-            record_outcome(worker, False, now_s, self.workers)
-        subtask.failed_runs.add(run)
-        subtask.avoided_worker = worker.facts.worker_id
-        if step.spec.lasting or job.is_final:
-            return
-        failures = len(subtask.failed_runs)
-        if step.spec.gang:
-            step.gang_failures += 1
-            failures = step.gang_failures
-        if failures >= self.attempt_limit(job):
-            self._finish(job, JobPhase.FAILED, now_s)
-            self.stop_runs(job)
+    # Ends
 
     def needs_advice(self, step: StepState) -> bool:
         """Tell whether only workers with a ticket may run a step."""
@@ -481,7 +278,8 @@
         queue = self.queues.get(job.definition.queue)
         return queue.attempt_limit_count if queue is not None else 1
 
-    def _check_completed(self, job: JobState, now_s: float) -> None:
+    def check_completed(self, job: JobState, now_s: float) -> None:
+        """End occurrences and the job once all steps are done."""
         for number, steps in list(job.occurrences.items()):
             if all(step.is_done for step in steps):
                 job.done_occurrences.add(number)
@@ -489,9 +287,10 @@
                 if not any(s.copies for step in steps for s in step.subtasks):
                     del job.occurrences[number]
         if len(job.done_occurrences) >= job.definition.occurrence_count:
-            self._finish(job, JobPhase.COMPLETED, now_s)
+            self.finish(job, JobPhase.COMPLETED, now_s)
 
-    def _finish(self, job: JobState, phase: JobPhase, now_s: float) -> None:
+    def finish(self, job: JobState, phase: JobPhase, now_s: float) -> None:
+        """Give a job its final phase; it is shown once it is stored."""
         job.phase = phase
         job.ended_s = now_s
         self.changed_jobs[job.job_id] = None
@@ -508,28 +307,6 @@
         )
         self.on_change()
 
-    def _drop_missing(
-        self,
-        worker: WorkerState,
-        listed: set[tuple[SubtaskName, int]],
-        sent_s: float,
-        now_s: float,
-    ) -> None:
-        """Settle runs that the worker lists neither as running nor as ended."""
-        for key, run in list(worker.runs.items()):
-            if key in listed:
-                continue
-            if run.stop_acked_s is not None and run.stop_acked_s < sent_s:
-                self._release(run, now_s)
-            elif run.answered_s is not None and run.answered_s < sent_s:
-                self.counts["vanished"] = self.counts.get("vanished", 0) + 1
-                self.stop(run)
-            elif run.start_expires_s < sent_s:
-                # The worker refuses a start that comes after its deadline.
-                self._release(run, now_s)
-            elif run.doubted_s is not None and run.doubted_s < sent_s:
-                self.stop(run)
-
     # Time
 
     def renew_lease(self, worker: WorkerState, now_s: float) -> int | None:
@@ -577,7 +354,7 @@
             logger.warning(
                 "scheduler: lease expired.",
                 extra={
-                    **_worker_fields(worker),
+                    **worker_fields(worker),
                     "run_count": len(worker.runs),
                     "answer_age_s": round(now_s - (worker.answered_s or 0), 3),
                 },
@@ -586,7 +363,7 @@
             if run.phase is not RunPhase.SENT or run.doubted_s is not None:
                 run.subtask.lapsed_runs.add(run.number)
                 worker.lapsed.append(run)
-            self._release(run, now_s)
+            self.release(run, now_s)
         if not worker.is_listed:
             self.remove_worker(worker.facts.worker_id, now_s, "no longer listed")
 
@@ -624,5 +401,6 @@
         return total
 
 
-def _worker_fields(worker: WorkerState) -> dict[str, object]:
+def worker_fields(worker: WorkerState) -> dict[str, object]:
+    """Return what a log line says of a worker."""
     return {"worker_id": worker.facts.worker_id, "pool": worker.facts.pool}
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -0,0 +1,273 @@
+"""What a worker's lists change: runs that go on, end, vanish or turn up.
+
+``sent_s`` is when the call for the lists was sent: only orders that were
+answered before then can be missing from them.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from cicadatrail_core.jobs.ejection import record_outcome
+from cicadatrail_core.jobs.models import (
+    EndKind,
+    EndRow,
+    JobPhase,
+    RunningRow,
+    SubtaskName,
+    WorkerReport,
+)
+from cicadatrail_core.jobs.scheduler import Scheduler, worker_fields
+from cicadatrail_core.jobs.state import (
+    JobState,
+    Run,
+    RunPhase,
+    StepState,
+    Subtask,
+    SubtaskPhase,
+    WorkerState,
+)
+
+logger = logging.getLogger("cicadatrail.scheduler")
+
+
+def apply_report(
+    scheduler: Scheduler,
+    worker: WorkerState,
+    report: WorkerReport,
+    sent_s: float,
+    now_s: float,
+) -> bool:
+    """Apply a worker's lists; tell whether something must be stored.
+
+    ``sent_s`` is when the call was sent: only orders answered before then
+    can be missing from the lists.
+    """
+    if report.born_unix_ms < worker.born_unix_ms:
+        return False
+    if report.born_unix_ms > worker.born_unix_ms:
+        _start_new_life(scheduler, worker, report, now_s)
+    worker.answered_s = now_s
+    worker.is_suspect = False
+    worker.clock_ms = report.clock_ms
+    worker.clock_at_s = now_s
+    has_ends = False
+    for row in report.ends:
+        if row.number > worker.processed_end:
+            worker.processed_end = row.number
+            _apply_end(scheduler, worker, row, now_s)
+            has_ends = True
+    listed = set()
+    for running in report.running:
+        listed.add((running.name, running.run))
+        _apply_running(scheduler, worker, running, now_s)
+    if report.is_whole:
+        worker.settle_lapsed()
+        _drop_missing(scheduler, worker, listed, sent_s, now_s)
+        if not worker.is_resolved:
+            worker.is_resolved = True
+            scheduler.on_change()
+    return has_ends
+
+
+def _apply_running(
+    scheduler: Scheduler, worker: WorkerState, row: RunningRow, now_s: float
+) -> None:
+    run = worker.runs.get((row.name, row.run))
+    if run is None:
+        run = _adopt(scheduler, worker, row, now_s)
+    if run is None:
+        return
+    if run.phase is RunPhase.SENT:
+        run.phase = RunPhase.RUNNING
+        run.answered_s = run.answered_s or now_s
+    if row.percent != run.percent:
+        run.percent = row.percent
+        run.progress_s = now_s
+    run.figure = row.figure
+    if row.checkpoint and row.checkpoint != run.subtask.checkpoint:
+        run.subtask.checkpoint = row.checkpoint
+
+
+def _adopt(
+    scheduler: Scheduler, worker: WorkerState, row: RunningRow, now_s: float
+) -> Run | None:
+    """Count a run that an earlier holder started, or stop a stray one."""
+    job = scheduler.jobs.get(row.name.job_id)
+    subtask = job.subtask(row.name) if job is not None else None
+    if job is not None and subtask is None:
+        _open_inherited(scheduler, job, row.name.occurrence, now_s)
+        subtask = job.subtask(row.name)
+    if job is None or subtask is None:
+        scheduler.counts["stray"] = scheduler.counts.get("stray", 0) + 1
+        logger.warning(
+            "scheduler: run of an unknown job.",
+            extra={
+                **worker_fields(worker),
+                "subtask": str(row.name),
+                "run": row.run,
+            },
+        )
+        return None
+    run = Run(subtask, row.run, worker, now_s)
+    run.phase = RunPhase.RUNNING
+    run.answered_s = now_s
+    run.start_expires_s = now_s
+    has_other = bool(subtask.copies) and not subtask.step.spec.copies_allowed
+    scheduler.attach(run)
+    if job.is_final or subtask.phase is SubtaskPhase.DONE or has_other:
+        scheduler.stop(run)
+    return run
+
+
+def _open_inherited(
+    scheduler: Scheduler, job: JobState, occurrence: int, now_s: float
+) -> None:
+    if occurrence in job.occurrences:
+        return
+    job.occurrences[occurrence] = [
+        StepState(job, occurrence, position)
+        for position in range(len(job.definition.steps))
+    ]
+    if job.is_final or occurrence in job.done_occurrences:
+        for step in job.occurrences[occurrence]:
+            step.mark_done()
+        return
+    scheduler.ready_steps(job, occurrence, now_s)
+
+
+def _apply_end(
+    scheduler: Scheduler, worker: WorkerState, row: EndRow, now_s: float
+) -> None:
+    run = worker.runs.get((row.name, row.run))
+    job = scheduler.jobs.get(row.name.job_id)
+    subtask = job.subtask(row.name) if job is not None else None
+    if run is not None:
+        subtask = run.subtask
+        scheduler.detach(run)
+    if job is None or subtask is None:
+        return
+    if row.checkpoint:
+        subtask.checkpoint = row.checkpoint
+    logger.info(
+        "scheduler: run ended.",
+        extra={
+            **worker_fields(worker),
+            "subtask": str(row.name),
+            "run": row.run,
+            "outcome": row.kind.value,
+            "age_s": round(now_s - run.sent_s, 3) if run else None,
+        },
+    )
+    _count_end(scheduler, row.kind)
+    scheduler.changed_jobs[job.job_id] = None
+    match row.kind:
+        case EndKind.DONE:
+            record_outcome(worker, True, now_s, scheduler.workers)
+            if run is not None and run.answered_s is not None:
+                scheduler.durations.learn(
+                    job.definition.queue,
+                    subtask.step.spec.estimate_ms,
+                    now_s - run.answered_s,
+                )
+            _apply_done(scheduler, subtask, now_s)
+        case EndKind.FAILED if row.run not in subtask.failed_runs:
+            _apply_failure(scheduler, worker, subtask, row.run, now_s)
+        case _:
+            pass
+    unfinished = subtask.phase is not SubtaskPhase.DONE and not job.is_final
+    if unfinished and not subtask.copies and run is not None:
+        scheduler.make_ready(subtask, now_s)
+    scheduler.on_change()
+
+
+def _count_end(scheduler: Scheduler, kind: EndKind) -> None:
+    name = f"end-{kind.value}"
+    scheduler.counts[name] = scheduler.counts.get(name, 0) + 1
+
+
+def _apply_done(scheduler: Scheduler, subtask: Subtask, now_s: float) -> None:
+    step = subtask.step
+    job = step.job
+    if step.spec.lasting or job.is_final:
+        return
+    members = step.subtasks if step.spec.gang else [subtask]
+    for member in members:
+        if member.phase is SubtaskPhase.DONE:
+            continue
+        member.phase = SubtaskPhase.DONE
+        member.checkpoint = ""
+        step.ready.pop(member.index, None)
+        step.done_count += 1
+    for run in list(subtask.copies):
+        scheduler.stop(run)
+    if step.is_done:
+        scheduler.ready_steps(job, step.occurrence, now_s)
+        scheduler.check_completed(job, now_s)
+
+
+def _apply_failure(
+    scheduler: Scheduler, worker: WorkerState, subtask: Subtask, run: int, now_s: float
+) -> None:
+    step = subtask.step
+    job = step.job
+    if not subtask.failed_runs:
+        record_outcome(worker, False, now_s, scheduler.workers)
+    subtask.failed_runs.add(run)
+    subtask.avoided_worker = worker.facts.worker_id
+    if step.spec.lasting or job.is_final:
+        return
+    failures = len(subtask.failed_runs)
+    if step.spec.gang:
+        step.gang_failures += 1
+        failures = step.gang_failures
+    if failures >= scheduler.attempt_limit(job):
+        scheduler.finish(job, JobPhase.FAILED, now_s)
+        scheduler.stop_runs(job)
+
+
+def _drop_missing(
+    scheduler: Scheduler,
+    worker: WorkerState,
+    listed: set[tuple[SubtaskName, int]],
+    sent_s: float,
+    now_s: float,
+) -> None:
+    """Settle runs that the worker lists neither as running nor as ended."""
+    for key, run in list(worker.runs.items()):
+        if key in listed:
+            continue
+        if run.stop_acked_s is not None and run.stop_acked_s < sent_s:
+            scheduler.release(run, now_s)
+        elif run.answered_s is not None and run.answered_s < sent_s:
+            scheduler.counts["vanished"] = scheduler.counts.get("vanished", 0) + 1
+            scheduler.stop(run)
+        elif run.start_expires_s < sent_s:
+            # The worker refuses a start that comes after its deadline.
+            scheduler.release(run, now_s)
+        elif run.doubted_s is not None and run.doubted_s < sent_s:
+            scheduler.stop(run)
+
+
+def _start_new_life(
+    scheduler: Scheduler, worker: WorkerState, report: WorkerReport, now_s: float
+) -> None:
+    """Release the runs of a worker's former life; keep what it lists."""
+    born_unix_ms = report.born_unix_ms
+    logger.info(
+        "scheduler: worker restarted.",
+        extra={**worker_fields(worker), "born_unix_ms": born_unix_ms},
+    )
+    worker.settle_lapsed()
+    worker.born_unix_ms = born_unix_ms
+    worker.processed_end = 0
+    worker.stored_end = 0
+    worker.lease_expires_s = now_s
+    worker.clock_at_s = None
+    worker.end_outcomes.clear()
+    worker.draining_until_s = None
+    listed = {(row.name, row.run) for row in report.running}
+    listed |= {(end.name, end.run) for end in report.ends}
+    for key, run in list(worker.runs.items()):
+        if key not in listed:
+            scheduler.release(run, now_s)
--- a/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
@@ -24,7 +24,6 @@
 
     ``lease_limit_s`` is the longest lease that workers grant. ``order_gap_s``
     is the time that must pass between machine orders of two holders.
-    ``heartbeat_s`` is how often a worker renews its entry in the store's list.
     """
 
     node: str
@@ -40,14 +39,8 @@
     advice: Address | None
     lease_limit_s: float
     order_gap_s: float
-    heartbeat_s: float
     grace_s: float
     status_kept_s: float
-    gang_timeout_s: float
-    pace_delay_s: float
-    harm_limit_s: float
-    maintenance_s: float
-    move_s: float
     cores: float
 
 
@@ -134,14 +127,8 @@
         advice=parse_address(str(table.get("advice", ""))),
         lease_limit_s=reader.number(table, "bounds.hold-max-ms", 1) / 1000,
         order_gap_s=reader.number(table, "bounds.lease-ms") / 1000,
-        heartbeat_s=reader.number(table, "heartbeat-ms", 1) / 1000,
         grace_s=reader.number(table, "bounds.grace-s"),
         status_kept_s=reader.number(table, "bounds.status_s"),
-        gang_timeout_s=reader.number(table, "bounds.gang-timeout-ms") / 1000,
-        pace_delay_s=reader.number(table, "bounds.pace-ms") / 1000,
-        harm_limit_s=reader.number(table, "bounds.harm-ms") / 1000,
-        maintenance_s=reader.number(table, "bounds.maintenance-s"),
-        move_s=reader.number(table, "bounds.move-s"),
         cores=reader.number(table, "limits.cpu-share")
         * reader.number(table, "limits.cores"),
     )
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -13,8 +13,8 @@
 
 from returns.result import Failure, Success
 
+from cicadatrail_core.jobs.job_report import report_job
 from cicadatrail_core.jobs.models import FleetConfiguration, Wave
-from cicadatrail_core.jobs.report import report_job
 from cicadatraild.network.http_server import HttpServer
 from cicadatraild.network.server_exchange import HttpExchange, HttpLimits
 from cicadatraild.platform.callers import CallerInterface
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/roster.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/roster.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Callable
 
-from cicadatrail_core.jobs.models import Machine, MachineState
+from cicadatrail_core.jobs.models import Machine
 from cicadatraild.platform.machines import MachineClient, MachineOutcome
 from cicadatraild.scheduling.clocks import loop_now_s
 
@@ -41,36 +41,20 @@
         self.listed_s = asked_s
         return True
 
-    def state(self, name: str) -> MachineState | None:
-        """Return the state of a machine, or None if it isn't listed."""
-        machine = self.machines.get(name)
-        return machine.state if machine is not None else None
-
     async def maintain(self, name: str, wave: int) -> MachineOutcome:
         """Begin the maintenance of a machine on which nothing runs."""
         if not self._is_sure():
             return MachineOutcome.REFUSED
         outcome = await self.client.maintain(name, wave)
-        self._note(name, outcome, "maintain", str(wave))
-        return outcome
-
-    async def move(self, name: str, pool: str) -> MachineOutcome:
-        """Move a machine on which nothing runs to another pool."""
-        if not self._is_sure():
-            return MachineOutcome.REFUSED
-        outcome = await self.client.move(name, pool)
-        self._note(name, outcome, "move", pool)
+        self._note(name, outcome, wave)
         return outcome
 
-    def _note(
-        self, name: str, outcome: MachineOutcome, order: str, target: str
-    ) -> None:
+    def _note(self, name: str, outcome: MachineOutcome, wave: int) -> None:
         logger.info(
             "machines: order sent.",
             extra={
                 "machine": name,
-                "order": order,
-                "target": target,
+                "wave": wave,
                 "outcome": outcome.value,
                 "list_age_s": round(loop_now_s() - self.listed_s, 3),
             },
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -11,6 +11,7 @@
 from cicadatrail_core.jobs.pacing import has_both, plan_pace
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, RunPhase, WorkerState
+from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatraild.platform.store import FencedError
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
 from cicadatraild.scheduling.clocks import loop_now_s
@@ -130,7 +131,7 @@
             await self._note_failure(worker, result.outcome)
             return
         was_resolved = worker.is_resolved
-        scheduler.apply_report(worker, result, sent_s, loop_now_s())
+        apply_report(scheduler, worker, result, sent_s, loop_now_s())
         if worker.is_resolved and not was_resolved:
             logger.info(
                 "worker: lists read.",
@@ -157,9 +158,9 @@
             return
         born_unix_ms = worker.born_unix_ms
         waiting = asyncio.ensure_future(self._journal.flush())
+        waiting.add_done_callback(_drop_outcome)
         done, _ = await asyncio.wait({waiting}, timeout=STORE_WAIT_S)
         if not done:
-            waiting.add_done_callback(lambda future: future.exception())
             return
         waiting.result()
         if worker.born_unix_ms == born_unix_ms:
@@ -246,6 +247,7 @@
                     _stop_gang(scheduler, run)
             case _:
                 run.doubted_s = now_s
+                run.subtask.avoided_worker = worker.facts.worker_id
 
     async def _pace(self, run: Run, percent: int) -> None:
         """Change the speed of a filler; the next look repeats it if that failed."""
@@ -305,5 +307,14 @@
             scheduler.stop(other)
 
 
+def _drop_outcome(waiting: asyncio.Future[None]) -> None:
+    """Take the outcome of a flush that the link no longer waits for.
+
+    It fails only with the holder's end, which the journal has logged.
+    """
+    if not waiting.cancelled():
+        waiting.exception()
+
+
 def _age(since_s: float | None) -> float | None:
     return None if since_s is None else round(loop_now_s() - since_s, 3)
