--- a/features/soak.feature
+++ b/features/soak.feature
@@ -2,10 +2,20 @@
   Daemons as processes on loopback, stand-ins of the platform, and faults from outside.
   By hand: python -m features.support.soak --seed 1 --seeds 50 --seconds 20
 
-  Scenario Outline: Seeded soaks keep every promise
-    Then a soak of seed <seed> over <seconds> seconds finds nothing
+  Scenario: A seed that CI plays
+    Then a soak of seed 1 over 8 seconds finds nothing
 
-    Examples: seeds that CI plays
-      | seed | seconds |
-      | 1    | 8       |
-      | 2    | 8       |
+  # A restarted worker forgot ends that nobody had seen: the stand-in let calls of its
+  # former life through, and the scheduler dropped runs of the new life.
+  Scenario: A worker restarts between its lists and a start, seed 2
+    Then a soak of seed 2 over 15 seconds finds nothing
+
+  # The same, seen as one subtask on two workers.
+  Scenario: A worker restarts between its lists and a start, seed 3
+    Then a soak of seed 3 over 15 seconds finds nothing
+
+  Scenario: A worker restarts between its lists and a start, seed 4
+    Then a soak of seed 4 over 15 seconds finds nothing
+
+  Scenario: A worker restarts between its lists and a start, seed 5
+    Then a soak of seed 5 over 15 seconds finds nothing
