--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -48,7 +48,7 @@
 """Connections of callers; the platform allows about 4,000 descriptors."""
 
 STRONG_CORES = 1.0
-"""Processor at which an instance holds a fleet well: a holder of 250 workers
+"""Processor at which an instance holds a fleet well: a holder of 150 workers
 used up to 0.6 cores in docs/MEASUREMENTS.md."""
 
 WEAK_CLAIM_DELAY_S = 0.15
