Start nothing while a newer holder may be at work

Cause: a holder that was suspended, or cut off from the store, goes on starting subtasks until a worker refuses its token. A worker that has restarted refuses none, so such a holder could start there what its successor had seen end.

Now: starts are sent only within 1.0 s of the sending of the last stored renewal, on the clock that counts suspended time, or within 0.7 s of a round of questions to peers of which none knew a newer holder. A holder that hears of a newer epoch from a peer is deposed. Peers that connect are remembered and asked, too, all at once.

Test: platform.feature, a holder cut from the store while no worker answers; failed before (still holder, may start). A guard beside it: with the store away for all the holder goes on starting.

Not closed: a claim and a worker's restart within the fraction of a second until the next round of questions.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -69,6 +69,14 @@
     And an accepted job still gets its state
     And work goes on and is completed after the store is back
 
+  Scenario: A holder cut from the store learns from its peers that another holds
+    When the holder is cut from the store while no worker answers
+    Then half a second later its peers have told it, and it starts nothing
+
+  Scenario: A holder goes on while the store is away for all
+    When the store is down longer than others wait before they claim
+    Then the holder still starts what it had accepted
+
   Scenario: The store forgets its history
     When the store forgets the history of the operators' records and changes the key
     Then the old key gets 401 and the new one is served
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -393,6 +393,59 @@
     assert not context.fleet.faults_seen, context.fleet.faults_seen
 
 
+@when("the holder is cut from the store while no worker answers")
+def step_cut_holder(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        await cluster.add_proxy("edge-1")
+        cluster.start("edge-1")
+        await cluster.until(cluster.holder)
+        for name in ("edge-2", "edge-3"):
+            cluster.start(name)
+        others = [cluster.instances[name] for name in ("edge-2", "edge-3")]
+        await cluster.until(lambda: all(other.is_ready for other in others))
+        for worker in cluster.workers:
+            # So that no worker can tell the old holder of the new one.
+            worker.mute = True
+        cluster.proxies["edge-1"].silent = True
+        first = cluster.instances["edge-1"]
+        await cluster.until(lambda: any(other.holds_fleet for other in others))
+        await asyncio.sleep(0.5)
+        context.may_start = first.may_start
+        context.deposed = not first.holds_fleet
+
+    _play(context, scenario)
+
+
+@then("half a second later its peers have told it, and it starts nothing")
+def step_deposed(context: Any) -> None:
+    assert not context.may_start
+    assert context.deposed
+
+
+@when("the store is down longer than others wait before they claim")
+def step_down_long(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        holder = await _start(cluster, 3)
+        body = job(ms=400, steps=6, count=1)
+        assert await _submit(cluster, holder, JOB, body) == 200
+        await asyncio.sleep(0.1)
+        cluster.store.faults.down = True
+        await asyncio.sleep(3.5)
+        context.starts = sum(cluster.fleet.starts.values())
+        context.holder_stays = cluster.holder() == holder
+        cluster.store.faults.down = False
+        await cluster.wait_for_state(holder, JOB, "completed", 15)
+
+    _play(context, scenario)
+
+
+@then("the holder still starts what it had accepted")
+def step_still_starts(context: Any) -> None:
+    assert context.holder_stays
+    # Each step takes 0.4 s; some were started after the others' limit of 1.3 s.
+    assert context.starts >= 6, context.starts
+
+
 @when("a worker restarts while it runs a job")
 def step_restart(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
--- /dev/null
+++ b/features/support/faulty_proxy.py
@@ -0,0 +1,49 @@
+"""A loopback proxy that delays, resets or silences connections."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack, suppress
+
+HOST = "127.0.0.1"
+
+
+class FaultyProxy:
+    """Pass connections on, or delay, reset or silence them."""
+
+    def __init__(self, target_port: int) -> None:
+        self.delay_s = 0.0
+        self.silent = False
+        self._target_port = target_port
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def listen(self, stack: AsyncExitStack) -> int:
+        server = await asyncio.start_server(self._serve, HOST, 0)
+        stack.callback(server.close)
+        port: int = server.sockets[0].getsockname()[1]
+        return port
+
+    def reset(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with suppress(OSError, asyncio.CancelledError):
+            far = await asyncio.open_connection(HOST, self._target_port)
+            self._writers |= {writer, far[1]}
+            await asyncio.gather(self._pass(reader, far[1]), self._pass(far[0], writer))
+        self._writers.discard(writer)
+        writer.transport.abort()
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65_536):
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            if not self.silent:
+                writer.write(data)
+                await writer.drain()
+        writer.transport.abort()
--- a/features/support/platform_cluster.py
+++ b/features/support/platform_cluster.py
@@ -23,8 +23,8 @@
     PlatformWorker,
 )
 from features.standins.platform_store import PlatformStore
+from features.support.faulty_proxy import HOST, FaultyProxy
 
-HOST = "127.0.0.1"
 QUEUE_HOST = "jobs.example"
 KEY = "key-of-florists"
 MAINTENANCE_S = 0.5
@@ -101,6 +101,8 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.machines: PlatformMachines | None = None
         self.cores: dict[str, float] = {}
+        self.proxies: dict[str, FaultyProxy] = {}
+        self._proxy_ports: dict[str, int] = {}
         self._ports = [free_port() for _ in range(4)]
         self._store_port = 0
         self._machines_port = 0
@@ -118,6 +120,13 @@
         self.store.put_json("keyed.op", "config", configuration())
         await self._clients.open(self._stack)
 
+    async def add_proxy(self, name: str) -> FaultyProxy:
+        """Put a proxy between an instance that is started later and the store."""
+        proxy = FaultyProxy(self._store_port)
+        self._proxy_ports[name] = await proxy.listen(self._stack)
+        self.proxies[name] = proxy
+        return proxy
+
     @property
     def operator_port(self) -> int:
         return self._ports[3]
@@ -155,6 +164,7 @@
     def _settings_table(self, name: str) -> dict[str, Any]:
         host = self.host(name)
         front, ready, peer, metrics = self._ports
+        store_port = self._proxy_ports.get(name, self._store_port)
         return settings_table(
             **{
                 "node": name,
@@ -165,7 +175,8 @@
                     "front": f"{host}:{front}",
                     "readiness": f"{host}:{ready}",
                 },
-                "platform": {"address": f"{HOST}:{self._store_port}"},
+                "seeds": [f"{self.host(f'edge-{n}')}:{peer}" for n in (1, 2, 3)],
+                "platform": {"address": f"{HOST}:{store_port}"},
                 "cloud": {"address": f"{HOST}:{self._machines_port}"},
             }
         )
--- a/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -72,8 +73,9 @@
 class WorkerClient:
     """Give orders to workers in the name of one epoch."""
 
-    def __init__(self, epoch: int) -> None:
+    def __init__(self, epoch: int, may_start: Callable[[], bool]) -> None:
         self._epoch = epoch
+        self._may_start = may_start
         self.pool = ConnectionPool(CONNECT_TIMEOUT_S, IDLE_LIMIT_S)
         self._turns: dict[str, asyncio.Semaphore] = {}
 
@@ -87,7 +89,10 @@
         ticket: str,
         deadline_ms: int,
     ) -> OrderOutcome:
-        """Order a run to start before a time on the worker's clock."""
+        """Order a run to start before a time on the worker's clock.
+
+        Not sent if this holder may not start anything when its turn comes.
+        """
         body: dict[str, object] = {
             "task": subtask,
             "run": run,
@@ -99,7 +104,7 @@
             body["last-checkpoint"] = checkpoint
         if ticket:
             body["ticket"] = ticket
-        return await self._order(worker, "run-start", body)
+        return await self._order(worker, "run-start", body, self._may_start)
 
     async def stop(self, worker: WorkerFacts, subtask: str, run: int) -> OrderOutcome:
         """Order a run to stop, or never to start."""
@@ -146,12 +151,18 @@
         return report or ListFailure(OrderOutcome.UNKNOWN)
 
     async def _order(
-        self, worker: WorkerFacts, call: str, body: dict[str, object]
+        self,
+        worker: WorkerFacts,
+        call: str,
+        body: dict[str, object],
+        may_send: Callable[[], bool] = lambda: True,
     ) -> OrderOutcome:
         turns = self._turns.setdefault(
             worker.worker_id, asyncio.Semaphore(ORDERS_AT_ONCE_COUNT)
         )
         async with turns:
+            if not may_send():
+                return OrderOutcome.NOT_SENT
             response = await self._call(worker, call, body, ORDER_TIMEOUT_S)
         return response if isinstance(response, OrderOutcome) else _outcome(response)
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 
-from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
 from cicadatraild.scheduling.holder import Holder
 from cicadatraild.scheduling.leadership import HolderRecord, Leadership
 from cicadatraild.scheduling.messages import (
@@ -30,6 +31,9 @@
 HINT_INTERVAL_S = 0.5
 """Time between questions to other instances about the holder."""
 
+HINT_PEERS_COUNT = 6
+"""Instances that are asked at once; the platform names three to begin with."""
+
 HINT_TIMEOUT_S = 0.4
 """Time for another instance's reply about the holder."""
 
@@ -123,22 +127,41 @@
         except TimeoutError as error:
             raise PeerUnreachableError("no reply in time", True, False) from error
 
+    def note_peer(self, host: str) -> None:
+        """Remember an instance that has connected here."""
+        self._hosts[host] = None
+
+    async def confirm_office(self) -> None:
+        """Ask peers whether a newer holder is known; they may reach the store."""
+        epoch = self._leadership.held_epoch
+        asked_s = boot_now_s()
+        hosts = self._other_hosts()
+        replies = await asyncio.gather(*[self._ask_holder(host) for host in hosts])
+        if any(replies) or not hosts:
+            self._leadership.confirm(epoch, asked_s)
+
     async def _ask_others(self) -> None:
         """Ask other instances about the holder, as the store may be out of reach."""
         now_s = loop_now_s()
         if now_s - self._asked_s < HINT_INTERVAL_S:
             return
         self._asked_s = now_s
-        for host in [*self._hosts]:
-            if host == self._own_host:
-                continue
-            try:
-                reply = await self._peers.call(host, AskHolder(), HINT_TIMEOUT_S)
-            except PeerUnreachableError as error:
-                logger.info(
-                    "entry: peer not reached.",
-                    extra={"host": host, "reason": str(error)},
-                )
-                continue
-            if isinstance(reply, HolderIs) and reply.epoch:
-                self._leadership.learn(reply.epoch, reply.host)
+        await asyncio.gather(*[self._ask_holder(host) for host in self._other_hosts()])
+
+    def _other_hosts(self) -> list[str]:
+        others = [host for host in self._hosts if host != self._own_host]
+        return random.sample(others, min(HINT_PEERS_COUNT, len(others)))
+
+    async def _ask_holder(self, host: str) -> bool:
+        """Take a peer's word on the holder; tell whether it answered."""
+        try:
+            reply = await self._peers.call(host, AskHolder(), HINT_TIMEOUT_S)
+        except PeerUnreachableError as error:
+            logger.info(
+                "entry: peer not reached.",
+                extra={"host": host, "reason": str(error)},
+            )
+            return False
+        if isinstance(reply, HolderIs) and reply.epoch:
+            self._leadership.learn(reply.epoch, reply.host)
+        return True
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
@@ -127,7 +127,7 @@
         self._dirty = asyncio.Event()
         self.scheduler.on_change = self._dirty.set
         self.journal = Journal(store, epoch, self._collect, leadership.depose)
-        self._client = WorkerClient(epoch)
+        self._client = WorkerClient(epoch, leadership.may_start)
         self.links = WorkerLinks(
             self.scheduler, self._client, self.journal, leadership.depose
         )
@@ -320,15 +320,22 @@
             await self._dirty.wait()
             self._dirty.clear()
             self.links.follow_scheduler()
-            dispatch(self.scheduler, loop_now_s())
+            if self._leadership.may_start():
+                dispatch(self.scheduler, loop_now_s())
             self.links.send_orders()
             if self.scheduler.changed_jobs or self._fleet_changed():
                 self.journal.request()
             await asyncio.sleep(DISPATCH_PAUSE_S)
 
     async def _tick(self) -> None:
+        could_start = True
         while True:
             now_s = loop_now_s()
+            may_start = self._leadership.may_start()
+            if may_start != could_start:
+                logger.info("holder: may start.", extra={"may_start": may_start})
+                self._dirty.set()
+            could_start = may_start
             self._unlist_missing(now_s)
             self.scheduler.tick(now_s, unix_now_ms())
             for worker in stop_stuck_runs(self.scheduler, now_s):
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -57,6 +57,9 @@
 LAG_PROBE_S = 0.1
 """Time between probes of the loop's lag."""
 
+CONFIRM_PAUSE_S = 0.2
+"""Time between questions to peers by a holder that the store does not answer."""
+
 HANDOVER_LAG_S = 0.25
 """Lag of the loop at which a holder counts as too slow."""
 
@@ -115,13 +118,14 @@
         async with AsyncExitStack() as stack:
             await self._store.pool.open(stack)
             await self._peers.open(stack)
-            peers = PeerServer(self._entry.answer_peer)
+            peers = PeerServer(self._entry.answer_peer, self._entry.note_peer)
             await peers.listen(stack, settings.host, settings.peer_port)
             await self._listen(stack)
             tasks: list[asyncio.Task[Any]] = [
                 asyncio.create_task(self._follow_configuration()),
                 asyncio.create_task(self._leadership.run()),
                 asyncio.create_task(self._watch_lag()),
+                asyncio.create_task(self._confirm_office()),
             ]
             stopping = asyncio.create_task(self._stop.wait())
             stack.callback(_cancel_all, [*tasks, stopping])
@@ -266,6 +270,18 @@
         self._holder = None
         self._holding = None
 
+    @property
+    def may_start(self) -> bool:
+        """Tell whether this instance may start subtasks."""
+        return self._leadership.may_start()
+
+    async def _confirm_office(self) -> None:
+        """Ask peers about a newer holder while the store does not tell."""
+        while True:
+            await asyncio.sleep(CONFIRM_PAUSE_S)
+            if self._leadership.held_epoch and not self._leadership.is_sure():
+                await self._entry.confirm_office()
+
     async def _watch_lag(self) -> None:
         """Give up the office when this machine is too slow for it."""
         slow_count = 0
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -42,6 +42,10 @@
 SURE_S = 1.0
 """Time after the sending of a renewal in which nobody can have claimed yet."""
 
+CONFIRMED_S = 0.7
+"""Time for which the word of peers that none holds a newer epoch counts: a round
+of questions with one that does not answer, and the pause before the next."""
+
 FOLLOW_WAIT_MS = 500
 """Time that a read waits at the store for the next record."""
 
@@ -105,6 +109,7 @@
         self._seen_s = 0.0
         self._sequence = 0
         self._sure_until_s = 0.0
+        self._confirmed_until_s = 0.0
         self._renewing: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
         self._store_failed = False
@@ -119,6 +124,20 @@
         """Tell whether no other instance can have claimed the office yet."""
         return self.held_epoch > 0 and boot_now_s() < self._sure_until_s
 
+    def may_start(self) -> bool:
+        """Tell whether subtasks may be started: no newer holder can be known.
+
+        A worker that has restarted obeys any holder, so its fence alone does not
+        keep a holder that was suspended or cut off from starting work again.
+        """
+        until_s = max(self._sure_until_s, self._confirmed_until_s)
+        return self.held_epoch > 0 and boot_now_s() < until_s
+
+    def confirm(self, epoch: int, asked_s: float) -> None:
+        """Note that peers asked at a time of the boot clock know no newer holder."""
+        if epoch == self.held_epoch:
+            self._confirmed_until_s = asked_s + CONFIRMED_S
+
     async def changed(self, timeout_s: float) -> None:
         """Wait for another holder, for a time at most."""
         event = self._changed
@@ -131,6 +150,8 @@
     def learn(self, epoch: int, host: str) -> None:
         """Take a peer's word on a newer holder, to route to it."""
         if epoch > (self.current.epoch if self.current else 0):
+            if epoch > self.held_epoch > 0:
+                self.depose(f"a peer knows epoch {epoch}")
             self._set(HolderRecord(epoch, "", host, ""))
 
     def suspect(self, epoch: int) -> None:
@@ -146,6 +167,7 @@
         )
         self.held_epoch = 0
         self._sure_until_s = 0.0
+        self._confirmed_until_s = 0.0
         if self._renewing is not None:
             self._renewing.cancel()
             self._renewing = None
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
@@ -45,8 +45,13 @@
 class PeerServer:
     """Answer the requests of peers."""
 
-    def __init__(self, answer: Callable[[Request], Awaitable[Reply]]) -> None:
+    def __init__(
+        self,
+        answer: Callable[[Request], Awaitable[Reply]],
+        note_peer: Callable[[str], None],
+    ) -> None:
         self._answer = answer
+        self._note_peer = note_peer
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, stack: AsyncExitStack, host: str, port: int) -> int:
@@ -60,6 +65,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         stream = FrameStream(reader, writer, FRAME_LIMIT_BYTES)
+        self._note_peer(writer.get_extra_info("peername")[0])
         room = asyncio.Semaphore(REQUESTS_AT_ONCE_COUNT)
         try:
             while True:
