Move idle machines to the pools that need them, and to standby

Ruled out: the holder's processor (0.63 of 2.15 cores), starts that wait on orders (half within 46 ms), the store.

Now: each 0.2 s the holder adds up, by pool, the cores that run and that waiting work could use within its team's limits, extrapolates a rise by two seconds, and moves machines that run nothing: from pools with more than they need, then from standby; what was not needed for two seconds goes to standby. Machines of an open wave stay. Lasting work is packed on few machines, spread over racks, so that the others can go. An order without an answer leaves the machine unused until a later list shows where it is.

Tests: balance.feature, the plan alone and real instances against a machine service that moves, one of them with lost answers.

--- a/features/standins/platform_fleet.py
+++ b/features/standins/platform_fleet.py
@@ -19,6 +19,7 @@
 
 HEARTBEAT_S = 0.5
 RESTART_S = 0.3
+STANDBY_POOL = "standby"
 
 
 @dataclass
@@ -42,6 +43,7 @@
     done: set[str] = field(default_factory=set)
     starts: Counter[str] = field(default_factory=Counter)
     last_start_s: dict[str, float] = field(default_factory=dict)
+    places: set[str] = field(default_factory=set)
     faults_seen: list[str] = field(default_factory=list)
 
     def begin(self, task: str, worker: str) -> None:
@@ -51,6 +53,7 @@
         if task in self.done:
             self.faults_seen.append(f"{task} starts after it was done")
         places.add(worker)
+        self.places.add(worker)
         self.starts[task] += 1
         self.last_start_s[task] = asyncio.get_running_loop().time()
 
@@ -83,6 +86,7 @@
         self.mute = False
         self.down_until_s = 0.0
         self.late_starts_s = 0.0
+        self.is_away = False
         self.born = int(time.time() * 1000)
         self.token = 0
         self.lives: dict[str, Life] = {}
@@ -114,7 +118,8 @@
     async def _beat(self) -> None:
         while True:
             self._seq += 1
-            self._store.put_json("keyed.servers", self.worker_id, self.entry())
+            if not self.is_away:
+                self._store.put_json("keyed.servers", self.worker_id, self.entry())
             await asyncio.sleep(HEARTBEAT_S)
 
     def entry(self) -> dict[str, Any]:
@@ -146,7 +151,7 @@
     async def handle(self, exchange: HttpExchange) -> None:
         body = json.loads(await exchange.read_body() or b"{}")
         expected = exchange.header_values(b"expect-instance")
-        if self.mute:
+        if self.mute or self.is_away:
             await asyncio.sleep(3600)
         if asyncio.get_running_loop().time() < self.down_until_s:
             exchange.abort()
@@ -268,6 +273,9 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def note_fault(self, fault: str) -> None:
+        self._fleet.faults_seen.append(fault)
+
     def restart(self) -> None:
         """Lose all that runs, as a crash does."""
         for life in self.lives.values():
@@ -284,9 +292,27 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def rest(self, pool: str) -> None:
+        """Belong to a standby pool: the machine is off and has no worker."""
+        self.restart()
+        self.is_away = True
+        self.pool = pool
+        self._store.put("keyed.servers", self.worker_id, None)
+
+    def join(self, pool: str) -> None:
+        """Serve a pool under a new id, as a moved machine's worker does."""
+        self._store.put("keyed.servers", self.worker_id, None)
+        self.worker_id = f"{self.worker_id}-moved"
+        self.pool = pool
+        self.is_away = False
+        self._store.put_json("keyed.servers", self.worker_id, self.entry())
+
 
 class PlatformMachines:
-    """The machine service; maintenance takes ``maintenance_s``."""
+    """The machine service; maintenance and moves take ``maintenance_s``.
+
+    ``lost_answers`` moves are carried out and not answered.
+    """
 
     def __init__(self, workers: list[PlatformWorker], maintenance_s: float) -> None:
         self.workers = {worker.machine: worker for worker in workers}
@@ -295,6 +321,8 @@
         self.most_down = 0
         self.orders: list[tuple[str, str, int]] = []
         self._maintenance_s = maintenance_s
+        self.moving: set[str] = set()
+        self.lost_answers = 0
 
     async def listen(self, stack: AsyncExitStack, host: str) -> int:
         server = HttpServer("machines", self.handle, HttpLimits())
@@ -307,7 +335,7 @@
                 {
                     "machine": name,
                     "pool": worker.pool,
-                    "state": "upkeep" if name in self.down else "up",
+                    "state": self._state(name),
                     "zone": "z1",
                     "labels": ["a", "r1"],
                     "capacity": worker.capacity,
@@ -322,6 +350,9 @@
         token = int(exchange.header_values(b"fencing-token")[0])
         holder = exchange.header_values(b"duty-holder")[0]
         self.orders.append((name, holder, token))
+        if exchange.target.endswith("machine-move"):
+            await self._move(exchange, name, json.loads(body)["pool"])
+            return
         if name not in self.maintained:
             self.maintained.append(name)
             self.down.add(name)
@@ -330,3 +361,30 @@
             loop = asyncio.get_running_loop()
             loop.call_later(self._maintenance_s, self.down.discard, name)
         await exchange.respond(200, b"{}")
+
+    def _state(self, name: str) -> str:
+        if name in self.moving:
+            return "moving"
+        return "upkeep" if name in self.down else "up"
+
+    async def _move(self, exchange: HttpExchange, name: str, pool: str) -> None:
+        worker = self.workers[name]
+        if worker.lives:
+            worker.note_fault(f"{name} was moved while something ran on it")
+        if name in self.moving:
+            await exchange.respond(409, b'{"reason": "busy"}')
+            return
+        worker.rest(pool)
+        self.moving.add(name)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._maintenance_s, self._arrive, name, pool)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            exchange.abort()
+            return
+        await exchange.respond(200, b"{}")
+
+    def _arrive(self, name: str, pool: str) -> None:
+        self.moving.discard(name)
+        if pool != STANDBY_POOL:
+            self.workers[name].join(pool)
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
@@ -0,0 +1,265 @@
+"""How many machines each pool needs now, and which moves lead there.
+
+Only machines that run nothing are moved: first from pools that have more than
+they need to pools that have less, then out of standby pools, where machines cost
+nothing, and into them.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from cicadatrail_core.jobs.demand import Demand
+from cicadatrail_core.jobs.models import Machine, MachineState
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.state import StepState, WorkerState
+
+USABLE_FRACTION = 0.85
+"""Part of a machine's processor that is planned with; the rest is left over
+between subtasks of several cores."""
+
+BACKLOG_S = 1.0
+"""Time in which waiting work should be started; objectives leave about that."""
+
+SPARE_COUNT = 1
+"""Machines that a pool keeps beyond its need, for failures and evacuations."""
+
+RESTING_FRACTION = 0.3
+"""Part of the operators' number of machines that a pool keeps while it is idle."""
+
+PRESENT_STATES = (MachineState.UP, MachineState.MOVING)
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedMove:
+    """Propose to move a machine that runs nothing."""
+
+    machine: str
+    pool: str
+    target: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class PoolNeed:
+    """Hold the machines that a pool has and needs, and what decided that.
+
+    ``lasting_count`` are machines for lasting work; the cores are of other work
+    that runs, that waits for room, and that is expected soon in all.
+    """
+
+    present_count: int
+    needed_count: int
+    lasting_count: int = 0
+    running_cores: float = 0.0
+    expected_cores: float = 0.0
+    waiting_cores: float = 0.0
+
+
+@dataclass(slots=True)
+class _PoolWork:
+    lasting_cores: float = 0.0
+    lasting_memory_mib: float = 0.0
+    lasting_places: int = 0
+    running_cores: float = 0.0
+    waiting_core_s: dict[str, float] = field(default_factory=dict)
+    waiting_cores: dict[str, float] = field(default_factory=dict)
+
+
+def pool_needs(
+    scheduler: Scheduler,
+    demand: Demand,
+    machines: Mapping[str, Machine],
+    sizes: Mapping[str, int],
+    now_s: float,
+) -> dict[str, PoolNeed]:
+    """Return what each pool that isn't on standby has and needs.
+
+    ``sizes`` are the numbers of machines that operators gave to the pools.
+    """
+    work = _work_by_pool(scheduler)
+    needs = {}
+    for name, pool in scheduler.configuration.pools.items():
+        if pool.standby:
+            continue
+        present_count = sum(
+            1
+            for machine in machines.values()
+            if machine.pool == name and machine.state in PRESENT_STATES
+        )
+        needs[name] = _need(
+            scheduler,
+            work.get(name, _PoolWork()),
+            name,
+            present_count,
+            sizes.get(name, present_count),
+            demand,
+            now_s,
+        )
+    return needs
+
+
+def _need(
+    scheduler: Scheduler,
+    work: _PoolWork,
+    pool: str,
+    present_count: int,
+    size: int,
+    demand: Demand,
+    now_s: float,
+) -> PoolNeed:
+    worker = next((w for w in scheduler.workers.values() if w.facts.pool == pool), None)
+    if worker is None:
+        return PoolNeed(present_count, max(1, size))
+    capacity = worker.facts.capacity
+    cores = max(0.001, capacity.cpu_millicores / 1000 * USABLE_FRACTION)
+    memory_mib = max(1.0, capacity.memory_mib * USABLE_FRACTION)
+    lasting_count = max(
+        math.ceil(work.lasting_cores / cores),
+        math.ceil(work.lasting_memory_mib / memory_mib),
+        work.lasting_places,
+    )
+    waiting = 0.0
+    for team, core_s in work.waiting_core_s.items():
+        startable = _startable_cores(scheduler, team, work.waiting_cores[team])
+        waiting += min(core_s / BACKLOG_S, startable)
+    demand.note(pool, work.running_cores + waiting, now_s)
+    expected_cores = demand.expected_cores(pool)
+    needed = max(
+        math.ceil((work.lasting_cores + expected_cores) / cores),
+        lasting_count,
+        math.ceil(RESTING_FRACTION * size),
+    )
+    return PoolNeed(
+        present_count,
+        needed + SPARE_COUNT,
+        lasting_count,
+        round(work.running_cores, 1),
+        round(expected_cores, 1),
+        round(waiting, 1),
+    )
+
+
+def _startable_cores(scheduler: Scheduler, team: str, cores: float) -> float:
+    """Return how many cores of a team's waiting work its limit lets start."""
+    known = scheduler.configuration.teams.get(team)
+    if known is None or not known.limit.cpu_millicores:
+        return cores
+    used = scheduler.team_used.get(team)
+    taken = used.cpu_millicores if used is not None else 0
+    return min(cores, max(0, known.limit.cpu_millicores - taken) / 1000)
+
+
+def _work_by_pool(scheduler: Scheduler) -> dict[str, _PoolWork]:
+    totals: dict[str, _PoolWork] = {}
+    for job in scheduler.jobs.values():
+        queue = scheduler.queues.get(job.definition.queue)
+        if job.is_final or queue is None:
+            continue
+        work = totals.setdefault(queue.pool, _PoolWork())
+        for steps in job.occurrences.values():
+            for step in steps:
+                _add_step(scheduler, work, step)
+    return totals
+
+
+def _add_step(scheduler: Scheduler, work: _PoolWork, step: StepState) -> None:
+    spec = step.spec
+    cores = spec.reserved.cpu_millicores / 1000
+    if spec.lasting:
+        work.lasting_cores += spec.count * cores
+        work.lasting_memory_mib += spec.count * spec.need.memory_mib
+        if spec.spread_limit_count:
+            places = math.ceil(spec.count / spec.spread_limit_count)
+            work.lasting_places = max(work.lasting_places, places)
+        return
+    running_count = sum(len(subtask.copies) for subtask in step.subtasks)
+    work.running_cores += running_count * cores
+    if not step.ready:
+        return
+    team = step.job.definition.team
+    waiting = len(step.ready) * cores
+    queue = step.job.definition.queue
+    run_s = scheduler.durations.expected_ms(queue, spec.estimate_ms) / 1000
+    work.waiting_cores[team] = work.waiting_cores.get(team, 0.0) + waiting
+    work.waiting_core_s[team] = work.waiting_core_s.get(team, 0.0) + waiting * run_s
+
+
+def plan_moves(
+    scheduler: Scheduler,
+    needs: Mapping[str, PoolNeed],
+    kept_counts: Mapping[str, int],
+    machines: Mapping[str, Machine],
+    held: frozenset[str],
+) -> list[PlannedMove]:
+    """Return moves of empty machines to where they are needed, or to rest.
+
+    A pool gives what it doesn't need to others, but only what exceeds
+    ``kept_counts`` to rest. ``held`` names machines that must stay, such as those
+    of an open wave.
+    """
+    standby = [
+        name for name, pool in scheduler.configuration.pools.items() if pool.standby
+    ]
+    workers = {w.facts.machine: w for w in scheduler.workers.values()}
+    free = [
+        machine
+        for machine in machines.values()
+        if machine.name not in held and machine.state is MachineState.UP
+    ]
+    surplus: list[Machine] = []
+    unneeded: set[str] = set()
+    for name, need in needs.items():
+        idle = [m for m in free if m.pool == name and _is_idle(workers.get(m.name))]
+        excess = max(0, need.present_count - need.needed_count)
+        surplus += idle[:excess]
+        excess = max(0, need.present_count - kept_counts.get(name, 0))
+        unneeded |= {machine.name for machine in idle[:excess]}
+    resting = [machine for machine in free if machine.pool in standby]
+    kinds = _kinds_by_pool(machines.values())
+    moves: list[PlannedMove] = []
+    for name, need in sorted(
+        needs.items(), key=lambda entry: entry[1].present_count - entry[1].needed_count
+    ):
+        for _ in range(need.needed_count - need.present_count):
+            machine = _take(surplus, kinds.get(name)) or _take(resting, kinds.get(name))
+            if machine is None:
+                break
+            moves.append(PlannedMove(machine.name, machine.pool, name, "needed"))
+    if standby:
+        moves += [
+            PlannedMove(machine.name, machine.pool, standby[0], "not needed")
+            for machine in surplus
+            if machine.name in unneeded
+        ]
+    return moves
+
+
+def _kinds_by_pool(machines: Iterable[Machine]) -> dict[str, set[str]]:
+    kinds: dict[str, set[str]] = {}
+    for machine in machines:
+        kinds.setdefault(machine.pool, set()).add(machine.kind)
+    return kinds
+
+
+def _take(machines: list[Machine], kinds: set[str] | None) -> Machine | None:
+    """Take a machine of a kind that the pool has; any if the pool is empty."""
+    for position, machine in enumerate(machines):
+        if kinds is None or machine.kind in kinds:
+            return machines.pop(position)
+    return None
+
+
+def _is_idle(worker: WorkerState | None) -> bool:
+    return (
+        worker is not None
+        and worker.is_resolved
+        and worker.is_listed
+        and not worker.is_suspect
+        and not worker.closed
+        and not worker.runs
+        and not worker.lapsed
+        and not worker.facts.draining
+    )
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -25,6 +25,16 @@
 COLD_PENALTY_MILLICORES = 16_000
 """Room by which a worker that still warms up counts as worse."""
 
+RACK_PENALTY_MILLICORES = 2_000
+"""Room by which a rack counts as worse for each lasting subtask of a step there."""
+
+EMPTY_PENALTY_MILLICORES = 32_000
+"""Room by which a worker without lasting work counts as worse for it."""
+
+LASTING_TOGETHER_COUNT = 2
+"""Lasting subtasks of a step on one worker, where the step does not say; its
+evacuation then takes two turns."""
+
 FAR_PENALTY_MILLICORES = 64_000
 """Room by which a worker away from a subtask's data counts as worse."""
 
@@ -266,8 +276,7 @@
     spec = subtask.step.spec
     score = worker.room.cpu_millicores
     if spec.lasting or spec.filler:
-        # Lasting work is spread, so that a lost worker costs few of them.
-        score = worker.used.cpu_millicores
+        score = _lasting_score(subtask, worker)
         if worker.facts.machine in scheduler.maintained_next:
             score += FAR_PENALTY_MILLICORES
     if spec.data_rack and spec.data_rack not in worker.facts.labels:
@@ -279,6 +288,26 @@
     return score
 
 
+def _lasting_score(subtask: Subtask, worker: WorkerState) -> int:
+    """Return how bad a worker is for lasting work.
+
+    Few machines hold all of it, so that the others can be moved; a step is spread
+    over them and over racks, so that a failure or an evacuation costs little.
+    """
+    step = subtask.step
+    on_worker = 0
+    on_rack = 0
+    for other in step.subtasks:
+        for run in other.copies:
+            on_worker += run.worker is worker
+            on_rack += run.worker.facts.rack == worker.facts.rack
+    holds_lasting = any(run.subtask.step.spec.lasting for run in worker.runs.values())
+    score = RACK_PENALTY_MILLICORES * on_rack + worker.used.cpu_millicores
+    if on_worker >= max(LASTING_TOGETHER_COUNT, step.spec.may_miss_count):
+        score += FAR_PENALTY_MILLICORES
+    return score if holds_lasting else score + EMPTY_PENALTY_MILLICORES
+
+
 def _place_gang(
     scheduler: Scheduler,
     step: StepState,
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/models.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/models.py
@@ -237,9 +237,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Machine:
-    """Describe one machine of the fleet."""
+    """Describe one machine of the fleet; only one of its kind may replace it."""
 
     name: str
     pool: str
     state: MachineState
     worker_id: str
+    kind: str = ""
--- a/packages/cicadatrail-node/src/cicadatraild/platform/documents.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/documents.py
@@ -233,6 +233,8 @@
                     pool=_text(row, "pool"),
                     state=state,
                     worker_id=_text(row, "id", ""),
+                    # The first label is the kind, the second the rack.
+                    kind=str(next(iter(row.get("labels") or ()), "")),
                 )
             )
         token = table.get("next-token")
--- a/packages/cicadatrail-node/src/cicadatraild/platform/machines.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/machines.py
@@ -74,6 +74,10 @@
         """Begin a machine's maintenance; all that runs on it ends at once."""
         return await self._order("machine-upkeep", {"machine": machine, "wave": wave})
 
+    async def move(self, machine: str, pool: str) -> MachineOutcome:
+        """Begin to move a machine to a pool; all that runs on it ends at once."""
+        return await self._order("machine-move", {"machine": machine, "pool": pool})
+
     async def _order(self, call: str, body: dict[str, object]) -> MachineOutcome:
         response = await self._call("POST", call, json.dumps(body).encode())
         if response is None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
@@ -66,6 +66,7 @@
     Submit,
     Unsettled,
 )
+from cicadatraild.scheduling.pool_balance import PoolBalance
 from cicadatraild.scheduling.roster import MachineRoster
 from cicadatraild.scheduling.worker_links import WorkerLinks
 
@@ -137,6 +138,7 @@
         self._machines = MachineClient(settings.machines, settings.node, epoch)
         roster = MachineRoster(self._machines, leadership.is_sure)
         self.waves = WaveKeeper(roster, store, self.scheduler, waves, self._mark_waves)
+        self.balance = PoolBalance(self.scheduler, roster, self.waves.held_machines)
         self._feed = TopicFeed(
             store, WORKERS_TOPIC, self._take_worker, self._compare, WORKERS_PAUSE_S
         )
@@ -183,7 +185,9 @@
     async def _order_machines(self) -> None:
         """Give orders to machines, well after those of an earlier holder."""
         await asyncio.sleep(self._settings.order_gap_s + ORDER_GAP_MARGIN_S)
-        await self.waves.run()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.waves.run())
+            group.create_task(self.balance.run())
 
     # Takeover
 
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
@@ -0,0 +1,141 @@
+"""Moving of idle machines to the pools that need them, and to rest."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import asdict
+
+from cicadatrail_core.jobs.balance import (
+    PRESENT_STATES,
+    PlannedMove,
+    PoolNeed,
+    plan_moves,
+    pool_needs,
+)
+from cicadatrail_core.jobs.demand import Demand
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.state import WorkerState
+from cicadatraild.platform.machines import MachineOutcome
+from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.roster import MachineRoster
+
+logger = logging.getLogger("cicadatrail.balance")
+
+STEP_S = 0.2
+"""Time between plans."""
+
+LIST_AGE_S = 1.0
+"""Age of the list of machines that a plan may use; own orders are added to it."""
+
+RETRY_S = 3.0
+"""Time for which a machine whose move failed is left alone; a move takes 1.5 s."""
+
+STAY_S = 2.0
+"""Time for which the most that a pool needed still counts; two moves cost about
+what a machine costs in two seconds."""
+
+ORDERS_AT_ONCE_COUNT = 12
+"""Orders of one plan; the machine service takes 64 a second or more."""
+
+
+class PoolBalance:
+    """Carry out the moves that the plan proposes."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        roster: MachineRoster,
+        held: Callable[[], frozenset[str]],
+    ) -> None:
+        self._scheduler = scheduler
+        self._roster = roster
+        self._held = held
+        self._demand = Demand()
+        self._needed: dict[str, deque[tuple[float, int]]] = {}
+        self._retry_s: dict[str, float] = {}
+        self._closed: dict[str, WorkerState] = {}
+        self._sizes: dict[str, int] = {}
+        self.move_count = 0
+
+    async def run(self) -> None:
+        """Plan and move until cancelled."""
+        while True:
+            await asyncio.sleep(STEP_S)
+            if await self._roster.refresh(LIST_AGE_S):
+                await self._balance(loop_now_s())
+
+    async def _balance(self, now_s: float) -> None:
+        machines = self._roster.machines
+        self._note_sizes()
+        self._reopen(now_s)
+        needs = pool_needs(self._scheduler, self._demand, machines, self._sizes, now_s)
+        kept = {name: self._most(name, need, now_s) for name, need in needs.items()}
+        waiting = {name for name, due_s in self._retry_s.items() if due_s > now_s}
+        held = self._held() | frozenset(waiting)
+        moves = plan_moves(self._scheduler, needs, kept, machines, held)
+        if not moves:
+            return
+        logger.info(
+            "balance: moves planned.",
+            extra={
+                "moves": len(moves),
+                "needs": {name: list(asdict(n).values()) for name, n in needs.items()},
+                "list_age_s": round(now_s - self._roster.listed_s, 3),
+            },
+        )
+        await asyncio.gather(
+            *[self._move(move, now_s) for move in moves[:ORDERS_AT_ONCE_COUNT]]
+        )
+
+    def _note_sizes(self) -> None:
+        """Remember the most machines that each pool has had."""
+        counts: dict[str, int] = {}
+        for machine in self._roster.machines.values():
+            if machine.state in PRESENT_STATES:
+                counts[machine.pool] = counts.get(machine.pool, 0) + 1
+        if not self._sizes:
+            self._sizes = counts
+
+    def _most(self, pool: str, need: PoolNeed, now_s: float) -> int:
+        """Return the most machines that a pool needed a short time ago."""
+        recent = self._needed.setdefault(pool, deque())
+        recent.append((now_s, need.needed_count))
+        while recent[0][0] < now_s - STAY_S:
+            recent.popleft()
+        return max(count for _, count in recent)
+
+    async def _move(self, move: PlannedMove, now_s: float) -> None:
+        worker = self._worker(move.machine)
+        if worker is not None:
+            worker.closed = True
+        outcome = await self._roster.move(move.machine, move.target)
+        if outcome is MachineOutcome.DONE:
+            self.move_count += 1
+            if worker is not None:
+                worker_id = worker.facts.worker_id
+                self._scheduler.remove_worker(worker_id, loop_now_s(), "moved")
+            return
+        self._retry_s[move.machine] = now_s + RETRY_S
+        if worker is not None:
+            # An order without an answer may have been carried out.
+            self._closed[move.machine] = worker
+
+    def _reopen(self, now_s: float) -> None:
+        """Use machines again whose move has failed, as a newer list shows."""
+        for name, worker in list(self._closed.items()):
+            if now_s < self._retry_s[name]:
+                continue
+            del self._closed[name]
+            machine = self._roster.machines.get(name)
+            if machine is not None and machine.worker_id == worker.facts.worker_id:
+                worker.closed = False
+                self._scheduler.on_change()
+
+    def _worker(self, machine: str) -> WorkerState | None:
+        for worker in self._scheduler.workers.values():
+            if worker.facts.machine == machine:
+                return worker
+        return None
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/roster.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/roster.py
@@ -4,8 +4,9 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 
-from cicadatrail_core.jobs.models import Machine
+from cicadatrail_core.jobs.models import Machine, MachineState
 from cicadatraild.platform.machines import MachineClient, MachineOutcome
 from cicadatraild.scheduling.clocks import loop_now_s
 
@@ -24,6 +25,7 @@
         self.machines: dict[str, Machine] = {}
         self.listed_s = float("-inf")
         self._failed_s = float("-inf")
+        self._moved: dict[str, tuple[float, str]] = {}
 
     async def refresh(self, age_limit_s: float) -> bool:
         """Read the list if it is older than a limit; tell whether there is one."""
@@ -39,6 +41,11 @@
             return bool(self.machines)
         self.machines = {machine.name: machine for machine in machines}
         self.listed_s = asked_s
+        for name, (moved_s, pool) in list(self._moved.items()):
+            if moved_s < asked_s:
+                del self._moved[name]
+            else:
+                self._set_moving(name, pool)
         return True
 
     async def maintain(self, name: str, wave: int) -> MachineOutcome:
@@ -46,15 +53,36 @@
         if not self._is_sure():
             return MachineOutcome.REFUSED
         outcome = await self.client.maintain(name, wave)
-        self._note(name, outcome, wave)
+        self._note(name, outcome, f"wave {wave}")
         return outcome
 
-    def _note(self, name: str, outcome: MachineOutcome, wave: int) -> None:
+    async def move(self, name: str, pool: str) -> MachineOutcome:
+        """Begin to move a machine on which nothing runs to another pool."""
+        if not self._is_sure():
+            return MachineOutcome.REFUSED
+        outcome = await self.client.move(name, pool)
+        if outcome is MachineOutcome.DONE:
+            self._moved[name] = (loop_now_s(), pool)
+            self._set_moving(name, pool)
+        self._note(name, outcome, f"move to {pool}")
+        return outcome
+
+    def _set_moving(self, name: str, pool: str) -> None:
+        """Show an own order that is newer than the list."""
+        if name in self.machines:
+            self.machines[name] = replace(
+                self.machines[name],
+                pool=pool,
+                state=MachineState.MOVING,
+                worker_id="",
+            )
+
+    def _note(self, name: str, outcome: MachineOutcome, purpose: str) -> None:
         logger.info(
             "machines: order sent.",
             extra={
                 "machine": name,
-                "wave": wave,
+                "purpose": purpose,
                 "outcome": outcome.value,
                 "list_age_s": round(loop_now_s() - self.listed_s, 3),
             },
