--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
@@ -66,6 +66,7 @@
     Submit,
     Unsettled,
 )
+from cicadatraild.scheduling.pool_balance import PoolBalance
 from cicadatraild.scheduling.roster import MachineRoster
 from cicadatraild.scheduling.worker_links import WorkerLinks
 
@@ -127,7 +128,7 @@
         self._dirty = asyncio.Event()
         self.scheduler.on_change = self._dirty.set
         self.journal = Journal(store, epoch, self._collect, leadership.depose)
-        self._client = WorkerClient(epoch)
+        self._client = WorkerClient(epoch, leadership.may_start)
         self.links = WorkerLinks(
             self.scheduler, self._client, self.journal, leadership.depose
         )
@@ -137,6 +138,7 @@
         self._machines = MachineClient(settings.machines, settings.node, epoch)
         roster = MachineRoster(self._machines, leadership.is_sure)
         self.waves = WaveKeeper(roster, store, self.scheduler, waves, self._mark_waves)
+        self.balance = PoolBalance(self.scheduler, roster, self.waves.held_machines)
         self._feed = TopicFeed(
             store, WORKERS_TOPIC, self._take_worker, self._compare, WORKERS_PAUSE_S
         )
@@ -183,7 +185,9 @@
     async def _order_machines(self) -> None:
         """Give orders to machines, well after those of an earlier holder."""
         await asyncio.sleep(self._settings.order_gap_s + ORDER_GAP_MARGIN_S)
-        await self.waves.run()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.waves.run())
+            group.create_task(self.balance.run())
 
     # Takeover
 
@@ -320,15 +324,22 @@
             await self._dirty.wait()
             self._dirty.clear()
             self.links.follow_scheduler()
-            dispatch(self.scheduler, loop_now_s())
+            if self._leadership.may_start():
+                dispatch(self.scheduler, loop_now_s())
             self.links.send_orders()
             if self.scheduler.changed_jobs or self._fleet_changed():
                 self.journal.request()
             await asyncio.sleep(DISPATCH_PAUSE_S)
 
     async def _tick(self) -> None:
+        could_start = True
         while True:
             now_s = loop_now_s()
+            may_start = self._leadership.may_start()
+            if may_start != could_start:
+                logger.info("holder: may start.", extra={"may_start": may_start})
+                self._dirty.set()
+            could_start = may_start
             self._unlist_missing(now_s)
             self.scheduler.tick(now_s, unix_now_ms())
             for worker in stop_stuck_runs(self.scheduler, now_s):
