Announce machine orders in the store, so that a successor waits only where it must

Now: the machines of an order are stored with the next batch before the order is sent, at most 2 s before; a successor leaves just these alone until the gap is over, starts nothing on them for 2 s, counts them as down for a wave, and orders others at once.

Tests: balance.feature, a successor and the announced machine; orders that were not announced, or too long ago.

--- a/features/balance.feature
+++ b/features/balance.feature
@@ -83,3 +83,13 @@
   Scenario: A move without an answer leaves the machine unused until a list tells
     When the machine service carries out a move and its answer is lost
     Then the machine is used where a later list shows it
+
+  Scenario: A successor leaves machines alone that may just have got an order
+    Given a holder that has announced an order for m1
+    When a successor takes over with the stored record
+    Then it may give no order for m1 before the gap is over, but for m2 at once
+
+  Scenario: No order is sent that was not announced, or was announced long ago
+    Given a holder that has announced an order for m1
+    Then it may give an order for m1 and none for m2
+    And it may give none for m1 2 seconds later
--- a/features/steps/balance_steps.py
+++ b/features/steps/balance_steps.py
@@ -9,7 +9,10 @@
 from cicadatrail_core.jobs.demand import Demand
 from cicadatrail_core.jobs.models import Step
 from cicadatrail_core.models.resources import Resources
+from cicadatraild.platform.machines import MachineOutcome
+from cicadatraild.scheduling.roster import MachineRoster
 from features.support.balance_world import CORES, STANDBY, BalanceWorld
+from features.support.paused_loop import run_paused
 from features.support.platform_cluster import (
     PlatformCluster,
     configuration,
@@ -258,3 +261,68 @@
 @step("the machine is used where a later list shows it")
 def step_used(context: Any) -> None:
     assert len(context.used) == 3, context.used
+
+
+class _Machines:
+    """A machine service that carries out every move."""
+
+    async def move(self, machine: str, pool: str) -> MachineOutcome:
+        return MachineOutcome.DONE
+
+
+async def _stored() -> None:
+    return None
+
+
+def _roster() -> MachineRoster:
+    return MachineRoster(_Machines(), lambda: True, 3.0, _stored)  # type: ignore[arg-type]
+
+
+@given("a holder that has announced an order for m1")
+def step_announced(context: Any) -> None:
+    async def announce() -> MachineRoster:
+        roster = _roster()
+        await roster.announce(["m1"])
+        return roster
+
+    context.announce = announce
+
+
+@when("a successor takes over with the stored record")
+def step_successor(context: Any) -> None:
+    async def succeed() -> list[MachineOutcome]:
+        record = (await context.announce()).encode()
+        roster = _roster()
+        roster.restore(record)
+        await roster.announce(["m1", "m2"])
+        outcomes = [await roster.move("m1", "a"), await roster.move("m2", "a")]
+        await asyncio.sleep(3.4)
+        await roster.announce(["m1"])
+        return [*outcomes, await roster.move("m1", "a")]
+
+    context.outcomes = run_paused(succeed())
+
+
+@then("it may give no order for m1 before the gap is over, but for m2 at once")
+def step_gap(context: Any) -> None:
+    refused, done = MachineOutcome.REFUSED, MachineOutcome.DONE
+    assert context.outcomes == [refused, done, done], context.outcomes
+
+
+@then("it may give an order for m1 and none for m2")
+def step_announced_only(context: Any) -> None:
+    async def order() -> list[MachineOutcome]:
+        roster = await context.announce()
+        return [await roster.move("m1", "a"), await roster.move("m2", "a")]
+
+    assert run_paused(order()) == [MachineOutcome.DONE, MachineOutcome.REFUSED]
+
+
+@then("it may give none for m1 {seconds:d} seconds later")
+def step_too_late(context: Any, seconds: int) -> None:
+    async def order() -> MachineOutcome:
+        roster = await context.announce()
+        await asyncio.sleep(seconds)
+        return await roster.move("m1", "a")
+
+    assert run_paused(order()) is MachineOutcome.REFUSED
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -426,9 +426,17 @@
 def step_lasting(context: Any) -> None:
     world = context.world
     plan = definition(3, 2, lasting=True, may_miss_count=1, spread_limit_count=3)
-    world.submit(JOB, plan)
-    context.runs = world.run_all()
+    job = world.submit(JOB, plan)
+    # One on each worker, whatever the choice of workers would be.
+    context.runs = [
+        world.scheduler.place(subtask, world.worker(name), world.now_s)
+        for subtask, name in zip(
+            job.occurrences[0][0].subtasks, world.sims, strict=True
+        )
+    ]
+    world.scheduler.starts.clear()
     for run in context.runs:
+        world.carry_out(run)
         run.percent = 100
     for sim in world.sims.values():
         sim.percent = 100
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
@@ -93,9 +93,6 @@
 WORKERS_PAUSE_S = 0.15
 """Pause between reads of the list of workers, so that they are batched."""
 
-ORDER_GAP_MARGIN_S = 0.3
-"""Time added to the platform's gap between the orders of two holders."""
-
 RETRY_S = 0.1
 """Pause before a step of the takeover is repeated."""
 
@@ -103,6 +100,7 @@
 PROGRESS_PREFIX = "p/"
 WAVE_PREFIX = "w/"
 FLEET_KEY = "fleet"
+ORDERS_KEY = "orders"
 
 
 class Holder:
@@ -136,9 +134,18 @@
         if settings.advice is not None:
             self._advice = AdviceClient(settings.advice)
         self._machines = MachineClient(settings.machines, settings.node, epoch)
-        roster = MachineRoster(self._machines, leadership.is_sure)
-        self.waves = WaveKeeper(roster, store, self.scheduler, waves, self._mark_waves)
-        self.balance = PoolBalance(self.scheduler, roster, self.waves.held_machines)
+        self._roster = MachineRoster(
+            self._machines,
+            leadership.is_sure,
+            settings.order_gap_s,
+            self.journal.flush,
+        )
+        self.waves = WaveKeeper(
+            self._roster, store, self.scheduler, waves, self._mark_waves
+        )
+        self.balance = PoolBalance(
+            self.scheduler, self._roster, self.waves.held_machines
+        )
         self._feed = TopicFeed(
             store, WORKERS_TOPIC, self._take_worker, self._compare, WORKERS_PAUSE_S
         )
@@ -183,11 +190,14 @@
                     group.create_task(Adviser(self.scheduler, self._advice).run())
 
     async def _order_machines(self) -> None:
-        """Give orders to machines, well after those of an earlier holder."""
-        await asyncio.sleep(self._settings.order_gap_s + ORDER_GAP_MARGIN_S)
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.waves.run())
-            group.create_task(self.balance.run())
+        """Carry out waves and moves until another holder writes."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.waves.run())
+                group.create_task(self.balance.run())
+        except* FencedError as errors:
+            # The journal has given the office up.
+            logger.info("holder: no orders.", extra={"reason": repr(errors)})
 
     # Takeover
 
@@ -209,6 +219,9 @@
         lease_s = self.scheduler.settings.lease_s / (1 - CLOCK_DRIFT) + LEASE_MARGIN_S
         values = {record.key: record.value or b"" for record in records}
         self._inherit_fleet(values.get(FLEET_KEY))
+        if ORDERS_KEY in values:
+            self._roster.restore(values[ORDERS_KEY])
+            self.balance.close_blocked()
         for worker in self.scheduler.workers.values():
             worker.lease_expires_s = now_s + lease_s + FORMER_HOLDER_S
         jobs = []
@@ -369,6 +382,8 @@
         if self._fleet_changed():
             self._fleet = tuple(scheduler.workers)
             records.append(KeyedRecord(FLEET_KEY, self._encode_fleet()))
+        if self._roster.has_announced:
+            records.append(KeyedRecord(ORDERS_KEY, self._roster.encode()))
         if self._changed_waves:
             self._changed_waves = False
             for number, value in self.waves.encode():
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
@@ -118,8 +118,14 @@
             return
         self._settle_down(progress)
         self._close_some(progress)
-        for name, since_s in list(progress.closing.items()):
-            await self._empty(progress, name, since_s)
+        empty = [
+            name
+            for name, since_s in list(progress.closing.items())
+            if self._is_empty(name, since_s)
+        ]
+        if empty:
+            await self._roster.announce(empty)
+            await asyncio.gather(*[self._maintain(progress, name) for name in empty])
         self._check_completed(progress)
 
     def _settle_down(self, progress: WaveProgress) -> None:
@@ -138,18 +144,21 @@
         """Choose machines to empty next, within the wave's limit."""
         wave = progress.wave
         now_s = loop_now_s()
-        away = sum(
-            1
+        # What an earlier holder ordered last may not show in the list yet.
+        blocked = self._roster.blocked()
+        away = {
+            name
             for name in wave.machines
-            if name not in progress.down
-            and name in self._roster.machines
+            if name in self._roster.machines
             and self._roster.machines[name].state is MachineState.MAINTENANCE
-        )
-        busy = len(progress.down) + len(progress.closing) + away
+        }
+        away |= blocked & set(wave.machines)
+        busy = len(progress.closing) + len(away | set(progress.down))
         candidates = [
             name
             for name in wave.machines
             if name not in progress.begun
+            and name not in blocked
             and name not in progress.closing
             and progress.retry_s.get(name, 0) <= now_s
             and name in self._roster.machines
@@ -211,16 +220,18 @@
                 return worker
         return None
 
-    async def _empty(self, progress: WaveProgress, name: str, since_s: float) -> None:
-        now_s = loop_now_s()
+    def _is_empty(self, name: str, since_s: float) -> bool:
+        """Tell whether nothing runs on a machine; move on what must not stay."""
         worker = self._worker(name)
-        if worker is not None:
-            worker.closed = True
-            evacuate(self._scheduler, worker, since_s, now_s)
-            if worker.runs or not worker.is_resolved:
-                return
+        if worker is None:
+            return True
+        worker.closed = True
+        evacuate(self._scheduler, worker, since_s, loop_now_s())
+        return worker.is_resolved and not worker.runs
+
+    async def _maintain(self, progress: WaveProgress, name: str) -> None:
         outcome = await self._roster.maintain(name, progress.wave.number)
-        self._apply(progress, name, worker, outcome)
+        self._apply(progress, name, self._worker(name), outcome)
 
     def _apply(
         self,
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
@@ -20,7 +20,7 @@
 from cicadatrail_core.jobs.state import WorkerState
 from cicadatraild.platform.machines import MachineOutcome
 from cicadatraild.scheduling.clocks import loop_now_s
-from cicadatraild.scheduling.roster import MachineRoster
+from cicadatraild.scheduling.roster import ORDER_LIMIT_S, MachineRoster
 
 logger = logging.getLogger("cicadatrail.balance")
 
@@ -60,6 +60,19 @@
         self._sizes: dict[str, int] = {}
         self.move_count = 0
 
+    def close_blocked(self) -> None:
+        """Start nothing for a while where an earlier holder may have given an order.
+
+        It may still be under way, and would end what runs on the machine.
+        """
+        due_s = loop_now_s() + ORDER_LIMIT_S
+        for name in self._roster.blocked():
+            worker = self._worker(name)
+            if worker is not None:
+                worker.closed = True
+                self._closed[name] = worker
+                self._retry_s[name] = due_s
+
     async def run(self) -> None:
         """Plan and move until cancelled."""
         while True:
@@ -74,7 +87,7 @@
         needs = pool_needs(self._scheduler, self._demand, machines, self._sizes, now_s)
         kept = {name: self._most(name, need, now_s) for name, need in needs.items()}
         waiting = {name for name, due_s in self._retry_s.items() if due_s > now_s}
-        held = self._held() | frozenset(waiting)
+        held = self._held() | frozenset(waiting) | self._roster.blocked()
         moves = plan_moves(self._scheduler, needs, kept, machines, held)
         if not moves:
             return
@@ -86,8 +99,15 @@
                 "list_age_s": round(now_s - self._roster.listed_s, 3),
             },
         )
+        moves = moves[:ORDERS_AT_ONCE_COUNT]
+        workers = {move.machine: self._worker(move.machine) for move in moves}
+        for worker in workers.values():
+            if worker is not None:
+                # Nothing starts there while the announcement is stored.
+                worker.closed = True
+        await self._roster.announce(workers)
         await asyncio.gather(
-            *[self._move(move, now_s) for move in moves[:ORDERS_AT_ONCE_COUNT]]
+            *[self._move(move, workers[move.machine], now_s) for move in moves]
         )
 
     def _note_sizes(self) -> None:
@@ -107,10 +127,9 @@
             recent.popleft()
         return max(count for _, count in recent)
 
-    async def _move(self, move: PlannedMove, now_s: float) -> None:
-        worker = self._worker(move.machine)
-        if worker is not None:
-            worker.closed = True
+    async def _move(
+        self, move: PlannedMove, worker: WorkerState | None, now_s: float
+    ) -> None:
         outcome = await self._roster.move(move.machine, move.target)
         if outcome is MachineOutcome.DONE:
             self.move_count += 1
@@ -124,15 +143,16 @@
             self._closed[move.machine] = worker
 
     def _reopen(self, now_s: float) -> None:
-        """Use machines again whose move has failed, as a newer list shows."""
+        """Use workers again that still answer long after their machine's order."""
         for name, worker in list(self._closed.items()):
-            if now_s < self._retry_s[name]:
+            due_s = self._retry_s[name]
+            if now_s < due_s or worker.is_suspect:
+                continue
+            if worker.answered_s is None or worker.answered_s < due_s:
                 continue
             del self._closed[name]
-            machine = self._roster.machines.get(name)
-            if machine is not None and machine.worker_id == worker.facts.worker_id:
-                worker.closed = False
-                self._scheduler.on_change()
+            worker.closed = False
+            self._scheduler.on_change()
 
     def _worker(self, machine: str) -> WorkerState | None:
         for worker in self._scheduler.workers.values():
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/roster.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/roster.py
@@ -1,17 +1,31 @@
-"""The machines of the fleet as the machine service lists them, and orders to them."""
+"""The machines of the fleet as the machine service lists them, and orders to them.
+
+The service doesn't check fences, so two holders may not give orders for one machine
+within the platform's gap. Each order is announced in the store before it is sent;
+a successor leaves the machines alone that were announced last.
+"""
 
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import replace
 
+import msgpack
+
 from cicadatrail_core.jobs.models import Machine, MachineState
 from cicadatraild.platform.machines import MachineClient, MachineOutcome
 from cicadatraild.scheduling.clocks import loop_now_s
 
 logger = logging.getLogger("cicadatrail.machines")
 
+ORDER_GAP_MARGIN_S = 0.3
+"""Time added to the platform's gap between the orders of two holders."""
+
+ORDER_LIMIT_S = 2.0
+"""Longest time from an announcement to the sending of the order; a slow store
+answers within 1 s."""
+
 LIST_RETRY_S = 0.5
 """Pause after the list could not be had."""
 
@@ -19,13 +33,52 @@
 class MachineRoster:
     """Keep the newest list, and send orders only while the office is sure."""
 
-    def __init__(self, client: MachineClient, is_sure: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        client: MachineClient,
+        is_sure: Callable[[], bool],
+        order_gap_s: float,
+        flush: Callable[[], Awaitable[None]],
+    ) -> None:
         self.client = client
         self._is_sure = is_sure
+        self._gap_s = order_gap_s + ORDER_GAP_MARGIN_S
+        self._flush = flush
         self.machines: dict[str, Machine] = {}
         self.listed_s = float("-inf")
         self._failed_s = float("-inf")
         self._moved: dict[str, tuple[float, str]] = {}
+        self._announced: dict[str, float] = {}
+        self._blocked: dict[str, float] = {}
+        self.has_announced = False
+
+    def encode(self) -> bytes:
+        """Return the record of machines that may have got an order lately."""
+        self.has_announced = False
+        now_s = loop_now_s()
+        kept_s = self._gap_s + ORDER_LIMIT_S
+        for name, announced_s in list(self._announced.items()):
+            if now_s - announced_s > kept_s:
+                del self._announced[name]
+        value: bytes = msgpack.packb([*self._announced])
+        return value
+
+    def restore(self, record: bytes) -> None:
+        """Leave the machines alone for a while that an earlier holder announced."""
+        until_s = loop_now_s() + self._gap_s
+        self._blocked = dict.fromkeys(msgpack.unpackb(record), until_s)
+
+    def blocked(self) -> frozenset[str]:
+        """Return the machines that an earlier holder may have given an order."""
+        now_s = loop_now_s()
+        return frozenset(n for n, until_s in self._blocked.items() if until_s > now_s)
+
+    async def announce(self, names: Iterable[str]) -> None:
+        """Store that machines may get an order. Raises FencedError."""
+        now_s = loop_now_s()
+        self._announced.update(dict.fromkeys(names, now_s))
+        self.has_announced = True
+        await self._flush()
 
     async def refresh(self, age_limit_s: float) -> bool:
         """Read the list if it is older than a limit; tell whether there is one."""
@@ -49,16 +102,16 @@
         return True
 
     async def maintain(self, name: str, wave: int) -> MachineOutcome:
-        """Begin the maintenance of a machine on which nothing runs."""
-        if not self._is_sure():
+        """Begin the maintenance of an announced machine on which nothing runs."""
+        if not self._may_order(name):
             return MachineOutcome.REFUSED
         outcome = await self.client.maintain(name, wave)
         self._note(name, outcome, f"wave {wave}")
         return outcome
 
     async def move(self, name: str, pool: str) -> MachineOutcome:
-        """Begin to move a machine on which nothing runs to another pool."""
-        if not self._is_sure():
+        """Begin to move an announced machine on which nothing runs to a pool."""
+        if not self._may_order(name):
             return MachineOutcome.REFUSED
         outcome = await self.client.move(name, pool)
         if outcome is MachineOutcome.DONE:
@@ -67,6 +120,11 @@
         self._note(name, outcome, f"move to {pool}")
         return outcome
 
+    def _may_order(self, name: str) -> bool:
+        announced_s = self._announced.get(name, float("-inf"))
+        is_recent = loop_now_s() - announced_s < ORDER_LIMIT_S
+        return self._is_sure() and is_recent and name not in self.blocked()
+
     def _set_moving(self, name: str, pool: str) -> None:
         """Show an own order that is newer than the list."""
         if name in self.machines:
