Hand the fleet over to the instance that started last; read in parallel on takeover

Now: a stopping holder asks peers for how long they have run and names the youngest one that reaches the store, strong ones first, as successor in its release; others claim a second later if that one does not. The lists of workers are read beside the fence and the jobs, and a link to a worker that the store already names does not wait for another append.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -43,6 +43,14 @@
     When the holder is told to stop while a job is submitted
     Then the job is accepted within 1 second
 
+  Scenario: A stopped holder hands over to the instance that started last
+    When three instances start one after the other and the first is told to stop
+    Then the third holds the fleet
+
+  Scenario: A named successor that is gone leaves the office to others
+    When the holder hands over to an instance that does not exist
+    Then another instance holds the fleet within 3 seconds
+
   Scenario: All instances die and the store brings everything back
     When every instance is killed while jobs run and new ones start
     Then every accepted job is completed by its successor
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -293,6 +293,43 @@
     assert context.accepted_s < 1.0, context.accepted_s
 
 
+@when("three instances start one after the other and the first is told to stop")
+def step_in_turn(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        for name in ("edge-1", "edge-2", "edge-3"):
+            cluster.start(name)
+            started = cluster.instances[name]
+            await cluster.until(lambda started=started: started.is_ready)
+            await asyncio.sleep(0.1)
+        assert cluster.holder() == "edge-1"
+        cluster.instances["edge-1"].stop()
+        await cluster.until(lambda: cluster.holder() not in (None, "edge-1"))
+        context.holder = cluster.holder()
+
+    _play(context, scenario)
+
+
+@then("the third holds the fleet")
+def step_third(context: Any) -> None:
+    assert context.holder == "edge-3", context.holder
+
+
+@when("the holder hands over to an instance that does not exist")
+def step_nobody(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        holder = await _start(cluster, 3)
+        await cluster.instances[holder].hand_over("127.0.0.99")
+        await cluster.until(lambda: cluster.holder() not in (None, holder), 3.0)
+        context.holder = cluster.holder()
+
+    _play(context, scenario)
+
+
+@then("another instance holds the fleet within 3 seconds")
+def step_another(context: Any) -> None:
+    assert context.holder is not None
+
+
 @when("every instance is killed while jobs run and new ones start")
 def step_kill_all(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -11,7 +11,9 @@
 from cicadatraild.scheduling.holder import Holder
 from cicadatraild.scheduling.leadership import HolderRecord, Leadership
 from cicadatraild.scheduling.messages import (
+    AskCandidate,
     AskHolder,
+    CandidateIs,
     HolderIs,
     Refused,
     Reply,
@@ -37,6 +39,9 @@
 HINT_TIMEOUT_S = 0.4
 """Time for another instance's reply about the holder."""
 
+CANDIDATE_TIMEOUT_S = 0.15
+"""Time for replies of peers that might hold the fleet next; they are 1 ms away."""
+
 RETRY_S = 0.05
 """Pause before the same holder is asked again."""
 
@@ -51,12 +56,14 @@
         own_host: str,
         seed_hosts: tuple[str, ...],
         holder: Callable[[], Holder | None],
+        candidate: Callable[[], CandidateIs],
     ) -> None:
         self._leadership = leadership
         self._peers = peers
         self._own_host = own_host
         self._hosts: dict[str, None] = dict.fromkeys(seed_hosts)
         self._holder = holder
+        self._candidate = candidate
         self._asked_s = float("-inf")
         self.answered_s: float | None = None
 
@@ -103,6 +110,8 @@
 
     async def answer_peer(self, request: Request) -> Reply:
         """Answer a peer's request, if this instance holds the fleet."""
+        if isinstance(request, AskCandidate):
+            return self._candidate()
         holder = self._holder()
         if isinstance(request, AskHolder) or holder is None:
             current = self._leadership.current
@@ -140,6 +149,31 @@
         if any(replies) or not hosts:
             self._leadership.confirm(epoch, asked_s)
 
+    async def choose_successor(self) -> str:
+        """Return the host of the peer that should hold the fleet next, or "".
+
+        The one that started last is the least likely to be stopped soon, as
+        instances are restarted in turn.
+        """
+        hosts = self._other_hosts()
+        replies = await asyncio.gather(*[self._ask_candidate(host) for host in hosts])
+        able = [
+            (not reply.is_strong, reply.age_s, host)
+            for host, reply in zip(hosts, replies, strict=True)
+            if reply is not None and reply.is_able
+        ]
+        return min(able)[2] if able else ""
+
+    async def _ask_candidate(self, host: str) -> CandidateIs | None:
+        try:
+            reply = await self._peers.call(host, AskCandidate(), CANDIDATE_TIMEOUT_S)
+        except PeerUnreachableError as error:
+            logger.info(
+                "entry: peer not reached.", extra={"host": host, "reason": str(error)}
+            )
+            return None
+        return reply if isinstance(reply, CandidateIs) else None
+
     async def _ask_others(self) -> None:
         """Ask other instances about the holder, as the store may be out of reach."""
         now_s = loop_now_s()
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
@@ -205,14 +205,22 @@
         """Fence the store, then read it, until that succeeds."""
         while True:
             try:
-                await self.journal.fence()
-                records, _ = await self._store.newest(JOBS_TOPIC)
-                await self._feed.load()
+                async with asyncio.TaskGroup() as group:
+                    reading = group.create_task(self._read_jobs())
+                    group.create_task(self._feed.load())
                 break
-            except StoreUnavailableError as error:
-                logger.warning("holder: takeover waits.", extra={"reason": str(error)})
-                await asyncio.sleep(RETRY_S)
-        self._inherit(records)
+            except* StoreUnavailableError as errors:
+                logger.warning(
+                    "holder: takeover waits.", extra={"reason": repr(errors)}
+                )
+            await asyncio.sleep(RETRY_S)
+        self._inherit(reading.result())
+
+    async def _read_jobs(self) -> list[KeyedRecord]:
+        """Read the stored jobs once no earlier holder can change them."""
+        await self.journal.fence()
+        records, _ = await self._store.newest(JOBS_TOPIC)
+        return records
 
     def _inherit(self, records: list[KeyedRecord]) -> None:
         now_s = loop_now_s()
@@ -270,7 +278,9 @@
         """Add workers that the last holder used and that aren't listed now."""
         if value is None:
             return
-        for entry in msgpack.unpackb(value):
+        entries = msgpack.unpackb(value)
+        self.links.stored_ids = frozenset(entry[0] for entry in entries)
+        for entry in entries:
             worker_id, pool, host, port, capacity, born_unix_ms = entry
             if worker_id in self.scheduler.workers:
                 continue
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -32,6 +32,7 @@
 from cicadatraild.scheduling.feeds import TopicFeed
 from cicadatraild.scheduling.holder import Holder
 from cicadatraild.scheduling.leadership import Leadership
+from cicadatraild.scheduling.messages import CandidateIs
 from cicadatraild.scheduling.metrics import InstanceMetrics
 from cicadatraild.scheduling.peers import PeerClient, PeerServer
 from cicadatraild.utils.output import OutputHandler
@@ -54,6 +55,10 @@
 WEAK_CLAIM_DELAY_S = 0.15
 """Time that weaker instances leave to others; several round trips to the store."""
 
+CANDIDATE_STORE_AGE_S = 1.5
+"""Age of the store's last answer with which an instance may be named successor;
+it is asked at least twice a second."""
+
 LAG_PROBE_S = 0.1
 """Time between probes of the loop's lag."""
 
@@ -95,11 +100,13 @@
             settings.host,
             settings.seed_hosts,
             lambda: self._holder,
+            self._describe_candidate,
         )
         self._callers = CallerInterface(
             self._entry, lambda: self._configuration, lambda: self._stop.is_set()
         )
         self._stop = asyncio.Event()
+        self._began_s = loop_now_s()
         self.metrics = InstanceMetrics(
             self._store, self._leadership, lambda: self._holder, self._callers, output
         )
@@ -294,14 +301,41 @@
             if slow_count >= HANDOVER_PROBES_COUNT and self._leadership.held_epoch:
                 logger.warning("instance: too slow.", extra={"lag_s": round(lag_s, 3)})
                 slow_count = 0
-                await self._leadership.release()
+                await self._release()
                 self._leadership.retiring = False
 
+    def _describe_candidate(self) -> CandidateIs:
+        """Tell a peer whether this instance could hold the fleet next."""
+        answered_s = self._leadership.store_answered_s
+        is_fresh = (
+            answered_s is not None and loop_now_s() - answered_s < CANDIDATE_STORE_AGE_S
+        )
+        return CandidateIs(
+            self.is_ready and is_fresh,
+            self._settings.cores >= STRONG_CORES,
+            loop_now_s() - self._began_s,
+        )
+
+    async def _release(self) -> None:
+        """Hand the office to a peer that will probably stay."""
+        successor = ""
+        if self._leadership.held_epoch:
+            successor = await self._entry.choose_successor()
+        await self.hand_over(successor)
+
+    async def hand_over(self, successor: str) -> None:
+        """Give up the office; ``successor`` is the host to claim it, "" for any."""
+        logger.info(
+            "instance: handing over.",
+            extra={"epoch": self._leadership.held_epoch, "successor": successor},
+        )
+        await self._leadership.release(successor)
+
     async def _retire(self) -> None:
         """Hand the office over, then serve until the platform's grace ends."""
         logger.info("instance: stopping.", extra={"epoch": self._leadership.held_epoch})
         began_s = loop_now_s()
-        await self._leadership.release()
+        await self._release()
         left_s = self._settings.grace_s - STOP_MARGIN_S - (loop_now_s() - began_s)
         await asyncio.sleep(max(0.0, left_s))
         logger.info("instance: stopped.")
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -49,6 +49,10 @@
 FOLLOW_WAIT_MS = 500
 """Time that a read waits at the store for the next record."""
 
+SUCCESSOR_HEAD_START_S = 1.0
+"""Time that a named successor has before others claim; three calls to a store that
+is 60 times slow."""
+
 CLAIM_JITTER_S = 0.05
 """Spread of claims, so that few of them collide."""
 
@@ -61,13 +65,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HolderRecord:
-    """Name the holder of an epoch; ``process_id`` is one life of its process."""
+    """Name the holder of an epoch; ``process_id`` is one life of its process.
+
+    ``successor`` is the host that should claim first after a release, or "".
+    """
 
     epoch: int
     node: str
     host: str
     process_id: str
     released: bool = False
+    successor: str = ""
 
 
 def _encode(holder: HolderRecord) -> KeyedRecord:
@@ -178,14 +186,19 @@
         if self._renewing is not None:
             self._renewing.cancel()
 
-    async def release(self) -> None:
-        """Give up the office in the store, so that another claims at once."""
+    async def release(self, successor: str) -> None:
+        """Give up the office in the store, so that another claims at once.
+
+        ``successor`` is the host that should claim, or "" for any.
+        """
         epoch = self.held_epoch
         self.retiring = True
         if not epoch:
             return
         self.depose("released")
-        record = HolderRecord(epoch, self._node, self._host, self._process_id, True)
+        record = HolderRecord(
+            epoch, self._node, self._host, self._process_id, True, successor
+        )
         for _ in range(3):
             try:
                 await self._append(record, epoch)
@@ -263,8 +276,12 @@
         if self.held_epoch or self.retiring:
             return False
         current = self.current
-        if current is None or current.released:
+        if current is None:
             return True
+        if current.released:
+            is_mine = current.successor in ("", self._host)
+            silent_s = loop_now_s() - self._seen_s
+            return is_mine or silent_s > SUCCESSOR_HEAD_START_S
         if current.epoch <= self.suspected_epoch:
             return True
         if current.node == self._node and current.process_id != self._process_id:
@@ -272,7 +289,8 @@
         return loop_now_s() - self._seen_s > SILENCE_LIMIT_S
 
     async def _claim(self) -> None:
-        await asyncio.sleep(self._claim_delay_s + random.uniform(0, CLAIM_JITTER_S))
+        if self.current is None or self.current.successor != self._host:
+            await asyncio.sleep(self._claim_delay_s + random.uniform(0, CLAIM_JITTER_S))
         epoch = (self.current.epoch if self.current else 0) + 1
         record = HolderRecord(epoch, self._node, self._host, self._process_id)
         sent_s = boot_now_s()
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/messages.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/messages.py
@@ -40,6 +40,11 @@
     """Ask who holds the fleet, as far as the peer knows."""
 
 
+@dataclass(frozen=True, slots=True)
+class AskCandidate:
+    """Ask a peer whether it could hold the fleet next."""
+
+
 @dataclass(frozen=True, slots=True)
 class Stored:
     """Say that the job is in the store, or its cancelling is."""
@@ -81,8 +86,17 @@
     host: str
 
 
-Request = Submit | AskPhase | Cancel | CountQueued | AskHolder
-Reply = Stored | Refused | Unsettled | PhaseIs | QueuedCount | HolderIs
+@dataclass(frozen=True, slots=True)
+class CandidateIs:
+    """Say whether a peer could hold the fleet, and for how long it has run."""
+
+    is_able: bool
+    is_strong: bool
+    age_s: float
+
+
+Request = Submit | AskPhase | Cancel | CountQueued | AskHolder | AskCandidate
+Reply = Stored | Refused | Unsettled | PhaseIs | QueuedCount | HolderIs | CandidateIs
 
 _TYPES: dict[str, Any] = {
     cls.__name__: cls
@@ -92,12 +106,14 @@
         Cancel,
         CountQueued,
         AskHolder,
+        AskCandidate,
         Stored,
         Refused,
         Unsettled,
         PhaseIs,
         QueuedCount,
         HolderIs,
+        CandidateIs,
     )
 }
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -68,6 +68,8 @@
         self._on_fenced = on_fenced
         self._links: dict[str, asyncio.Task[None]] = {}
         self._orders: set[asyncio.Task[None]] = set()
+        # Workers that the store named when this holder took over.
+        self.stored_ids: frozenset[str] = frozenset()
         self.list_count = 0
         self.start_count = 0
 
@@ -105,7 +107,8 @@
     async def _run(self, worker: WorkerState) -> None:
         # Nothing runs on a worker before the store names it to a successor.
         try:
-            await self._journal.flush()
+            if worker.facts.worker_id not in self.stored_ids:
+                await self._journal.flush()
             while self._scheduler.workers.get(worker.facts.worker_id) is worker:
                 await self._exchange(worker)
         except FencedError:
