--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -298,8 +298,8 @@
     async def scenario(cluster: PlatformCluster) -> None:
         for name in ("edge-1", "edge-2", "edge-3"):
             cluster.start(name)
-            started = cluster.instances[name]
-            await cluster.until(lambda started=started: started.is_ready)
+            while not cluster.instances[name].is_ready:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
             await asyncio.sleep(0.1)
         assert cluster.holder() == "edge-1"
         cluster.instances["edge-1"].stop()
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -321,14 +321,17 @@
         successor = ""
         if self._leadership.held_epoch:
             successor = await self._entry.choose_successor()
+        # Without the office, too, so that none is claimed any more.
         await self.hand_over(successor)
 
     async def hand_over(self, successor: str) -> None:
         """Give up the office; ``successor`` is the host to claim it, "" for any."""
-        logger.info(
-            "instance: handing over.",
-            extra={"epoch": self._leadership.held_epoch, "successor": successor},
-        )
+        epoch = self._leadership.held_epoch
+        if epoch:
+            logger.info(
+                "instance: handing over.",
+                extra={"epoch": epoch, "successor": successor},
+            )
         await self._leadership.release(successor)
 
     async def _retire(self) -> None:
