Let jobs of teams under their share begin first

Cause: among jobs that can still be in time the order was by their objective alone, so that a team that sends many times its usual takes a full pool; weights were not looked at.

Now: a team that runs more than its weight's share of what runs, with some slack, waits with jobs that have not begun; jobs that have begun are finished first.

Test: jobs.feature, weights 1 and 3 in a full pool (the order by objective alone gives equal parts).

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -19,6 +19,12 @@
     When 12 subtasks of 3 cores are ready
     Then 3 are started and the rest wait
 
+  Scenario: In a full pool a team under its share goes before one over it
+    Given a scheduler with 2 workers of 8 cores
+    And two teams with weights 1 and 3 that submit much more than fits
+    When subtasks end one after the other
+    Then the teams run about 1 to 3 parts of the pool
+
   Scenario: A start without an answer counts until it is settled
     Given a scheduler with 2 workers of 8 cores
     When a start gets no answer and the worker does not list it
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -16,6 +16,7 @@
     JobPhase,
     Step,
     SubtaskName,
+    Team,
 )
 from cicadatrail_core.jobs.pacing import plan_pace
 from cicadatrail_core.jobs.records import (
@@ -98,6 +99,42 @@
     assert len(context.world.dispatch()) == 1
 
 
+@given("two teams with weights {light:d} and {heavy:d} that submit much more than fits")
+def step_two_teams(context: Any, light: int, heavy: int) -> None:
+    world = context.world
+    teams = {
+        "light": Team("light", ("a",), light),
+        "heavy": Team("heavy", ("b",), heavy),
+    }
+    world.scheduler.configure(replace(configuration(), version=2, teams=teams))
+    plan = definition(1, 1)
+    for number in range(60):
+        world.submit(f"{number:016x}", replace(plan, team="light"))
+        world.submit(f"{number + 100:016x}", replace(plan, team="heavy"))
+
+
+@when("subtasks end one after the other")
+def step_end_in_turn(context: Any) -> None:
+    world = context.world
+    world.run_all()
+    context.used = []
+    for sim in [*world.sims.values()] * 20:
+        sim.end(next(iter(sim.running)), EndKind.DONE)
+        world.report(sim.worker_id)
+        world.run_all()
+        used = world.scheduler.team_used
+        context.used.append(
+            (used["light"].cpu_millicores, used["heavy"].cpu_millicores)
+        )
+
+
+@then("the teams run about {light:d} to {heavy:d} parts of the pool")
+def step_parts(context: Any, light: int, heavy: int) -> None:
+    few, many = context.used[-1]
+    share = few / (few + many)
+    assert abs(share - light / (light + heavy)) <= 0.1, context.used[-3:]
+
+
 @when("a start gets no answer and the worker does not list it")
 def step_unanswered(context: Any) -> None:
     world = context.world
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from cicadatrail_core.jobs.models import Queue, Step
@@ -22,6 +22,10 @@
 RESERVE_AFTER_S = 1.5
 """Wait after which a blocked step keeps a worker free of other work."""
 
+SHARE_SLACK = 1.2
+"""Times its share from which a team counts as over it; one job of several
+subtasks is a visible part of a small team's share."""
+
 COLD_PENALTY_MILLICORES = 16_000
 """Room by which a worker that still warms up counts as worse."""
 
@@ -72,7 +76,28 @@
 
 def dispatch(scheduler: Scheduler, now_s: float) -> None:
     """Place ready subtasks on workers, most urgent first."""
+    ready = list(_ready_steps(scheduler))
+    if not ready:
+        return
+    over_share = _teams_over_share(scheduler, ready)
     pools: dict[str, list[_Candidate]] = {}
+    for step, steps, queue in ready:
+        # A job that has begun is finished first, or all of them get late.
+        is_over = not step.job.started and step.job.definition.team in over_share
+        order = _order(scheduler, step, steps, queue, is_over, now_s)
+        pools.setdefault(queue.pool, []).append(_Candidate(order, step, queue))
+    unsettled = _unsettled_by_team(scheduler, now_s)
+    for pool, candidates in pools.items():
+        settled = scheduler.pool_is_settled(pool, now_s)
+        candidates.sort(key=lambda candidate: candidate.order)
+        workers = _usable_workers(scheduler, pool, now_s)
+        _fill(scheduler, candidates, workers, settled, unsettled, now_s)
+
+
+def _ready_steps(
+    scheduler: Scheduler,
+) -> Iterator[tuple[StepState, list[StepState], Queue]]:
+    """Yield each step that has ready subtasks, its occurrence's steps, its queue."""
     for job in scheduler.jobs.values():
         if job.is_final or not job.is_stored:
             continue
@@ -82,28 +107,23 @@
         for steps in job.occurrences.values():
             for step in steps:
                 if step.ready:
-                    order = _order(scheduler, job, step, steps, queue, now_s)
-                    candidate = _Candidate(order, step, queue)
-                    pools.setdefault(queue.pool, []).append(candidate)
-    if not pools:
-        return
-    unsettled = _unsettled_by_team(scheduler, now_s)
-    for pool, candidates in pools.items():
-        settled = scheduler.pool_is_settled(pool, now_s)
-        candidates.sort(key=lambda candidate: candidate.order)
-        workers = _usable_workers(scheduler, pool, now_s)
-        _fill(scheduler, candidates, workers, settled, unsettled, now_s)
+                    yield step, steps, queue
 
 
 def _order(
     scheduler: Scheduler,
-    job: JobState,
     step: StepState,
     steps: list[StepState],
     queue: Queue,
+    is_over: bool,
     now_s: float,
 ) -> tuple[float, ...]:
-    """Return the sort key of a step; smaller starts earlier."""
+    """Return the sort key of a step; smaller starts earlier.
+
+    ``is_over`` tells that the team has more than its share: it waits for teams
+    that have less, but goes before jobs that are late already.
+    """
+    job = step.job
     if step.spec.lasting:
         return (0, queue.priority, 0, 0, job.accepted_s)
     chain_s = remaining_chain_s(scheduler, steps)
@@ -113,7 +133,30 @@
     if expected_s > limit_s:
         lateness = 1 if expected_s <= LATE_FACTOR * limit_s else 2
     urgency_s = chain_s if lateness else job.accepted_s + limit_s
-    return (1, queue.priority, lateness, urgency_s, job.accepted_s)
+    return (1, queue.priority, lateness, is_over, urgency_s, job.accepted_s)
+
+
+def _teams_over_share(
+    scheduler: Scheduler, ready: Iterable[tuple[StepState, list[StepState], Queue]]
+) -> frozenset[str]:
+    """Return the teams that run more than their weights give them.
+
+    Shares are those of the teams that run something or wait to.
+    Source: weighted fair sharing of the processors in use.
+    """
+    teams = scheduler.configuration.teams
+    used = {name: 0 for step, _, _ in ready if (name := step.job.definition.team)}
+    for name, amount in scheduler.team_used.items():
+        if amount.cpu_millicores:
+            used[name] = amount.cpu_millicores
+    used = {name: used[name] for name in used if name in teams}
+    weight = sum(teams[name].weight for name in used)
+    total = sum(used.values())
+    return frozenset(
+        name
+        for name, millicores in used.items()
+        if millicores * weight > SHARE_SLACK * total * teams[name].weight
+    )
 
 
 def _unsettled_by_team(scheduler: Scheduler, now_s: float) -> dict[str, Resources]:
