--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
@@ -96,6 +96,15 @@
         for team, resources in sorted(holder.scheduler.team_used.items()):
             used.add_metric([team], resources.cpu_millicores / 1000)
         yield used
+        machines = GaugeMetricFamily(
+            "cicadatrail_pool_machines",
+            "Machines that a pool has and needs",
+            labels=["pool", "kind"],
+        )
+        for pool, need in sorted(holder.balance.needs.items()):
+            machines.add_metric([pool, "present"], need.present_count)
+            machines.add_metric([pool, "needed"], need.needed_count)
+        yield machines
 
     def _gauges(self) -> dict[str, float]:
         gauges: dict[str, float] = {
@@ -118,5 +127,7 @@
             "stored_bytes": holder.journal.stored_bytes,
             "worker_lists": holder.links.list_count,
             "starts": holder.links.start_count,
+            "machine_moves": holder.balance.move_count,
+            "may_start": self._leadership.may_start(),
         }
         return gauges
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
@@ -56,6 +56,7 @@
         self._needed: dict[str, deque[tuple[float, int]]] = {}
         self._retry_s: dict[str, float] = {}
         self._closed: dict[str, WorkerState] = {}
+        self.needs: dict[str, PoolNeed] = {}
         self.move_count = 0
 
     def close_blocked(self) -> None:
@@ -82,6 +83,7 @@
         machines = self._roster.machines
         self._reopen(now_s)
         needs = pool_needs(self._scheduler, self._demand, machines, now_s)
+        self.needs = needs
         kept = {name: self._most(name, need, now_s) for name, need in needs.items()}
         waiting = {name for name, due_s in self._retry_s.items() if due_s > now_s}
         held = self._held() | frozenset(waiting) | self._roster.blocked()
