Keep the records for a successor in a module of their own

The workers that the store names at a takeover are used once, so that one that comes back under its id is stored again before anything runs there.

--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/holder.py
@@ -6,34 +6,21 @@
 import logging
 from collections.abc import Callable
 from contextlib import AsyncExitStack
-from dataclasses import astuple
-
-import msgpack
 
 from cicadatrail_core.jobs.dispatch import dispatch
 from cicadatrail_core.jobs.ejection import EJECTION_S, eject
 from cicadatrail_core.jobs.evacuation import evacuate, stop_stuck_runs
 from cicadatrail_core.jobs.models import (
     FleetConfiguration,
-    JobDefinition,
-    JobPhase,
     Wave,
-    WorkerFacts,
 )
 from cicadatrail_core.jobs.records import (
-    apply_progress,
     decode_definition,
-    encode_definition,
-    encode_progress,
 )
 from cicadatrail_core.jobs.scheduler import (
-    CLOCK_DRIFT,
-    LEASE_MARGIN_S,
     Scheduler,
     SchedulerSettings,
 )
-from cicadatrail_core.jobs.state import JobState, WorkerState
-from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.advice import AdviceClient
 from cicadatraild.platform.documents import decode_worker
 from cicadatraild.platform.machines import MachineClient
@@ -50,7 +37,8 @@
 from cicadatraild.scheduling.adviser import Adviser
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
 from cicadatraild.scheduling.feeds import TopicFeed
-from cicadatraild.scheduling.journal import RECORD_LIMIT_BYTES, Batch, Journal
+from cicadatraild.scheduling.holder_records import HolderRecords
+from cicadatraild.scheduling.journal import RECORD_LIMIT_BYTES, Journal
 from cicadatraild.scheduling.leadership import Leadership
 from cicadatraild.scheduling.maintenance import WaveKeeper
 from cicadatraild.scheduling.messages import (
@@ -75,9 +63,6 @@
 LEASE_S = 3.5
 """Lease given to workers: covers a takeover after silence, and lapses soon."""
 
-FORMER_HOLDER_S = 0.5
-"""Time for which an earlier holder may renew leases before it knows."""
-
 TICK_S = 0.1
 """Time between checks of leases, due occurrences and stuck runs."""
 
@@ -96,12 +81,6 @@
 RETRY_S = 0.1
 """Pause before a step of the takeover is repeated."""
 
-JOB_PREFIX = "j/"
-PROGRESS_PREFIX = "p/"
-WAVE_PREFIX = "w/"
-FLEET_KEY = "fleet"
-ORDERS_KEY = "orders"
-
 
 class Holder:
     """Hold the fleet for one epoch."""
@@ -125,7 +104,8 @@
         self._leadership = leadership
         self._dirty = asyncio.Event()
         self.scheduler.on_change = self._dirty.set
-        self.journal = Journal(store, epoch, self._collect, leadership.depose)
+        self._records = HolderRecords(self.scheduler)
+        self.journal = Journal(store, epoch, self._records.collect, leadership.depose)
         self._client = WorkerClient(epoch, leadership.may_start)
         self.links = WorkerLinks(
             self.scheduler, self._client, self.journal, leadership.depose
@@ -146,13 +126,11 @@
         self.balance = PoolBalance(
             self.scheduler, self._roster, self.waves.held_machines
         )
+        self._records.attach(self._roster, self.waves)
         self._feed = TopicFeed(
             store, WORKERS_TOPIC, self._take_worker, self._compare, WORKERS_PAUSE_S
         )
         self._missing: dict[str, float] = {}
-        self._submitted: dict[str, asyncio.Future[Reply]] = {}
-        self._fleet: tuple[str, ...] | None = None
-        self._changed_waves = False
         self._evacuating: dict[str, float] = {}
 
     def configure(self, configuration: FleetConfiguration) -> None:
@@ -214,7 +192,9 @@
                     "holder: takeover waits.", extra={"reason": repr(errors)}
                 )
             await asyncio.sleep(RETRY_S)
-        self._inherit(reading.result())
+        self._records.inherit(reading.result())
+        self.links.stored_ids = self._records.stored_worker_ids
+        self.balance.close_blocked()
 
     async def _read_jobs(self) -> list[KeyedRecord]:
         """Read the stored jobs once no earlier holder can change them."""
@@ -222,80 +202,6 @@
         records, _ = await self._store.newest(JOBS_TOPIC)
         return records
 
-    def _inherit(self, records: list[KeyedRecord]) -> None:
-        now_s = loop_now_s()
-        lease_s = self.scheduler.settings.lease_s / (1 - CLOCK_DRIFT) + LEASE_MARGIN_S
-        values = {record.key: record.value or b"" for record in records}
-        self._inherit_fleet(values.get(FLEET_KEY))
-        if ORDERS_KEY in values:
-            self._roster.restore(values[ORDERS_KEY])
-            self.balance.close_blocked()
-        for worker in self.scheduler.workers.values():
-            worker.lease_expires_s = now_s + lease_s + FORMER_HOLDER_S
-        jobs = []
-        for key, value in values.items():
-            try:
-                if key.startswith(JOB_PREFIX):
-                    job_id = key.removeprefix(JOB_PREFIX)
-                    progress = values.get(PROGRESS_PREFIX + job_id)
-                    jobs.append(self._restore(job_id, value, progress, now_s))
-                elif key.startswith(PROGRESS_PREFIX):
-                    job_id = key.removeprefix(PROGRESS_PREFIX)
-                    if JOB_PREFIX + job_id not in values:
-                        jobs.append(self._restore(job_id, None, value, now_s))
-                elif key.startswith(WAVE_PREFIX):
-                    self.waves.restore(int(key.removeprefix(WAVE_PREFIX)), value)
-            except (ValueError, TypeError, KeyError) as error:
-                logger.error(
-                    "holder: record can't be read.",
-                    extra={"key": key, "reason": repr(error)},
-                )
-        self.scheduler.inherit(jobs)
-        for job in jobs:
-            self.scheduler.activate(job, now_s, unix_now_ms())
-
-    def _restore(
-        self,
-        job_id: str,
-        definition: bytes | None,
-        progress: bytes | None,
-        now_s: float,
-    ) -> JobState:
-        plan = JobDefinition("", "", "", ())
-        accepted_s = now_s
-        if definition is not None:
-            plan = decode_definition(definition)
-            age_s = (unix_now_ms() - plan.submitted_unix_ms) / 1000
-            accepted_s = now_s - max(0.0, age_s)
-        job = JobState(job_id, plan, accepted_s)
-        job.ended_s = now_s
-        if progress is not None:
-            apply_progress(job, progress)
-        job.started = bool(job.occurrences or job.done_occurrences)
-        return job
-
-    def _inherit_fleet(self, value: bytes | None) -> None:
-        """Add workers that the last holder used and that aren't listed now."""
-        if value is None:
-            return
-        entries = msgpack.unpackb(value)
-        self.links.stored_ids = frozenset(entry[0] for entry in entries)
-        for entry in entries:
-            worker_id, pool, host, port, capacity, born_unix_ms = entry
-            if worker_id in self.scheduler.workers:
-                continue
-            facts = WorkerFacts(
-                worker_id=worker_id,
-                pool=pool,
-                host=host,
-                port=port,
-                zone="",
-                capacity=Resources(*capacity),
-                born_unix_ms=born_unix_ms,
-            )
-            self.scheduler.workers[worker_id] = WorkerState(facts)
-            self.scheduler.workers[worker_id].is_listed = False
-
     # The list of workers
 
     def _take_worker(self, record: KeyedRecord) -> None:
@@ -350,7 +256,7 @@
             if self._leadership.may_start():
                 dispatch(self.scheduler, loop_now_s())
             self.links.send_orders()
-            if self.scheduler.changed_jobs or self._fleet_changed():
+            if self.scheduler.changed_jobs or self._records.has_new_fleet():
                 self.journal.request()
             await asyncio.sleep(DISPATCH_PAUSE_S)
 
@@ -376,77 +282,10 @@
             self.links.send_orders()
             await asyncio.sleep(TICK_S)
 
-    # Storing
-
-    def _fleet_changed(self) -> bool:
-        return self._fleet != tuple(self.scheduler.workers)
-
     def _mark_waves(self) -> None:
-        self._changed_waves = True
+        self._records.mark_waves()
         self.journal.request()
 
-    def _collect(self) -> Batch:
-        """Return the records of what has changed."""
-        scheduler = self.scheduler
-        records: list[KeyedRecord] = []
-        if self._fleet_changed():
-            self._fleet = tuple(scheduler.workers)
-            records.append(KeyedRecord(FLEET_KEY, self._encode_fleet()))
-        if self._roster.has_announced:
-            records.append(KeyedRecord(ORDERS_KEY, self._roster.encode()))
-        if self._changed_waves:
-            self._changed_waves = False
-            for number, value in self.waves.encode():
-                records.append(KeyedRecord(f"{WAVE_PREFIX}{number}", value))
-        changed, scheduler.changed_jobs = scheduler.changed_jobs, {}
-        ended: list[tuple[JobState, JobPhase]] = []
-        accepted: list[JobState] = []
-        for job_id in changed:
-            job = scheduler.jobs.get(job_id)
-            if job is None:
-                continue
-            if not job.is_stored:
-                value = encode_definition(job.definition)
-                records.append(KeyedRecord(JOB_PREFIX + job_id, value))
-                accepted.append(job)
-                continue
-            records.append(KeyedRecord(PROGRESS_PREFIX + job_id, encode_progress(job)))
-            if job.is_final and job.stored_phase is JobPhase.PENDING:
-                ended.append((job, job.phase))
-            if job.is_final and not job.has_runs:
-                # A successor has to count what still runs, so the steps go last.
-                records.append(KeyedRecord(JOB_PREFIX + job_id, None))
-        forgotten, scheduler.forgotten_jobs = scheduler.forgotten_jobs, []
-        for job_id in forgotten:
-            records.append(KeyedRecord(PROGRESS_PREFIX + job_id, None))
-
-        def on_stored() -> None:
-            now_s = loop_now_s()
-            for job, phase in ended:
-                job.stored_phase = phase
-                if phase is JobPhase.CANCELLED:
-                    scheduler.stop_runs(job)
-            for job in accepted:
-                scheduler.activate(job, now_s, unix_now_ms())
-
-        return records, on_stored
-
-    def _encode_fleet(self) -> bytes:
-        value: bytes = msgpack.packb(
-            [
-                [
-                    worker.facts.worker_id,
-                    worker.facts.pool,
-                    worker.facts.host,
-                    worker.facts.port,
-                    astuple(worker.facts.capacity),
-                    worker.born_unix_ms,
-                ]
-                for worker in self.scheduler.workers.values()
-            ]
-        )
-        return value
-
     # Requests
 
     async def answer(self, request: Request) -> Reply:
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/holder_records.py
@@ -0,0 +1,201 @@
+"""The records by which a holder's successor knows what it has to know."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import astuple
+
+import msgpack
+
+from cicadatrail_core.jobs.models import JobDefinition, JobPhase, WorkerFacts
+from cicadatrail_core.jobs.records import (
+    apply_progress,
+    decode_definition,
+    encode_definition,
+    encode_progress,
+)
+from cicadatrail_core.jobs.scheduler import CLOCK_DRIFT, LEASE_MARGIN_S, Scheduler
+from cicadatrail_core.jobs.state import JobState, WorkerState
+from cicadatrail_core.models.resources import Resources
+from cicadatraild.platform.store import KeyedRecord
+from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
+from cicadatraild.scheduling.journal import Batch
+from cicadatraild.scheduling.maintenance import WaveKeeper
+from cicadatraild.scheduling.roster import MachineRoster
+
+logger = logging.getLogger("cicadatrail.holder")
+
+FORMER_HOLDER_S = 0.5
+"""Time for which an earlier holder may renew leases before it knows."""
+
+JOB_PREFIX = "j/"
+PROGRESS_PREFIX = "p/"
+WAVE_PREFIX = "w/"
+FLEET_KEY = "fleet"
+ORDERS_KEY = "orders"
+
+
+class HolderRecords:
+    """Collect what has changed, and restore it in a successor.
+
+    Records: a job, its progress, the machines that a wave has begun with, the
+    workers that may run something, the machines that got an order lately.
+    """
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self._scheduler = scheduler
+        self._fleet: tuple[str, ...] | None = None
+        self._changed_waves = False
+        self._roster: MachineRoster
+        self._waves: WaveKeeper
+        # Workers that the store named when this holder took over.
+        self.stored_worker_ids: set[str] = set()
+
+    def attach(self, roster: MachineRoster, waves: WaveKeeper) -> None:
+        """Set the parts whose records are kept, too."""
+        self._roster = roster
+        self._waves = waves
+
+    def mark_waves(self) -> None:
+        """Note that waves have come further."""
+        self._changed_waves = True
+
+    def has_new_fleet(self) -> bool:
+        """Tell whether workers that may run something aren't stored yet."""
+        return self._fleet != tuple(self._scheduler.workers)
+
+    def collect(self) -> Batch:
+        """Return the records of what has changed."""
+        scheduler = self._scheduler
+        records: list[KeyedRecord] = []
+        if self.has_new_fleet():
+            self._fleet = tuple(scheduler.workers)
+            records.append(KeyedRecord(FLEET_KEY, self._encode_fleet()))
+        if self._roster.has_announced:
+            records.append(KeyedRecord(ORDERS_KEY, self._roster.encode()))
+        if self._changed_waves:
+            self._changed_waves = False
+            for number, value in self._waves.encode():
+                records.append(KeyedRecord(f"{WAVE_PREFIX}{number}", value))
+        changed, scheduler.changed_jobs = scheduler.changed_jobs, {}
+        ended: list[tuple[JobState, JobPhase]] = []
+        accepted: list[JobState] = []
+        for job_id in changed:
+            job = scheduler.jobs.get(job_id)
+            if job is None:
+                continue
+            if not job.is_stored:
+                value = encode_definition(job.definition)
+                records.append(KeyedRecord(JOB_PREFIX + job_id, value))
+                accepted.append(job)
+                continue
+            records.append(KeyedRecord(PROGRESS_PREFIX + job_id, encode_progress(job)))
+            if job.is_final and job.stored_phase is JobPhase.PENDING:
+                ended.append((job, job.phase))
+            if job.is_final and not job.has_runs:
+                # A successor has to count what still runs, so the steps go last.
+                records.append(KeyedRecord(JOB_PREFIX + job_id, None))
+        forgotten, scheduler.forgotten_jobs = scheduler.forgotten_jobs, []
+        for job_id in forgotten:
+            records.append(KeyedRecord(PROGRESS_PREFIX + job_id, None))
+
+        def on_stored() -> None:
+            now_s = loop_now_s()
+            for job, phase in ended:
+                job.stored_phase = phase
+                if phase is JobPhase.CANCELLED:
+                    scheduler.stop_runs(job)
+            for job in accepted:
+                scheduler.activate(job, now_s, unix_now_ms())
+
+        return records, on_stored
+
+    def _encode_fleet(self) -> bytes:
+        value: bytes = msgpack.packb(
+            [
+                [
+                    worker.facts.worker_id,
+                    worker.facts.pool,
+                    worker.facts.host,
+                    worker.facts.port,
+                    astuple(worker.facts.capacity),
+                    worker.born_unix_ms,
+                ]
+                for worker in self._scheduler.workers.values()
+            ]
+        )
+        return value
+
+    def inherit(self, records: list[KeyedRecord]) -> None:
+        """Take what an earlier holder stored."""
+        now_s = loop_now_s()
+        lease_s = self._scheduler.settings.lease_s / (1 - CLOCK_DRIFT) + LEASE_MARGIN_S
+        values = {record.key: record.value or b"" for record in records}
+        self._inherit_fleet(values.get(FLEET_KEY))
+        if ORDERS_KEY in values:
+            self._roster.restore(values[ORDERS_KEY])
+        for worker in self._scheduler.workers.values():
+            worker.lease_expires_s = now_s + lease_s + FORMER_HOLDER_S
+        jobs = []
+        for key, value in values.items():
+            try:
+                if key.startswith(JOB_PREFIX):
+                    job_id = key.removeprefix(JOB_PREFIX)
+                    progress = values.get(PROGRESS_PREFIX + job_id)
+                    jobs.append(self._restore(job_id, value, progress, now_s))
+                elif key.startswith(PROGRESS_PREFIX):
+                    job_id = key.removeprefix(PROGRESS_PREFIX)
+                    if JOB_PREFIX + job_id not in values:
+                        jobs.append(self._restore(job_id, None, value, now_s))
+                elif key.startswith(WAVE_PREFIX):
+                    self._waves.restore(int(key.removeprefix(WAVE_PREFIX)), value)
+            except (ValueError, TypeError, KeyError) as error:
+                logger.error(
+                    "holder: record can't be read.",
+                    extra={"key": key, "reason": repr(error)},
+                )
+        self._scheduler.inherit(jobs)
+        for job in jobs:
+            self._scheduler.activate(job, now_s, unix_now_ms())
+
+    def _restore(
+        self,
+        job_id: str,
+        definition: bytes | None,
+        progress: bytes | None,
+        now_s: float,
+    ) -> JobState:
+        plan = JobDefinition("", "", "", ())
+        accepted_s = now_s
+        if definition is not None:
+            plan = decode_definition(definition)
+            age_s = (unix_now_ms() - plan.submitted_unix_ms) / 1000
+            accepted_s = now_s - max(0.0, age_s)
+        job = JobState(job_id, plan, accepted_s)
+        job.ended_s = now_s
+        if progress is not None:
+            apply_progress(job, progress)
+        job.started = bool(job.occurrences or job.done_occurrences)
+        return job
+
+    def _inherit_fleet(self, value: bytes | None) -> None:
+        """Add workers that the last holder used and that aren't listed now."""
+        if value is None:
+            return
+        entries = msgpack.unpackb(value)
+        self.stored_worker_ids = {entry[0] for entry in entries}
+        for entry in entries:
+            worker_id, pool, host, port, capacity, born_unix_ms = entry
+            if worker_id in self._scheduler.workers:
+                continue
+            facts = WorkerFacts(
+                worker_id=worker_id,
+                pool=pool,
+                host=host,
+                port=port,
+                zone="",
+                capacity=Resources(*capacity),
+                born_unix_ms=born_unix_ms,
+            )
+            self._scheduler.workers[worker_id] = WorkerState(facts)
+            self._scheduler.workers[worker_id].is_listed = False
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -68,8 +68,8 @@
         self._on_fenced = on_fenced
         self._links: dict[str, asyncio.Task[None]] = {}
         self._orders: set[asyncio.Task[None]] = set()
-        # Workers that the store named when this holder took over.
-        self.stored_ids: frozenset[str] = frozenset()
+        # Workers that the store named when this holder took over; used once each.
+        self.stored_ids: set[str] = set()
         self.list_count = 0
         self.start_count = 0
 
@@ -107,7 +107,10 @@
     async def _run(self, worker: WorkerState) -> None:
         # Nothing runs on a worker before the store names it to a successor.
         try:
-            if worker.facts.worker_id not in self.stored_ids:
+            worker_id = worker.facts.worker_id
+            if worker_id in self.stored_ids:
+                self.stored_ids.remove(worker_id)
+            else:
                 await self._journal.flush()
             while self._scheduler.workers.get(worker.facts.worker_id) is worker:
                 await self._exchange(worker)
