--- /dev/null
+++ b/features/steps/platform_holder_steps.py
@@ -0,0 +1,213 @@
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from behave import then, when
+
+from features.support.platform_acts import (
+    JOB,
+    finish_all,
+    job_ids,
+    other_instance,
+    play,
+    start_instances,
+    submit,
+    submit_all,
+)
+from features.support.platform_cluster import PlatformCluster, job
+
+
+@when("six instances start at once")
+def step_six(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        await start_instances(cluster, 6)
+        await asyncio.sleep(0.5)
+        context.holders = [
+            name for name, i in cluster.instances.items() if i.holds_fleet
+        ]
+
+    play(context, scenario)
+
+
+@then("one of them holds the fleet")
+def step_one_holds(context: Any) -> None:
+    assert len(context.holders) == 1, context.holders
+
+
+@when("the holder is killed while jobs run")
+def step_kill(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        holder = await start_instances(cluster, 3)
+        ids = job_ids(6)
+        body = job(ms=250, steps=2, count=3)
+        await submit_all(cluster, other_instance(cluster, holder), ids, body)
+        await asyncio.sleep(0.2)
+        await cluster.kill(holder)
+        await finish_all(cluster, ids)
+        context.state = "completed"
+
+    play(context, scenario)
+
+
+@then("every accepted job is completed by its successor")
+def step_all_completed(context: Any) -> None:
+    assert context.state == "completed"
+
+
+@when("the holder is told to stop while a job is submitted")
+def step_release(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        holder = await start_instances(cluster, 3)
+        entry = other_instance(cluster, holder)
+        cluster.instances[holder].stop()
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        assert await submit(cluster, entry, JOB, job()) == 200
+        context.accepted_s = loop.time() - began_s
+        await cluster.wait_for_state(entry, JOB, "completed")
+
+    play(context, scenario)
+
+
+@then("the job is accepted within 1 second")
+def step_accepted(context: Any) -> None:
+    assert context.accepted_s < 1.0, context.accepted_s
+
+
+@when("three instances start one after the other and the first is told to stop")
+def step_in_turn(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        for name in ("edge-1", "edge-2", "edge-3"):
+            cluster.start(name)
+            while not cluster.instances[name].is_ready:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(0.1)
+        assert cluster.holder() == "edge-1"
+        cluster.instances["edge-1"].stop()
+        await cluster.until(lambda: cluster.holder() not in (None, "edge-1"))
+        context.holder = cluster.holder()
+
+    play(context, scenario)
+
+
+@then("the third holds the fleet")
+def step_third(context: Any) -> None:
+    assert context.holder == "edge-3", context.holder
+
+
+@when("the holder hands over to an instance that does not exist")
+def step_nobody(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        holder = await start_instances(cluster, 3)
+        await cluster.instances[holder].hand_over("127.0.0.99")
+        await cluster.until(lambda: cluster.holder() not in (None, holder), 3.0)
+        context.holder = cluster.holder()
+
+    play(context, scenario)
+
+
+@then("another instance holds the fleet within 3 seconds")
+def step_another(context: Any) -> None:
+    assert context.holder is not None
+
+
+@when("every instance is killed while jobs run and new ones start")
+def step_kill_all(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        holder = await start_instances(cluster, 3)
+        ids = job_ids(6)
+        body = job(ms=250, steps=2, count=3)
+        await submit_all(cluster, other_instance(cluster, holder), ids, body)
+        await asyncio.sleep(0.2)
+        for name in list(cluster.instances):
+            await cluster.kill(name)
+        for number in range(1, 4):
+            cluster.start(f"edge-{number}")
+        await finish_all(cluster, ids)
+        context.state = "completed"
+
+    play(context, scenario)
+
+
+@when("the holder is killed while one worker is mute")
+def step_kill_mute(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        holder = await start_instances(cluster, 3)
+        ids = job_ids(4)
+        body = job(ms=2500, count=4)
+        await submit_all(cluster, other_instance(cluster, holder), ids, body)
+        await asyncio.sleep(0.3)
+        cluster.workers[0].mute = True
+        await cluster.kill(holder)
+        await finish_all(cluster, ids)
+        context.state = "completed"
+
+    play(context, scenario)
+
+
+@when("the holder is cut from the store while no worker answers")
+def step_cut_holder(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        await cluster.add_proxy("edge-1")
+        cluster.start("edge-1")
+        await cluster.until(cluster.holder)
+        for name in ("edge-2", "edge-3"):
+            cluster.start(name)
+        others = [cluster.instances[name] for name in ("edge-2", "edge-3")]
+        await cluster.until(lambda: all(other.is_ready for other in others))
+        for worker in cluster.workers:
+            # So that no worker can tell the old holder of the new one.
+            worker.mute = True
+        cluster.proxies["edge-1"].silent = True
+        first = cluster.instances["edge-1"]
+        await cluster.until(lambda: any(other.holds_fleet for other in others))
+        await asyncio.sleep(0.5)
+        context.may_start = first.may_start
+        context.deposed = not first.holds_fleet
+
+    play(context, scenario)
+
+
+@then("half a second later its peers have told it, and it starts nothing")
+def step_deposed(context: Any) -> None:
+    assert not context.may_start
+    assert context.deposed
+
+
+@when("the store is down longer than others wait before they claim")
+def step_down_long(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        holder = await start_instances(cluster, 3)
+        body = job(ms=400, steps=6, count=1)
+        assert await submit(cluster, holder, JOB, body) == 200
+        await asyncio.sleep(0.1)
+        cluster.store.faults.down = True
+        await asyncio.sleep(3.5)
+        context.starts = sum(cluster.fleet.starts.values())
+        context.holder_stays = cluster.holder() == holder
+        cluster.store.faults.down = False
+        await cluster.wait_for_state(holder, JOB, "completed", 15)
+
+    play(context, scenario)
+
+
+@then("the holder still starts what it had accepted")
+def step_still_starts(context: Any) -> None:
+    assert context.holder_stays
+    # Each step takes 0.4 s; some were started after the others' limit of 1.3 s.
+    assert context.starts >= 6, context.starts
+
+
+@when("a weak instance and a strong one start at once")
+def step_weak(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        cluster.cores["edge-1"] = 0.5
+        context.holder = await start_instances(cluster)
+
+    play(context, scenario)
+
+
+@then("the strong one holds the fleet")
+def step_strong(context: Any) -> None:
+    assert context.holder == "edge-2", context.holder
--- /dev/null
+++ b/features/support/platform_acts.py
@@ -0,0 +1,64 @@
+"""What scenarios on the platform's cluster do again and again."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from features.support.platform_cluster import PlatformCluster, run_scenario
+
+JOB = "00000000000000a1"
+
+
+def job_ids(count: int) -> list[str]:
+    return [f"{number:016x}" for number in range(1, count + 1)]
+
+
+async def start_instances(cluster: PlatformCluster, count: int = 2) -> str:
+    """Start instances; return the name of the holder."""
+    for number in range(1, count + 1):
+        cluster.start(f"edge-{number}")
+    await cluster.until(cluster.holder)
+    ready = list(cluster.instances.values())
+    await cluster.until(lambda: all(instance.is_ready for instance in ready))
+    holder = cluster.holder()
+    assert holder is not None
+    return holder
+
+
+def other_instance(cluster: PlatformCluster, holder: str) -> str:
+    return next(name for name in cluster.instances if name != holder)
+
+
+async def submit(
+    cluster: PlatformCluster, name: str, job_id: str, body: dict[str, Any]
+) -> int:
+    status, _ = await cluster.call(name, "POST", f"/q/{job_id}", body)
+    return status
+
+
+async def submit_all(
+    cluster: PlatformCluster, name: str, ids: list[str], body: dict[str, Any]
+) -> None:
+    statuses = await asyncio.gather(
+        *[submit(cluster, name, job_id, body) for job_id in ids]
+    )
+    assert set(statuses) == {200}, statuses
+
+
+def play(context: Any, scenario: Any, worker_count: int = 3) -> None:
+    """Play a scenario; keep what the steps after it judge."""
+
+    async def run(cluster: PlatformCluster) -> None:
+        context.fleet = cluster.fleet
+        await scenario(cluster)
+
+    run_scenario(run, worker_count)
+
+
+async def finish_all(cluster: PlatformCluster, ids: list[str]) -> None:
+    await cluster.until(cluster.holder)
+    name = cluster.holder()
+    assert name is not None
+    for job_id in ids:
+        await cluster.wait_for_state(name, job_id, "completed", 15)
