Use machines again whose order can't be announced, and plan none without the store

Cause, found by reading: while the store does not answer, the announcement of a plan's orders waits for it, and the machines of the plan stay closed to work for as long, up to 12 of them in the middle of an outage; a wave's machines as well.

Now: nothing is planned while the holder isn't sure of its office; an announcement is given up after 1 s, its machines are used again at once, and no order is sent for them; then no move is planned for 3 s. A refused move gives the machine back at once.

Tests: balance.feature, an announcement that gets no answer; machines whose move could not be announced (closed for the whole outage before).

--- a/features/balance.feature
+++ b/features/balance.feature
@@ -99,3 +99,12 @@
     Given a holder that has announced an order for m1
     Then it may give an order for m1 and none for m2
     And it may give none for m1 2 seconds later
+
+  Scenario: No order is sent while the store does not answer
+    When an order is announced while the store does not answer
+    Then it is given up after 1 second, and nothing may be ordered
+
+  Scenario: Machines are used again when their move could not be announced
+    Given pools of 8 and 8 machines and 0 on standby
+    When both pools are idle and the store does not answer any more
+    Then machines are closed to work for 1 second at most, and then used again
--- a/features/steps/balance_steps.py
+++ b/features/steps/balance_steps.py
@@ -7,9 +7,10 @@
 from behave import given, step, then, when
 
 from cicadatrail_core.jobs.demand import Demand
-from cicadatrail_core.jobs.models import Step
+from cicadatrail_core.jobs.models import Machine, Step
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.machines import MachineOutcome
+from cicadatraild.scheduling.pool_balance import PoolBalance
 from cicadatraild.scheduling.roster import MachineRoster
 from features.support.balance_world import CORES, STANDBY, BalanceWorld
 from features.support.paused_loop import run_paused
@@ -280,6 +281,12 @@
 class _Machines:
     """A machine service that carries out every move."""
 
+    def __init__(self, machines: list[Machine] | None = None) -> None:
+        self._machines = machines
+
+    async def list_machines(self) -> list[Machine] | None:
+        return self._machines
+
     async def move(self, machine: str, pool: str) -> MachineOutcome:
         return MachineOutcome.DONE
 
@@ -340,3 +347,62 @@
         return await roster.move("m1", "a")
 
     assert run_paused(order()) is MachineOutcome.REFUSED
+
+
+@when("an order is announced while the store does not answer")
+def step_stalled(context: Any) -> None:
+    async def announce() -> tuple[float, MachineOutcome]:
+        loop = asyncio.get_running_loop()
+        never: asyncio.Future[None] = loop.create_future()
+
+        async def flush() -> None:
+            await never
+
+        service = _Machines()
+        roster = MachineRoster(service, lambda: True, 3.0, flush)  # type: ignore[arg-type]
+        began_s = loop.time()
+        await roster.announce(["m1"])
+        return loop.time() - began_s, await roster.move("m1", "a")
+
+    context.stalled = run_paused(announce())
+
+
+@then("it is given up after {seconds:d} second, and nothing may be ordered")
+def step_given_up(context: Any, seconds: int) -> None:
+    took_s, outcome = context.stalled
+    assert abs(took_s - seconds) < 0.1, took_s
+    assert outcome is MachineOutcome.REFUSED
+
+
+@when("both pools are idle and the store does not answer any more")
+def step_idle_stalled(context: Any) -> None:
+    world = context.world
+
+    async def play() -> list[int]:
+        loop = asyncio.get_running_loop()
+        never: asyncio.Future[None] = loop.create_future()
+
+        async def flush() -> None:
+            await never
+
+        service = _Machines(list(world.machines.values()))
+        roster = MachineRoster(service, lambda: True, 3.0, flush)  # type: ignore[arg-type]
+        balance = PoolBalance(world.scheduler, roster, frozenset)
+        running = asyncio.create_task(balance.run())
+        closed = []
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            workers = world.scheduler.workers.values()
+            closed.append(sum(worker.closed for worker in workers))
+        running.cancel()
+        return closed
+
+    context.closed = run_paused(play())
+
+
+@then("machines are closed to work for {seconds:d} second at most, and then used again")
+def step_used_again(context: Any, seconds: int) -> None:
+    assert max(context.closed) > 0, "no move was planned"
+    closed_s = sum(count > 0 for count in context.closed) * 0.1
+    assert closed_s <= seconds + 0.2, context.closed
+    assert context.closed[-1] == 0, context.closed
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
@@ -123,7 +123,7 @@
             for name, since_s in list(progress.closing.items())
             if self._is_empty(name, since_s)
         ]
-        if empty:
+        if empty and self._roster.is_sure():
             await self._roster.announce(empty)
             await asyncio.gather(*[self._maintain(progress, name) for name in empty])
         self._check_completed(progress)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
@@ -30,7 +30,8 @@
 """Age of the list of machines that a plan may use; own orders are added to it."""
 
 RETRY_S = 3.0
-"""Time for which a machine whose move failed is left alone; a move takes 1.5 s."""
+"""Time for which a machine whose move failed, or all while the store is slow, are
+left alone; a move takes 1.5 s."""
 
 STAY_S = 2.0
 """Time for which the most that a pool needed still counts; two moves cost about
@@ -76,7 +77,7 @@
         """Plan and move until cancelled."""
         while True:
             await asyncio.sleep(STEP_S)
-            if await self._roster.refresh(LIST_AGE_S):
+            if self._roster.is_sure() and await self._roster.refresh(LIST_AGE_S):
                 await self._balance(loop_now_s())
 
     async def _balance(self, now_s: float) -> None:
@@ -104,10 +105,16 @@
             if worker is not None:
                 # Nothing starts there while the announcement is stored.
                 worker.closed = True
-        await self._roster.announce(workers)
-        await asyncio.gather(
-            *[self._move(move, workers[move.machine], now_s) for move in moves]
-        )
+        if await self._roster.announce(workers):
+            await asyncio.gather(
+                *[self._move(move, workers[move.machine], now_s) for move in moves]
+            )
+            return
+        for worker in workers.values():
+            if worker is not None:
+                worker.closed = False
+        self._scheduler.on_change()
+        await asyncio.sleep(RETRY_S)
 
     def _most(self, pool: str, need: PoolNeed, now_s: float) -> int:
         """Return the most machines that a pool needed a short time ago."""
@@ -128,9 +135,14 @@
                 self._scheduler.remove_worker(worker_id, loop_now_s(), "moved")
             return
         self._retry_s[move.machine] = now_s + RETRY_S
-        if worker is not None:
-            # An order without an answer may have been carried out.
+        if worker is None:
+            return
+        if outcome is MachineOutcome.UNKNOWN:
+            # It may have been carried out.
             self._closed[move.machine] = worker
+            return
+        worker.closed = False
+        self._scheduler.on_change()
 
     def _reopen(self, now_s: float) -> None:
         """Use workers again that still answer long after their machine's order."""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/roster.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/roster.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import replace
@@ -22,6 +23,9 @@
 ORDER_GAP_MARGIN_S = 0.3
 """Time added to the platform's gap between the orders of two holders."""
 
+ANNOUNCE_TIMEOUT_S = 1.0
+"""Time for an announcement; two calls to a store that is 60 times slow."""
+
 ORDER_LIMIT_S = 2.0
 """Longest time from an announcement to the sending of the order; a slow store
 answers within 1 s."""
@@ -41,7 +45,7 @@
         flush: Callable[[], Awaitable[None]],
     ) -> None:
         self.client = client
-        self._is_sure = is_sure
+        self.is_sure = is_sure
         self._gap_s = order_gap_s + ORDER_GAP_MARGIN_S
         self._flush = flush
         self.machines: dict[str, Machine] = {}
@@ -49,6 +53,7 @@
         self._failed_s = float("-inf")
         self._moved: dict[str, tuple[float, str]] = {}
         self._announced: dict[str, float] = {}
+        self._stored: dict[str, float] = {}
         self._blocked: dict[str, float] = {}
         self.has_announced = False
 
@@ -60,6 +65,7 @@
         for name, announced_s in list(self._announced.items()):
             if now_s - announced_s > kept_s:
                 del self._announced[name]
+                self._stored.pop(name, None)
         value: bytes = msgpack.packb([*self._announced])
         return value
 
@@ -73,12 +79,24 @@
         now_s = loop_now_s()
         return frozenset(n for n, until_s in self._blocked.items() if until_s > now_s)
 
-    async def announce(self, names: Iterable[str]) -> None:
-        """Store that machines may get an order. Raises FencedError."""
+    async def announce(self, names: Iterable[str]) -> bool:
+        """Store that machines may get an order; tell whether that is done.
+
+        Gives up when the store takes too long; then no order is sent. Raises
+        FencedError.
+        """
+        names = list(names)
         now_s = loop_now_s()
         self._announced.update(dict.fromkeys(names, now_s))
         self.has_announced = True
-        await self._flush()
+        try:
+            async with asyncio.timeout(ANNOUNCE_TIMEOUT_S):
+                await self._flush()
+        except TimeoutError:
+            logger.warning("machines: not announced.", extra={"machines": names})
+            return False
+        self._stored.update(dict.fromkeys(names, now_s))
+        return True
 
     async def refresh(self, age_limit_s: float) -> bool:
         """Read the list if it is older than a limit; tell whether there is one."""
@@ -121,9 +139,9 @@
         return outcome
 
     def _may_order(self, name: str) -> bool:
-        announced_s = self._announced.get(name, float("-inf"))
+        announced_s = self._stored.get(name, float("-inf"))
         is_recent = loop_now_s() - announced_s < ORDER_LIMIT_S
-        return self._is_sure() and is_recent and name not in self.blocked()
+        return self.is_sure() and is_recent and name not in self.blocked()
 
     def _set_moving(self, name: str, pool: str) -> None:
         """Show an own order that is newer than the list."""
