Let a worker forget no end after a gap in which it may have restarted

No call failed, so the next one named the former life's last end (16); the new life counts from 1 and forgot its ends up to 16 unread. Each of its runs was done, was missing from the lists, was stopped and started again, 16 times. A suspended holder does the same with its first call after it wakes.

Ruled out: a start of another holder (one epoch in the log from 9.7 s to the end); a late start (all starts answered).

Now: a call names no end when the worker's last answer is more than 0.2 s old, on the clock that counts suspended time; the call after it does.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -93,6 +93,11 @@
     When a worker restarts while it runs a job
     Then it is completed
 
+  Scenario: A worker restarts while its last end waits for the store
+    When a worker restarts unseen while the store does not answer
+    Then it is completed
+    And the subtask that ran then started twice and no other did
+
   Scenario: A maintenance wave empties machines first
     When a wave of three machines is asked for while lasting work runs
     Then the wave is completed within its limit of 1
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -19,3 +19,8 @@
 
   Scenario: A worker restarts between its lists and a start, seed 5
     Then a soak of seed 5 over 15 seconds finds nothing
+
+  # A worker restarted while its link waited for the store: the next call let the new
+  # life forget ends that nobody had seen. Seed 2 had shown the same once.
+  Scenario: A worker restarts while the store is away, seed 77
+    Then a soak of seed 77 over 15 seconds finds nothing
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -267,6 +267,39 @@
     play(context, scenario)
 
 
+@when("a worker restarts unseen while the store does not answer")
+def step_unseen_restart(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        holder = await start_instances(cluster, 1)
+        # The former life's ends have numbers up to 8, all noted.
+        body = job(ms=50, count=8, cpu=500)
+        assert await submit(cluster, holder, OTHER_JOB, body) == 200
+        await cluster.wait_for_state(holder, OTHER_JOB, "completed")
+        worker = cluster.workers[0]
+        await cluster.until(lambda: worker.noted == 8)
+        assert await submit(cluster, holder, JOB, job(ms=300, steps=2, count=1)) == 200
+        await cluster.until(lambda: worker.lives)
+        cluster.store.faults.down = True
+        await cluster.until(lambda: worker.ends)
+        # The end has just been listed; the link waits for the store.
+        await asyncio.sleep(0.05)
+        worker.restart()
+        await asyncio.sleep(0.8)
+        cluster.store.faults.down = False
+        await cluster.wait_for_state(holder, JOB, "completed")
+        context.state = "completed"
+
+    play(context, scenario, 1)
+
+
+@then("the subtask that ran then started twice and no other did")
+def step_started_twice(context: Any) -> None:
+    assert context.fleet.faults_seen == [], context.fleet.faults_seen
+    starts = dict(context.fleet.starts)
+    assert starts.pop(f"{JOB}.0.1.0") == 2, context.fleet.starts
+    assert set(starts.values()) == {1}, starts
+
+
 @when("a wave of three machines is asked for while lasting work runs")
 def step_wave(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -14,7 +14,7 @@
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatraild.platform.store import FencedError
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
-from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
 from cicadatraild.scheduling.journal import Journal
 
 logger = logging.getLogger("cicadatrail.worker")
@@ -34,6 +34,10 @@
 STORE_WAIT_S = 0.4
 """Time that a link waits for ends to be stored before it renews the lease."""
 
+SAME_LIFE_S = 0.2
+"""Time after an answer in which a worker can't have restarted unseen; a restart
+takes longer."""
+
 STOP_RETRY_S = 0.2
 """Mean pause before an unanswered stop is repeated."""
 
@@ -68,6 +72,8 @@
         self._on_fenced = on_fenced
         self._links: dict[str, asyncio.Task[None]] = {}
         self._orders: set[asyncio.Task[None]] = set()
+        # When each worker last answered, on the clock that counts suspended time.
+        self._answered_boot_s: dict[str, float] = {}
         # Workers that the store named when this holder took over; used once each.
         self.stored_ids: set[str] = set()
         self.list_count = 0
@@ -82,6 +88,7 @@
         for worker_id in [*self._links]:
             if worker_id not in self._scheduler.workers:
                 self._links.pop(worker_id).cancel()
+                self._answered_boot_s.pop(worker_id, None)
 
     def send_orders(self) -> None:
         """Send the starts and stops that the scheduler has decided on."""
@@ -129,13 +136,14 @@
         self.list_count += 1
         result = await self._client.lists(
             worker.facts,
-            worker.noted_end,
+            self._noted_end(worker),
             scheduler.renew_lease(worker, sent_s),
             wait_ms,
         )
         if isinstance(result, ListFailure):
             await self._note_failure(worker, result.outcome)
             return
+        self._answered_boot_s[worker.facts.worker_id] = boot_now_s()
         was_resolved = worker.is_resolved
         apply_report(scheduler, worker, result, sent_s, loop_now_s())
         if worker.is_resolved and not was_resolved:
@@ -157,6 +165,18 @@
         if wait_ms or is_behind:
             await asyncio.sleep(LIST_PAUSE_S)
 
+    def _noted_end(self, worker: WorkerState) -> int:
+        """Return the last end that the worker may forget.
+
+        0 while it may have restarted since its last answer, as when this link
+        waited for the store or the process was suspended: a new life counts its
+        ends anew, and would forget ends that nobody has seen.
+        """
+        answered_s = self._answered_boot_s.get(worker.facts.worker_id)
+        if answered_s is None or boot_now_s() - answered_s > SAME_LIFE_S:
+            return 0
+        return worker.noted_end
+
     async def _store_ends(self, worker: WorkerState) -> None:
         """Let the worker forget ends only after the store has them."""
         target = worker.processed_end
