--- /dev/null
+++ b/features/steps/balance_order_steps.py
@@ -0,0 +1,227 @@
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from behave import given, step, then, when
+
+from cicadatrail_core.jobs.models import Machine
+from cicadatraild.platform.machines import MachineOutcome
+from cicadatraild.scheduling.pool_balance import PoolBalance
+from cicadatraild.scheduling.roster import MachineRoster
+from features.support.balance_world import STANDBY
+from features.support.paused_loop import run_paused
+from features.support.platform_cluster import (
+    PlatformCluster,
+    configuration,
+    job,
+    run_scenario,
+)
+
+IDS = [f"{number:016x}" for number in range(1, 13)]
+
+
+def _standby_configuration() -> dict[str, Any]:
+    services = [{"name": "pool"}, {"name": STANDBY, "standby": True}]
+    return configuration(2, services=services)
+
+
+async def _open_standby(cluster: PlatformCluster) -> str:
+    """Put the last three workers on standby and start the instances."""
+    for worker in cluster.workers[2:]:
+        worker.rest(STANDBY)
+    cluster.store.put_json("keyed.op", "config", _standby_configuration())
+    for number in (1, 2):
+        cluster.start(f"edge-{number}")
+    await cluster.until(cluster.holder)
+    holder = cluster.holder()
+    assert holder is not None
+    await cluster.until(lambda: cluster.instances[holder].is_ready)
+    return holder
+
+
+def _in_use(cluster: PlatformCluster) -> int:
+    return sum(worker.pool == "pool" for worker in cluster.workers)
+
+
+async def _submit_all(cluster: PlatformCluster, holder: str) -> None:
+    for job_id in IDS:
+        body = job(ms=1500, count=4, cpu=2000)
+        status, _ = await cluster.call(holder, "POST", f"/q/{job_id}", body)
+        assert status == 200, status
+
+
+@when("more work is submitted than the pool holds, with machines on standby")
+def step_peak(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        context.fleet = cluster.fleet
+        holder = await _open_standby(cluster)
+        await _submit_all(cluster, holder)
+        await cluster.until(lambda: _in_use(cluster) == 5)
+        for job_id in IDS:
+            await cluster.wait_for_state(holder, job_id, "completed", 20)
+        context.completed = True
+        await cluster.until(lambda: _in_use(cluster) <= 3, 10)
+        context.rested = True
+
+    run_scenario(scenario, 5)
+
+
+@then("machines of the standby pool join and all work is completed")
+def step_joined(context: Any) -> None:
+    assert context.completed
+
+
+@then("they rest again once the work is done")
+def step_rested(context: Any) -> None:
+    assert context.rested
+
+
+@when("the machine service carries out a move and its answer is lost")
+def step_lost_move(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        holder = await _open_standby(cluster)
+        assert cluster.machines is not None
+        cluster.machines.lost_answers = 2
+        await _submit_all(cluster, holder)
+        await cluster.until(lambda: _in_use(cluster) == 5, 12)
+        for job_id in IDS:
+            await cluster.wait_for_state(holder, job_id, "completed", 20)
+        context.used = {place for place in cluster.fleet.places if "moved" in place}
+
+    run_scenario(scenario, 5)
+
+
+@step("the machine is used where a later list shows it")
+def step_used(context: Any) -> None:
+    assert len(context.used) == 3, context.used
+
+
+class _Machines:
+    """A machine service that carries out every move."""
+
+    def __init__(self, machines: list[Machine] | None = None) -> None:
+        self._machines = machines
+
+    async def list_machines(self) -> list[Machine] | None:
+        return self._machines
+
+    async def move(self, machine: str, pool: str) -> MachineOutcome:
+        return MachineOutcome.DONE
+
+
+async def _stored() -> None:
+    return None
+
+
+def _roster() -> MachineRoster:
+    return MachineRoster(_Machines(), lambda: True, 3.0, _stored)  # type: ignore[arg-type]
+
+
+@given("a holder that has announced an order for m1")
+def step_announced(context: Any) -> None:
+    async def announce() -> MachineRoster:
+        roster = _roster()
+        await roster.announce(["m1"])
+        return roster
+
+    context.announce = announce
+
+
+@when("a successor takes over with the stored record")
+def step_successor(context: Any) -> None:
+    async def succeed() -> list[MachineOutcome]:
+        record = (await context.announce()).encode()
+        roster = _roster()
+        roster.restore(record)
+        await roster.announce(["m1", "m2"])
+        outcomes = [await roster.move("m1", "a"), await roster.move("m2", "a")]
+        await asyncio.sleep(3.4)
+        await roster.announce(["m1"])
+        return [*outcomes, await roster.move("m1", "a")]
+
+    context.outcomes = run_paused(succeed())
+
+
+@then("it may give no order for m1 before the gap is over, but for m2 at once")
+def step_gap(context: Any) -> None:
+    refused, done = MachineOutcome.REFUSED, MachineOutcome.DONE
+    assert context.outcomes == [refused, done, done], context.outcomes
+
+
+@then("it may give an order for m1 and none for m2")
+def step_announced_only(context: Any) -> None:
+    async def order() -> list[MachineOutcome]:
+        roster = await context.announce()
+        return [await roster.move("m1", "a"), await roster.move("m2", "a")]
+
+    assert run_paused(order()) == [MachineOutcome.DONE, MachineOutcome.REFUSED]
+
+
+@then("it may give none for m1 {seconds:d} seconds later")
+def step_too_late(context: Any, seconds: int) -> None:
+    async def order() -> MachineOutcome:
+        roster = await context.announce()
+        await asyncio.sleep(seconds)
+        return await roster.move("m1", "a")
+
+    assert run_paused(order()) is MachineOutcome.REFUSED
+
+
+@when("an order is announced while the store does not answer")
+def step_stalled(context: Any) -> None:
+    async def announce() -> tuple[float, MachineOutcome]:
+        loop = asyncio.get_running_loop()
+        never: asyncio.Future[None] = loop.create_future()
+
+        async def flush() -> None:
+            await never
+
+        service = _Machines()
+        roster = MachineRoster(service, lambda: True, 3.0, flush)  # type: ignore[arg-type]
+        began_s = loop.time()
+        await roster.announce(["m1"])
+        return loop.time() - began_s, await roster.move("m1", "a")
+
+    context.stalled = run_paused(announce())
+
+
+@then("it is given up after {seconds:d} second, and nothing may be ordered")
+def step_given_up(context: Any, seconds: int) -> None:
+    took_s, outcome = context.stalled
+    assert abs(took_s - seconds) < 0.1, took_s
+    assert outcome is MachineOutcome.REFUSED
+
+
+@when("both pools are idle and the store does not answer any more")
+def step_idle_stalled(context: Any) -> None:
+    world = context.world
+
+    async def play() -> list[int]:
+        loop = asyncio.get_running_loop()
+        never: asyncio.Future[None] = loop.create_future()
+
+        async def flush() -> None:
+            await never
+
+        service = _Machines(list(world.machines.values()))
+        roster = MachineRoster(service, lambda: True, 3.0, flush)  # type: ignore[arg-type]
+        balance = PoolBalance(world.scheduler, roster, frozenset)
+        running = asyncio.create_task(balance.run())
+        closed = []
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            workers = world.scheduler.workers.values()
+            closed.append(sum(worker.closed for worker in workers))
+        running.cancel()
+        return closed
+
+    context.closed = run_paused(play())
+
+
+@then("machines are closed to work for {seconds:d} second at most, and then used again")
+def step_used_again(context: Any, seconds: int) -> None:
+    assert max(context.closed) > 0, "no move was planned"
+    closed_s = sum(count > 0 for count in context.closed) * 0.1
+    assert closed_s <= seconds + 0.2, context.closed
+    assert context.closed[-1] == 0, context.closed
--- a/features/steps/platform_holder_steps.py
+++ b/features/steps/platform_holder_steps.py
@@ -12,8 +12,8 @@
     other_instance,
     play,
     start_instances,
+    start_with_jobs,
     submit,
-    submit_all,
 )
 from features.support.platform_cluster import PlatformCluster, job
 
@@ -38,11 +38,8 @@
 @when("the holder is killed while jobs run")
 def step_kill(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
-        holder = await start_instances(cluster, 3)
         ids = job_ids(6)
-        body = job(ms=250, steps=2, count=3)
-        await submit_all(cluster, other_instance(cluster, holder), ids, body)
-        await asyncio.sleep(0.2)
+        holder = await start_with_jobs(cluster, ids, job(ms=250, steps=2, count=3), 0.2)
         await cluster.kill(holder)
         await finish_all(cluster, ids)
         context.state = "completed"
@@ -115,11 +112,8 @@
 @when("every instance is killed while jobs run and new ones start")
 def step_kill_all(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
-        holder = await start_instances(cluster, 3)
         ids = job_ids(6)
-        body = job(ms=250, steps=2, count=3)
-        await submit_all(cluster, other_instance(cluster, holder), ids, body)
-        await asyncio.sleep(0.2)
+        await start_with_jobs(cluster, ids, job(ms=250, steps=2, count=3), 0.2)
         for name in list(cluster.instances):
             await cluster.kill(name)
         for number in range(1, 4):
@@ -133,11 +127,8 @@
 @when("the holder is killed while one worker is mute")
 def step_kill_mute(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
-        holder = await start_instances(cluster, 3)
         ids = job_ids(4)
-        body = job(ms=2500, count=4)
-        await submit_all(cluster, other_instance(cluster, holder), ids, body)
-        await asyncio.sleep(0.3)
+        holder = await start_with_jobs(cluster, ids, job(ms=2500, count=4), 0.3)
         cluster.workers[0].mute = True
         await cluster.kill(holder)
         await finish_all(cluster, ids)
--- a/features/support/platform_acts.py
+++ b/features/support/platform_acts.py
@@ -62,3 +62,13 @@
     assert name is not None
     for job_id in ids:
         await cluster.wait_for_state(name, job_id, "completed", 15)
+
+
+async def start_with_jobs(
+    cluster: PlatformCluster, ids: list[str], body: dict[str, Any], run_s: float
+) -> str:
+    """Start instances, let jobs run on them for a while; return the holder."""
+    holder = await start_instances(cluster, 3)
+    await submit_all(cluster, other_instance(cluster, holder), ids, body)
+    await asyncio.sleep(run_s)
+    return holder
