Ask other peers when the known holder holds nothing any more

The holder was deposed by a worker's refusal, which does not name the new holder; cut instances that knew only the old one asked it again and again and refused 155 calls with "the instance asked holds nothing" until 13 s (entry: answered., 503).

Ruled out: no holder (epoch 2 had taken over at 2.32 s); full pools (moves went on).

Now: an entry whose known holder holds nothing asks other peers, as it does when the holder can't be reached.

Test: platform.feature, an instance cut from the store finds the new holder by its peers (503 before).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -81,6 +81,10 @@
     When the holder is cut from the store while no worker answers
     Then half a second later its peers have told it, and it starts nothing
 
+  Scenario: An instance cut from the store finds the new holder by its peers
+    When the holder and another instance are cut from the store
+    Then the other instance takes a job for the new holder
+
   Scenario: A holder goes on while the store is away for all
     When the store is down longer than others wait before they claim
     Then the holder still starts what it had accepted
--- a/features/steps/platform_holder_steps.py
+++ b/features/steps/platform_holder_steps.py
@@ -166,6 +166,32 @@
     assert context.deposed
 
 
+@when("the holder and another instance are cut from the store")
+def step_cut_two(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        for name in ("edge-1", "edge-2"):
+            await cluster.add_proxy(name)
+        cluster.start("edge-1")
+        await cluster.until(cluster.holder)
+        for name in ("edge-2", "edge-3"):
+            cluster.start(name)
+        instances = list(cluster.instances.values())
+        await cluster.until(lambda: all(other.is_ready for other in instances))
+        for name in ("edge-1", "edge-2"):
+            cluster.proxies[name].silent = True
+        # As when a worker refuses its token: it does not learn who holds the fleet.
+        cluster.instances["edge-1"]._leadership.depose("refused by a worker")
+        await cluster.until(lambda: cluster.instances["edge-3"].holds_fleet)
+        context.status = await submit(cluster, "edge-2", JOB, job())
+
+    play(context, scenario)
+
+
+@then("the other instance takes a job for the new holder")
+def step_taken(context: Any) -> None:
+    assert context.status == 200, context.status
+
+
 @when("the store is down longer than others wait before they claim")
 def step_down_long(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -95,7 +95,9 @@
                 reason = "the instance asked holds nothing"
                 self._leadership.learn(reply.epoch, reply.host)
                 if reply.epoch <= current.epoch:
+                    # Both may be cut from the store; others may know more.
                     await self._leadership.changed(RETRY_S)
+                    await self._ask_others()
                 continue
             self.answered_s = loop_now_s()
             if isinstance(reply, Unsettled):
