Wait for orders under way when their worker restarts

An order to start waited for its turn at a worker that did not answer; the worker restarted, its report of a new life released the run as one of the former life, and the subtask was given to another run. Then the order's turn came, the new life took it (start sent., waited_s -1.044 and -0.437: sent long after it was placed), and both ran. Its deadline, on the clock of the former life, did not help.

Ruled out: another holder (one epoch at the time in both logs); orders carried out late by the worker (it drops those of its former life).

Now: a run whose order is open is neither released by a new life nor judged by lists; an order is sent at its turn only if its run still counts and its deadline has not passed.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -31,6 +31,12 @@
     Then the run is ordered to stop and nothing else starts the subtask
     And the subtask starts again after the stop was acknowledged and a list came
 
+  Scenario: An order that is under way when its worker restarts is waited for
+    Given a scheduler with 2 workers of 8 cores
+    When the worker restarts while the order to start a subtask is under way
+    Then nothing else starts the subtask while the order is open
+    And the run counts once the new life has got the order
+
   Scenario: A start without an answer that the worker lists is running
     Given a scheduler with 2 workers of 8 cores
     When a start gets no answer and the worker lists it as running
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -24,3 +24,12 @@
   # life forget ends that nobody had seen. Seed 2 had shown the same once.
   Scenario: A worker restarts while the store is away, seed 77
     Then a soak of seed 77 over 15 seconds finds nothing
+
+  # An order to start that waited for its turn was sent to the next life of its worker,
+  # after the subtask had been given to another.
+  Scenario: A worker restarts while starts wait for their turn, seed 125
+    Then a soak of seed 125 over 15 seconds finds nothing
+
+  # The same, seen as a start after a noted end.
+  Scenario: A worker restarts while starts wait for their turn, seed 128
+    Then a soak of seed 128 over 15 seconds finds nothing
--- a/features/steps/balance_steps.py
+++ b/features/steps/balance_steps.py
@@ -36,7 +36,7 @@
     world = context.world
     runs = world.submit("b", Step(4, NEED, 500))
     for run in runs:
-        run.doubted_s = world.now_s
+        run.doubt(world.now_s)
 
 
 @given("an open wave names every machine")
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -135,6 +135,35 @@
     assert abs(share - light / (light + heavy)) <= 0.1, context.used[-3:]
 
 
+@when("the worker restarts while the order to start a subtask is under way")
+def step_restart_order(context: Any) -> None:
+    world = context.world
+    world.submit(JOB, definition(1, 3))
+    (context.run,) = world.dispatch()
+    sim = world.sims[context.run.worker.facts.worker_id]
+    sim.born_ms += 1
+    world.report(sim.worker_id)
+
+
+@then("nothing else starts the subtask while the order is open")
+def step_order_open(context: Any) -> None:
+    world = context.world
+    for _ in range(3):
+        world.tick(0.1)
+        world.report_all()
+        assert world.dispatch() == []
+        assert world.stops() == []
+
+
+@then("the run counts once the new life has got the order")
+def step_order_done(context: Any) -> None:
+    world = context.world
+    world.carry_out(context.run)
+    world.report_all()
+    assert world.dispatch() == []
+    assert context.run in context.run.subtask.copies
+
+
 @when("a start gets no answer and the worker does not list it")
 def step_unanswered(context: Any) -> None:
     world = context.world
@@ -142,7 +171,7 @@
     (context.run,) = world.dispatch()
     world.scheduler.renew_lease(context.run.worker, world.now_s)
     context.run.start_expires_s = context.run.worker.lease_expires_s
-    context.run.doubted_s = world.now_s
+    context.run.doubt(world.now_s)
     world.now_s += 0.01
     world.report_all()
 
@@ -170,7 +199,7 @@
     world = context.world
     world.submit(JOB, definition(1))
     (context.run,) = world.dispatch()
-    context.run.doubted_s = world.now_s
+    context.run.doubt(world.now_s)
     sim = world.sims[context.run.worker.facts.worker_id]
     sim.running[context.run.subtask.name] = context.run.number
     world.now_s += 0.01
--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -160,6 +160,7 @@
         """Let a worker obey a start and answer."""
         sim = self.sims[run.worker.facts.worker_id]
         sim.running[run.subtask.name] = run.number
+        run.is_order_open = False
         run.phase = RunPhase.RUNNING
         run.answered_s = self.now_s
         self.scheduler.renew_lease(run.worker, self.now_s)
@@ -254,10 +255,11 @@
         run.start_expires_s = run.worker.lease_expires_s
         if answered and run.worker.facts.worker_id not in self.silent:
             self._begin(sim, name, run.number, self.epoch, deadline_ms / 1000)
+            run.is_order_open = False
             run.answered_s = world.now_s
             run.phase = RunPhase.RUNNING
             return
-        run.doubted_s = world.now_s
+        run.doubt(world.now_s)
         if self.random.random() < 0.6:
             due_s = world.now_s + self.random.uniform(0.1, 6)
             entry = (due_s, name, run.number, self.epoch, deadline_ms / 1000)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -210,6 +210,7 @@
         """Count a new run of a subtask on a worker; the order is sent next."""
         number = max(self.settings.epoch * RUNS_PER_EPOCH + 1, subtask.last_run + 1)
         run = Run(subtask, number, worker, now_s)
+        run.is_order_open = True
         self.attach(run)
         self.starts.append(run)
         return run
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -41,6 +41,7 @@
         "answered_s",
         "doubted_s",
         "figure",
+        "is_order_open",
         "number",
         "paced_percent",
         "percent",
@@ -62,6 +63,8 @@
         self.worker = worker
         self.phase = RunPhase.SENT
         self.sent_s = sent_s
+        # The order to start waits to be sent, or for its answer.
+        self.is_order_open = False
         self.answered_s: float | None = None
         self.doubted_s: float | None = None
         self.stop_sent_s: float | None = None
@@ -73,6 +76,11 @@
         self.figure = 0
         self.paced_percent = 100
 
+    def doubt(self, now_s: float) -> None:
+        """Note that the order got no answer: whether it was carried out is open."""
+        self.is_order_open = False
+        self.doubted_s = now_s
+
     @property
     def at_work(self) -> bool:
         """Tell whether a lasting subtask's run does its work, as far as is known."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -235,7 +235,7 @@
 ) -> None:
     """Settle runs that the worker lists neither as running nor as ended."""
     for key, run in list(worker.runs.items()):
-        if key in listed:
+        if key in listed or run.is_order_open:
             continue
         if run.stop_acked_s is not None and run.stop_acked_s < sent_s:
             scheduler.release(run, now_s)
@@ -269,5 +269,8 @@
     listed = {(row.name, row.run) for row in report.running}
     listed |= {(end.name, end.run) for end in report.ends}
     for key, run in list(worker.runs.items()):
-        if key not in listed:
+        if run.is_order_open:
+            # The new life may yet get the order; its clock says nothing on deadlines.
+            run.start_expires_s = float("inf")
+        elif key not in listed:
             scheduler.release(run, now_s)
--- a/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
@@ -88,10 +88,12 @@
         checkpoint: str,
         ticket: str,
         deadline_ms: int,
+        is_wanted: Callable[[], bool],
     ) -> OrderOutcome:
         """Order a run to start before a time on the worker's clock.
 
-        Not sent if this holder may not start anything when its turn comes.
+        Not sent if, when its turn comes, this holder may not start anything or
+        the run is not wanted any more.
         """
         body: dict[str, object] = {
             "task": subtask,
@@ -104,7 +106,9 @@
             body["last-checkpoint"] = checkpoint
         if ticket:
             body["ticket"] = ticket
-        return await self._order(worker, "run-start", body, self._may_start)
+        return await self._order(
+            worker, "run-start", body, lambda: self._may_start() and is_wanted()
+        )
 
     async def stop(self, worker: WorkerFacts, subtask: str, run: int) -> OrderOutcome:
         """Order a run to stop, or never to start."""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -219,6 +219,7 @@
         now_s = loop_now_s()
         deadline_ms = scheduler.renew_lease(worker, now_s)
         if deadline_ms is None:
+            run.is_order_open = False
             scheduler.release_refused(run, now_s, "no-clock")
             return
         run.start_expires_s = worker.lease_expires_s
@@ -232,6 +233,7 @@
             subtask.checkpoint,
             subtask.step.tickets.get(worker.facts.worker_id, ""),
             deadline_ms,
+            lambda: _is_wanted(run),
         )
         now_s = loop_now_s()
         logger.info(
@@ -250,6 +252,7 @@
     def _settle_start(self, run: Run, outcome: OrderOutcome, now_s: float) -> None:
         scheduler = self._scheduler
         worker = run.worker
+        run.is_order_open = False
         match outcome:
             case OrderOutcome.DONE:
                 run.answered_s = now_s
@@ -272,7 +275,7 @@
                 if run.subtask.step.spec.gang:
                     _stop_gang(scheduler, run)
             case _:
-                run.doubted_s = now_s
+                run.doubt(now_s)
                 run.subtask.avoided_worker = worker.facts.worker_id
 
     async def _pace(self, run: Run, percent: int) -> None:
@@ -326,6 +329,14 @@
             await asyncio.sleep(STOP_RETRY_S * random.uniform(0.5, 1.5))
 
 
+def _is_wanted(run: Run) -> bool:
+    """Tell whether a start that has waited for its turn may still be sent."""
+    if run.phase is not RunPhase.SENT or run not in run.subtask.copies:
+        return False
+    # Its deadline is on the clock of the life that it was meant for.
+    return loop_now_s() < run.start_expires_s < float("inf")
+
+
 def _stop_gang(scheduler: Scheduler, run: Run) -> None:
     """Stop the other members at once, as they can't work without this one."""
     for member in run.subtask.step.subtasks:
