--- a/features/platform.feature
+++ b/features/platform.feature
@@ -81,6 +81,10 @@
     When the holder is cut from the store while no worker answers
     Then half a second later its peers have told it, and it starts nothing
 
+  Scenario: An instance cut from the store finds the new holder by its peers
+    When the holder and another instance are cut from the store
+    Then the other instance takes a job for the new holder
+
   Scenario: A holder goes on while the store is away for all
     When the store is down longer than others wait before they claim
     Then the holder still starts what it had accepted
@@ -93,6 +97,11 @@
     When a worker restarts while it runs a job
     Then it is completed
 
+  Scenario: A worker restarts while its last end waits for the store
+    When a worker restarts unseen while the store does not answer
+    Then it is completed
+    And the subtask that ran then started twice and no other did
+
   Scenario: A maintenance wave empties machines first
     When a wave of three machines is asked for while lasting work runs
     Then the wave is completed within its limit of 1
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -14,7 +14,7 @@
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatraild.platform.store import FencedError
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
-from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
 from cicadatraild.scheduling.journal import Journal
 
 logger = logging.getLogger("cicadatrail.worker")
@@ -34,6 +34,10 @@
 STORE_WAIT_S = 0.4
 """Time that a link waits for ends to be stored before it renews the lease."""
 
+SAME_LIFE_S = 0.2
+"""Time after an answer in which a worker can't have restarted unseen; a restart
+takes longer."""
+
 STOP_RETRY_S = 0.2
 """Mean pause before an unanswered stop is repeated."""
 
@@ -68,6 +72,8 @@
         self._on_fenced = on_fenced
         self._links: dict[str, asyncio.Task[None]] = {}
         self._orders: set[asyncio.Task[None]] = set()
+        # When each worker last answered, on the clock that counts suspended time.
+        self._answered_boot_s: dict[str, float] = {}
         # Workers that the store named when this holder took over; used once each.
         self.stored_ids: set[str] = set()
         self.list_count = 0
@@ -82,6 +88,7 @@
         for worker_id in [*self._links]:
             if worker_id not in self._scheduler.workers:
                 self._links.pop(worker_id).cancel()
+                self._answered_boot_s.pop(worker_id, None)
 
     def send_orders(self) -> None:
         """Send the starts and stops that the scheduler has decided on."""
@@ -129,13 +136,14 @@
         self.list_count += 1
         result = await self._client.lists(
             worker.facts,
-            worker.noted_end,
+            self._noted_end(worker),
             scheduler.renew_lease(worker, sent_s),
             wait_ms,
         )
         if isinstance(result, ListFailure):
             await self._note_failure(worker, result.outcome)
             return
+        self._answered_boot_s[worker.facts.worker_id] = boot_now_s()
         was_resolved = worker.is_resolved
         apply_report(scheduler, worker, result, sent_s, loop_now_s())
         if worker.is_resolved and not was_resolved:
@@ -157,6 +165,18 @@
         if wait_ms or is_behind:
             await asyncio.sleep(LIST_PAUSE_S)
 
+    def _noted_end(self, worker: WorkerState) -> int:
+        """Return the last end that the worker may forget.
+
+        0 while it may have restarted since its last answer, as when this link
+        waited for the store or the process was suspended: a new life counts its
+        ends anew, and would forget ends that nobody has seen.
+        """
+        answered_s = self._answered_boot_s.get(worker.facts.worker_id)
+        if answered_s is None or boot_now_s() - answered_s > SAME_LIFE_S:
+            return 0
+        return worker.noted_end
+
     async def _store_ends(self, worker: WorkerState) -> None:
         """Let the worker forget ends only after the store has them."""
         target = worker.processed_end
@@ -199,6 +219,7 @@
         now_s = loop_now_s()
         deadline_ms = scheduler.renew_lease(worker, now_s)
         if deadline_ms is None:
+            run.is_order_open = False
             scheduler.release_refused(run, now_s, "no-clock")
             return
         run.start_expires_s = worker.lease_expires_s
@@ -212,6 +233,7 @@
             subtask.checkpoint,
             subtask.step.tickets.get(worker.facts.worker_id, ""),
             deadline_ms,
+            lambda: _is_wanted(run),
         )
         now_s = loop_now_s()
         logger.info(
@@ -230,6 +252,7 @@
     def _settle_start(self, run: Run, outcome: OrderOutcome, now_s: float) -> None:
         scheduler = self._scheduler
         worker = run.worker
+        run.is_order_open = False
         match outcome:
             case OrderOutcome.DONE:
                 run.answered_s = now_s
@@ -252,7 +275,7 @@
                 if run.subtask.step.spec.gang:
                     _stop_gang(scheduler, run)
             case _:
-                run.doubted_s = now_s
+                run.doubt(now_s)
                 run.subtask.avoided_worker = worker.facts.worker_id
 
     async def _pace(self, run: Run, percent: int) -> None:
@@ -306,6 +329,14 @@
             await asyncio.sleep(STOP_RETRY_S * random.uniform(0.5, 1.5))
 
 
+def _is_wanted(run: Run) -> bool:
+    """Tell whether a start that has waited for its turn may still be sent."""
+    if run.phase is not RunPhase.SENT or run not in run.subtask.copies:
+        return False
+    # Its deadline is on the clock of the life that it was meant for.
+    return loop_now_s() < run.start_expires_s < float("inf")
+
+
 def _stop_gang(scheduler: Scheduler, run: Run) -> None:
     """Stop the other members at once, as they can't work without this one."""
     for member in run.subtask.step.subtasks:
