--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -106,6 +106,13 @@
         self.on_change()
         return worker
 
+    def worker_on(self, machine: str) -> WorkerState | None:
+        """Return the worker on a machine, or None if there is none."""
+        for worker in self.workers.values():
+            if worker.facts.machine == machine:
+                return worker
+        return None
+
     def remove_worker(self, worker_id: str, now_s: float, reason: str) -> None:
         """Release all runs of a worker that is proved to be gone."""
         worker = self.workers.pop(worker_id, None)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
@@ -173,7 +173,7 @@
                 continue
             progress.closing[name] = now_s
             busy += 1
-            worker = self._worker(name)
+            worker = self._scheduler.worker_on(name)
             if worker is not None:
                 worker.closed = True
             logger.info(
@@ -204,7 +204,7 @@
 
     def _load(self, name: str) -> tuple[float, int]:
         """Return how busy a machine's pool and the machine are."""
-        worker = self._worker(name)
+        worker = self._scheduler.worker_on(name)
         if worker is None:
             return (0.0, 0)
         used = capacity = 0
@@ -214,15 +214,9 @@
                 capacity += other.facts.capacity.cpu_millicores
         return (used / max(1, capacity), len(worker.runs))
 
-    def _worker(self, machine: str) -> WorkerState | None:
-        for worker in self._scheduler.workers.values():
-            if worker.facts.machine == machine:
-                return worker
-        return None
-
     def _is_empty(self, name: str, since_s: float) -> bool:
         """Tell whether nothing runs on a machine; move on what must not stay."""
-        worker = self._worker(name)
+        worker = self._scheduler.worker_on(name)
         if worker is None:
             return True
         worker.closed = True
@@ -231,7 +225,7 @@
 
     async def _maintain(self, progress: WaveProgress, name: str) -> None:
         outcome = await self._roster.maintain(name, progress.wave.number)
-        self._apply(progress, name, self._worker(name), outcome)
+        self._apply(progress, name, self._scheduler.worker_on(name), outcome)
 
     def _apply(
         self,
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
@@ -67,7 +67,7 @@
         """
         due_s = loop_now_s() + ORDER_LIMIT_S
         for name in self._roster.blocked():
-            worker = self._worker(name)
+            worker = self._scheduler.worker_on(name)
             if worker is not None:
                 worker.closed = True
                 self._closed[name] = worker
@@ -100,7 +100,9 @@
             },
         )
         moves = moves[:ORDERS_AT_ONCE_COUNT]
-        workers = {move.machine: self._worker(move.machine) for move in moves}
+        workers = {
+            move.machine: self._scheduler.worker_on(move.machine) for move in moves
+        }
         for worker in workers.values():
             if worker is not None:
                 # Nothing starts there while the announcement is stored.
@@ -155,9 +157,3 @@
             del self._closed[name]
             worker.closed = False
             self._scheduler.on_change()
-
-    def _worker(self, machine: str) -> WorkerState | None:
-        for worker in self._scheduler.workers.values():
-            if worker.facts.machine == machine:
-                return worker
-        return None
