Reject malformed documents and messages without ending a process

Cause: decode_configuration, decode_machines and decode_report raised on values of another type (routes that are no list, a stretch that is text, a subtask that is no text), and decode_job on text that is no valid Unicode. The configuration is read by a task whose failure ends the process, on every instance. decode_job also accepted negative counts and a negative interval of jobs that run once. Change: each value is checked for its type and range; a record that can't be handled is logged and skipped by its feed; a request of a peer that fails is answered as unsettled, and unknown messages leave a log line. Malformed seeds and a malformed advice address are findings. Seen failing: the scenarios on documents and on messages, on the old documents.py and peers.py.

--- a/features/platform_edges.feature
+++ b/features/platform_edges.feature
@@ -8,6 +8,17 @@
   Scenario: Malformed entries from other writers are rejected without an error
     Then random entries, configurations, waves and lists decode or are rejected
 
+  Scenario: Documents with one wrong value are rejected without an error
+    Then configurations, workers, waves, machines, reports and jobs with it are rejected
+
+  Scenario: A request whose permission expires while it connects is not sent
+    When a permission expires while a connection is opened
+    Then the server gets nothing and the outcome is not-sent
+
+  Scenario: A message that fails to be handled leaves a log line and the peer going on
+    When a peer sends an unknown message, and then a request that fails
+    Then each leaves a log line, and a valid request is answered after them
+
   Scenario: A valid worker entry is decoded completely
     Then a draining worker's entry gives its pool, capacity, rack and time left
 
--- a/features/support/outer_names.py
+++ b/features/support/outer_names.py
@@ -98,7 +98,7 @@
     "listen": {"front": "10.0.0.1:9003", "readiness": "10.0.0.1:9004"},
     "seeds": ["10.0.0.2:9001"],
     "platform": {"address": "10.0.0.3:9005"},
-    "cloud": {"address": "10.0.0.4:9006"},
+    "cloud": {"address": "10.0.0.4:9006", "duties-per-s": 9},
     "advice": "10.0.0.5:9007",
     "bounds": {"hold-max-ms": 4000, "lease-ms": 5000, "grace-s": 6, "status_s": 7},
     "limits": {"cpu-share": 0.5, "cores": 8},
@@ -321,7 +321,7 @@
     async def flush() -> None:
         pass
 
-    scheduler = Scheduler(SchedulerSettings(3, 3.5, 120.0))
+    scheduler = Scheduler(SchedulerSettings(3, 3.5, 6.0, 120.0))
     leader_records = LeaderRecords(scheduler)
     inventory = MachineInventory(MagicMock(), lambda: True, 5.0, flush)
     waves = WaveRunner(inventory, MagicMock(), scheduler, list, lambda: None)
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
@@ -77,12 +78,21 @@
         body: bytes = b"",
         timeout_s: float,
         body_limit_bytes: int = 64 * 1024 * 1024,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[WholeResponse, ClientError]:
-        """Send a complete request and return the complete response."""
+        """Send a complete request and return the complete response.
+
+        ``may_send`` is called once the connection is open, right before the first
+        byte is sent; if it returns false, the outcome is NOT_SENT. A permission that
+        was checked earlier may expire while the connection is being opened.
+        """
         exchange: ClientExchange | None = None
         try:
             async with asyncio.timeout(timeout_s):
                 exchange = await self.start(address)
+                if not may_send():
+                    reason = "the permission to send it has expired"
+                    return Failure(ClientError(ClientFault.NOT_SENT, reason))
                 response = await _exchange_whole(
                     exchange, method, target, headers, body, body_limit_bytes
                 )
--- a/packages/cicadatrail-node/src/cicadatraild/platform/documents.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/documents.py
@@ -45,6 +45,9 @@
 SUBTASK_LIMIT_COUNT = 100_000
 """Largest accepted job, so that one request body can't exhaust the memory."""
 
+INTEGER_LIMIT = 2**53
+"""Bound of the numbers in a document; larger ones can't be stored exactly by all."""
+
 
 class _DecodeError(Exception):
     """A document does not have the format that the platform specifies."""
@@ -56,29 +59,72 @@
     return value
 
 
-def _text(table: dict[str, Any], name: str, default: str | None = None) -> str:
-    value = table.get(name, default)
+def _entries(table: dict[str, Any], name: str) -> list[Any]:
+    value = table.get(name)
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise _DecodeError(f"{name} can't be {value!r}")
+    return value
+
+
+def _row(value: Any, least_count: int) -> list[Any]:
+    if not isinstance(value, list) or len(value) < least_count:
+        raise _DecodeError(f"{value!r} is no row of {least_count} entries")
+    return value
+
+
+def _check_text(name: str, value: Any) -> str:
     if not isinstance(value, str):
         raise _DecodeError(f"{name} can't be {value!r}")
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise _DecodeError(f"{name} is no valid Unicode: {error}") from error
     return value
 
 
+def _text(table: dict[str, Any], name: str, default: str | None = None) -> str:
+    return _check_text(name, table.get(name, default))
+
+
+def _check_integer(name: str, value: Any) -> int:
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    if not is_integer or abs(value) > INTEGER_LIMIT:
+        raise _DecodeError(f"{name} can't be {value!r}")
+    return int(value)
+
+
 def _integer(table: dict[str, Any], name: str, default: int | None = None) -> int:
-    value = table.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int):
+    return _check_integer(name, table.get(name, default))
+
+
+def _count(table: dict[str, Any], name: str, default: int | None = None) -> int:
+    value = _integer(table, name, default)
+    if value < 0:
         raise _DecodeError(f"{name} can't be {value!r}")
     return value
 
 
+def _number(table: dict[str, Any], name: str, default: float) -> float:
+    """Return a finite number that isn't negative."""
+    value = table.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise _DecodeError(f"{name} can't be {value!r}")
+    if not 0 <= value <= INTEGER_LIMIT:
+        raise _DecodeError(f"{name} can't be {value!r}")
+    return float(value)
+
+
 def _flag(table: dict[str, Any], name: str) -> bool:
     return table.get(name, False) is True
 
 
 def _resources(table: dict[str, Any]) -> Resources:
     return Resources(
-        _integer(table, "cpu", 0),
-        _integer(table, "mem-mb", 0),
-        _integer(table, "gpu", 0),
+        _count(table, "cpu", 0),
+        _count(table, "mem-mb", 0),
+        _count(table, "gpu", 0),
     )
 
 
@@ -96,14 +142,14 @@
         limits = _table(table.get("limits", {}))
         return FleetConfiguration(
             version=_integer(table, "version"),
-            queues=tuple(_queue(_table(entry)) for entry in table.get("routes", ())),
+            queues=tuple(_queue(_table(entry)) for entry in _entries(table, "routes")),
             pools={
                 pool.name: pool
-                for pool in (_pool(_table(e)) for e in table.get("services", ()))
+                for pool in (_pool(_table(e)) for e in _entries(table, "services"))
             },
             teams={
                 team.name: team
-                for team in (_team(_table(e)) for e in table.get("tenants", ()))
+                for team in (_team(_table(e)) for e in _entries(table, "tenants"))
             },
             body_limit_bytes=_integer(limits, "max-body-bytes", 262_144),
             header_limit_bytes=_integer(limits, "max-header-bytes", 16_384),
@@ -123,7 +169,7 @@
         pool=_text(table, "service"),
         priority=_integer(table, "priority", 0),
         attempt_limit_count=_integer(table, "attempts", 1),
-        stretch=float(table.get("stretch", 1.0)),
+        stretch=_number(table, "stretch", 1.0),
         target_latency_ms=_integer(table, "target-latency-ms", 0),
         timeout_ms=_integer(table, "timeout-ms", 0),
         public=_flag(table, "public"),
@@ -140,11 +186,11 @@
 
 
 def _team(table: dict[str, Any]) -> Team:
-    keys = table.get("api-keys", ())
+    keys = _entries(table, "api-keys")
     return Team(
         name=_text(table, "name"),
         keys=tuple(key for key in keys if isinstance(key, str)),
-        weight=_integer(table, "weight", 1),
+        weight=_count(table, "weight", 1),
         limit=_resources(_table(table.get("cap", {}))),
     )
 
@@ -160,9 +206,7 @@
         state = _text(table, "state")
         if address is None or state not in _WORKER_STATES:
             raise _DecodeError(f"address or state is invalid in {table!r}")
-        labels = table.get("labels", [])
-        if not isinstance(labels, list):
-            raise _DecodeError(f"labels can't be {labels!r}")
+        labels = _entries(table, "labels")
         return WorkerFacts(
             worker_id=worker_id,
             pool=_text(table, "service"),
@@ -191,16 +235,14 @@
     """Return a maintenance wave, or None if it is invalid."""
     try:
         table = _table(_parse_json(data))
-        machines = table.get("machines", [])
-        if not isinstance(machines, list):
-            raise _DecodeError(f"machines can't be {machines!r}")
+        machines = _entries(table, "machines")
         return Wave(
             number=_integer(table, "wave"),
             machines=tuple(name for name in machines if isinstance(name, str)),
-            duration_s=float(table.get("duration-s", 0)),
+            duration_s=_number(table, "duration-s", 0),
             limit_count=max(1, _integer(table, "cap", 1)),
         )
-    except (_DecodeError, TypeError, ValueError) as error:
+    except _DecodeError as error:
         logger.warning(
             "platform: wave is invalid; ignored.", extra={"reason": str(error)}
         )
@@ -229,8 +271,9 @@
     try:
         table = _table(_parse_json(data))
         machines = []
-        for entry in table.get("machines", ()):
+        for entry in _entries(table, "machines"):
             row = _table(entry)
+            labels = _entries(row, "labels")
             state = _MACHINE_STATES.get(_text(row, "state"), MachineState.UNKNOWN)
             machines.append(
                 Machine(
@@ -239,11 +282,15 @@
                     state=state,
                     worker_id=_text(row, "id", ""),
                     # The first label is the kind of machine, the second its rack.
-                    kind=str(next(iter(row.get("labels") or ()), "")),
+                    kind=_check_text("labels", labels[0]) if labels else "",
                 )
             )
         token = table.get("next-token")
-        return machines, str(token) if token is not None else ""
+        if token is None:
+            return machines, ""
+        if not isinstance(token, str | int):
+            raise _DecodeError(f"next-token can't be {token!r}")
+        return machines, str(token)
     except _DecodeError as error:
         logger.warning(
             "platform: machine list is invalid; ignored.", extra={"reason": str(error)}
@@ -254,7 +301,8 @@
 def parse_subtask_name(text: str) -> SubtaskName | None:
     """Parse the name of a subtask as workers write it; return None if malformed."""
     parts = text.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    is_number = [part.isascii() and part.isdigit() for part in parts[1:]]
+    if len(parts) != 4 or not all(is_number):
         return None
     return SubtaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
@@ -262,28 +310,45 @@
 _END_KINDS = {kind.value: kind for kind in EndKind}
 
 
+def _subtask_name(value: Any) -> SubtaskName:
+    name = parse_subtask_name(_check_text("subtask", value))
+    if name is None:
+        raise _DecodeError(f"subtask can't be {value!r}")
+    return name
+
+
+def _running_row(row: list[Any]) -> RunningRow:
+    # The fifth entry is a tail latency or processor usage, depending on the image
+    # that the run uses.
+    measurement = _number({"measurement": row[4]}, "measurement", 0) if row[4:] else 0
+    return RunningRow(
+        _subtask_name(row[0]),
+        _check_integer("run", row[1]),
+        _check_text("checkpoint", row[2] or ""),
+        int(_number({"percent": row[3]}, "percent", 0)),
+        int(measurement),
+    )
+
+
+def _end_row(row: list[Any]) -> EndRow:
+    how = row[3]
+    if not isinstance(how, str) or how not in _END_KINDS:
+        raise _DecodeError(f"outcome of an ended run can't be {how!r}")
+    return EndRow(
+        _check_integer("number", row[0]),
+        _subtask_name(row[1]),
+        _check_integer("run", row[2]),
+        _END_KINDS[how],
+        _check_text("checkpoint", row[4] or ""),
+    )
+
+
 def decode_report(data: bytes) -> WorkerReport | None:
     """Return a worker's report of running and ended runs, or None if invalid."""
     try:
         table = _table(_parse_json(data))
-        running = []
-        for row in table.get("running", ()):
-            name = parse_subtask_name(row[0])
-            if name is None:
-                raise _DecodeError(f"subtask {row[0]!r}")
-            # The fifth entry is a tail latency or processor usage, depending on the
-            # image that the run uses.
-            measurement = int(row[4]) if len(row) > 4 else 0
-            running.append(
-                RunningRow(name, row[1], row[2] or "", int(row[3]), measurement)
-            )
-        ends = []
-        for number, text, run, how, checkpoint in table.get("finished", ()):
-            name = parse_subtask_name(text)
-            kind = _END_KINDS.get(how)
-            if name is None or kind is None:
-                raise _DecodeError(f"ended run {text!r} with outcome {how!r}")
-            ends.append(EndRow(number, name, run, kind, checkpoint or ""))
+        running = [_running_row(_row(row, 4)) for row in _entries(table, "running")]
+        ends = [_end_row(_row(row, 5)) for row in _entries(table, "finished")]
         return WorkerReport(
             clock_ms=_integer(table, "clock-ms"),
             born_unix_ms=_integer(table, "born", 0),
@@ -291,7 +356,7 @@
             ends=tuple(ends),
             is_complete=len(ends) < ENDS_PAGE_COUNT,
         )
-    except (_DecodeError, TypeError, ValueError, IndexError) as error:
+    except _DecodeError as error:
         logger.warning(
             "platform: worker report is invalid; ignored.", extra={"reason": str(error)}
         )
@@ -324,7 +389,7 @@
         repeat_count = _integer(table, "repeat-count", 0)
         first_due_ms = _integer(table, "first-run-ms", 0)
         interval_ms = _integer(table, "interval-ms", 0)
-        if repeat_count < 0 or (repeat_count > 1 and interval_ms < 0):
+        if repeat_count < 0 or interval_ms < 0:
             findings.append(Finding("repeat-count", "or interval-ms is negative"))
     except _DecodeError as error:
         findings.append(Finding("body", str(error)))
@@ -347,30 +412,27 @@
 
 
 def _step(table: dict[str, Any], position: int) -> Step:
-    after = table.get("after", [])
-    if not isinstance(after, list) or not all(
-        isinstance(k, int) and 0 <= k < position for k in after
-    ):
+    after = [_check_integer("after", k) for k in _entries(table, "after")]
+    if not all(0 <= k < position for k in after):
         raise _DecodeError(f"after can't be {after!r}")
-    count = _integer(table, "count")
-    need = _resources(table)
-    if count < 1 or min(need.cpu_millicores, need.memory_mib) < 0:
-        raise _DecodeError("count, cpu or mem-mb is too small")
+    count = _count(table, "count")
+    if count < 1:
+        raise _DecodeError("count must be at least 1")
     return Step(
         count=count,
-        need=need,
-        estimate_ms=_integer(table, "est-duration-ms", 0),
+        need=_resources(table),
+        estimate_ms=_count(table, "est-duration-ms", 0),
         after=tuple(after),
         saves_progress=_flag(table, "saves-progress"),
         gang=_flag(table, "gang"),
         same_rack=_flag(table, "same-rack"),
         required_label=_text(table, "requires", ""),
         data_rack=_text(table, "affinity", ""),
-        spread_limit_count=_integer(table, "anti-affinity", 0),
+        spread_limit_count=_count(table, "anti-affinity", 0),
         copies_allowed=_flag(table, "speculative"),
         lasting=_flag(table, "long-running"),
         image=_text(table, "image", ""),
-        target_tail_ms=_integer(table, "target-ms", 0),
+        target_tail_ms=_count(table, "target-ms", 0),
         filler=_flag(table, "fills"),
-        may_miss_count=_integer(table, "may-miss", 0),
+        may_miss_count=_count(table, "may-miss", 0),
     )
--- a/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
@@ -17,13 +17,17 @@
 
 DEFAULT_PATH = "/etc/cicadatrail/local.toml"
 
+DEFAULT_ORDERS_PER_S = 20.0
+"""Rate of machine orders where the settings state none."""
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
     """Settings of one entry instance, with the addresses of platform services.
 
     ``lease_limit_s`` is the longest lease that workers grant. ``order_gap_s`` is the
-    minimum time between the machine orders of two successive leaders.
+    minimum time between the machine orders of two successive leaders, and
+    ``machine_orders_per_s`` the rate at which the machine service accepts them.
     """
 
     node: str
@@ -42,6 +46,15 @@
     grace_s: float
     status_kept_s: float
     cores: float
+    machine_orders_per_s: float
+
+
+def _find(table: dict[str, Any], path: str) -> Any:
+    """Return the value at a dotted path, or None if there is none."""
+    value: Any = table
+    for part in path.split("."):
+        value = value.get(part) if isinstance(value, dict) else None
+    return value
 
 
 class _Reader:
@@ -54,9 +67,7 @@
     def read(
         self, table: dict[str, Any], path: str, kinds: type | tuple[type, ...]
     ) -> Any:
-        value: Any = table
-        for part in path.split("."):
-            value = value.get(part) if isinstance(value, dict) else None
+        value = _find(table, path)
         if value is None:
             self._add(path, "is missing")
         elif isinstance(value, bool) is not (kinds is bool) or not isinstance(
@@ -69,12 +80,32 @@
 
     def address(self, table: dict[str, Any], path: str) -> Address:
         value = self.read(table, path, str)
-        parsed = parse_address(value) if value is not None else None
-        if value is not None and parsed is None:
+        return self.parse(path, value) if value is not None else Address("", 0)
+
+    def parse(self, path: str, value: object) -> Address:
+        """Return the address in ``value``; a malformed one is a finding."""
+        parsed = parse_address(value) if isinstance(value, str) else None
+        if parsed is None:
             self._add(path, f"is not an address of the form host:port: {value!r}")
         return parsed or Address("", 0)
 
-    def number(self, table: dict[str, Any], path: str, least: float = 0) -> float:
+    def optional_list(self, table: dict[str, Any], path: str) -> list[Any]:
+        """Return a list, or an empty one if it is missing."""
+        if not table.get(path):
+            return []
+        values: list[Any] = self.read(table, path, list) or []
+        return values
+
+    def number(
+        self,
+        table: dict[str, Any],
+        path: str,
+        least: float = 0,
+        default: float | None = None,
+    ) -> float:
+        """Return a number; without a ``default`` a missing one is a finding."""
+        if default is not None and _find(table, path) is None:
+            return default
         value = self.read(table, path, (int, float))
         if value is not None and value < least:
             self._add(path, f"must be at least {least}, not {value}")
@@ -87,7 +118,8 @@
 def parse_address(text: str) -> Address | None:
     """Parse ``host:port``; return None if it is malformed."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65_536:
+    is_number = port.isascii() and port.isdigit()
+    if not colon or not host or not is_number or not 0 < int(port) < 65_536:
         return None
     return Address(host, int(port))
 
@@ -112,7 +144,12 @@
             Finding(f"{place}: internal-ports", "must be two port numbers")
         )
         ports = [0, 0]
-    seeds = [parse_address(str(seed)) for seed in table.get("seeds", ())]
+    seeds = [
+        reader.parse(f"seeds[{position}]", seed)
+        for position, seed in enumerate(reader.optional_list(table, "seeds"))
+    ]
+    # An empty address means that no queue needs advice.
+    advice = table.get("advice") or None
     settings = PlatformSettings(
         node=str(reader.read(table, "node", str)),
         host=str(reader.read(table, "ip", str)),
@@ -121,16 +158,20 @@
         readiness=reader.address(table, "listen.readiness"),
         peer_port=ports[0],
         metrics_port=ports[1],
-        seed_hosts=tuple(seed.host for seed in seeds if seed is not None),
+        seed_hosts=tuple(seed.host for seed in seeds),
         store=reader.address(table, "platform.address"),
         machines=reader.address(table, "cloud.address"),
-        advice=parse_address(str(table.get("advice", ""))),
+        advice=reader.parse("advice", advice) if advice is not None else None,
         lease_limit_s=reader.number(table, "bounds.hold-max-ms", 1) / 1000,
         order_gap_s=reader.number(table, "bounds.lease-ms") / 1000,
         grace_s=reader.number(table, "bounds.grace-s"),
         status_kept_s=reader.number(table, "bounds.status_s"),
         cores=reader.number(table, "limits.cpu-share")
         * reader.number(table, "limits.cores"),
+        # The platform calls an order to a machine a duty.
+        machine_orders_per_s=reader.number(
+            table, "cloud.duties-per-s", 1, DEFAULT_ORDERS_PER_S
+        ),
     )
     if reader.findings:
         return Failure(tuple(reader.findings))
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/feeds.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/feeds.py
@@ -56,7 +56,7 @@
         """
         records, end = await self._store.read_newest(self._topic)
         for record in records:
-            self._on_record(record)
+            self._handle(record)
         if self._on_snapshot is not None:
             self._on_snapshot({record.key for record in records})
         self._offset = end
@@ -99,4 +99,14 @@
             self._topic, self._offset, WAIT_MS
         )
         for record in records:
+            self._handle(record)
+
+    def _handle(self, record: KeyedRecord) -> None:
+        """Pass on one record; one that fails must not end the process."""
+        try:
             self._on_record(record)
+        except Exception:
+            logger.exception(
+                "feed: ignoring a record that can't be handled.",
+                extra={"topic": self._topic, "key": record.key},
+            )
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
@@ -13,6 +13,7 @@
 from cicadatraild.scheduling.messages import (
     Reply,
     Request,
+    Unsettled,
     decode_message,
     encode_message,
 )
@@ -43,6 +44,17 @@
         self.is_refused = is_refused
 
 
+def _decode(value: Any) -> Any:
+    """Return the message in a frame. Raises ValueError, which ends the stream."""
+    try:
+        return decode_message(value)
+    except ValueError as error:
+        logger.warning(
+            "peer: ignoring an invalid message.", extra={"reason": str(error)[:200]}
+        )
+        raise
+
+
 class PeerServer:
     """Serve the requests of peers.
 
@@ -74,7 +86,7 @@
         try:
             while True:
                 number, value = await stream.read()
-                request = decode_message(value)
+                request = _decode(value)
                 await permits.acquire()
                 task = asyncio.create_task(self._reply(stream, number, request))
                 self._tasks.add(task)
@@ -88,7 +100,12 @@
             stream.abort()
 
     async def _reply(self, stream: FrameStream, number: int, request: Any) -> None:
-        reply = await self._answer(request)
+        try:
+            reply = await self._answer(request)
+        except Exception as error:
+            # One request that can't be handled must not leave its caller waiting.
+            logger.exception("peer: request failed.")
+            reply = Unsettled(repr(error))
         with suppress(FrameError):
             stream.write([number, encode_message(reply)])
             await stream.drain()
@@ -115,7 +132,7 @@
                 number, value = await self.stream.read()
                 future = self.waiting.pop(number, None)
                 if future is not None and not future.done():
-                    future.set_result(decode_message(value))
+                    future.set_result(_decode(value))
         except (FrameError, ValueError, TypeError) as error:
             self.close(str(error))
 
