Await starts that a restarted worker may have taken; check permissions when sending

Change: only runs that were answered before the report was requested are released with the old incarnation; others are stopped first, and count until the longest lease that a worker accepts. No start is sent to a worker whose last call failed. Further: starts and machine orders check the leadership right before their first byte (the check came before a connection was opened, which takes up to 0.5 s, longer in a paused process). Without the store, a leader confirmed by peers starts only on an incarnation that first answered while its lease was valid, as a restarted worker would take any token; a leader without any answer of a peer starts nothing. A link task that fails makes the leader step down, instead of leaving its run unattended. A gang waits for a run that may have used its last attempt. stop_stuck_runs names a worker once.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -133,6 +133,39 @@
     When the worker reports a newer incarnation that runs one of them
     Then only the other is ready again
 
+  # The soak's seed 128: the order had gone to the new incarnation, which carried it
+  # out after the subtask had ended elsewhere.
+  Scenario: A start that got no answer is awaited after its worker restarts
+    Given a scheduler with 2 workers of 8 cores
+    And a start on the first worker gets no answer
+    When the first worker reports a newer incarnation without the run
+    Then the subtask is not ready, and the run is ordered to stop
+    And it is ready once the stop is acknowledged and another report lacks the run
+
+  Scenario: A start that a restarted worker answered after its report is kept
+    Given a scheduler with 2 workers of 8 cores
+    And a start on the first worker is answered after a report was requested
+    When the first worker reports a newer incarnation without the run
+    Then the subtask is not ready
+
+  Scenario: A restarted worker that may have taken an order keeps its lease the longest
+    Given a scheduler with 2 workers of 8 cores
+    And a start on the first worker gets no answer
+    When the first worker reports a newer incarnation without the run
+    Then the run counts until the longest lease of a worker is over
+
+  Scenario: A gang that may have used its last attempt is awaited
+    Given a scheduler with 3 workers of 8 cores
+    And a gang has failed twice of three times and a third run's lease expired
+    When the silent workers answer no more
+    Then the gang is not started again
+
+  Scenario: A worker with several stuck runs is reported once
+    Given a scheduler with 1 worker of 8 cores
+    And 2 subtasks of 4 cores run
+    When neither makes any progress for 3 seconds
+    Then the worker is reported once and both runs are stopped
+
   Scenario: A successor counts the remaining runs of a cancelled job
     Given a scheduler with 1 worker of 8 cores
     And 2 subtasks of 4 cores run
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -44,6 +44,7 @@
 
 JOB = "00000000000000a1"
 OTHER = "00000000000000b2"
+RESTART_S = 0.3
 
 
 @given("a scheduler with {count:d} workers of {cores:d} cores")
@@ -556,6 +557,7 @@
     sim = context.world.sims["w0"]
     sim.running.clear()
     sim.started_ms += 5
+    context.world.now_s += RESTART_S
     context.world.report("w0")
 
 
@@ -564,6 +566,7 @@
     sim = context.world.sims["w0"]
     del sim.running[context.runs[0].subtask.name]
     sim.started_ms += 5
+    context.world.now_s += RESTART_S
     context.world.report("w0")
 
 
--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -33,6 +33,7 @@
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 LEASE_S = 3.5
+LEASE_LIMIT_S = 6.0
 START_MS = 1000
 
 
@@ -97,7 +98,7 @@
         self.scheduler = self.new_scheduler(epoch)
 
     def new_scheduler(self, epoch: int) -> Scheduler:
-        scheduler = Scheduler(SchedulerSettings(epoch, LEASE_S, 120.0))
+        scheduler = Scheduler(SchedulerSettings(epoch, LEASE_S, LEASE_LIMIT_S, 120.0))
         scheduler.configure(configuration())
         for sim in self.sims.values():
             scheduler.update_worker(self.facts(sim), self.now_s)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -390,6 +390,11 @@
     members = step.subtasks
     if len(step.ready) < len(members):
         return
+    # The members of a run share its number; one that ended unreported may have failed.
+    unreported = {number for member in members for number in member.expired_runs}
+    attempt_count = step.gang_failures + len(unreported)
+    if not step.spec.lasting and attempt_count >= scheduler.attempt_limit(step.job):
+        return
     if scheduler.needs_advice(step):
         if now_s >= step.tickets_expire_s:
             return
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
@@ -81,8 +81,8 @@
 
 
 def stop_stuck_runs(scheduler: Scheduler, now_s: float) -> list[WorkerState]:
-    """Stop runs that make no progress; return the worker of each."""
-    stuck = []
+    """Stop runs that make no progress; return their workers, each once."""
+    stuck: dict[str, WorkerState] = {}
     for worker in scheduler.workers.values():
         for run in list(worker.runs.values()):
             spec = run.subtask.step.spec
@@ -94,5 +94,5 @@
             if answered_s - run.progress_s > STALL_S:
                 run.subtask.avoided_worker = worker.facts.worker_id
                 scheduler.stop(run)
-                stuck.append(worker)
-    return stuck
+                stuck[worker.facts.worker_id] = worker
+    return list(stuck.values())
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -53,14 +53,21 @@
 class SchedulerSettings:
     """Configure a scheduler for one term of leadership.
 
-    ``lease_s`` is the length of the leases granted to workers, and
-    ``status_kept_s`` how long the status of an ended job is retained.
+    ``lease_s`` is the length of the leases granted to workers, ``lease_limit_s`` the
+    longest lease that a worker accepts, and ``status_kept_s`` how long the status of
+    an ended job is retained.
     """
 
     epoch: int
     lease_s: float
+    lease_limit_s: float
     status_kept_s: float
 
+    @property
+    def longest_lease_s(self) -> float:
+        """Return the time after which any lease of a worker has expired."""
+        return self.lease_limit_s / (1 - CLOCK_DRIFT) + LEASE_MARGIN_S
+
 
 class Scheduler:
     """Track the state of jobs and workers and decide when runs start and stop.
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -47,7 +47,7 @@
     if report.born_unix_ms < worker.born_unix_ms:
         return False
     if report.born_unix_ms > worker.born_unix_ms:
-        _start_new_incarnation(scheduler, worker, report, now_s)
+        _start_new_incarnation(scheduler, worker, report, sent_s, now_s)
     worker.answered_s = now_s
     worker.is_suspect = False
     worker.clock_ms = report.clock_ms
@@ -254,9 +254,17 @@
 
 
 def _start_new_incarnation(
-    scheduler: Scheduler, worker: WorkerState, report: WorkerReport, now_s: float
+    scheduler: Scheduler,
+    worker: WorkerState,
+    report: WorkerReport,
+    sent_s: float,
+    now_s: float,
 ) -> None:
-    """Reset a restarted worker; release the runs that its report doesn't list."""
+    """Reset a restarted worker; release the runs that were lost with the old one.
+
+    A run whose start order was not answered before the report was requested is kept:
+    the new incarnation may have received the order, or may yet.
+    """
     born_unix_ms = report.born_unix_ms
     logger.info(
         "scheduler: worker restarted; releasing the runs it no longer lists.",
@@ -273,9 +281,11 @@
     listed = {(row.name, row.run) for row in report.running}
     listed |= {(end.name, end.run) for end in report.ends}
     for key, run in list(worker.runs.items()):
-        if run.is_start_pending:
-            # The new incarnation may still receive the order, and the deadline
-            # was on the clock of the previous one.
-            run.start_expires_s = float("inf")
-        elif key not in listed:
+        is_answered = run.answered_s is not None and run.answered_s < sent_s
+        if is_answered and key not in listed:
             scheduler.release(run, now_s)
+        elif not is_answered:
+            # The order's deadlines were on the clock of the previous incarnation, so
+            # the new one may accept it late and shortens its lease only to the limit.
+            run.start_expires_s = float("inf")
+            worker.lease_expires_s = now_s + scheduler.settings.longest_lease_s
--- a/packages/cicadatrail-node/src/cicadatraild/platform/machines.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/machines.py
@@ -4,13 +4,14 @@
 
 import json
 import logging
+from collections.abc import Callable
 from enum import Enum
 from urllib.parse import urlencode
 
 from returns.result import Success
 
 from cicadatrail_core.jobs.models import Machine
-from cicadatraild.network.client_exchange import Address, WholeResponse
+from cicadatraild.network.client_exchange import Address, ClientFault, WholeResponse
 from cicadatraild.network.http_client import ConnectionPool
 from cicadatraild.platform.documents import decode_machines
 
@@ -62,7 +63,7 @@
         for _ in range(PAGE_LIMIT_COUNT):
             query = f"?{urlencode({'page-token': token})}" if token else ""
             response = await self._call("GET", f"machines{query}", b"")
-            if response is None or response.status != 200:
+            if isinstance(response, ClientFault) or response.status != 200:
                 return None
             page = decode_machines(response.body)
             if page is None:
@@ -73,17 +74,34 @@
                 return machines
         return None
 
-    async def maintain(self, machine: str, wave: int) -> MachineOutcome:
-        """Start maintenance of a machine; all runs on it end at once."""
-        return await self._order("machine-upkeep", {"machine": machine, "wave": wave})
+    async def maintain(
+        self, machine: str, wave: int, may_send: Callable[[], bool]
+    ) -> MachineOutcome:
+        """Start maintenance of a machine; all runs on it end at once.
 
-    async def move(self, machine: str, pool: str) -> MachineOutcome:
-        """Start moving a machine to a pool; all runs on it end at once."""
-        return await self._order("machine-move", {"machine": machine, "pool": pool})
+        ``may_send`` is called right before the order is sent.
+        """
+        body: dict[str, object] = {"machine": machine, "wave": wave}
+        return await self._order("machine-upkeep", body, may_send)
+
+    async def move(
+        self, machine: str, pool: str, may_send: Callable[[], bool]
+    ) -> MachineOutcome:
+        """Start moving a machine to a pool; all runs on it end at once.
 
-    async def _order(self, call: str, body: dict[str, object]) -> MachineOutcome:
-        response = await self._call("POST", call, json.dumps(body).encode())
-        if response is None:
+        ``may_send`` is called right before the order is sent.
+        """
+        body: dict[str, object] = {"machine": machine, "pool": pool}
+        return await self._order("machine-move", body, may_send)
+
+    async def _order(
+        self, call: str, body: dict[str, object], may_send: Callable[[], bool]
+    ) -> MachineOutcome:
+        data = json.dumps(body).encode()
+        response = await self._call("POST", call, data, may_send)
+        if isinstance(response, ClientFault):
+            if response is ClientFault.NOT_SENT:
+                return MachineOutcome.REFUSED
             return MachineOutcome.UNKNOWN
         match response.status:
             case 200:
@@ -94,7 +112,13 @@
                 return MachineOutcome.UNKNOWN_MACHINE
         return MachineOutcome.REFUSED
 
-    async def _call(self, method: str, call: str, body: bytes) -> WholeResponse | None:
+    async def _call(
+        self,
+        method: str,
+        call: str,
+        body: bytes,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> WholeResponse | ClientFault:
         headers = [(b"Content-Type", b"application/json")] if body else []
         if method == "POST":
             headers.append((b"Duty-Holder", self._leader.encode()))
@@ -106,6 +130,7 @@
             headers=tuple(headers),
             body=body,
             timeout_s=CALL_TIMEOUT_S,
+            may_send=may_send,
         )
         if isinstance(result, Success):
             response: WholeResponse = result.unwrap()
@@ -114,7 +139,8 @@
             "machines: request got no answer.",
             extra={"call": call, "reason": str(result.failure())},
         )
-        return None
+        fault: ClientFault = result.failure().fault
+        return fault
 
 
 def _refusal(response: WholeResponse) -> MachineOutcome:
--- a/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
@@ -103,8 +103,8 @@
     ) -> OrderOutcome:
         """Start a run before ``deadline_ms`` on the worker's clock.
 
-        The order is not sent if, when its turn comes, this leader may no longer
-        start runs or the run is no longer wanted.
+        The order is not sent if, right before its first byte would leave, this leader
+        may no longer start runs or the run is no longer wanted.
         """
         body: dict[str, object] = {
             "task": subtask,
@@ -180,13 +180,16 @@
             worker.worker_id, asyncio.Semaphore(CONCURRENT_ORDER_LIMIT_COUNT)
         )
         async with slots:
-            if not may_send():
-                return OrderOutcome.NOT_SENT
-            response = await self._call(worker, call, body, ORDER_TIMEOUT_S)
+            response = await self._call(worker, call, body, ORDER_TIMEOUT_S, may_send)
         return response if isinstance(response, OrderOutcome) else _outcome(response)
 
     async def _call(
-        self, worker: WorkerFacts, call: str, body: dict[str, object], timeout_s: float
+        self,
+        worker: WorkerFacts,
+        call: str,
+        body: dict[str, object],
+        timeout_s: float,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> WholeResponse | OrderOutcome:
         result = await self.pool.fetch(
             Address(worker.host, worker.port),
@@ -199,6 +202,7 @@
             ),
             body=json.dumps(body, separators=(",", ":")).encode(),
             timeout_s=timeout_s,
+            may_send=may_send,
         )
         if isinstance(result, Success):
             response: WholeResponse = result.unwrap()
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -24,9 +24,6 @@
 
 logger = logging.getLogger("cicadatrail.entry")
 
-REPLY_TIMEOUT_S = 1.0
-"""Time for the leader's reply before another route is tried."""
-
 LEADER_WAIT_S = 2.2
 """Longest wait for a leader: a takeover after the silence limit, and a margin."""
 
@@ -156,13 +153,14 @@
     async def confirm_leadership(self) -> None:
         """Ask peers whether they know a newer leader; they may reach the store.
 
-        Extends the permission to start subtasks when a peer answers or there is none.
+        Extends the permission to start subtasks when a peer answers. Without an answer
+        this instance may be cut off from all others, and a new leader among them.
         """
         epoch = self._leadership.held_epoch
         asked_s = boot_now_s()
         hosts = self._sample_peers()
         replies = await asyncio.gather(*[self._query_leader(host) for host in hosts])
-        if any(replies) or not hosts:
+        if any(replies):
             self._leadership.confirm(epoch, asked_s)
 
     async def choose_successor(self) -> str:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -106,7 +106,9 @@
         self.ready = asyncio.Event()
         lease_s = min(LEASE_S, settings.lease_limit_s)
         self.scheduler = Scheduler(
-            SchedulerSettings(epoch, lease_s, settings.status_kept_s)
+            SchedulerSettings(
+                epoch, lease_s, settings.lease_limit_s, settings.status_kept_s
+            )
         )
         self._settings = settings
         self._store = store
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -93,7 +93,10 @@
 def _decode(record: KeyedRecord) -> LeaderRecord | None:
     try:
         value: Any = msgpack.unpackb(record.value or b"")
-        return LeaderRecord(**value)
+        leader = LeaderRecord(**value)
+        if type(leader.epoch) is not int:
+            raise TypeError(f"the epoch can't be {leader.epoch!r}")
+        return leader
     except (ValueError, TypeError, msgpack.exceptions.UnpackException) as error:
         logger.warning(
             "leadership: ignoring an invalid leader record.",
@@ -155,6 +158,10 @@
         until_s = max(self._lease_until_s, self._confirmed_until_s)
         return self.held_epoch > 0 and boot_now_s() < until_s
 
+    def held_lease_after(self, boot_s: float) -> bool:
+        """Return whether the lease was valid at or after a time on the boot clock."""
+        return self.held_epoch > 0 and boot_s < self._lease_until_s
+
     def confirm(self, epoch: int, asked_s: float) -> None:
         """Record that peers know no leader newer than ``epoch``.
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/machine_inventory.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/machine_inventory.py
@@ -129,17 +129,13 @@
 
     async def maintain(self, name: str, wave: int) -> MachineOutcome:
         """Start the maintenance of an announced machine on which nothing runs."""
-        if not self._may_order(name):
-            return MachineOutcome.REFUSED
-        outcome = await self.client.maintain(name, wave)
+        outcome = await self.client.maintain(name, wave, lambda: self._may_order(name))
         self._log_order(name, outcome, f"wave {wave}")
         return outcome
 
     async def move(self, name: str, pool: str) -> MachineOutcome:
         """Start the move of an announced machine on which nothing runs to a pool."""
-        if not self._may_order(name):
-            return MachineOutcome.REFUSED
-        outcome = await self.client.move(name, pool)
+        outcome = await self.client.move(name, pool, lambda: self._may_order(name))
         if outcome is MachineOutcome.DONE:
             self._own_moves[name] = (loop_now_s(), pool)
             self._mark_moving(name, pool)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -8,7 +8,6 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
 
 from cicadatrail_core.jobs.ejection import eject
 from cicadatrail_core.jobs.pacing import has_serving_and_best_effort, plan_pace
@@ -19,6 +18,7 @@
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
 from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
 from cicadatraild.scheduling.journal import Journal
+from cicadatraild.scheduling.leadership import Leadership
 
 logger = logging.getLogger("cicadatrail.worker")
 
@@ -63,7 +63,8 @@
 class WorkerLinks:
     """Maintain a link to each worker of the scheduler.
 
-    ``on_fenced`` is called with the reason when a worker obeys a newer leader.
+    ``step_down`` is called with the reason when a worker obeys a newer leader, or a
+    link fails unexpectedly.
     """
 
     def __init__(
@@ -71,16 +72,19 @@
         scheduler: Scheduler,
         client: WorkerClient,
         journal: Journal,
-        on_fenced: Callable[[str], None],
+        leadership: Leadership,
     ) -> None:
         self._scheduler = scheduler
         self._client = client
         self._journal = journal
-        self._on_fenced = on_fenced
+        self._leadership = leadership
+        self._step_down = leadership.step_down
         self._links: dict[str, asyncio.Task[None]] = {}
         self._orders: set[asyncio.Task[None]] = set()
-        # Time of each worker's last answer, on the clock that counts suspended time.
+        # Times of each worker's last answer, and of the first one of its incarnation,
+        # on the clock that counts suspended time.
         self._answered_boot_s: dict[str, float] = {}
+        self._known_since_boot_s: dict[str, float] = {}
         # Workers that the store listed when this leader took over; used once each.
         self.stored_ids: set[str] = set()
         self.list_count = 0
@@ -91,11 +95,13 @@
         for worker_id, worker in self._scheduler.workers.items():
             if worker_id not in self._links:
                 link = asyncio.create_task(self._run(worker))
+                link.add_done_callback(self._check_outcome)
                 self._links[worker_id] = link
         for worker_id in [*self._links]:
             if worker_id not in self._scheduler.workers:
                 self._links.pop(worker_id).cancel()
                 self._answered_boot_s.pop(worker_id, None)
+                self._known_since_boot_s.pop(worker_id, None)
 
     def send_orders(self) -> None:
         """Send the starts and stops that the scheduler has decided on."""
@@ -117,6 +123,18 @@
         task: asyncio.Task[None] = asyncio.create_task(order)  # type: ignore[arg-type]
         self._orders.add(task)
         task.add_done_callback(self._orders.discard)
+        task.add_done_callback(self._check_outcome)
+
+    def _check_outcome(self, task: asyncio.Task[None]) -> None:
+        """Step down if a task failed, as its run or worker would be left unattended.
+
+        A successor restores both from the store and the worker's lists.
+        """
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        logger.error("worker: link failed unexpectedly.", exc_info=error)
+        self._step_down(f"a link failed: {error!r}")
 
     async def _run(self, worker: WorkerState) -> None:
         # Nothing may run on a worker until the store lists it for a successor.
@@ -152,8 +170,8 @@
         if isinstance(result, ListFailure):
             await self._handle_failure(worker, result.outcome)
             return
-        self._answered_boot_s[worker.facts.worker_id] = boot_now_s()
         was_resolved = worker.is_reconciled
+        self._record_answer(worker, result.born_unix_ms)
         apply_report(scheduler, worker, result, sent_s, loop_now_s())
         if worker.is_reconciled and not was_resolved:
             logger.info(
@@ -174,6 +192,39 @@
         if wait_ms or is_behind:
             await asyncio.sleep(LIST_PAUSE_S)
 
+    def _record_answer(self, worker: WorkerState, born_unix_ms: int) -> None:
+        now_s = boot_now_s()
+        worker_id = worker.facts.worker_id
+        self._answered_boot_s[worker_id] = now_s
+        if born_unix_ms > worker.born_unix_ms:
+            self._known_since_boot_s[worker_id] = now_s
+        else:
+            self._known_since_boot_s.setdefault(worker_id, now_s)
+
+    def _is_same_incarnation(self, worker: WorkerState) -> bool:
+        """Return whether the worker can't have restarted since its last answer."""
+        answered_s = self._answered_boot_s.get(worker.facts.worker_id)
+        return answered_s is not None and (
+            boot_now_s() - answered_s <= SAME_INCARNATION_S
+        )
+
+    def _is_fenced_for(self, worker: WorkerState) -> bool:
+        """Return whether a worker would refuse a start if there were a newer leader.
+
+        There is none while the lease is valid. If the lease was still valid when the
+        worker's present incarnation first answered, a newer leader must have fenced
+        that incarnation before it started anything. An incarnation that first answered
+        later may have seen no token of a leader that exists already.
+        """
+        if self._leadership.is_lease_valid():
+            return True
+        known_since_s = self._known_since_boot_s.get(worker.facts.worker_id)
+        return (
+            known_since_s is not None
+            and self._leadership.held_lease_after(known_since_s)
+            and self._is_same_incarnation(worker)
+        )
+
     def _acknowledged_end(self, worker: WorkerState) -> int:
         """Return the number of the last end that the worker may delete.
 
@@ -181,10 +232,7 @@
         after a wait for the store or a suspension of this process. A new incarnation
         numbers its ends from the start, and would delete ends that nobody has read.
         """
-        answered_s = self._answered_boot_s.get(worker.facts.worker_id)
-        if answered_s is None or boot_now_s() - answered_s > SAME_INCARNATION_S:
-            return 0
-        return worker.acknowledged_end
+        return worker.acknowledged_end if self._is_same_incarnation(worker) else 0
 
     async def _store_ends(self, worker: WorkerState) -> None:
         """Wait until ends are stored, so that the worker may delete them."""
@@ -206,7 +254,7 @@
         worker.is_suspect = True
         match outcome:
             case OrderOutcome.FENCED:
-                self._on_fenced(f"worker {worker_id} obeys a newer leader")
+                self._step_down(f"worker {worker_id} obeys a newer leader")
             case OrderOutcome.WRONG_WORKER:
                 self._scheduler.remove_worker(
                     worker_id, loop_now_s(), "its address belongs to another worker"
@@ -234,6 +282,8 @@
         run.start_expires_s = worker.lease_expires_s
         subtask = run.subtask
         self.start_count += 1
+        if not self._leadership.is_lease_valid():
+            await self._check_incarnation(worker)
         outcome = await self._client.start(
             worker.facts,
             str(subtask.name),
@@ -242,7 +292,7 @@
             subtask.checkpoint,
             subtask.step.tickets.get(worker.facts.worker_id, ""),
             deadline_ms,
-            lambda: _is_wanted(run),
+            lambda: _is_wanted(run) and self._is_fenced_for(worker),
         )
         now_s = loop_now_s()
         logger.info(
@@ -258,6 +308,19 @@
         )
         self._apply_start_outcome(run, outcome, now_s)
 
+    async def _check_incarnation(self, worker: WorkerState) -> None:
+        """Ask a worker that has not answered lately whether it has restarted.
+
+        Acknowledges nothing and renews no lease.
+        """
+        if self._is_same_incarnation(worker):
+            return
+        result = await self._client.read_lists(worker.facts, 0, None, 0)
+        if isinstance(result, ListFailure):
+            return
+        if result.born_unix_ms == worker.born_unix_ms:
+            self._record_answer(worker, result.born_unix_ms)
+
     def _apply_start_outcome(
         self, run: Run, outcome: OrderOutcome, now_s: float
     ) -> None:
@@ -271,11 +334,13 @@
                     run.phase = RunPhase.RUNNING
                     run.progress_s = now_s
             case OrderOutcome.FENCED:
-                self._on_fenced(f"worker {worker.facts.worker_id} refused a start")
+                self._step_down(f"worker {worker.facts.worker_id} refused a start")
             case OrderOutcome.WRONG_WORKER:
                 scheduler.remove_worker(worker.facts.worker_id, now_s, "replaced")
             case refusal if refusal in REFUSAL_OUTCOMES:
-                if refusal in (OrderOutcome.BUSY, OrderOutcome.INVALID):
+                is_unhealthy = refusal in (OrderOutcome.BUSY, OrderOutcome.INVALID)
+                if is_unhealthy or not self._is_fenced_for(worker):
+                    # Also limits the rate of starts that this leader may not send.
                     eject(
                         worker, now_s, BUSY_EJECTION_S, scheduler.workers, refusal.value
                     )
@@ -308,7 +373,7 @@
             case OrderOutcome.DONE:
                 run.paced_percent = percent
             case OrderOutcome.FENCED:
-                self._on_fenced(f"worker {worker.facts.worker_id} refused a pace")
+                self._step_down(f"worker {worker.facts.worker_id} refused a pace")
 
     async def _stop(self, run: Run) -> None:
         worker = run.worker
@@ -330,7 +395,7 @@
                     run.stop_acked_s = loop_now_s()
                     return
                 case OrderOutcome.FENCED:
-                    self._on_fenced(f"worker {worker.facts.worker_id} refused a stop")
+                    self._step_down(f"worker {worker.facts.worker_id} refused a stop")
                     return
                 case OrderOutcome.WRONG_WORKER:
                     self._scheduler.remove_worker(
@@ -344,6 +409,9 @@
     """Return whether a start that was queued may still be sent."""
     if run.phase is not RunPhase.SENT or run not in run.subtask.live_runs:
         return False
+    if run.worker.is_suspect:
+        # It may have restarted, and the new incarnation would take the order.
+        return False
     # The deadline is on the clock of the incarnation that the start was made for.
     return loop_now_s() < run.start_expires_s < float("inf")
 
