Let moves use nearly the whole rate of the machine service

Cause: with 0.6 of the rate a small deployment (64 orders a second) ordered 7 machines a plan, where it had ordered 12.

--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
@@ -37,9 +37,9 @@
 """Window of the peak of a pool's need; two moves cost about as much as a machine
 costs in two seconds."""
 
-ORDER_RATE_FRACTION = 0.6
-"""Fraction of the machine service's order rate that moves may use; maintenance and
-retries need the rest."""
+ORDER_RATE_FRACTION = 0.95
+"""Fraction of the machine service's order rate that moves may use; the few orders of
+waves need the rest."""
 
 
 class PoolBalancer:
