--- a/features/platform.feature
+++ b/features/platform.feature
@@ -89,6 +89,13 @@
     When the store is down longer than others wait before they claim leadership
     Then the leader still starts what it had accepted
 
+  # A worker that restarts has seen no token, so it would also obey a leader that has
+  # been replaced and does not know.
+  Scenario: A worker that restarts while the store is down starts nothing until it is back
+    When a worker restarts while the store is down, with more work than the others hold
+    Then nothing starts on it before the store is back, and the others go on
+    And every accepted job is completed by its successor
+
   Scenario: The store truncates its history
     When the key is replaced and the store truncates the operators' records
     Then the old key gets 401 and the new one is served
--- a/features/steps/platform_leader_steps.py
+++ b/features/steps/platform_leader_steps.py
@@ -217,6 +217,37 @@
     assert context.starts >= 6, context.starts
 
 
+@when("a worker restarts while the store is down, with more work than the others hold")
+def step_restart_without_store(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster, 3)
+        body = job(ms=300, steps=10, count=20)
+        assert await submit(cluster, leader, JOB, body) == 200
+        await asyncio.sleep(0.1)
+        cluster.store.faults.down = True
+        # Longer than the leadership lease: peers confirm the leader from then on.
+        await asyncio.sleep(1.2)
+        worker = cluster.workers[0]
+        worker.restart()
+        starts = sum(cluster.fleet.starts.values())
+        await asyncio.sleep(1.5)
+        context.is_leader = cluster.leader() == leader
+        context.started_there = {*worker.runs, *worker.ended_runs}
+        context.started_elsewhere = sum(cluster.fleet.starts.values()) - starts
+        cluster.store.faults.down = False
+        await cluster.wait_for_state(leader, JOB, "completed", 20)
+        context.state = "completed"
+
+    run_on_cluster(context, scenario)
+
+
+@then("nothing starts on it before the store is back, and the others go on")
+def step_nothing_there(context: Any) -> None:
+    assert context.is_leader
+    assert not context.started_there, context.started_there
+    assert context.started_elsewhere > 0
+
+
 @when("a weak instance and a strong one start at once")
 def step_weak_and_strong(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
