--- a/features/soak.feature
+++ b/features/soak.feature
@@ -33,6 +33,8 @@
   Scenario: A worker restarts while starts are queued, seed 125
     Then a soak of seed 125 over 15 seconds finds no violation
 
-  # The same fault, seen as a start after an acknowledged end.
+  # The same fault, seen as a start after an acknowledged end. Later it failed once more:
+  # a start without an answer was released when its worker restarted, but the new
+  # incarnation had taken the order.
   Scenario: A worker restarts while starts are queued, seed 128
     Then a soak of seed 128 over 15 seconds finds no violation
