--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -63,8 +63,8 @@
 class WorkerLinks:
     """Maintain a link to each worker of the scheduler.
 
-    ``step_down`` is called with the reason when a worker obeys a newer leader, or a
-    link fails unexpectedly.
+    Makes ``leadership`` step down when a worker obeys a newer leader, or a link fails
+    unexpectedly.
     """
 
     def __init__(
