--- a/features/support/platform_cluster.py
+++ b/features/support/platform_cluster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
@@ -135,7 +136,10 @@
         return self._ports[3]
 
     def host(self, name: str) -> str:
-        return f"127.0.0.{10 + int(name.rsplit('-', 1)[1])}"
+        """Return an instance's loopback address, which only this process uses."""
+        number = int(name.rsplit("-", 1)[1])
+        pid = os.getpid()
+        return f"127.{1 + (pid >> 8) % 126}.{pid & 255}.{10 + number}"
 
     @property
     def store_port(self) -> int:
