Log requests that end without an answer, and how many are open at a stop

Callers lost requests when an instance stopped, and no line said so: a cancelled request wrote nothing. Each one is logged now, with whether the instance is stopping and how long it was open, and the last line of a shutdown counts them.

No logic is changed.

--- a/packages/cicadatrail-node/src/cicadatraild/platform/callers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
 import re
@@ -128,7 +129,8 @@
 class CallerInterface:
     """Request handler of one entry instance.
 
-    ``answers`` counts responses by kind and status.
+    ``answers`` counts responses by kind and status, ``open_count`` the requests that
+    have not been answered yet.
     """
 
     def __init__(
@@ -141,6 +143,7 @@
         self._configuration = configuration
         self._is_closing = is_closing
         self.answers: dict[tuple[str, int], int] = {}
+        self.open_count = 0
         self.on_duration: Callable[[str, float], None] = lambda kind, duration_s: None
 
     async def handle(self, exchange: HttpExchange) -> None:
@@ -154,30 +157,45 @@
             _header(exchange, b"host"),
             _header(exchange, b"authorization"),
         )
-        if isinstance(call, Answer):
-            answer = call
-        else:
-            answer = await self._execute(call, exchange, started_s)
-        kind = call.kind.value if isinstance(call, Call) else "none"
-        duration_s = loop_now_s() - started_s
+        fields = _log_fields(exchange, call)
+        fields["configuration_version"] = configuration.version if configuration else 0
+        self.open_count += 1
+        try:
+            if isinstance(call, Answer):
+                answer = call
+            else:
+                answer = await self._execute(call, exchange, started_s)
+            self._record_answer(fields, answer, loop_now_s() - started_s)
+            await self._respond(exchange, answer)
+        except asyncio.CancelledError:
+            self._log_unanswered(fields, loop_now_s() - started_s)
+            raise
+        finally:
+            self.open_count -= 1
+
+    def _record_answer(
+        self, fields: dict[str, object], answer: Answer, duration_s: float
+    ) -> None:
+        kind = str(fields["kind"])
         key = (kind, answer.status)
         self.answers[key] = self.answers.get(key, 0) + 1
         self.on_duration(kind, duration_s)
+        outcome = {"status": answer.status, "reason": answer.reason}
         logger.info(
             "entry: answered.",
+            extra={**fields, **outcome, "duration_s": round(duration_s, 4)},
+        )
+
+    def _log_unanswered(self, fields: dict[str, object], duration_s: float) -> None:
+        logger.log(
+            logging.WARNING if self._is_closing() else logging.INFO,
+            "entry: connection ended before the answer.",
             extra={
-                "request_id": _header(exchange, b"request-id"),
-                "job_id": call.job_id if isinstance(call, Call) else "",
-                "kind": kind,
-                "queue": call.queue.name if isinstance(call, Call) else "",
-                "team": call.team if isinstance(call, Call) else "",
-                "configuration_version": configuration.version if configuration else 0,
-                "status": answer.status,
-                "reason": answer.reason,
+                **fields,
+                "is_stopping": self._is_closing(),
                 "duration_s": round(duration_s, 4),
             },
         )
-        await self._respond(exchange, answer)
 
     async def _execute(
         self, call: Call, exchange: HttpExchange, started_s: float
@@ -224,6 +242,17 @@
         await exchange.respond(answer.status, body, tuple(headers))
 
 
+def _log_fields(exchange: HttpExchange, call: Call | Answer) -> dict[str, object]:
+    """Return the log fields that identify a request."""
+    fields: dict[str, object] = {"request_id": _header(exchange, b"request-id")}
+    match call:
+        case Call(kind=kind, queue=queue, team=team, job_id=job_id):
+            known = (job_id, kind.value, queue.name, team)
+        case _:
+            known = ("", "none", "", "")
+    return fields | dict(zip(("job_id", "kind", "queue", "team"), known, strict=True))
+
+
 def _header(exchange: HttpExchange, name: bytes) -> str:
     values = exchange.header_values(name)
     return values[0] if values else ""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -351,7 +351,9 @@
         await self._hand_over_to_peer()
         left_s = self._settings.grace_s - STOP_MARGIN_S - (loop_now_s() - began_s)
         await asyncio.sleep(max(0.0, left_s))
-        logger.info("instance: stopped.")
+        logger.info(
+            "instance: stopped.", extra={"open_count": self._callers.open_count}
+        )
 
 
 def _cancel_all(tasks: list[asyncio.Task[Any]]) -> None:
