--- /dev/null
+++ b/features/shutdown.feature
@@ -0,0 +1,38 @@
+Feature: A graceful shutdown cuts no request
+  Instances are stopped as SIGTERM does while callers use their open connections until
+  the process is gone. Each request that an instance has read gets a whole answer.
+
+  Scenario: Requests that wait for a leader are answered before a stopped instance ends
+    When an instance without a leader is stopped while requests wait
+    Then each of these requests got 503
+
+  Scenario: A submission that may have been stored gets 504 before its leader ends
+    When the only instance is stopped while the store does not take a submission
+    Then each of these requests got 504
+
+  Scenario: A body that stops is refused before a stopped instance ends
+    When an instance is stopped while the body of a submission stops
+    Then each of these requests got 503
+
+  Scenario: A stopped leader goes on while no other instance can lead
+    When all instances are stopped at once while jobs are submitted
+    Then each of these requests got 200
+
+  Scenario: A stopped leader hands over as soon as another instance can lead
+    When all instances are stopped at once and one of them starts again
+    Then it leads before the stopped leader has ended
+
+  Scenario Outline: Instances stopped in overlapping series cut no request, <series>
+    When instances are stopped <series> while callers use open connections
+    Then no request that an instance had read was cut
+    And most requests were served
+
+    Examples: series
+      | series             |
+      | one each 0.7 s     |
+      | two each 0.5 s     |
+      | three each 0.2 s   |
+
+  Scenario: A request that waits for a takeover is passed on when its leader stops
+    When a leader stops while a request waits for its takeover
+    Then the request is told at once that this instance leads nothing
--- /dev/null
+++ b/features/steps/shutdown_steps.py
@@ -0,0 +1,225 @@
+"""Steps of shutdown.feature: requests at instances that are being stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from contextlib import AsyncExitStack
+from typing import Any
+
+from behave import then, when
+
+from cicadatraild.scheduling.messages import CountQueued, HolderIs
+from features.support.open_caller import CallOutcome, OpenCaller, open_caller
+from features.support.platform_actions import JOB, run_on_cluster, start_instances
+from features.support.platform_cluster import PlatformCluster, job
+
+SERIES_S = 9.0
+RESTART_S = 0.3
+CALL_PAUSE_S = 0.03
+SERVED_SHARE = 0.75
+JOB_NUMBERS = itertools.count(0xC000)
+
+
+@when("an instance without a leader is stopped while requests wait")
+def step_wait_for_leader(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster)
+        entry = "edge-2" if leader == "edge-1" else "edge-1"
+        cluster.store.faults.down = True
+        await cluster.kill(leader)
+        stopping = asyncio.create_task(cluster.stop(entry))
+        await asyncio.sleep(1.2)
+        context.outcomes = await asyncio.gather(
+            _call(cluster, entry, "GET", f"/q/{JOB}"),
+            _call(cluster, entry, "GET", "/q/"),
+            _call(cluster, entry, "DELETE", f"/q/{JOB}"),
+            _call(cluster, entry, "POST", f"/q/{JOB}", job()),
+        )
+        await stopping
+
+    run_on_cluster(context, scenario)
+
+
+async def _call(
+    cluster: PlatformCluster, name: str, method: str, target: str, body: Any = None
+) -> CallOutcome:
+    async with AsyncExitStack() as stack:
+        caller = open_caller(cluster, name)
+        await caller.open(stack)
+        outcome = await caller.call(method, target, body)
+    assert outcome is not None
+    return outcome
+
+
+@when("the only instance is stopped while the store does not take a submission")
+def step_unknown_submission(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster, 1)
+        cluster.store.faults.unresponsive = True
+        calling = asyncio.create_task(
+            _call(cluster, leader, "POST", f"/q/{JOB}", job())
+        )
+        await asyncio.sleep(0.1)
+        await cluster.stop(leader)
+        context.outcomes = [await calling]
+
+    run_on_cluster(context, scenario)
+
+
+@when("an instance is stopped while the body of a submission stops")
+def step_body_stops(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster, 1)
+        reader, writer = await asyncio.open_connection(
+            cluster.host(leader), cluster.front_port
+        )
+        head = (
+            f"POST /q/{JOB} HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: 50\r\n"
+            "Authorization: Bearer key-of-florists\r\nDeadline-Ms: 9000\r\n\r\n{"
+        )
+        writer.write(head.encode())
+        await asyncio.sleep(0.1)
+        await cluster.stop(leader)
+        line = await reader.readline()
+        writer.close()
+        status = int(line.split()[1]) if line else 0
+        context.outcomes = [CallOutcome("POST", status, 0.0)]
+
+    run_on_cluster(context, scenario)
+
+
+@then("each of these requests got {status:d}")
+def step_all_got(context: Any, status: int) -> None:
+    statuses = [outcome.status for outcome in context.outcomes]
+    assert statuses, "no request was sent"
+    assert set(statuses) == {status}, context.outcomes
+
+
+@when("all instances are stopped at once while jobs are submitted")
+def step_stop_all(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        await start_instances(cluster, 3)
+        names = list(cluster.instances)
+        stopping = [asyncio.create_task(cluster.stop(name)) for name in names]
+        context.outcomes = []
+        for number, name in enumerate(names * 3):
+            await asyncio.sleep(0.1)
+            target = f"/q/{number:016x}"
+            context.outcomes.append(await _call(cluster, name, "POST", target, job()))
+        await asyncio.gather(*stopping)
+
+    run_on_cluster(context, scenario)
+
+
+@when("all instances are stopped at once and one of them starts again")
+def step_start_again(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster, 3)
+        others = [name for name in cluster.instances if name != leader]
+        first = asyncio.create_task(cluster.stop(others[0]))
+        await asyncio.sleep(1.0)
+        rest = [asyncio.create_task(cluster.stop(n)) for n in (leader, others[1])]
+        await first
+        cluster.start(others[0])
+        await cluster.wait_until(lambda: cluster.leader() == others[0], 1.5)
+        context.led_before_end = not any(task.done() for task in rest)
+        await asyncio.gather(*rest)
+
+    run_on_cluster(context, scenario)
+
+
+@then("it leads before the stopped leader has ended")
+def step_led_before(context: Any) -> None:
+    assert context.led_before_end
+
+
+@when("instances are stopped {series} while callers use open connections")
+def step_series(context: Any, series: str) -> None:
+    words = series.split()
+    at_once = {"one": 1, "two": 2, "three": 3}[words[0]]
+    gap_s = float(words[2])
+
+    async def scenario(cluster: PlatformCluster) -> None:
+        await start_instances(cluster, 3)
+        names = list(cluster.instances)
+        async with AsyncExitStack() as stack:
+            callers = [open_caller(cluster, name) for name in names for _ in range(4)]
+            for caller in callers:
+                await caller.open(stack)
+            calls = [asyncio.create_task(_use(caller)) for caller in callers]
+            await _stop_in_series(cluster, names, at_once, gap_s)
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+        context.outcomes = [o for caller in callers for o in caller.outcomes]
+
+    run_on_cluster(context, scenario)
+
+
+async def _use(caller: OpenCaller) -> None:
+    """Submit a job, then ask for its state, again and again."""
+    while True:
+        target = f"/q/{next(JOB_NUMBERS):016x}"
+        await caller.call("POST", target, job(ms=20, count=1))
+        await caller.call("GET", target)
+        await asyncio.sleep(CALL_PAUSE_S)
+
+
+async def _stop_in_series(
+    cluster: PlatformCluster, names: list[str], at_once: int, gap_s: float
+) -> None:
+    """Stop instances in turn, and start each again soon after it has ended."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + SERIES_S
+    stops: dict[str, asyncio.Task[None]] = {}
+    for name in itertools.cycle(names):
+        if loop.time() > until_s:
+            break
+        running = [n for n, task in stops.items() if not task.done()]
+        if name not in running and len(running) < 2 * at_once:
+            stops[name] = asyncio.create_task(_stop_and_restart(cluster, name))
+        await asyncio.sleep(gap_s / at_once)
+    await asyncio.gather(*stops.values())
+
+
+async def _stop_and_restart(cluster: PlatformCluster, name: str) -> None:
+    await cluster.stop(name)
+    await asyncio.sleep(RESTART_S)
+    cluster.start(name)
+
+
+@then("no request that an instance had read was cut")
+def step_none_cut(context: Any) -> None:
+    cut = [outcome for outcome in context.outcomes if outcome.is_cut]
+    assert not cut, (len(cut), len(context.outcomes), cut[:5])
+
+
+@then("most requests were served")
+def step_most_served(context: Any) -> None:
+    served = [outcome for outcome in context.outcomes if outcome.status == 200]
+    share = len(served) / len(context.outcomes)
+    assert share >= SERVED_SHARE, (share, len(context.outcomes))
+
+
+@when("a leader stops while a request waits for its takeover")
+def step_stop_in_takeover(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster, 1)
+        cluster.store.faults.down = True
+        instance = cluster.instances[leader]
+        # A takeover can't complete without the store.
+        instance._stop_leading("test")
+        instance._start_leading(instance._leadership.held_epoch)
+        asking = asyncio.create_task(instance._entry.answer_peer(CountQueued("q")))
+        await asyncio.sleep(0.1)
+        instance._stop_leading("test")
+        async with asyncio.timeout(0.5):
+            context.reply = await asking
+
+    run_on_cluster(context, scenario)
+
+
+@then("the request is told at once that this instance leads nothing")
+def step_told(context: Any) -> None:
+    assert context.reply == HolderIs(0, ""), context.reply
--- a/features/support/platform_cluster.py
+++ b/features/support/platform_cluster.py
@@ -131,6 +131,10 @@
         self.proxies[name] = proxy
         return proxy
 
+    @property
+    def front_port(self) -> int:
+        return self._ports[0]
+
     @property
     def operator_port(self) -> int:
         return self._ports[3]
@@ -195,6 +199,13 @@
         self.instances[name] = instance
         self.tasks[name] = asyncio.create_task(instance.run())
 
+    async def stop(self, name: str) -> None:
+        """Stop an instance as SIGTERM does, and wait until it has ended."""
+        self.instances[name].stop()
+        task = self.tasks.pop(name)
+        await task
+        del self.instances[name]
+
     async def kill(self, name: str) -> None:
         """End an instance at once, without a hand-over, as SIGKILL does."""
         task = self.tasks.pop(name)
