Close the streams of peers when their listener closes

A peer could go on asking an instance that had ended, as long as its process lived: the listener closed and its replies were cancelled, but not the streams that it had accepted. A process's end hides it; in one process an ended instance still answered who leads.

The streams are owned and aborted with the listener now. 'An instance that has ended answers no peer' failed before (the reply was HolderIs).

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -33,6 +33,10 @@
       | two each 0.5 s     |
       | three each 0.2 s   |
 
+  Scenario: An instance that has ended answers no peer
+    When an instance has ended while a peer's stream to it was open
+    Then the peer can't reach it
+
   Scenario: A request that waits for a takeover is passed on when its leader stops
     When a leader stops while a request waits for its takeover
     Then the request is told at once that this instance leads nothing
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -9,7 +9,8 @@
 
 from behave import then, when
 
-from cicadatraild.scheduling.messages import CountQueued, HolderIs
+from cicadatraild.scheduling.messages import AskHolder, CountQueued, HolderIs
+from cicadatraild.scheduling.peers import PeerClient, PeerUnreachableError
 from features.support.open_caller import CallOutcome, OpenCaller, open_caller
 from features.support.platform_actions import JOB, run_on_cluster, start_instances
 from features.support.platform_cluster import PlatformCluster, job
@@ -202,6 +203,29 @@
     assert share >= SERVED_SHARE, (share, len(context.outcomes))
 
 
+@when("an instance has ended while a peer's stream to it was open")
+def step_stream_open(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster, 1)
+        peers = PeerClient(cluster.settings(leader).peer_port)
+        async with AsyncExitStack() as stack:
+            await peers.open(stack)
+            host = cluster.host(leader)
+            assert isinstance(await peers.call(host, AskHolder(), 1.0), HolderIs)
+            await cluster.stop(leader)
+            try:
+                context.reply = await peers.call(host, AskHolder(), 1.0)
+            except PeerUnreachableError as error:
+                context.reply = error
+
+    run_on_cluster(context, scenario)
+
+
+@then("the peer can't reach it")
+def step_unreachable(context: Any) -> None:
+    assert isinstance(context.reply, PeerUnreachableError), context.reply
+
+
 @when("a leader stops while a request waits for its takeover")
 def step_stop_in_takeover(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
@@ -69,6 +69,7 @@
         self._answer = answer
         self._on_peer = on_peer
         self._tasks: set[asyncio.Task[None]] = set()
+        self._streams: set[FrameStream] = set()
 
     async def listen(self, stack: AsyncExitStack, host: str, port: int) -> int:
         """Listen until ``stack`` closes; return the bound port."""
@@ -81,6 +82,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         stream = FrameStream(reader, writer, FRAME_LIMIT_BYTES)
+        self._streams.add(stream)
         self._on_peer(writer.get_extra_info("peername")[0])
         permits = asyncio.Semaphore(CONCURRENT_REQUESTS_COUNT)
         try:
@@ -97,6 +99,7 @@
         except asyncio.CancelledError:
             pass
         finally:
+            self._streams.discard(stream)
             stream.abort()
 
     async def _reply(self, stream: FrameStream, number: int, request: Any) -> None:
@@ -114,6 +117,8 @@
         server.close()
         for task in tuple(self._tasks):
             task.cancel()
+        for stream in tuple(self._streams):
+            stream.abort()
 
 
 class _Link:
