Answer every request before a stopped instance ends

Cause: a shutdown was a fixed sleep, and then everything that was open was cancelled. What waited for a leader (up to 2.2 s), for the leader's answer or for the rest of a body had no limit of its own before that moment, and the listener took requests until then. The waits came about because a stopping leader released leadership even if no peer could take it: with all 7 instances stopping there was no leader for 3.7 s. A request that waited for a takeover waited on, too, when that leader ended.

Ruled out: requests cut although nothing kept them waiting (none was); SIGHUP (it cuts nothing: it reads the settings and logs).

The mend: SIGTERM sets a time by which every request is answered, which shortens the limits of open requests too; a request that was given to no leader gets 503, else 504. 0.5 s before the end the callers' server drains: it refuses connections, closes idle ones, finishes what it has read. A stopping leader leads on and asks peers each 0.2 s until one can lead. Requests that wait for a takeover are sent elsewhere when it ends. The product's own daemon drains its listeners likewise. A process that ends by a fault, or is killed, still cuts what is open.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -40,3 +40,7 @@
   Scenario: A request that waits for a takeover is passed on when its leader stops
     When a leader stops while a request waits for its takeover
     Then the request is told at once that this instance leads nothing
+
+  Scenario: A server that drains finishes open requests and closes idle connections
+    When a server drains with an open request and an idle connection
+    Then the open request is answered, the idle connection ends and no new one is made
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -9,11 +9,13 @@
 
 from behave import then, when
 
+from cicadatraild.network.http_server import HttpExchange, HttpLimits, HttpServer
 from cicadatraild.scheduling.messages import AskHolder, CountQueued, HolderIs
 from cicadatraild.scheduling.peers import PeerClient, PeerUnreachableError
+from features.support.faulty_proxy import HOST
 from features.support.open_caller import CallOutcome, OpenCaller, open_caller
 from features.support.platform_actions import JOB, run_on_cluster, start_instances
-from features.support.platform_cluster import PlatformCluster, job
+from features.support.platform_cluster import PlatformCluster, job, run_scenario
 
 SERIES_S = 9.0
 RESTART_S = 0.3
@@ -247,3 +249,40 @@
 @then("the request is told at once that this instance leads nothing")
 def step_told(context: Any) -> None:
     assert context.reply == HolderIs(0, ""), context.reply
+
+
+@when("a server drains with an open request and an idle connection")
+def step_server_drains(context: Any) -> None:
+    async def answer(exchange: HttpExchange) -> None:
+        await asyncio.sleep(0.3)
+        closing = ((b"Connection", b"close"),) if server.draining else ()
+        await exchange.respond(200, headers=closing)
+
+    server = HttpServer("drained", answer, HttpLimits())
+
+    async def scenario(cluster: PlatformCluster) -> None:
+        async with AsyncExitStack() as stack:
+            port = await server.listen(stack, HOST, 0)
+            busy, idle, late = (OpenCaller(HOST, port) for _ in range(3))
+            for caller in (busy, idle, late):
+                await caller.open(stack)
+            assert (await idle.call("GET", "/")).status == 200  # type: ignore[union-attr]
+            calling = asyncio.create_task(busy.call("GET", "/"))
+            await asyncio.sleep(0.1)
+            draining = asyncio.create_task(server.drain(1.0))
+            await asyncio.sleep(0.05)
+            context.idle = await idle.call("GET", "/")
+            context.late = await late.call("GET", "/")
+            context.busy = await calling
+            async with asyncio.timeout(0.5):
+                await draining
+
+    run_scenario(scenario, 1)
+
+
+@then("the open request is answered, the idle connection ends and no new one is made")
+def step_drained(context: Any) -> None:
+    assert context.busy.status == 200, context.busy
+    assert context.idle.status == 0, context.idle
+    assert not context.idle.is_cut, context.idle
+    assert context.late is None, context.late
--- a/packages/cicadatrail-node/src/cicadatraild/app.py
+++ b/packages/cicadatrail-node/src/cicadatraild/app.py
@@ -75,6 +75,9 @@
 LEAVE_TIMEOUT_S = 120.0
 """Time limit for a graceful leave, after which the incarnation ends regardless."""
 
+DRAIN_S = 1.0
+"""Time for sending the last answers before the connections are closed."""
+
 HANDOVER_TIMEOUT_S = 2.0
 """Time for handing the request ids of a partition over to its new owner."""
 
@@ -241,6 +244,8 @@
             for server in servers:
                 server.draining = True
             await self._finish(removed)
+            # Requests that came meanwhile have been refused, but not all answers sent.
+            await asyncio.gather(*[server.drain(DRAIN_S) for server in servers])
             return not removed
 
     async def _start_or_stop(self, tasks: BackgroundTasks, stop: asyncio.Event) -> bool:
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
@@ -37,6 +37,9 @@
 CLOSE_GRACE_S = 1.0
 """Time to send the last bytes before a connection is aborted."""
 
+DRAIN_HEAD_TIMEOUT_S = 0.2
+"""Time for the request on a connection that was opened right before a drain."""
+
 REQUEST_TIMEOUT_STATUS = 408
 HEAD_TOO_LONG_STATUS = 431
 
@@ -53,23 +56,49 @@
 class HttpServer:
     """Server on one address; while ``draining``, connections close after a request."""
 
-    __slots__ = ("_connections", "_handler", "_limits", "_name", "draining")
+    __slots__ = (
+        "_connections",
+        "_handler",
+        "_idle",
+        "_limits",
+        "_name",
+        "_server",
+        "draining",
+    )
 
     def __init__(self, name: str, handler: Handler, limits: HttpLimits) -> None:
         self._name = name
         self._handler = handler
         self._limits = limits
         self._connections: set[asyncio.Task[None]] = set()
+        # Connections that wait for the head of a request.
+        self._idle: dict[asyncio.Task[None], HttpTransport] = {}
+        self._server: asyncio.Server | None = None
         self.draining = False
 
     async def listen(self, stack: AsyncExitStack, host: str, port: int) -> int:
         """Listen until ``stack`` closes; return the port."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(self._new_transport, host, port)
+        self._server = server
         stack.push_async_callback(self._close, server)
         bound_port: int = server.sockets[0].getsockname()[1]
         return bound_port
 
+    async def drain(self, timeout_s: float) -> None:
+        """Refuse connections, close idle ones and wait until requests are answered.
+
+        What takes longer than ``timeout_s`` is dropped when the stack closes.
+        """
+        self.draining = True
+        if self._server is not None:
+            self._server.close()
+        for task, transport in self._idle.items():
+            if not transport.has_unparsed:
+                task.cancel()
+        if self._connections:
+            await asyncio.wait(tuple(self._connections), timeout=timeout_s)
+
     def _new_transport(self) -> HttpTransport:
         return HttpTransport(
             h11.SERVER, self._limits.header_limit_bytes, self._connection_made
@@ -90,6 +119,9 @@
             while await self._serve_one(transport, wait_s):
                 wait_s = self._limits.idle_timeout_s
             transport.close_unread(CLOSE_GRACE_S)
+            if self.draining:
+                # The process may end next, and would discard unsent bytes.
+                await transport.wait_lost(CLOSE_GRACE_S)
         except (ConnectionEndedError, TimeoutError):
             transport.abort()
         except asyncio.CancelledError:
@@ -103,6 +135,10 @@
 
     async def _serve_one(self, transport: HttpTransport, wait_s: float) -> bool:
         """Serve one request; return whether the connection stays open for another."""
+        if self.draining:
+            wait_s = min(wait_s, DRAIN_HEAD_TIMEOUT_S)
+        task = cast(asyncio.Task[None], asyncio.current_task())
+        self._idle[task] = transport
         try:
             request = await _read_head(transport, wait_s)
             if request is not None:
@@ -110,6 +146,8 @@
         except h11.RemoteProtocolError as error:
             await _refuse_malformed(transport, error)
             return False
+        finally:
+            del self._idle[task]
         if request is None:
             return False
         exchange = HttpExchange(request, transport, self._limits)
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
@@ -42,6 +42,7 @@
         "_discarding",
         "_ended",
         "_lost",
+        "_lost_waiter",
         "_paused_reading",
         "_read_waiter",
         "_transport",
@@ -68,6 +69,7 @@
         self._discarding = False
         self._ended = False
         self._lost = False
+        self._lost_waiter: asyncio.Future[None] | None = None
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_paused = False
         self._write_waiter: asyncio.Future[None] | None = None
@@ -108,6 +110,8 @@
         self._lost = True
         if self._write_waiter is not None and not self._write_waiter.done():
             self._write_waiter.set_result(None)
+        if self._lost_waiter is not None and not self._lost_waiter.done():
+            self._lost_waiter.set_result(None)
         self._end()
 
     def pause_writing(self) -> None:
@@ -205,6 +209,13 @@
         self._transport.write_eof()
         asyncio.get_running_loop().call_later(grace_s, self._transport.abort)
 
+    async def wait_lost(self, timeout_s: float) -> None:
+        """Wait until the connection is closed on both sides, or for ``timeout_s``."""
+        if self._lost or self._transport is None:
+            return
+        self._lost_waiter = asyncio.get_running_loop().create_future()
+        await asyncio.wait({self._lost_waiter}, timeout=timeout_s)
+
     def close(self) -> None:
         """Close after all written bytes have been sent."""
         if self._transport is not None:
--- a/packages/cicadatrail-node/src/cicadatraild/platform/callers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/callers.py
@@ -216,11 +216,14 @@
         self, call: Call, exchange: HttpExchange, deadline_s: float
     ) -> Answer:
         try:
-            body = await exchange.read_body()
+            async with self._entry.limits.until(deadline_s):
+                body = await exchange.read_body()
         except BodyTooLargeError:
             return Answer(413, reason="the body is too large")
-        except (BodyIncompleteError, TimeoutError):
+        except BodyIncompleteError:
             return Answer(400, reason="the body is incomplete")
+        except TimeoutError:
+            return Answer(503, reason="the body did not arrive in time")
         match decode_job(body, call.queue.name, call.team, unix_now_ms()):
             case Failure(findings):
                 return _refuse_malformed(findings)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -21,6 +21,7 @@
     Unsettled,
 )
 from cicadatraild.scheduling.peers import PeerClient, PeerUnreachableError
+from cicadatraild.scheduling.request_limits import RequestLimits
 
 logger = logging.getLogger("cicadatrail.entry")
 
@@ -43,11 +44,35 @@
 """Delay before the same leader is asked again."""
 
 
+class _PendingRequest:
+    """What is known of a request that has no reply yet."""
+
+    __slots__ = ("is_under_way", "may_have_run", "reason")
+
+    def __init__(self) -> None:
+        self.is_under_way = False
+        self.may_have_run = False
+        self.reason = "no holder"
+
+    def note_failure(self, error: PeerUnreachableError, epoch: int) -> None:
+        """Record that the leader of an epoch did not reply."""
+        self.is_under_way = False
+        self.may_have_run = self.may_have_run or error.may_have_run
+        self.reason = f"holder of epoch {epoch}: {error}"
+
+    @property
+    def final_reply(self) -> Reply:
+        """Return the reply to the caller if the request is given up now."""
+        if self.may_have_run or self.is_under_way:
+            return Unsettled(self.reason)
+        return Refused(self.reason)
+
+
 class Entry:
     """Forward requests to the leader, on this instance or another.
 
     ``leader`` returns this instance's leader, or None; ``candidate`` describes this
-    instance as a candidate.
+    instance as a candidate. ``limits`` bounds the time of open requests.
     """
 
     def __init__(
@@ -65,39 +90,49 @@
         self._hosts: dict[str, None] = dict.fromkeys(seed_hosts)
         self._leader = leader
         self._candidate = candidate
+        self.limits = RequestLimits()
         self._queried_s = float("-inf")
         self.answered_s: float | None = None
 
     async def ask(self, request: Request, deadline_s: float) -> Reply:
         """Return the leader's reply to a request.
 
-        Without a reply by the deadline, return Unsettled when the request may have
-        been carried out, else Refused.
+        Without a reply by the deadline, or before this instance ends, return Unsettled
+        when the request may have been carried out, else Refused.
         """
-        may_have_run = False
-        reason = "no holder"
+        pending = _PendingRequest()
+        try:
+            async with self.limits.until():
+                return await self._ask(request, deadline_s, pending)
+        except TimeoutError:
+            return pending.final_reply
+
+    async def _ask(
+        self, request: Request, deadline_s: float, pending: _PendingRequest
+    ) -> Reply:
         wait_until_s = min(deadline_s, loop_now_s() + LEADER_WAIT_S)
         while True:
             now_s = loop_now_s()
-            if now_s >= (deadline_s if may_have_run else wait_until_s):
-                return Unsettled(reason) if may_have_run else Refused(reason)
+            if now_s >= (deadline_s if pending.may_have_run else wait_until_s):
+                return pending.final_reply
             current = self._leadership.current
             if current is None or current.released:
                 await self._leadership.changed(min(0.1, max(0.01, deadline_s - now_s)))
                 await self._query_peers()
                 continue
             try:
+                pending.is_under_way = True
                 reply = await self._call(current, request, deadline_s - now_s)
             except PeerUnreachableError as error:
-                may_have_run = may_have_run or error.may_have_run
-                reason = f"holder of epoch {current.epoch}: {error}"
+                pending.note_failure(error, current.epoch)
                 if error.is_refused:
                     self._leadership.suspect(current.epoch)
                 await self._leadership.changed(RETRY_S)
                 await self._query_peers()
                 continue
+            pending.is_under_way = False
             if isinstance(reply, HolderIs):
-                reason = "the instance asked holds nothing"
+                pending.reason = "the instance asked holds nothing"
                 self._leadership.learn_leader(reply.epoch, reply.host)
                 if reply.epoch <= current.epoch:
                     # Both instances may have lost the store; ask others.
@@ -106,11 +141,11 @@
                 continue
             self.answered_s = loop_now_s()
             if isinstance(reply, Unsettled):
-                may_have_run = True
-                reason = reply.reason
+                pending.may_have_run = True
+                pending.reason = reply.reason
                 await self._leadership.changed(RETRY_S)
                 continue
-            if isinstance(reply, Refused) and may_have_run:
+            if isinstance(reply, Refused) and pending.may_have_run:
                 # An earlier leader may have stored it; this one can't know.
                 return Unsettled(reply.reason)
             return reply
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -45,6 +45,15 @@
 STOP_MARGIN_S = 1.0
 """Margin between the exit of a stopping process and its kill by the platform."""
 
+DRAIN_S = 0.5
+"""Time before its end in which a stopping process takes no new requests."""
+
+SEND_MARGIN_S = 0.15
+"""Part of that time reserved for sending the last answers."""
+
+SUCCESSOR_PAUSE_S = 0.2
+"""Interval between queries for a successor while no peer can lead."""
+
 METRICS_PATH = "/metrics"
 JOBS_PATH = "/jobs/"
 
@@ -131,7 +140,7 @@
             await self._peers.open(stack)
             peers = PeerServer(self._entry.answer_peer, self._entry.add_peer)
             await peers.listen(stack, settings.host, settings.peer_port)
-            await self._listen(stack)
+            front = await self._listen(stack)
             tasks: list[asyncio.Task[Any]] = [
                 asyncio.create_task(self._follow_configuration()),
                 asyncio.create_task(self._leadership.run()),
@@ -148,13 +157,14 @@
             for task in done:
                 if task is not stopping:
                     task.result()
-            await self._shut_down()
+            await self._shut_down(front)
 
     def stop(self) -> None:
         """Start the shutdown, as SIGTERM does."""
         self._stop.set()
 
-    async def _listen(self, stack: AsyncExitStack) -> None:
+    async def _listen(self, stack: AsyncExitStack) -> HttpServer:
+        """Start the HTTP listeners; return the callers' one."""
         settings = self._settings
         limits = HttpLimits(connection_limit_count=CONNECTION_LIMIT_COUNT)
         front = HttpServer("callers", self._callers.handle, limits)
@@ -163,6 +173,7 @@
         await ready.listen(stack, settings.readiness.host, settings.readiness.port)
         metrics = HttpServer("operators", self._answer_operator, HttpLimits())
         await metrics.listen(stack, settings.host, settings.metrics_port)
+        return front
 
     async def _answer_ready(self, exchange: HttpExchange) -> None:
         await exchange.respond(200 if self.is_ready else 503)
@@ -302,14 +313,15 @@
             lag_s = loop_now_s() - due_s
             self.metrics.observe_lag(lag_s)
             slow_count = slow_count + 1 if lag_s > HANDOVER_LAG_S else 0
-            if slow_count >= HANDOVER_PROBES_COUNT and self._leadership.held_epoch:
+            is_slow = slow_count >= HANDOVER_PROBES_COUNT
+            if is_slow and self._leadership.held_epoch and not self._stop.is_set():
                 logger.warning(
                     "instance: event loop is too slow.",
                     extra={"lag_s": round(lag_s, 3)},
                 )
                 slow_count = 0
                 await self._hand_over_to_peer()
-                self._leadership.claims_disabled = False
+                self._leadership.claims_disabled = self._stop.is_set()
 
     def _describe_candidate(self) -> CandidateIs:
         """Return whether this instance could become the leader, for a peer."""
@@ -344,17 +356,36 @@
             )
         await self._leadership.release(successor)
 
-    async def _shut_down(self) -> None:
-        """Hand leadership over, then serve until the platform's grace period ends."""
+    async def _shut_down(self, front: HttpServer) -> None:
+        """Serve until the platform's grace period ends, and answer every request.
+
+        Another instance leads as soon as one can.
+        """
         logger.info("instance: stopping.", extra={"epoch": self._leadership.held_epoch})
-        began_s = loop_now_s()
-        await self._hand_over_to_peer()
-        left_s = self._settings.grace_s - STOP_MARGIN_S - (loop_now_s() - began_s)
-        await asyncio.sleep(max(0.0, left_s))
+        end_s = loop_now_s() + max(0.0, self._settings.grace_s - STOP_MARGIN_S)
+        drain_s = end_s - DRAIN_S
+        self._leadership.claims_disabled = True
+        self._entry.limits.close_at(end_s - SEND_MARGIN_S)
+        handing_over = asyncio.create_task(self._hand_over_by(drain_s))
+        try:
+            await asyncio.sleep(max(0.0, drain_s - loop_now_s()))
+            await front.drain(max(0.0, end_s - loop_now_s()))
+            await asyncio.wait({handing_over}, timeout=max(0.0, end_s - loop_now_s()))
+        finally:
+            handing_over.cancel()
         logger.info(
             "instance: stopped.", extra={"open_count": self._callers.open_count}
         )
 
+    async def _hand_over_by(self, until_s: float) -> None:
+        """Lead on until a peer can, as callers would wait, but only until a time."""
+        successor = ""
+        while self._leadership.held_epoch and not successor and loop_now_s() < until_s:
+            successor = await self._entry.choose_successor()
+            if not successor:
+                await asyncio.sleep(SUCCESSOR_PAUSE_S)
+        await self.hand_over(successor)
+
 
 def _cancel_all(tasks: list[asyncio.Task[Any]]) -> None:
     for task in tasks:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -50,6 +50,7 @@
     AskPhase,
     Cancel,
     CountQueued,
+    HolderIs,
     PhaseIs,
     QueuedCount,
     Refused,
@@ -104,6 +105,7 @@
     ) -> None:
         self.epoch = epoch
         self.ready = asyncio.Event()
+        self._has_ended = False
         lease_s = min(LEASE_S, settings.lease_limit_s)
         self.scheduler = Scheduler(
             SchedulerSettings(
@@ -159,6 +161,7 @@
         """Take over, then run the fleet until cancelled."""
         began_s = loop_now_s()
         async with AsyncExitStack() as stack:
+            stack.callback(self._end_requests)
             stack.callback(self.links.close)
             stack.callback(self.journal.close)
             await self._client.pool.open(stack)
@@ -197,6 +200,11 @@
                 "holder: machine orders stopped.", extra={"reason": repr(errors)}
             )
 
+    def _end_requests(self) -> None:
+        """Have requests that wait for the takeover sent to another leader."""
+        self._has_ended = True
+        self.ready.set()
+
     # Takeover
 
     async def _take_over(self) -> None:
@@ -315,6 +323,8 @@
     async def answer(self, request: Request) -> Reply:
         """Return the reply to a request about jobs."""
         await self.ready.wait()
+        if self._has_ended:
+            return HolderIs(0, "")
         try:
             match request:
                 case Submit():
