Ignore SIGHUP and end cleanly on SIGTERM while a process starts

A process that got SIGHUP before its handlers were installed ended with it (-1), and the product's own daemon, which installs none, at any time: what it had open was cut. SIGTERM in that time ended it with -15.

main() prepares both signals before it imports the rest. Python's own start, before main(), is still not covered.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -41,6 +41,17 @@
     When a leader stops while a request waits for its takeover
     Then the request is told at once that this instance leads nothing
 
+  Scenario Outline: <signal> during its start <does> <daemon>
+    When <daemon> gets <signal> while it reads its settings
+    Then it <state>
+
+    Examples: signals
+      | signal  | daemon                | does                         | state                  |
+      | SIGHUP  | a platform instance   | does not end                 | is still running       |
+      | SIGHUP  | the product's daemon  | does not end                 | is still running       |
+      | SIGTERM | a platform instance   | ends without an error        | has ended with code 0  |
+      | SIGTERM | the product's daemon  | ends without an error        | has ended with code 0  |
+
   Scenario: A server that drains finishes open requests and closes idle connections
     When a server drains with an open request and an idle connection
     Then the open request is answered, the idle connection ends and no new one is made
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -4,7 +4,14 @@
 
 import asyncio
 import itertools
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
 from contextlib import AsyncExitStack
+from pathlib import Path
 from typing import Any
 
 from behave import then, when
@@ -16,6 +23,7 @@
 from features.support.open_caller import CallOutcome, OpenCaller, open_caller
 from features.support.platform_actions import JOB, run_on_cluster, start_instances
 from features.support.platform_cluster import PlatformCluster, job, run_scenario
+from features.support.soak import SOURCES
 
 SERIES_S = 9.0
 RESTART_S = 0.3
@@ -251,6 +259,47 @@
     assert context.reply == HolderIs(0, ""), context.reply
 
 
+@when("{daemon} gets {name} while it reads its settings")
+def step_signal_in_start(context: Any, daemon: str, name: str) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        settings = Path(folder) / "settings.toml"
+        os.mkfifo(settings)
+        options = ["--platform"] if daemon == "a platform instance" else []
+        with subprocess.Popen(
+            [sys.executable, "-m", "cicadatraild.main", *options, str(settings)],
+            env={**os.environ, "PYTHONPATH": SOURCES},
+            stderr=subprocess.DEVNULL,
+        ) as process:
+            writer = _open_for_reader(settings)
+            process.send_signal(signal.Signals[name])
+            try:
+                context.exit_code = process.wait(timeout=0.5)
+            except subprocess.TimeoutExpired:
+                context.exit_code = None
+            process.kill()
+            os.close(writer)
+
+
+def _open_for_reader(pipe: Path) -> int:
+    """Open a named pipe once a process reads from it; return the descriptor."""
+    for _ in range(100):
+        try:
+            return os.open(pipe, os.O_WRONLY | os.O_NONBLOCK)
+        except OSError:
+            time.sleep(0.1)
+    raise TimeoutError("no process reads the settings")
+
+
+@then("it is still running")
+def step_still_running(context: Any) -> None:
+    assert context.exit_code is None, context.exit_code
+
+
+@then("it has ended with code {code:d}")
+def step_has_ended(context: Any, code: int) -> None:
+    assert context.exit_code == code, context.exit_code
+
+
 @when("a server drains with an open request and an idle connection")
 def step_server_drains(context: Any) -> None:
     async def answer(exchange: HttpExchange) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/main.py
+++ b/packages/cicadatrail-node/src/cicadatraild/main.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
 from pathlib import Path
+from types import FrameType
+from typing import TYPE_CHECKING
 
-from returns.result import Failure, Success
-
-from cicadatraild.utils.settings import Settings, read_settings
+# Other modules are imported after the signals have been prepared, and to keep
+# --check fast.
+if TYPE_CHECKING:
+    from cicadatraild.utils.settings import Settings
 
 EXIT_BAD_SETTINGS = 2
 """Exit code for invalid settings; nothing has been started."""
@@ -16,6 +20,7 @@
 
 def main() -> int:
     """Run the daemon; return its exit code."""
+    _prepare_signals()
     parser = argparse.ArgumentParser(
         prog="cicadatraild", description="An entry instance of cicadatrail."
     )
@@ -35,13 +40,35 @@
         return _run_on_platform(arguments.settings, arguments.check)
     if arguments.settings is None:
         parser.error("the path of the settings file is required")
-    match read_settings(arguments.settings):
+    return _run(arguments.settings, arguments.check)
+
+
+def _prepare_signals() -> None:
+    """Handle signals until the running daemon installs handlers of its own.
+
+    By default SIGHUP would end the process, and SIGTERM with an error.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, _exit)
+
+
+def _exit(number: int, frame: FrameType | None) -> None:
+    # Nothing has been started that would have to be ended first.
+    sys.exit(0)
+
+
+def _run(path: Path, only_check: bool) -> int:
+    from returns.result import Failure, Success
+
+    from cicadatraild.utils.settings import read_settings
+
+    match read_settings(path):
         case Failure(findings):
             for finding in findings:
                 print(finding, file=sys.stderr)
             return EXIT_BAD_SETTINGS
         case Success(settings):
-            return 0 if arguments.check else _serve(settings)
+            return 0 if only_check else _serve(settings)
     raise AssertionError("a result is a success or a failure")
 
 
@@ -49,6 +76,8 @@
     import asyncio
     import os
 
+    from returns.result import Failure, Success
+
     from cicadatraild.platform.settings import (
         DEFAULT_PATH,
         SETTINGS_VARIABLE,
@@ -71,7 +100,6 @@
 
 
 def _serve(settings: Settings) -> int:
-    # Imported here to keep --check fast.
     import asyncio
 
     from cicadatraild.process import serve
