Stop processes in overlapping series in the soak, beside callers on open connections

The soak stopped one process at a time and looked only at what became of jobs, so that it could not see a request that a shutdown had cut. A request that was cut on a process that had not been killed or paused within 4 s is a finding.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -2,6 +2,8 @@
   Daemons run as processes on loopback with stand-ins of the platform, and faults are
   injected from outside.
   By hand: python -m features.support.soak --seed 1 --seeds 50 --seconds 20
+  and with --series: processes are stopped in overlapping series, while callers use
+  their open connections until the process is gone.
 
   Scenario: A seed that CI runs
     Then a soak of seed 1 over 8 seconds finds no violation
@@ -38,3 +40,6 @@
   # incarnation had taken the order.
   Scenario: A worker restarts while starts are queued, seed 128
     Then a soak of seed 128 over 15 seconds finds no violation
+
+  Scenario: Processes stopped in overlapping series cut no request
+    Then a soak of seed 2 with stops in series over 12 s finds none
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -13,7 +13,16 @@
 
 @then("a soak of seed {seed:d} over {seconds:d} seconds finds no violation")
 def step_soak(context: Any, seed: int, seconds: int) -> None:
+    _check_soak(seed, seconds, has_series=False)
+
+
+@then("a soak of seed {seed:d} with stops in series over {seconds:d} s finds none")
+def step_soak_in_series(context: Any, seed: int, seconds: int) -> None:
+    _check_soak(seed, seconds, has_series=True)
+
+
+def _check_soak(seed: int, seconds: int, has_series: bool) -> None:
     with tempfile.TemporaryDirectory() as folder:
-        soak = run_seed(seed, seconds, Path(folder))
+        soak = run_seed(seed, seconds, Path(folder), has_series)
     assert soak.accepted, soak.faults
     assert not soak.findings, (soak.findings, soak.faults)
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -21,12 +21,15 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from features.support.faulty_proxy import FaultyProxy
-from features.support.platform_cluster import PlatformCluster, job
+from features.support.open_caller import open_caller
+from features.support.platform_cluster import PlatformCluster, configuration, job
 
 SOURCES = ":".join(
     str(Path(__file__).resolve().parents[2] / "packages" / name / "src")
@@ -37,6 +40,8 @@
 SUBMIT_PAUSE_S = 0.15
 FAULT_PAUSE_S = 0.8
 COMPLETION_LIMIT_S = 45.0
+CONNECTION_COUNT = 3
+UNDISTURBED_S = 4.0
 
 
 @dataclass
@@ -47,7 +52,7 @@
     proxy: FaultyProxy
     settings: Path
     process: subprocess.Popen[bytes] | None = None
-    restart_due_s: float = 0.0
+    disturbed_s: float = 0.0
 
     def start(self) -> None:
         self.process = subprocess.Popen(
@@ -62,6 +67,8 @@
         )
 
     def send(self, number: signal.Signals) -> None:
+        if number in (signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT):
+            self.disturbed_s = asyncio.get_running_loop().time()
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
@@ -70,16 +77,20 @@
 class Soak:
     """A soak with one seed; ``accepted`` has the jobs that were answered with 200.
 
-    ``faults`` lists the injected faults, ``findings`` the violations found.
+    ``faults`` lists the injected faults, ``findings`` the violations found. With
+    ``has_series`` processes are stopped in overlapping series.
     """
 
     seed: int
     seconds: float
+    has_series: bool = False
     cluster: PlatformCluster = field(default_factory=PlatformCluster)
     daemons: list[Daemon] = field(default_factory=list)
     accepted: set[str] = field(default_factory=set)
     faults: list[str] = field(default_factory=list)
     findings: list[str] = field(default_factory=list)
+    used_count: int = 0
+    version: int = 1
 
     async def run(self, folder: Path) -> None:
         self.random = random.Random(self.seed)
@@ -94,7 +105,15 @@
             await self._wait_for_service()
             loop = asyncio.get_running_loop()
             until_s = loop.time() + self.seconds
+            users = [
+                asyncio.create_task(self._use_connection(stack, daemon))
+                for daemon in self.daemons * CONNECTION_COUNT
+                if self.has_series
+            ]
             await asyncio.gather(self._submit(until_s), self._inject_faults(until_s))
+            for user in users:
+                user.cancel()
+            await asyncio.gather(*users, return_exceptions=True)
             self._clear_faults()
             await self._wait_for_completion()
             self.findings += self.cluster.fleet.violations
@@ -155,9 +174,26 @@
                 return
             await asyncio.sleep(0.3)
 
+    async def _use_connection(self, stack: AsyncExitStack, daemon: Daemon) -> None:
+        """Record requests that a daemon has read and cut, though it was not killed."""
+        loop = asyncio.get_running_loop()
+        caller = open_caller(self.cluster, daemon.name)
+        await caller.open(stack)
+        while True:
+            job_id = self.random.choice(sorted(self.accepted) or ["0" * 16])
+            outcome = await caller.call("GET", f"/q/{job_id}")
+            if outcome is None:
+                await asyncio.sleep(0.1)
+                continue
+            self.used_count += 1
+            is_planned = loop.time() - daemon.disturbed_s > UNDISTURBED_S
+            if outcome.is_cut and is_planned:
+                self.findings.append(f"{daemon.name} cut {outcome}")
+            await asyncio.sleep(0.02)
+
     async def _inject_faults(self, until_s: float) -> None:
         loop = asyncio.get_running_loop()
-        actions = (
+        actions: tuple[Callable[[], Coroutine[Any, Any, None]], ...] = (
             self._kill,
             self._pause,
             self._terminate,
@@ -171,6 +207,16 @@
             self._restart_worker,
             self._kill_all,
         )
+        if self.has_series:
+            actions = (
+                self._terminate_in_series,
+                self._reload,
+                self._replace_configuration,
+                self._store_down,
+                self._delay_store,
+                self._make_worker_unresponsive,
+                self._kill,
+            )
         pending: set[asyncio.Task[None]] = set()
         while loop.time() < until_s:
             action = self.random.choice(actions)
@@ -192,6 +238,23 @@
     async def _terminate(self) -> None:
         self._daemon().send(signal.SIGTERM)
 
+    async def _terminate_in_series(self) -> None:
+        """Stop all processes, some at once, the next before the last has ended."""
+        gap_s = self.random.uniform(0.0, 1.5)
+        for daemon in self.random.sample(self.daemons, len(self.daemons)):
+            daemon.send(signal.SIGTERM)
+            await asyncio.sleep(gap_s)
+
+    async def _reload(self) -> None:
+        for daemon in self.daemons:
+            daemon.send(signal.SIGHUP)
+            await asyncio.sleep(self.random.uniform(0.0, 0.3))
+
+    async def _replace_configuration(self) -> None:
+        self.version += self.random.randint(1, 3)
+        newer = configuration(self.version)
+        self.cluster.store.put_json("keyed.op", "config", newer)
+
     async def _pause(self) -> None:
         daemon = self._daemon()
         daemon.send(signal.SIGSTOP)
@@ -270,8 +333,8 @@
                 daemon.process.wait()
 
 
-def run_seed(seed: int, seconds: float, folder: Path) -> Soak:
-    soak = Soak(seed, seconds)
+def run_seed(seed: int, seconds: float, folder: Path, has_series: bool = False) -> Soak:
+    soak = Soak(seed, seconds, has_series)
     asyncio.run(soak.run(folder))
     return soak
 
@@ -283,6 +346,9 @@
         "--seeds", type=int, default=1, help="number of seeds, from --seed on"
     )
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument(
+        "--series", action="store_true", help="stop processes in overlapping series"
+    )
     parser.add_argument("--keep", type=Path, help="folder to keep the logs in")
     options = parser.parse_args()
     failed = 0
@@ -290,11 +356,12 @@
         with tempfile.TemporaryDirectory() as folder:
             log_folder = options.keep / str(seed) if options.keep else Path(folder)
             log_folder.mkdir(parents=True, exist_ok=True)
-            soak = run_seed(seed, options.seconds, log_folder)
+            soak = run_seed(seed, options.seconds, log_folder, options.series)
         failed += bool(soak.findings)
         summary = {
             "seed": seed,
             "accepted": len(soak.accepted),
+            "used": soak.used_count,
             "faults": len(soak.faults),
             "findings": soak.findings[:5],
         }
