--- a/features/standins/platform_store.py
+++ b/features/standins/platform_store.py
@@ -38,13 +38,14 @@
 
     ``down`` answers every call with 503, and ``refused_hosts`` only those of these
     hosts; ``unresponsive`` leaves every call unanswered; the next ``lost_answers``
-    appends are applied but not answered.
+    appends are applied but not answered; reads of ``unread_topics`` get 503.
     """
 
     down: bool = False
     unresponsive: bool = False
     lost_answers: int = 0
     refused_hosts: set[str] = field(default_factory=set)
+    unread_topics: set[str] = field(default_factory=set)
 
 
 class PlatformStore:
@@ -97,6 +98,10 @@
         url = urlsplit(exchange.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         topic = self.topic(query.get("topic", ""))
+        is_append = url.path.endswith("log-append")
+        if query.get("topic") in self.faults.unread_topics and not is_append:
+            await exchange.respond(503)
+            return
         match url.path.rsplit("/", 1)[-1]:
             case "log-append":
                 await self._append(exchange, topic, query, body)
