Send no start to a worker that has shrunk below what it was given

A start that waited for its turn, or for its connection, while the worker's capacity shrank was still sent, and brought the worker over its capacity.

Cause: capacity was checked when a run was placed; the check right before the first byte asked only for the run, its deadline and the incarnation. Evidence: two starts of 4 cores were held while the entry shrank from 8 to 3 cores, and both were sent. The check now includes the worker's capacity; a start that no longer fits ends as not sent, which releases the run without an attempt, as it has certainly not run.

Ruled out: to withdraw queued runs when an entry shrinks. An order under way has to be asked about at its first byte in any case, and a run that was sent must not be released. Two orders that are asked at once may both be released where one would fit; it is placed again in the next pass.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -286,6 +286,11 @@
         """Return the capacity that no run takes."""
         return self.facts.capacity - self.used
 
+    @property
+    def is_over_capacity(self) -> bool:
+        """Return whether the runs take more than the capacity, which may shrink."""
+        return not self.used.fits_in(self.facts.capacity)
+
     def clear_unreported_runs(self) -> None:
         """Drop the runs whose lease expired unreported.
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -409,8 +409,8 @@
     """Return whether a start that was queued may still be sent."""
     if run.phase is not RunPhase.SENT or run not in run.subtask.live_runs:
         return False
-    if run.worker.is_suspect:
-        # It may have restarted, and the new incarnation would take the order.
+    if run.worker.is_suspect or run.worker.is_over_capacity:
+        # A new incarnation would take the order, and so would one that has shrunk.
         return False
     # The deadline is on the clock of the incarnation that the start was made for.
     return loop_now_s() < run.start_expires_s < float("inf")
