Start nothing on a restarted worker by its earlier entry

A worker that restarted under its id with less capacity could be brought over it: its lists told of the new incarnation before its entry in the store did, and the leader went by the entry of the earlier one.

Evidence: a worker of 8 cores restarts with 2 and lists nothing; a subtask of 4 cores started there. A worker is now usable only once lists and entry of its present incarnation have been read. This costs a restarted worker at most a heartbeat.

Ruled out: to take the capacity from the lists, which don't give it.

The random histories of job_world.py restarted workers without ever renewing their entries, so those workers would get no more starts; a tick now publishes the entry of a restarted worker, which may come before or after its lists. All checks of the histories stay. Their list of final phases is now the model's own, which has the same three.

--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -7,11 +7,11 @@
 
 from cicadatrail_core.jobs.dispatch import dispatch
 from cicadatrail_core.jobs.models import (
+    FINAL_PHASES,
     EndKind,
     EndRow,
     FleetConfiguration,
     JobDefinition,
-    JobPhase,
     Pool,
     Queue,
     RunningRow,
@@ -204,6 +204,9 @@
     def tick(self, seconds: float) -> None:
         self.now_s += seconds
         for sim in self.sims.values():
+            worker = self.scheduler.workers.get(sim.worker_id)
+            if worker is not None and sim.started_ms > worker.facts.born_unix_ms:
+                self.scheduler.update_worker(self.facts(sim), self.now_s)
             if self.now_s > sim.deadline_s:
                 # An end before the lease expired counts only if it was acknowledged.
                 sim.unacknowledged_done.clear()
@@ -426,8 +429,4 @@
             if all(job.is_final for job in world.scheduler.jobs.values()):
                 break
         phases = {job.phase for job in world.scheduler.jobs.values()}
-        assert phases <= {
-            JobPhase.COMPLETED,
-            JobPhase.FAILED,
-            JobPhase.CANCELLED,
-        }, phases
+        assert phases <= set(FINAL_PHASES), phases
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -203,7 +203,7 @@
         for worker in scheduler.workers.values()
         if worker.facts.pool == pool
         and worker.is_listed
-        and worker.is_reconciled
+        and worker.is_known
         and not worker.is_suspect
         and not worker.is_cordoned
         and not worker.facts.draining
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -291,6 +291,16 @@
         """Return whether the runs take more than the capacity, which may shrink."""
         return not self.used.fits_in(self.facts.capacity)
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether lists and entry of the present incarnation have been read.
+
+        The entry of an earlier incarnation may give another capacity. An entry
+        without a time of birth counts for any.
+        """
+        entry_born_unix_ms = self.facts.born_unix_ms or self.born_unix_ms
+        return self.is_reconciled and entry_born_unix_ms >= self.born_unix_ms
+
     def clear_unreported_runs(self) -> None:
         """Drop the runs whose lease expired unreported.
 
