Count a pool's need by the capacities of all its workers

A pool took far too many or too few machines once its workers differed in capacity: the first worker's capacity was taken for all. With that worker shrunk to nothing a pool of 4 machines with work for 2 needed 20001, and would have taken every idle machine of the others; with all but the first at a quarter it needed 4, no more than before.

The need is now counted in machines of the workers' average capacity, and a machine without any processor left neither counts there nor as present. The figure is the same as before where all workers of a pool are alike.

Ruled out: the largest capacity, with which a pool of shrunk workers asks for too few. The average asks for more than needed at first and settles as whole machines join.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
@@ -10,11 +10,13 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from statistics import fmean
 
 from cicadatrail_core.jobs.demand import Demand
 from cicadatrail_core.jobs.models import Machine, MachineState
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import StepState, WorkerState
+from cicadatrail_core.models.resources import Resources
 
 USABLE_FRACTION = 0.85
 """Fraction of a machine's processor that planning counts on.
@@ -80,12 +82,18 @@
 ) -> dict[str, PoolNeed]:
     """Return the need for machines of each pool that is not a standby pool."""
     work = _work_by_pool(scheduler)
-    # Machines that are being evacuated accept no more work.
+    # Machines that are being evacuated, or have no processor left, accept no work.
     leaving = {
         worker.facts.machine
         for worker in scheduler.workers.values()
-        if worker.is_cordoned or worker.facts.draining
+        if worker.is_cordoned
+        or worker.facts.draining
+        or not worker.facts.capacity.cpu_millicores
     }
+    capacities: dict[str, list[Resources]] = {}
+    for worker in scheduler.workers.values():
+        if worker.facts.capacity.cpu_millicores:
+            capacities.setdefault(worker.facts.pool, []).append(worker.facts.capacity)
     pools = scheduler.configuration.pools
     names = [name for name, pool in pools.items() if not pool.standby]
     idle_machine_count = math.ceil(
@@ -104,6 +112,7 @@
             scheduler,
             work.get(name, _PoolWork()),
             name,
+            capacities.get(name, []),
             present_count,
             idle_machine_count,
             demand,
@@ -116,17 +125,17 @@
     scheduler: Scheduler,
     work: _PoolWork,
     pool: str,
+    capacities: list[Resources],
     present_count: int,
     idle_machine_count: int,
     demand: Demand,
     now_s: float,
 ) -> PoolNeed:
-    worker = next((w for w in scheduler.workers.values() if w.facts.pool == pool), None)
-    if worker is None:
+    if not capacities:
         return PoolNeed(present_count, max(1, idle_machine_count))
-    capacity = worker.facts.capacity
-    cores = max(0.001, capacity.cpu_millicores / 1000 * USABLE_FRACTION)
-    memory_mib = max(1.0, capacity.memory_mib * USABLE_FRACTION)
+    # Workers may differ in capacity, as it can shrink: count in average machines.
+    cores = fmean(c.cpu_millicores for c in capacities) / 1000 * USABLE_FRACTION
+    memory_mib = max(1.0, fmean(c.memory_mib for c in capacities) * USABLE_FRACTION)
     lasting_count = max(
         math.ceil(work.long_running_cores / cores),
         math.ceil(work.long_running_memory_mib / memory_mib),
