Skip a worker's entry whose capacity lacks processor or memory

An entry from another writer with an incomplete capacity was taken for a worker without that resource: its waiting starts were released, its work stopped starting and its pool asked for machines, until the worker's next own entry. Evidence: decoding an entry with the capacity {} gave 0 of everything.

Such an entry is now malformed and the last good one holds, as for any other field. A missing number of accelerators still counts as 0, which starts less, not more; that workers always name it is shown by examples only.

--- a/packages/cicadatrail-node/src/cicadatraild/platform/documents.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/documents.py
@@ -120,10 +120,10 @@
     return table.get(name, False) is True
 
 
-def _resources(table: dict[str, Any]) -> Resources:
+def _resources(table: dict[str, Any], default: int | None = 0) -> Resources:
     return Resources(
-        _count(table, "cpu", 0),
-        _count(table, "mem-mb", 0),
+        _count(table, "cpu", default),
+        _count(table, "mem-mb", default),
         _count(table, "gpu", 0),
     )
 
@@ -213,7 +213,7 @@
             host=address.host,
             port=address.port,
             zone=_text(table, "zone"),
-            capacity=_resources(_table(table.get("capacity"))),
+            capacity=_resources(_table(table.get("capacity")), None),
             labels=tuple(label for label in labels if isinstance(label, str)),
             draining=state == "draining",
             remaining_ms=_integer(table, "remaining-ms", 0),
