Start nothing while the list of workers can't be read but renewals are stored

A leader that renewed its record but could not read the workers' entries went on for as long as that lasted, and brought a worker that had shrunk over its capacity.

Cause: starts depended on the leadership lease and on the fence, and neither tells of the list. Evidence: with reads of that topic refused, a worker that shrank from 8 to 2 cores still ran 8 more than 3.5 s later. Starts, those that wait included, now need a list that was read within 2.5 s while the lease is valid.

Without a lease the leader goes on as before: the store then serves no instance that answers, or another one would have claimed.

Ruled out: to hold back only pools without an admission check. The list also tells who drains, and a refused start costs too.

--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/feeds.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/feeds.py
@@ -48,13 +48,17 @@
         self._offset: int | None = None
         self.failed_s: float | None = None
         self.answered_s: float | None = None
+        # When the newest read with an answer was sent: earlier changes are known.
+        self.read_s: float | None = None
 
     async def load(self) -> None:
         """Read the newest record of each key.
 
         Raises StoreUnavailableError.
         """
+        sent_s = loop_now_s()
         records, end = await self._store.read_newest(self._topic)
+        self.read_s = sent_s
         for record in records:
             self._handle(record)
         if self._on_snapshot is not None:
@@ -95,9 +99,11 @@
         if self._offset is None:
             await self.load()
             return
+        sent_s = loop_now_s()
         records, self._offset = await self._store.read(
             self._topic, self._offset, WAIT_MS
         )
+        self.read_s = sent_s
         for record in records:
             self._handle(record)
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -84,6 +84,12 @@
 WORKERS_PAUSE_S = 0.15
 """Delay between reads of the list of workers, so that changes are batched."""
 
+LIST_AGE_LIMIT_S = 2.5
+"""Age of the list of workers from which nothing starts while the store answers.
+
+A capacity that has shrunk counts 3 s after its worker's entry could be read.
+"""
+
 RETRY_S = 0.1
 """Delay before the takeover is retried."""
 
@@ -119,7 +125,7 @@
         self.journal = Journal(
             store, epoch, self._records.collect, leadership.step_down
         )
-        self._client = WorkerClient(epoch, leadership.may_start)
+        self._client = WorkerClient(epoch, self._may_start)
         self.links = WorkerLinks(self.scheduler, self._client, self.journal, leadership)
         self._advice: AdviceClient | None = None
         if settings.advice is not None:
@@ -267,6 +273,18 @@
                 )
                 self.scheduler.on_change()
 
+    def _may_start(self) -> bool:
+        """Return whether subtasks may be started on the workers as they are known.
+
+        A leader whose renewals are stored may still fail to read the list, whose
+        workers may have shrunk since. Without a lease, no instance that answers can
+        read it, and accepted work goes on with the list as it was last read.
+        """
+        if not self._leadership.is_lease_valid():
+            return self._leadership.may_start()
+        read_s = self._feed.read_s
+        return read_s is not None and loop_now_s() - read_s <= LIST_AGE_LIMIT_S
+
     # Loops
 
     async def _dispatch(self) -> None:
@@ -274,7 +292,7 @@
             await self._dirty.wait()
             self._dirty.clear()
             self.links.follow_scheduler()
-            if self._leadership.may_start():
+            if self._may_start():
                 dispatch(self.scheduler, loop_now_s())
             self.links.send_orders()
             if self.scheduler.changed_jobs or self._records.has_fleet_changes():
@@ -285,7 +303,7 @@
         could_start = True
         while True:
             now_s = loop_now_s()
-            may_start = self._leadership.may_start()
+            may_start = self._may_start()
             if may_start != could_start:
                 logger.info(
                     "holder: permission to start subtasks changed.",
