--- a/features/steps/worker_capacity_cluster_steps.py
+++ b/features/steps/worker_capacity_cluster_steps.py
@@ -136,3 +136,47 @@
 @then("starts go on within a second after the list can be read")
 def step_go_on(context: Any) -> None:
     assert context.later_starts > 0
+
+
+@when("the leader alone is cut off from the store and a worker shrinks")
+def step_cut_off(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        await cluster.add_proxy("edge-1")
+        cluster.start("edge-1")
+        await cluster.wait_until(cluster.leader)
+        for name in ("edge-2", "edge-3"):
+            cluster.start(name)
+        instances = list(cluster.instances.values())
+        await cluster.wait_until(lambda: all(other.is_ready for other in instances))
+        assert await submit(cluster, "edge-1", JOB, _job(300, 400, 1000)) == 200
+        await asyncio.sleep(0.5)
+        cluster.proxies["edge-1"].silent = True
+        (worker,) = cluster.workers
+        worker.room.change(_now_s(), {"cpu": 2000})
+        await asyncio.sleep(6.0)
+        context.others_lead = [i.is_leader for i in instances[1:]]
+        context.first_leads = instances[0].is_leader
+
+    run_on_cluster(context, scenario, 1)
+
+
+@then("another instance leads")
+def step_another_leads(context: Any) -> None:
+    assert any(context.others_lead)
+    assert not context.first_leads
+
+
+@when("a worker restarts with a quarter of its capacity while work waits")
+def step_restart_smaller(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster)
+        assert await submit(cluster, leader, JOB, _job(300, 60, 1000)) == 200
+        worker = cluster.workers[0]
+        for cpu in (2000, 8000, 2000):
+            await asyncio.sleep(0.7)
+            worker.room.change(_now_s(), {"cpu": cpu})
+            worker.restart()
+        await cluster.wait_for_state(leader, JOB, "completed")
+        context.state = "completed"
+
+    run_on_cluster(context, scenario, 2)
--- a/features/worker_capacity.feature
+++ b/features/worker_capacity.feature
@@ -120,3 +120,13 @@
     When the list of workers can't be read while the leader renews and a worker shrinks
     Then no subtask ran twice and no worker was over its capacity
     And starts go on within a second after the list can be read
+
+  Scenario: A leader cut off from the store gives way before a shrunk capacity counts
+    When the leader alone is cut off from the store and a worker shrinks
+    Then another instance leads
+    And no subtask ran twice and no worker was over its capacity
+
+  Scenario: A worker that restarts smaller is not given what it held before
+    When a worker restarts with a quarter of its capacity while work waits
+    Then it is completed
+    And no subtask ran twice and no worker was over its capacity
