--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -61,6 +61,7 @@
 )
 from cicadatraild.scheduling.pool_balance import PoolBalancer
 from cicadatraild.scheduling.worker_links import WorkerLinks
+from cicadatraild.scheduling.worker_orders import WorkerOrders
 
 logger = logging.getLogger("cicadatrail.holder")
 
@@ -120,7 +121,10 @@
             store, epoch, self._records.collect, leadership.step_down
         )
         self._client = WorkerClient(epoch, leadership.may_start)
-        self.links = WorkerLinks(self.scheduler, self._client, self.journal, leadership)
+        self.orders = WorkerOrders(self.scheduler, self._client, leadership)
+        self.links = WorkerLinks(
+            self.scheduler, self._client, self.journal, leadership, self.orders
+        )
         self._advice: AdviceClient | None = None
         if settings.advice is not None:
             self._advice = AdviceClient(settings.advice)
@@ -160,6 +164,7 @@
         began_s = loop_now_s()
         async with AsyncExitStack() as stack:
             stack.callback(self.links.close)
+            stack.callback(self.orders.close)
             stack.callback(self.journal.close)
             await self._client.pool.open(stack)
             await self._machines.pool.open(stack)
@@ -276,7 +281,7 @@
             self.links.follow_scheduler()
             if self._leadership.may_start():
                 dispatch(self.scheduler, loop_now_s())
-            self.links.send_orders()
+            self.orders.send()
             if self.scheduler.changed_jobs or self._records.has_fleet_changes():
                 self.journal.flush_soon()
             await asyncio.sleep(DISPATCH_PAUSE_S)
@@ -303,7 +308,7 @@
                     del self._evacuating[worker_id]
                 else:
                     evacuate(self.scheduler, draining, since_s, now_s)
-            self.links.send_orders()
+            self.orders.send()
             await asyncio.sleep(TICK_S)
 
     def _on_wave_progress(self) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
@@ -126,7 +126,7 @@
             "store_appends": leader.journal.append_count,
             "stored_bytes": leader.journal.stored_bytes,
             "worker_lists": leader.links.list_count,
-            "starts": leader.links.start_count,
+            "starts": leader.orders.start_count,
             "machine_moves": leader.balance.move_count,
             "may_start": self._leadership.may_start(),
         }
