Treat odd answers and addresses as no usable answer

Callers saw no leader for as long as one worker or service gave such an answer: the exception left the client, the leader stepped down and its successor read the same. It was raised for a refusal whose reason is a list (TypeError) or whose body is nested deeply (RecursionError), a subtask name of thousands of digits (ValueError), a page token with a lone surrogate (UnicodeEncodeError), advice that is valid for ever (OverflowError) and a listed address that has no IDNA form (UnicodeError).

A run of an occurrence that the job does not have is not adopted any more: its occurrence was started, and its end completed the job.

A deadline, a refused connection and an answer that is not JSON were handled already.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -127,7 +127,7 @@
 def _open_inherited_occurrence(
     scheduler: Scheduler, job: JobState, occurrence: int, now_s: float
 ) -> None:
-    if occurrence in job.occurrences:
+    if occurrence in job.occurrences or occurrence >= job.definition.occurrence_count:
         return
     job.occurrences[occurrence] = [
         StepState(job, occurrence, position)
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
@@ -141,7 +141,8 @@
                     address.host,
                     address.port,
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
+            # A name that can't be encoded for its lookup is a ValueError.
             reason = f"cannot connect to {address}: {error!r}"
             raise ClientError(ClientFault.NOT_SENT, reason) from error
         return transport
--- a/packages/cicadatrail-node/src/cicadatraild/platform/advice.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/advice.py
@@ -62,6 +62,12 @@
             answer = json.loads(response.body)
             tickets = {str(row[0]): str(row[1]) for row in answer["allowed"]}
             return Advice(tickets, int(answer.get("valid-ms", 0)) / 1000)
-        except (ValueError, KeyError, TypeError, IndexError) as error:
+        except (
+            ArithmeticError,
+            LookupError,
+            RecursionError,
+            TypeError,
+            ValueError,
+        ) as error:
             logger.warning("advice: answer is invalid.", extra={"reason": repr(error)})
             return None
--- a/packages/cicadatrail-node/src/cicadatraild/platform/documents.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/documents.py
@@ -8,6 +8,7 @@
 
 import json
 import logging
+import re
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -208,7 +209,7 @@
             raise _DecodeError(f"address or state is invalid in {table!r}")
         labels = _entries(table, "labels")
         return WorkerFacts(
-            worker_id=worker_id,
+            worker_id=_check_text("worker id", worker_id),
             pool=_text(table, "service"),
             host=address.host,
             port=address.port,
@@ -288,9 +289,9 @@
         token = table.get("next-token")
         if token is None:
             return machines, ""
-        if not isinstance(token, str | int):
+        if isinstance(token, bool) or not isinstance(token, str | int):
             raise _DecodeError(f"next-token can't be {token!r}")
-        return machines, str(token)
+        return machines, _check_text("next-token", str(token))
     except _DecodeError as error:
         logger.warning(
             "platform: machine list is invalid; ignored.", extra={"reason": str(error)}
@@ -299,12 +300,11 @@
 
 
 def parse_subtask_name(text: str) -> SubtaskName | None:
-    """Parse the name of a subtask as workers write it; return None if malformed."""
-    parts = text.split(".")
-    is_number = [part.isascii() and part.isdigit() for part in parts[1:]]
-    if len(parts) != 4 or not all(is_number):
+    """Parse a subtask's name; return None if malformed or with over 15 digits."""
+    match = re.fullmatch(r"([^.]*)\.([0-9]{1,15})\.([0-9]{1,15})\.([0-9]{1,15})", text)
+    if match is None:
         return None
-    return SubtaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    return SubtaskName(match[1], int(match[2]), int(match[3]), int(match[4]))
 
 
 _END_KINDS = {kind.value: kind for kind in EndKind}
--- a/packages/cicadatrail-node/src/cicadatraild/platform/machines.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/machines.py
@@ -14,6 +14,7 @@
 from cicadatraild.network.client_exchange import Address, ClientFault, WholeResponse
 from cicadatraild.network.http_client import ConnectionPool
 from cicadatraild.platform.documents import decode_machines
+from cicadatraild.platform.refusals import decode_reason
 
 logger = logging.getLogger("cicadatrail.machines")
 
@@ -144,8 +145,4 @@
 
 
 def _refusal(response: WholeResponse) -> MachineOutcome:
-    try:
-        reason = json.loads(response.body).get("reason")
-    except (ValueError, AttributeError):
-        return MachineOutcome.REFUSED
-    return _REASONS.get(reason, MachineOutcome.REFUSED)
+    return _REASONS.get(decode_reason(response.body), MachineOutcome.REFUSED)
--- a/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
@@ -14,6 +14,7 @@
 from cicadatraild.network.client_exchange import Address, ClientFault, WholeResponse
 from cicadatraild.network.http_client import ConnectionPool
 from cicadatraild.platform.documents import decode_report
+from cicadatraild.platform.refusals import decode_reason
 
 CONNECT_TIMEOUT_S = 0.5
 """Time to open a connection to a worker; the network latency is about 1 ms."""
@@ -217,10 +218,7 @@
         case 200:
             return OrderOutcome.DONE
         case 409:
-            try:
-                reason = json.loads(response.body).get("reason")
-            except (ValueError, AttributeError):
-                return OrderOutcome.UNKNOWN
+            reason = decode_reason(response.body)
             return _REASONS.get(reason, OrderOutcome.UNKNOWN)
         case 421:
             return OrderOutcome.WRONG_WORKER
