Do not lead the same epoch again after stepping down

An instance that stepped down by itself read its own last claim or renewal back, took it for a claim without an answer and led the epoch again at once: 6 terms in 4 s, two of each epoch. A claim without an answer is of an epoch that was not left, so it still counts.

--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -139,6 +139,7 @@
         self._store_failed = False
         self.current: LeaderRecord | None = None
         self.held_epoch = 0
+        self._left_epoch = 0
         self.claims_disabled = False
         self.suspected_epoch = 0
         self.store_answered_s: float | None = None
@@ -204,7 +205,7 @@
             "leadership: stepped down.",
             extra={"epoch": self.held_epoch, "reason": reason},
         )
-        self.held_epoch = 0
+        self._left_epoch, self.held_epoch = self.held_epoch, 0
         self._lease_until_s = 0.0
         self._confirmed_until_s = 0.0
         if self._renewing is not None:
@@ -294,7 +295,8 @@
         is_own = leader.process_id == self._process_id
         if leader.epoch > self.held_epoch > 0 and not is_own:
             self.step_down(f"epoch {leader.epoch} of {leader.node}")
-        has_won = is_own and not leader.released and leader.epoch > self.held_epoch
+        is_new = leader.epoch > max(self.held_epoch, self._left_epoch)
+        has_won = is_own and not leader.released and is_new
         if has_won and not self.claims_disabled:
             # A claim that was not answered has succeeded.
             self._become_leader(leader.epoch, boot_now_s())
