Let an unexpected failure of a poll or an order cost only its worker

The leader stepped down when a link or an order failed, and its successor, which reads the same answer, did so as well. A poll that fails now counts as one without an answer: the worker is suspect, its lease is not renewed, the failure is logged once and the next poll follows after a second. A report that fails while it is applied is undone: the runs that it removed count again and its ends are unread, so that nothing is lost or runs twice. A start that fails may have been carried out and is kept as one without an answer; a stop is repeated.

A worker whose reports are ignored, as they are of an earlier incarnation, was polled without a pause; polls of an unreconciled worker now pause.

--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -9,7 +9,9 @@
 import logging
 import random
 
+from cicadatrail_core.jobs.models import WorkerReport
 from cicadatrail_core.jobs.pacing import has_serving_and_best_effort, plan_pace
+from cicadatrail_core.jobs.report_rollback import ReportRollback
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import WorkerState
 from cicadatrail_core.jobs.worker_reports import apply_report
@@ -35,6 +37,10 @@
 LIST_RETRY_S = 0.15
 """Mean delay after a poll without an answer."""
 
+FAILED_RETRY_S = 1.0
+"""Delay of the next poll after an answer that can't be handled: the same answer is
+likely to come again."""
+
 STORE_WAIT_S = 0.4
 """Longest wait for ends to be stored before the link renews the lease."""
 
@@ -42,8 +48,8 @@
 class WorkerLinks:
     """Maintain a link to each worker of the scheduler.
 
-    Makes ``leadership`` step down when a worker obeys a newer leader, or a link fails
-    unexpectedly. ``orders`` sends the workers their orders.
+    Makes ``leadership`` step down when a worker obeys a newer leader. ``orders`` sends
+    the workers their orders.
     """
 
     def __init__(
@@ -62,6 +68,8 @@
         self._links: dict[str, asyncio.Task[None]] = {}
         # Workers that the store listed when this leader took over; used once each.
         self.stored_ids: set[str] = set()
+        # Workers whose last answer could not be handled, so that it is logged once.
+        self._failing_ids: set[str] = set()
         self.list_count = 0
 
     def follow_scheduler(self) -> None:
@@ -75,6 +83,7 @@
             if worker_id not in self._scheduler.workers:
                 self._links.pop(worker_id).cancel()
                 self._orders.forget(worker_id)
+                self._failing_ids.discard(worker_id)
 
     def close(self) -> None:
         """Cancel all links and orders."""
@@ -91,10 +100,37 @@
             else:
                 await self._journal.flush()
             while self._scheduler.workers.get(worker.facts.worker_id) is worker:
-                await self._poll(worker)
+                await self._poll_or_wait(worker)
         except FencedError:
             return
 
+    async def _poll_or_wait(self, worker: WorkerState) -> None:
+        """Poll a worker; a failure counts as no answer and costs only this worker.
+
+        A successor would get the same answer and fail as well. The worker's lease is
+        not renewed, so that its runs can be placed elsewhere once it has expired.
+        """
+        try:
+            await self._poll(worker)
+        except FencedError:
+            raise
+        except Exception as error:
+            worker.is_suspect = True
+            if worker.facts.worker_id not in self._failing_ids:
+                self._failing_ids.add(worker.facts.worker_id)
+                logger.exception(
+                    "worker: answer can't be handled; polling again later.",
+                    extra={
+                        "worker_id": worker.facts.worker_id,
+                        "reason": repr(error),
+                        "run_count": len(worker.runs),
+                        "answer_age_s": age_s(worker.answered_s),
+                    },
+                )
+            await asyncio.sleep(FAILED_RETRY_S)
+        else:
+            self._failing_ids.discard(worker.facts.worker_id)
+
     async def _poll(self, worker: WorkerState) -> None:
         scheduler = self._scheduler
         sent_s = loop_now_s()
@@ -118,7 +154,7 @@
             return
         was_resolved = worker.is_reconciled
         self._orders.record_answer(worker, result.born_unix_ms)
-        apply_report(scheduler, worker, result, sent_s, loop_now_s())
+        self._apply(worker, result, sent_s)
         if worker.is_reconciled and not was_resolved:
             logger.info(
                 "worker: lists received.",
@@ -135,9 +171,17 @@
             scheduler.remove_worker(
                 worker.facts.worker_id, loop_now_s(), "left the list"
             )
-        if wait_ms or is_behind:
+        if wait_ms or is_behind or not worker.is_reconciled:
             await asyncio.sleep(LIST_PAUSE_S)
 
+    def _apply(self, worker: WorkerState, report: WorkerReport, sent_s: float) -> None:
+        rollback = ReportRollback(worker)
+        try:
+            apply_report(self._scheduler, worker, report, sent_s, loop_now_s())
+        except BaseException:
+            rollback.undo(self._scheduler)
+            raise
+
     def _acknowledged_end(self, worker: WorkerState) -> int:
         """Return the number of the last end that the worker may delete.
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -64,7 +64,7 @@
         starts, scheduler.starts = scheduler.starts, []
         stops, scheduler.stops = scheduler.stops, []
         for run in starts:
-            self._spawn(self._start(run))
+            self._spawn(self._start_or_keep(run))
         for run in stops:
             self._spawn(self._stop(run))
 
@@ -133,6 +133,15 @@
             and self.is_same_incarnation(worker)
         )
 
+    async def _start_or_keep(self, run: Run) -> None:
+        """Send a start; after a failure the run may have started, and is kept so."""
+        try:
+            await self._start(run)
+        except Exception as error:
+            _log_failure("start", run, error)
+            run.mark_unanswered(loop_now_s())
+            run.subtask.avoided_worker = run.worker.facts.worker_id
+
     async def _start(self, run: Run) -> None:
         scheduler = self._scheduler
         worker = run.worker
@@ -220,9 +229,13 @@
     async def _pace(self, run: Run, percent: int) -> None:
         """Set the speed of a best-effort run; the next poll retries a failure."""
         worker = run.worker
-        outcome = await self._client.set_pace(
-            worker.facts, str(run.subtask.name), run.number, percent
-        )
+        try:
+            outcome = await self._client.set_pace(
+                worker.facts, str(run.subtask.name), run.number, percent
+            )
+        except Exception as error:
+            _log_failure("pace", run, error)
+            return
         logger.info(
             "worker: pace sent.",
             extra={
@@ -241,9 +254,13 @@
     async def _stop(self, run: Run) -> None:
         worker = run.worker
         while run in run.subtask.live_runs:
-            outcome = await self._client.stop(
-                worker.facts, str(run.subtask.name), run.number
-            )
+            try:
+                outcome = await self._client.stop(
+                    worker.facts, str(run.subtask.name), run.number
+                )
+            except Exception as error:
+                _log_failure("stop", run, error)
+                outcome = OrderOutcome.UNKNOWN
             logger.info(
                 "worker: stop sent.",
                 extra={
@@ -279,6 +296,20 @@
     return loop_now_s() < run.start_expires_s < float("inf")
 
 
+def _log_failure(order: str, run: Run, error: Exception) -> None:
+    """Log an order that failed unexpectedly, which counts as one without an answer."""
+    logger.error(
+        "worker: order failed unexpectedly.",
+        exc_info=error,
+        extra={
+            "order": order,
+            "subtask": str(run.subtask.name),
+            "run": run.number,
+            "worker_id": run.worker.facts.worker_id,
+        },
+    )
+
+
 def _stop_gang(scheduler: Scheduler, run: Run) -> None:
     """Stop the other members of a gang, which can't work without this run's."""
     for member in run.subtask.step.subtasks:
