Hold back a job that can't be placed, and place the others

An exception while one job was placed ended the leader, and its successor met the same job. The dispatch now names the job in a PlacementError; the leader logs it, starts nothing of the job for two seconds and places the others. Its runs go on and its state is told as before. A run that was accounted for before its order was queued is stopped like a start without an answer. Failures that concern no job still end the leadership.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from cicadatrail_core.jobs.models import Queue, Step
+from cicadatrail_core.jobs.placement_error import Cursor, PlacementError
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import (
     JobState,
@@ -67,8 +68,11 @@
 
 
 def dispatch(scheduler: Scheduler, now_s: float) -> None:
-    """Place ready subtasks on workers, the most urgent first."""
-    ready = list(_ready_steps(scheduler))
+    """Place ready subtasks on workers, the most urgent first.
+
+    Raises PlacementError when one job fails; the other jobs' runs stay placed.
+    """
+    ready = list(_ready_steps(scheduler, now_s))
     if not ready:
         return
     over_share = _teams_over_share(scheduler, ready)
@@ -77,24 +81,33 @@
         # A job that has started is not held back, since sharing the team's
         # capacity among all its jobs would make all of them late.
         is_over_share = not step.job.started and step.job.definition.team in over_share
-        order = _order(scheduler, step, steps, queue, is_over_share, now_s)
+        try:
+            order = _order(scheduler, step, steps, queue, is_over_share, now_s)
+        except Exception as error:
+            raise PlacementError(step.job) from error
         pools.setdefault(queue.pool, []).append(_Candidate(order, step, queue))
     unreconciled = _unreconciled_by_team(scheduler, now_s)
     for pool, candidates in pools.items():
         is_reconciled = scheduler.is_pool_reconciled(pool, now_s)
         candidates.sort(key=lambda candidate: candidate.order)
         workers = _usable_workers(scheduler, pool, now_s)
-        _place_candidates(
-            scheduler, candidates, workers, is_reconciled, unreconciled, now_s
-        )
+        cursor = Cursor(candidates)
+        try:
+            _place_candidates(
+                scheduler, cursor, workers, is_reconciled, unreconciled, now_s
+            )
+        except Exception as error:
+            if cursor.last is None:
+                raise
+            raise PlacementError(cursor.last.step.job) from error
 
 
 def _ready_steps(
-    scheduler: Scheduler,
+    scheduler: Scheduler, now_s: float
 ) -> Iterator[tuple[StepState, list[StepState], Queue]]:
     """Yield each step with ready subtasks, its occurrence's steps and its queue."""
     for job in scheduler.jobs.values():
-        if job.is_final or not job.is_stored:
+        if job.is_final or not job.is_stored or now_s < job.held_until_s:
             continue
         queue = scheduler.queues.get(job.definition.queue)
         if queue is None:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -182,6 +182,7 @@
         "definition",
         "done_occurrences",
         "ended_s",
+        "held_until_s",
         "inherited",
         "is_stored",
         "job_id",
@@ -203,6 +204,8 @@
         self.is_stored = False
         self.started = False
         self.inherited = False
+        # Nothing of the job starts before, as placing it has failed unexpectedly.
+        self.held_until_s = 0.0
         self.occurrences: dict[int, list[StepState]] = {}
         self.done_occurrences: set[int] = set()
         self.ended_s = 0.0
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -11,16 +11,11 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 
-from cicadatrail_core.jobs.dispatch import dispatch
 from cicadatrail_core.jobs.ejection import EJECTION_S, eject
 from cicadatrail_core.jobs.evacuation import evacuate, stop_stuck_runs
-from cicadatrail_core.jobs.models import (
-    FleetConfiguration,
-    Wave,
-)
-from cicadatrail_core.jobs.records import (
-    decode_definition,
-)
+from cicadatrail_core.jobs.hold import dispatch_or_hold
+from cicadatrail_core.jobs.models import FleetConfiguration, Wave
+from cicadatrail_core.jobs.records import decode_definition
 from cicadatrail_core.jobs.scheduler import (
     Scheduler,
     SchedulerSettings,
@@ -280,12 +275,18 @@
             self._dirty.clear()
             self.links.follow_scheduler()
             if self._leadership.may_start():
-                dispatch(self.scheduler, loop_now_s())
+                held_until_s = dispatch_or_hold(self.scheduler, loop_now_s())
+                if held_until_s is not None:
+                    self._dispatch_at(held_until_s)
             self.orders.send()
             if self.scheduler.changed_jobs or self._records.has_fleet_changes():
                 self.journal.flush_soon()
             await asyncio.sleep(DISPATCH_PAUSE_S)
 
+    def _dispatch_at(self, due_s: float) -> None:
+        """Run a scheduling pass later, for jobs that are held back until then."""
+        asyncio.get_running_loop().call_at(due_s, self._dirty.set)
+
     async def _tick(self) -> None:
         could_start = True
         while True:
