--- a/features/leader_containment.feature
+++ b/features/leader_containment.feature
@@ -93,3 +93,7 @@
   Scenario: A failure that no worker and no job explains leaves a pause
     When the leader fails at once in every term for 4 seconds
     Then there were at most 4 terms, each with an epoch of its own
+
+  Scenario: A large job that repeats is opened little by little
+    When a job of 20000 subtasks is submitted that is due 64 times at once
+    Then at most 100000 of its subtasks are open, and the next opens as one ends
--- a/features/steps/leader_containment_steps.py
+++ b/features/steps/leader_containment_steps.py
@@ -15,7 +15,12 @@
 
 from cicadatrail_core.jobs import dispatch as dispatch_module
 from cicadatrail_core.jobs import ejection, worker_reports
-from cicadatrail_core.jobs.models import WorkerFacts, WorkerReport
+from cicadatrail_core.jobs.models import (
+    JobDefinition,
+    Step,
+    WorkerFacts,
+    WorkerReport,
+)
 from cicadatrail_core.jobs.records import encode_definition
 from cicadatrail_core.jobs.state import StepState, WorkerState
 from cicadatrail_core.models.resources import Resources
@@ -28,6 +33,7 @@
 from cicadatraild.scheduling import leader as leader_module
 from features.standins.platform_fleet import Fleet, PlatformWorker
 from features.support.faulty_proxy import HOST
+from features.support.job_world import JobWorld
 from features.support.platform_actions import (
     JOB,
     finish_all,
@@ -565,3 +571,22 @@
     epochs = context.lines.elected_epochs
     assert 1 <= len(epochs) <= 4, epochs
     assert len(set(epochs)) == len(epochs), epochs
+
+
+@when("a job of 20000 subtasks is submitted that is due 64 times at once")
+def step_large_repeated(context: Any) -> None:
+    context.world = JobWorld(1)
+    step = Step(20_000, Resources(1000, 1))
+    plan = JobDefinition("q", "team", "", (step,), 64, 1, 0)
+    context.job = context.world.submit("a", plan)
+
+
+@then("at most 100000 of its subtasks are open, and the next opens as one ends")
+def step_open(context: Any) -> None:
+    job_state, world = context.job, context.world
+    assert set(job_state.occurrences) == {0, 1, 2, 3, 4}, len(job_state.occurrences)
+    for steps in job_state.occurrences[0]:
+        steps.mark_done()
+    world.scheduler.check_completed(job_state, world.now_s)
+    world.tick(0.1)
+    assert set(job_state.occurrences) == {1, 2, 3, 4, 5}
