Open at most 100,000 subtasks of a repeating job at once

A job of 100,000 subtasks whose occurrences were due at once blocked the loop of leader after leader: each opened 64 of them. The next occurrence now opens as one ends. One occurrence of that size is opened at once as before.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/models.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/models.py
@@ -7,6 +7,13 @@
 
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
+OPEN_OCCURRENCE_LIMIT_COUNT = 64
+"""Maximum number of occurrences of one job kept in memory at once."""
+
+OPEN_SUBTASK_LIMIT_COUNT = 100_000
+"""Maximum number of their subtasks, unless one occurrence has more: opening them
+blocks the event loop."""
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
@@ -72,6 +79,13 @@
         """Return the number of times that the steps run."""
         return self.repeat_count or 1
 
+    @property
+    def open_limit_count(self) -> int:
+        """Return the most occurrences that are kept in memory at once."""
+        subtask_count = sum(step.count for step in self.steps)
+        within_limit_count = OPEN_SUBTASK_LIMIT_COUNT // max(1, subtask_count)
+        return min(OPEN_OCCURRENCE_LIMIT_COUNT, max(1, within_limit_count))
+
 
 class JobPhase(Enum):
     """Phase of a job as shown to callers."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -45,9 +45,6 @@
 START_DELAY_MS = 20
 """Delay of an occurrence after its due time, to allow for clock error."""
 
-OPEN_OCCURRENCE_LIMIT_COUNT = 64
-"""Maximum number of occurrences of one job kept in memory at once."""
-
 
 @dataclass(frozen=True, slots=True)
 class SchedulerSettings:
@@ -213,7 +210,7 @@
                 if now_unix_ms < due + START_DELAY_MS:
                     break
             if number not in job.occurrences:
-                if len(job.occurrences) >= OPEN_OCCURRENCE_LIMIT_COUNT:
+                if len(job.occurrences) >= definition.open_limit_count:
                     break
                 job.occurrences[number] = [
                     StepState(job, number, position)
