--- a/features/leader_containment.feature
+++ b/features/leader_containment.feature
@@ -97,3 +97,7 @@
   Scenario: A large job that repeats is opened little by little
     When a job of 20000 subtasks is submitted that is due 64 times at once
     Then at most 100000 of its subtasks are open, and the next opens as one ends
+
+  Scenario: A large long-running step does not block the leader
+    When a long-running step of 500 subtasks is placed on 150 idle workers
+    Then placing them takes less processor time than the leadership lease
--- a/features/steps/leader_containment_steps.py
+++ b/features/steps/leader_containment_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import time
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import AsyncExitStack, contextmanager
 from typing import Any
@@ -31,6 +32,7 @@
 from cicadatraild.platform.machines import MachineClient, MachineOutcome
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
 from cicadatraild.scheduling import leader as leader_module
+from cicadatraild.scheduling.leadership import LEADERSHIP_LEASE_S
 from features.standins.platform_fleet import Fleet, PlatformWorker
 from features.support.faulty_proxy import HOST
 from features.support.job_world import JobWorld
@@ -590,3 +592,19 @@
     world.scheduler.check_completed(job_state, world.now_s)
     world.tick(0.1)
     assert set(job_state.occurrences) == {1, 2, 3, 4, 5}
+
+
+@when("a long-running step of 500 subtasks is placed on 150 idle workers")
+def step_large_lasting(context: Any) -> None:
+    world = JobWorld(150)
+    world.report_all()
+    step = Step(500, Resources(1000, 1), lasting=True)
+    world.submit("a", JobDefinition("q", "team", "", (step,)))
+    began_s = time.process_time()
+    assert len(world.dispatch()) == 500
+    context.taken_s = time.process_time() - began_s
+
+
+@then("placing them takes less processor time than the leadership lease")
+def step_placed_soon(context: Any) -> None:
+    assert context.taken_s < LEADERSHIP_LEASE_S, context.taken_s
