--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
@@ -19,7 +20,7 @@
     SubtaskPhase,
     WorkerState,
 )
-from cicadatrail_core.jobs.worker_scores import placement_score
+from cicadatrail_core.jobs.worker_scores import count_by_rack, placement_score
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 LATE_FACTOR = 3
@@ -300,6 +301,8 @@
     needs_ticket = scheduler.needs_advice(subtask.step)
     if needs_ticket and now_s >= subtask.step.tickets_expire_s:
         return None
+    # Only the scores of long-running and best-effort work depend on it.
+    on_racks = count_by_rack(subtask.step) if spec.lasting or spec.filler else Counter()
     best: WorkerState | None = None
     best_score = 0
     for worker in workers:
@@ -309,7 +312,7 @@
             continue
         if needs_ticket and worker.facts.worker_id not in subtask.step.tickets:
             continue
-        score = placement_score(scheduler, subtask, worker)
+        score = placement_score(scheduler, subtask, worker, on_racks)
         if best is None or score < best_score:
             best, best_score = worker, score
     return best
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_scores.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_scores.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import Subtask, WorkerState
+from cicadatrail_core.jobs.state import StepState, Subtask, WorkerState
 
 COLD_PENALTY_MILLICORES = 16_000
 """Penalty for a worker that is still warming up."""
@@ -30,12 +32,24 @@
 """
 
 
-def placement_score(scheduler: Scheduler, subtask: Subtask, worker: WorkerState) -> int:
+def count_by_rack(step: StepState) -> Counter[str]:
+    """Return the number of a step's live runs in each rack."""
+    return Counter(
+        run.worker.facts.rack for other in step.subtasks for run in other.live_runs
+    )
+
+
+def placement_score(
+    scheduler: Scheduler,
+    subtask: Subtask,
+    worker: WorkerState,
+    on_racks: Counter[str],
+) -> int:
     """Return the score of a worker for a subtask; the lowest score wins."""
     spec = subtask.step.spec
     score = worker.free_capacity.cpu_millicores
     if spec.lasting or spec.filler:
-        score = _long_running_score(subtask, worker)
+        score = _long_running_score(subtask, worker, on_racks)
         if worker.facts.machine in scheduler.next_maintenance_machines:
             score += FAR_PENALTY_MILLICORES
     if spec.data_rack and spec.data_rack not in worker.facts.labels:
@@ -47,7 +61,9 @@
     return score
 
 
-def _long_running_score(subtask: Subtask, worker: WorkerState) -> int:
+def _long_running_score(
+    subtask: Subtask, worker: WorkerState, on_racks: Counter[str]
+) -> int:
     """Return the score of a worker for a long-running or best-effort subtask.
 
     Such work is packed on few machines, so that the others can be moved to other
@@ -55,12 +71,8 @@
     or an evacuation affects few of its subtasks.
     """
     step = subtask.step
-    on_worker = 0
-    on_rack = 0
-    for other in step.subtasks:
-        for run in other.live_runs:
-            on_worker += run.worker is worker
-            on_rack += run.worker.facts.rack == worker.facts.rack
+    on_worker = sum(run.subtask.step is step for run in worker.runs.values())
+    on_rack = on_racks[worker.facts.rack]
     has_long_running = any(
         run.subtask.step.spec.lasting for run in worker.runs.values()
     )
