--- a/features/support/capacity_world.py
+++ b/features/support/capacity_world.py
@@ -11,7 +11,7 @@
 from cicadatrail_core.jobs.state import Run
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 from cicadatraild.platform.workers import OrderOutcome
-from cicadatraild.scheduling.worker_links import WorkerLinks
+from cicadatraild.scheduling.worker_orders import WorkerOrders
 from features.support.job_world import JobWorld, RandomHistory, SimulatedWorker
 
 NOTICE_S = 3.5
@@ -88,18 +88,17 @@
 ) -> list[str]:
     """Apply a change while the orders to start wait; return the subtasks sent."""
     client = HeldClient()
-    links = WorkerLinks(
+    orders = WorkerOrders(
         world.scheduler,
         client,  # type: ignore[arg-type]
-        None,  # type: ignore[arg-type]
         HeldLeadership(),  # type: ignore[arg-type]
     )
     world.scheduler.starts += runs
-    links.send_orders()
+    orders.send()
     await asyncio.sleep(0)
     change()
     client.released.set()
-    while links._orders:  # noqa: ASYNC110 - the orders have no common event
+    while orders._tasks:  # noqa: ASYNC110 - the orders have no common event
         await asyncio.sleep(0)
     return client.sent
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -1,15 +1,17 @@
 """Selection of the subtasks that start next and of the workers to run them.
 
 Steps are placed in order of urgency. The worker with the lowest score is chosen
-for each subtask; scores and penalties are in millicores.
+for each subtask.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from cicadatrail_core.jobs.models import Queue, Step
+from cicadatrail_core.jobs.placement_error import Cursor, PlacementError
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import (
     JobState,
@@ -18,6 +20,7 @@
     SubtaskPhase,
     WorkerState,
 )
+from cicadatrail_core.jobs.worker_scores import count_by_rack, placement_score
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 LATE_FACTOR = 3
@@ -33,30 +36,6 @@
 part of a small team's share.
 """
 
-COLD_PENALTY_MILLICORES = 16_000
-"""Penalty for a worker that is still warming up."""
-
-RACK_PENALTY_MILLICORES = 2_000
-"""Penalty for each run of the same long-running step in the worker's rack."""
-
-EMPTY_PENALTY_MILLICORES = 32_000
-"""Penalty for a worker that has no long-running work, when placing such work."""
-
-LONG_RUNNING_PER_WORKER_COUNT = 2
-"""Subtasks of a long-running step on one worker from which it is penalized.
-
-A step that may miss more subtasks raises this. A worker with two of them takes two
-rounds to evacuate.
-"""
-
-FAR_PENALTY_MILLICORES = 64_000
-"""Penalty for a worker that is a poor choice.
-
-It applies to a worker outside the rack of the subtask's data, to one about to be
-maintained or already running enough of a long-running step, and twice to the
-worker that the subtask avoids.
-"""
-
 
 @dataclass(frozen=True, slots=True)
 class _Candidate:
@@ -90,8 +69,11 @@
 
 
 def dispatch(scheduler: Scheduler, now_s: float) -> None:
-    """Place ready subtasks on workers, the most urgent first."""
-    ready = list(_ready_steps(scheduler))
+    """Place ready subtasks on workers, the most urgent first.
+
+    Raises PlacementError when one job fails; the other jobs' runs stay placed.
+    """
+    ready = list(_ready_steps(scheduler, now_s))
     if not ready:
         return
     over_share = _teams_over_share(scheduler, ready)
@@ -100,24 +82,33 @@
         # A job that has started is not held back, since sharing the team's
         # capacity among all its jobs would make all of them late.
         is_over_share = not step.job.started and step.job.definition.team in over_share
-        order = _order(scheduler, step, steps, queue, is_over_share, now_s)
+        try:
+            order = _order(scheduler, step, steps, queue, is_over_share, now_s)
+        except Exception as error:
+            raise PlacementError(step.job) from error
         pools.setdefault(queue.pool, []).append(_Candidate(order, step, queue))
     unreconciled = _unreconciled_by_team(scheduler, now_s)
     for pool, candidates in pools.items():
         is_reconciled = scheduler.is_pool_reconciled(pool, now_s)
         candidates.sort(key=lambda candidate: candidate.order)
         workers = _usable_workers(scheduler, pool, now_s)
-        _place_candidates(
-            scheduler, candidates, workers, is_reconciled, unreconciled, now_s
-        )
+        cursor = Cursor(candidates)
+        try:
+            _place_candidates(
+                scheduler, cursor, workers, is_reconciled, unreconciled, now_s
+            )
+        except Exception as error:
+            if cursor.last is None:
+                raise
+            raise PlacementError(cursor.last.step.job) from error
 
 
 def _ready_steps(
-    scheduler: Scheduler,
+    scheduler: Scheduler, now_s: float
 ) -> Iterator[tuple[StepState, list[StepState], Queue]]:
     """Yield each step with ready subtasks, its occurrence's steps and its queue."""
     for job in scheduler.jobs.values():
-        if job.is_final or not job.is_stored:
+        if job.is_final or not job.is_stored or now_s < job.held_until_s:
             continue
         queue = scheduler.queues.get(job.definition.queue)
         if queue is None:
@@ -310,6 +301,8 @@
     needs_ticket = scheduler.needs_advice(subtask.step)
     if needs_ticket and now_s >= subtask.step.tickets_expire_s:
         return None
+    # Only the scores of long-running and best-effort work depend on it.
+    on_racks = count_by_rack(subtask.step) if spec.lasting or spec.filler else Counter()
     best: WorkerState | None = None
     best_score = 0
     for worker in workers:
@@ -319,7 +312,7 @@
             continue
         if needs_ticket and worker.facts.worker_id not in subtask.step.tickets:
             continue
-        score = _score(scheduler, subtask, worker)
+        score = placement_score(scheduler, subtask, worker, on_racks)
         if best is None or score < best_score:
             best, best_score = worker, score
     return best
@@ -338,46 +331,6 @@
     return on_worker_count < spec.spread_limit_count
 
 
-def _score(scheduler: Scheduler, subtask: Subtask, worker: WorkerState) -> int:
-    """Return the score of a worker for a subtask; the lowest score wins."""
-    spec = subtask.step.spec
-    score = worker.free_capacity.cpu_millicores
-    if spec.lasting or spec.filler:
-        score = _long_running_score(subtask, worker)
-        if worker.facts.machine in scheduler.next_maintenance_machines:
-            score += FAR_PENALTY_MILLICORES
-    if spec.data_rack and spec.data_rack not in worker.facts.labels:
-        score += FAR_PENALTY_MILLICORES
-    if worker.facts.cold_ms > 0:
-        score += COLD_PENALTY_MILLICORES
-    if subtask.avoided_worker == worker.facts.worker_id:
-        score += 2 * FAR_PENALTY_MILLICORES
-    return score
-
-
-def _long_running_score(subtask: Subtask, worker: WorkerState) -> int:
-    """Return the score of a worker for a long-running or best-effort subtask.
-
-    Such work is packed on few machines, so that the others can be moved to other
-    pools. A step is spread over these machines and their racks, so that a failure
-    or an evacuation affects few of its subtasks.
-    """
-    step = subtask.step
-    on_worker = 0
-    on_rack = 0
-    for other in step.subtasks:
-        for run in other.live_runs:
-            on_worker += run.worker is worker
-            on_rack += run.worker.facts.rack == worker.facts.rack
-    has_long_running = any(
-        run.subtask.step.spec.lasting for run in worker.runs.values()
-    )
-    score = RACK_PENALTY_MILLICORES * on_rack + worker.used.cpu_millicores
-    if on_worker >= max(LONG_RUNNING_PER_WORKER_COUNT, step.spec.may_miss_count):
-        score += FAR_PENALTY_MILLICORES
-    return score if has_long_running else score + EMPTY_PENALTY_MILLICORES
-
-
 def _place_gang(
     scheduler: Scheduler,
     step: StepState,
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -11,16 +11,11 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 
-from cicadatrail_core.jobs.dispatch import dispatch
 from cicadatrail_core.jobs.ejection import EJECTION_S, eject
 from cicadatrail_core.jobs.evacuation import evacuate, stop_stuck_runs
-from cicadatrail_core.jobs.models import (
-    FleetConfiguration,
-    Wave,
-)
-from cicadatrail_core.jobs.records import (
-    decode_definition,
-)
+from cicadatrail_core.jobs.hold import dispatch_or_hold
+from cicadatrail_core.jobs.models import FleetConfiguration, Wave
+from cicadatrail_core.jobs.records import decode_definition
 from cicadatrail_core.jobs.scheduler import (
     Scheduler,
     SchedulerSettings,
@@ -62,6 +57,7 @@
 )
 from cicadatraild.scheduling.pool_balance import PoolBalancer
 from cicadatraild.scheduling.worker_links import WorkerLinks
+from cicadatraild.scheduling.worker_orders import WorkerOrders
 
 logger = logging.getLogger("cicadatrail.holder")
 
@@ -128,7 +124,10 @@
             store, epoch, self._records.collect, leadership.step_down
         )
         self._client = WorkerClient(epoch, self._may_start)
-        self.links = WorkerLinks(self.scheduler, self._client, self.journal, leadership)
+        self.orders = WorkerOrders(self.scheduler, self._client, leadership)
+        self.links = WorkerLinks(
+            self.scheduler, self._client, self.journal, leadership, self.orders
+        )
         self._advice: AdviceClient | None = None
         if settings.advice is not None:
             self._advice = AdviceClient(settings.advice)
@@ -169,6 +168,7 @@
         async with AsyncExitStack() as stack:
             stack.callback(self._end_requests)
             stack.callback(self.links.close)
+            stack.callback(self.orders.close)
             stack.callback(self.journal.close)
             await self._client.pool.open(stack)
             await self._machines.pool.open(stack)
@@ -227,7 +227,7 @@
                     extra={"reason": repr(errors)},
                 )
             await asyncio.sleep(RETRY_S)
-        self._records.restore(reading.result())
+        self._dispatch_at(self._records.restore(reading.result()))
         self.links.stored_ids = self._records.stored_worker_ids
         self.balance.cordon_blocked()
 
@@ -301,12 +301,18 @@
             self._dirty.clear()
             self.links.follow_scheduler()
             if self._may_start():
-                dispatch(self.scheduler, loop_now_s())
-            self.links.send_orders()
+                held_until_s = dispatch_or_hold(self.scheduler, loop_now_s())
+                if held_until_s is not None:
+                    self._dispatch_at(held_until_s)
+            self.orders.send()
             if self.scheduler.changed_jobs or self._records.has_fleet_changes():
                 self.journal.flush_soon()
             await asyncio.sleep(DISPATCH_PAUSE_S)
 
+    def _dispatch_at(self, due_s: float) -> None:
+        """Run a scheduling pass later, for jobs that are held back until then."""
+        asyncio.get_running_loop().call_at(due_s, self._dirty.set)
+
     async def _tick(self) -> None:
         could_start = True
         while True:
@@ -329,7 +335,7 @@
                     del self._evacuating[worker_id]
                 else:
                     evacuate(self.scheduler, draining, since_s, now_s)
-            self.links.send_orders()
+            self.orders.send()
             await asyncio.sleep(TICK_S)
 
     def _on_wave_progress(self) -> None:
@@ -361,6 +367,9 @@
         job = self.scheduler.jobs.get(request.job_id)
         if job is not None and job.is_stored:
             return Stored()
+        if request.job_id in self._records.unreadable_job_ids:
+            # It was accepted; accepting it anew could run its subtasks twice.
+            return Stored()
         if job is None:
             if self.journal.is_stalled:
                 return Refused("the store does not answer")
@@ -377,9 +386,7 @@
     async def _cancel(self, request: Cancel) -> Reply:
         job = self.scheduler.jobs.get(request.job_id)
         if job is None:
-            if not self._leadership.is_lease_valid():
-                return Refused("the store does not answer")
-            return PhaseIs("")
+            return self._missing_phase(request.job_id)
         if job.is_final and job.stored_phase is job.phase:
             return Stored()
         if not job.is_stored:
@@ -392,7 +399,15 @@
         job = self.scheduler.jobs.get(request.job_id)
         if job is not None and job.is_stored:
             return PhaseIs(self.scheduler.shown_phase(job).value)
+        if job is not None:
+            return Refused("the store does not answer")
+        return self._missing_phase(request.job_id)
+
+    def _missing_phase(self, job_id: str) -> Reply:
+        """Return the reply on a job that this leader does not have."""
+        if job_id in self._records.unreadable_job_ids:
+            return Refused("the stored job can't be read")
         # A newer leader may know the job.
-        if job is not None or not self._leadership.is_lease_valid():
+        if not self._leadership.is_lease_valid():
             return Refused("the store does not answer")
         return PhaseIs("")
