--- a/features/support/balance_world.py
+++ b/features/support/balance_world.py
@@ -19,7 +19,8 @@
     WorkerFacts,
     WorkerReport,
 )
-from cicadatrail_core.jobs.scheduler import Scheduler, SchedulerSettings
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
 from cicadatrail_core.jobs.state import Run, RunPhase
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -27,7 +27,8 @@
     encode_definition,
     encode_progress,
 )
-from cicadatrail_core.jobs.scheduler import Scheduler, SchedulerSettings
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
 from cicadatrail_core.jobs.state import JobState, Run, RunPhase, WorkerState
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
--- a/features/support/outer_names.py
+++ b/features/support/outer_names.py
@@ -30,7 +30,8 @@
 from cicadatrail_core.jobs import models, records
 from cicadatrail_core.jobs.balance import PoolNeed
 from cicadatrail_core.jobs.job_report import JobReport
-from cicadatrail_core.jobs.scheduler import Scheduler, SchedulerSettings
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
 from cicadatrail_core.jobs.state import JobState, RunPhase, StepState, SubtaskPhase
 from cicadatrail_core.models.patches import Patch
 from cicadatrail_core.models.platform import ListedInstance, TaskControl
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -1,7 +1,7 @@
 """Selection of the subtasks that start next and of the workers to run them.
 
 Steps are placed in order of urgency. The worker with the lowest score is chosen
-for each subtask; scores and penalties are in millicores.
+for each subtask.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
     SubtaskPhase,
     WorkerState,
 )
+from cicadatrail_core.jobs.worker_score import worker_score
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 LATE_FACTOR = 3
@@ -33,30 +34,6 @@
 part of a small team's share.
 """
 
-COLD_PENALTY_MILLICORES = 16_000
-"""Penalty for a worker that is still warming up."""
-
-RACK_PENALTY_MILLICORES = 2_000
-"""Penalty for each run of the same long-running step in the worker's rack."""
-
-EMPTY_PENALTY_MILLICORES = 32_000
-"""Penalty for a worker that has no long-running work, when placing such work."""
-
-LONG_RUNNING_PER_WORKER_COUNT = 2
-"""Subtasks of a long-running step on one worker from which it is penalized.
-
-A step that may miss more subtasks raises this. A worker with two of them takes two
-rounds to evacuate.
-"""
-
-FAR_PENALTY_MILLICORES = 64_000
-"""Penalty for a worker that is a poor choice.
-
-It applies to a worker outside the rack of the subtask's data, to one about to be
-maintained or already running enough of a long-running step, and twice to the
-worker that the subtask avoids.
-"""
-
 
 @dataclass(frozen=True, slots=True)
 class _Candidate:
@@ -319,7 +296,7 @@
             continue
         if needs_ticket and worker.facts.worker_id not in subtask.step.tickets:
             continue
-        score = _score(scheduler, subtask, worker)
+        score = worker_score(scheduler, subtask, worker)
         if best is None or score < best_score:
             best, best_score = worker, score
     return best
@@ -338,46 +315,6 @@
     return on_worker_count < spec.spread_limit_count
 
 
-def _score(scheduler: Scheduler, subtask: Subtask, worker: WorkerState) -> int:
-    """Return the score of a worker for a subtask; the lowest score wins."""
-    spec = subtask.step.spec
-    score = worker.free_capacity.cpu_millicores
-    if spec.lasting or spec.filler:
-        score = _long_running_score(subtask, worker)
-        if worker.facts.machine in scheduler.next_maintenance_machines:
-            score += FAR_PENALTY_MILLICORES
-    if spec.data_rack and spec.data_rack not in worker.facts.labels:
-        score += FAR_PENALTY_MILLICORES
-    if worker.facts.cold_ms > 0:
-        score += COLD_PENALTY_MILLICORES
-    if subtask.avoided_worker == worker.facts.worker_id:
-        score += 2 * FAR_PENALTY_MILLICORES
-    return score
-
-
-def _long_running_score(subtask: Subtask, worker: WorkerState) -> int:
-    """Return the score of a worker for a long-running or best-effort subtask.
-
-    Such work is packed on few machines, so that the others can be moved to other
-    pools. A step is spread over these machines and their racks, so that a failure
-    or an evacuation affects few of its subtasks.
-    """
-    step = subtask.step
-    on_worker = 0
-    on_rack = 0
-    for other in step.subtasks:
-        for run in other.live_runs:
-            on_worker += run.worker is worker
-            on_rack += run.worker.facts.rack == worker.facts.rack
-    has_long_running = any(
-        run.subtask.step.spec.lasting for run in worker.runs.values()
-    )
-    score = RACK_PENALTY_MILLICORES * on_rack + worker.used.cpu_millicores
-    if on_worker >= max(LONG_RUNNING_PER_WORKER_COUNT, step.spec.may_miss_count):
-        score += FAR_PENALTY_MILLICORES
-    return score if has_long_running else score + EMPTY_PENALTY_MILLICORES
-
-
 def _place_gang(
     scheduler: Scheduler,
     step: StepState,
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -10,7 +10,6 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from cicadatrail_core.jobs.durations import Durations
 from cicadatrail_core.jobs.models import (
@@ -20,6 +19,11 @@
     Queue,
     WorkerFacts,
 )
+from cicadatrail_core.jobs.scheduler_settings import (
+    CLOCK_DRIFT,
+    LEASE_MARGIN_S,
+    SchedulerSettings,
+)
 from cicadatrail_core.jobs.state import (
     JobState,
     Run,
@@ -36,12 +40,6 @@
 RUNS_PER_EPOCH = 1000
 """Run numbers of a subtask in one epoch, so that numbers rise across epochs."""
 
-CLOCK_DRIFT = 0.02
-"""Largest fraction by which a worker's clock runs slow, as the platform states."""
-
-LEASE_MARGIN_S = 0.1
-"""Time added to a lease before its runs are considered over."""
-
 START_DELAY_MS = 20
 """Delay of an occurrence after its due time, to allow for clock error."""
 
@@ -49,26 +47,6 @@
 """Maximum number of occurrences of one job kept in memory at once."""
 
 
-@dataclass(frozen=True, slots=True)
-class SchedulerSettings:
-    """Configure a scheduler for one term of leadership.
-
-    ``lease_s`` is the length of the leases granted to workers, ``lease_limit_s`` the
-    longest lease that a worker accepts, and ``status_kept_s`` how long the status of
-    an ended job is retained.
-    """
-
-    epoch: int
-    lease_s: float
-    lease_limit_s: float
-    status_kept_s: float
-
-    @property
-    def longest_lease_s(self) -> float:
-        """Return the time after which any lease of a worker has expired."""
-        return self.lease_limit_s / (1 - CLOCK_DRIFT) + LEASE_MARGIN_S
-
-
 class Scheduler:
     """Track the state of jobs and workers and decide when runs start and stop.
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -21,10 +21,8 @@
 from cicadatrail_core.jobs.records import (
     decode_definition,
 )
-from cicadatrail_core.jobs.scheduler import (
-    Scheduler,
-    SchedulerSettings,
-)
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
 from cicadatraild.platform.advice import AdviceClient
 from cicadatraild.platform.documents import decode_worker
 from cicadatraild.platform.machines import MachineClient
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -14,7 +14,8 @@
     encode_definition,
     encode_progress,
 )
-from cicadatrail_core.jobs.scheduler import CLOCK_DRIFT, LEASE_MARGIN_S, Scheduler
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.scheduler_settings import CLOCK_DRIFT, LEASE_MARGIN_S
 from cicadatrail_core.jobs.state import JobState, WorkerState
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.store import KeyedRecord
