Log which runs may have crashed a lost worker

One line at each loss now names the runs that were started within 2 s of the worker's last sign of life, whether the loss was planned, and how it was noticed. A subtask that appears on every lost worker is the cause; its neighbours appear once or twice. Nothing is decided on it yet.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -11,6 +11,7 @@
 import logging
 from collections.abc import Callable, Iterable
 
+from cicadatrail_core.jobs.crash_suspicion import log_loss
 from cicadatrail_core.jobs.durations import Durations
 from cicadatrail_core.jobs.models import (
     FleetConfiguration,
@@ -125,6 +126,7 @@
             "scheduler: worker removed; releasing its runs.",
             extra={**fields, "reason": reason},
         )
+        log_loss(worker, worker.runs.values(), reason, now_s)
         for run in list(worker.runs.values()):
             self.release(run, now_s)
         self.on_change()
@@ -374,6 +376,7 @@
                     "answer_age_s": round(now_s - (worker.answered_s or 0), 3),
                 },
             )
+        log_loss(worker, worker.runs.values(), "lease expired", now_s)
         for run in list(worker.runs.values()):
             if run.phase is not RunPhase.SENT or run.unanswered_s is not None:
                 run.subtask.expired_runs.add(run.number)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -9,6 +9,7 @@
 
 import logging
 
+from cicadatrail_core.jobs.crash_suspicion import log_loss
 from cicadatrail_core.jobs.ejection import record_outcome
 from cicadatrail_core.jobs.models import (
     EndKind,
@@ -270,6 +271,10 @@
         "scheduler: worker restarted; releasing the runs it no longer lists.",
         extra={**worker_fields(worker), "born_unix_ms": born_unix_ms},
     )
+    listed = {(row.name, row.run) for row in report.running}
+    listed |= {(end.name, end.run) for end in report.ends}
+    missing = [run for key, run in worker.runs.items() if key not in listed]
+    log_loss(worker, missing, "restarted", now_s)
     worker.clear_unreported_runs()
     worker.born_unix_ms = born_unix_ms
     worker.processed_end = 0
@@ -278,8 +283,6 @@
     worker.clock_at_s = None
     worker.end_outcomes.clear()
     worker.draining_until_s = None
-    listed = {(row.name, row.run) for row in report.running}
-    listed |= {(end.name, end.run) for end in report.ends}
     for key, run in list(worker.runs.items()):
         is_answered = run.answered_s is not None and run.answered_s < sent_s
         if is_answered and key not in listed:
