Test what becomes of subtasks that crash the workers that start them

The fleet is simulated on JobWorld without processes; what the leader stores passes through LeaderRecords. Subtask.crashed_runs exists for the tests and stays empty.

--- /dev/null
+++ b/features/crashing_subtasks.feature
@@ -0,0 +1,100 @@
+Feature: Subtasks that crash the workers that start them
+  A job is given up for a subtask that crashes workers, and for no other reason.
+
+  Scenario Outline: A subtask that crashes every worker is given up
+    Given 6 workers of 16 cores that return under <id> after <down> s
+    When a job whose only subtask crashes its workers runs for 60 seconds
+    Then that job is failed after at most 5 starts of the subtask
+    And every other job completes
+
+    Examples: ways back
+      | id        | down |
+      | a new id  | 3.3  |
+      | a new id  | 5.0  |
+      | its old id | 0.3  |
+      | its old id | 5.0  |
+
+  Scenario: Neighbours started in the same pass complete
+    Given 5 workers of 16 cores that return under a new id after 3.3 s
+    When a subtask that crashes its workers starts together with 30 other jobs
+    Then that job is failed after at most 5 starts of the subtask
+    And every other job completes
+    And each crash takes fewer neighbours than the one before, and the third none
+
+  Scenario: A subtask that crashes workers takes few neighbours under steady load
+    Given 5 workers of 16 cores that return under a new id after 3.3 s
+    When a subtask that crashes its workers starts while other jobs keep arriving
+    Then that job is failed after at most 5 starts of the subtask
+    And every other job completes
+    And the crashes after the first take at most 4 neighbours
+
+  Scenario: Two such subtasks on one worker are both given up
+    Given 4 workers of 16 cores that return under a new id after 3.3 s
+    When two subtasks that crash their workers share one with 4 other jobs
+    Then both their jobs are failed after at most 5 starts of each subtask
+    And every other job completes
+
+  Scenario Outline: A new leader knows the crashes counted before it
+    Given 5 workers of 16 cores that return under <id> after 3.3 s
+    When a new leader takes over after each crash of a subtask beside 8 others
+    Then that job is failed after at most 5 starts of the subtask
+    And every other job completes
+
+    Examples: ways back
+      | id        |
+      | a new id  |
+      | its old id |
+
+  Scenario: A worker that crashes at random is not blamed on its subtasks
+    Then in 40 random histories only the job whose subtask crashes workers is failed
+
+  Scenario Outline: A gang with such a subtask is given up
+    Given 6 workers of 16 cores that return under <id> after 3.3 s
+    When member 2 of a gang of 4 crashes its workers beside 6 jobs
+    Then that job is failed after at most 5 starts of the subtask
+    And every other job completes
+
+    Examples: ways back
+      | id        |
+      | a new id  |
+      | its old id |
+
+  Scenario: A long-running step with such a subtask is given up
+    Given 6 workers of 16 cores that return under a new id after 3.3 s
+    When subtask 1 of 3 long-running ones is deadly beside 6 jobs
+    Then that job is failed after at most 5 starts of the subtask
+    And every other job completes
+
+  Scenario: A subtask on a worker that was only cut off is not blamed
+    Given 3 workers of 16 cores that return under a new id after 3.3 s
+    When each worker that starts a subtask is cut off for 5 s, 6 times
+    Then no crash is counted for the subtask, and its job is not failed
+
+  Scenario: A planned loss of its worker is not blamed on a subtask
+    Given 3 workers of 16 cores that return under a new id after 3.3 s
+    When each worker that starts a subtask leaves as announced, 6 times
+    Then no crash is counted for the subtask, and its job is not failed
+
+  Scenario: A suspected subtask waits until its crash is stored
+    Given 5 workers of 16 cores that return under a new id after 3.3 s
+    When the store is away from the first crash of a subtask on
+    Then the subtask does not start before the store is back, and others do
+    And that job is failed after at most 5 starts of the subtask
+    And every other job completes
+
+  Scenario: Other work goes on when a suspected subtask has the only worker
+    Given 1 worker of 16 cores that return under its old id after 0.3 s
+    When a subtask that crashes its workers starts together with 6 other jobs
+    Then that job is failed after at most 5 starts of the subtask
+    And every other job completes
+    And no other subtask waits for 3 seconds while the worker is up
+
+  Scenario: A suspected subtask that finds no idle worker starts soon all the same
+    Given 3 workers of 16 cores that return under a new id after 3.3 s
+    When every worker has a long run and a subtask crashes its workers
+    Then the subtask never waits for more than 2.5 seconds while two workers are up
+    And that job is failed after at most 5 starts of the subtask
+    And every other job completes
+
+  Scenario: A job without crashes is stored as before, and one with them can be read
+    Then crashes only add an entry at the end of a job's record
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -98,6 +98,7 @@
     __slots__ = (
         "avoided_worker",
         "checkpoint",
+        "crashed_runs",
         "expired_runs",
         "failed_runs",
         "index",
@@ -114,6 +115,8 @@
         self.phase = SubtaskPhase.WAITING
         self.failed_runs: set[int] = set()
         self.expired_runs: set[int] = set()
+        # Runs whose worker crashed soon after their start, and that worker.
+        self.crashed_runs: dict[int, str] = {}
         self.checkpoint = ""
         self.last_run = 0
         self.ready_s = 0.0
