Give up jobs whose subtask crashes the workers that start it

Cause: a run that is lost with its worker was made ready again and counted nowhere.

Runs lost unplanned within 2 s of their start count as crashes of their subtasks. Such suspects start apart: the worker starts nothing else for 0.25 s, and from two crashes on it should run nothing else. So only the cause collects crashes; its job is failed at the third, if that one was prompt and no other job had just started there, and at the fourth in any case. A run that goes on for 2 s, or a worker that was only cut off and answers, clears the count. Crashes are stored in the job's record, after the entries that earlier versions read, before a suspect starts again, with a note of that start: a successor presumes that it crashed too until a worker lists it. While the store is away, a suspect with one crash starts all the same, because accepted work goes on (platform.feature, a worker that restarts while the store is down, failed when it waited).

--- a/features/crashing_subtasks.feature
+++ b/features/crashing_subtasks.feature
@@ -75,10 +75,10 @@
     When each worker that starts a subtask leaves as announced, 6 times
     Then no crash is counted for the subtask, and its job is not failed
 
-  Scenario: A suspected subtask waits until its crash is stored
+  Scenario: A subtask suspected of two crashes waits until they are stored
     Given 5 workers of 16 cores that return under a new id after 3.3 s
     When the store is away from the first crash of a subtask on
-    Then the subtask does not start before the store is back, and others do
+    Then the subtask starts once more before the store is back, and others start
     And that job is failed after at most 5 starts of the subtask
     And every other job completes
 
--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
+from cicadatrail_core.jobs.crash_suspicion import collect_unstored, mark_stored
 from cicadatrail_core.jobs.dispatch import dispatch
 from cicadatrail_core.jobs.models import (
     EndKind,
@@ -160,8 +161,14 @@
         for name in self.sims:
             self.report(name)
 
+    def store_crashes(self) -> None:
+        """Let the store answer at once."""
+        crashes = collect_unstored(self.scheduler, self.scheduler.jobs)
+        mark_stored(self.scheduler, crashes)
+
     def dispatch(self) -> list[Run]:
         """Run one dispatch cycle; return the runs whose start would be sent."""
+        self.store_crashes()
         dispatch(self.scheduler, self.now_s)
         starts, self.scheduler.starts = self.scheduler.starts, []
         return starts
--- a/packages/cicadatrail-cli/src/cicadatrail/commands/job_show.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/commands/job_show.py
@@ -37,7 +37,15 @@
     from cicadatrail_core.utils import codec
 
     steps = format_table(
-        ("STEP", "DONE", "RUNNING", "READY", "FAILED RUNS", "WAITS BECAUSE"),
+        (
+            "STEP",
+            "DONE",
+            "RUNNING",
+            "READY",
+            "FAILED RUNS",
+            "CRASHED RUNS",
+            "WAITS BECAUSE",
+        ),
         [
             (
                 f"{step.occurrence}.{step.step}",
@@ -45,6 +53,7 @@
                 len(step.runs),
                 step.ready_count,
                 step.failed_run_count,
+                step.crashed_run_count,
                 step.reason or "-",
             )
             for step in report.steps
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
@@ -1,17 +1,59 @@
-"""Subtasks that are suspected of having crashed their worker."""
+"""Subtasks that are suspected of having crashed their worker.
+
+A run that started shortly before its worker was lost may be the cause, or may only
+have shared the worker with it. Each such loss counts as a crash of the run's subtask.
+``suspect_placement`` starts suspects apart from each other, so that only the cause
+collects further crashes; its job is then given up.
+"""
 
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
+from typing import TYPE_CHECKING
+
+from cicadatrail_core.jobs.models import JobPhase
+from cicadatrail_core.jobs.scheduler_settings import RUNS_PER_EPOCH
+from cicadatrail_core.jobs.state import (
+    JobState,
+    Run,
+    Subtask,
+    SubtaskPhase,
+    WorkerState,
+)
 
-from cicadatrail_core.jobs.state import Run, WorkerState
+if TYPE_CHECKING:
+    from cicadatrail_core.jobs.scheduler import Scheduler
 
 logger = logging.getLogger("cicadatrail.scheduler")
 
 CRASH_WINDOW_S = 2.0
 """Time after its start within which a run may be the cause of its worker's crash."""
 
+ALONE_LIMIT_COUNT = 3
+"""Crashes at which a job is given up if the last hardly has another cause.
+
+It was then prompt, when no run of another job had started at that time.
+"""
+
+SHARED_LIMIT_COUNT = 4
+"""Crashes at which a job is given up even if the last may have another cause."""
+
+PROMPT_S = 0.25
+"""Time after its start within which a crash is unlikely to have another cause.
+
+The crashes that have been recorded came within 10 ms of the answer to the start.
+"""
+
+ORDER_S = 1.0
+"""Time after a worker's first failed call in which a machine order may be the cause."""
+
+STORE_WAIT_S = 0.4
+"""Longest wait of a suspect with one crash for the crash to be stored."""
+
+NOTED_START = 0
+"""Stands among a subtask's unstored crashes for the note of its next start."""
+
 LOGGED_LIMIT_COUNT = 20
 """Maximum number of subtasks named in one log line."""
 
@@ -28,19 +70,112 @@
     return seen_s - run.answered_s <= CRASH_WINDOW_S
 
 
-def is_loss_planned(worker: WorkerState) -> bool:
-    """Return whether a worker is lost by a drain or by an order for its machine."""
-    is_draining = worker.facts.draining or worker.draining_until_s is not None
-    return is_draining or worker.is_cordoned
+def _is_prompt(run: Run, now_s: float) -> bool:
+    """Return whether a run's worker was noticed to fail soon after the run's start."""
+    began_s = run.sent_s if run.answered_s is None else run.answered_s
+    failed_s = run.worker.failed_s
+    return (now_s if failed_s is None else failed_s) - began_s <= PROMPT_S
+
+
+def is_loss_planned(worker: WorkerState, now_s: float) -> bool:
+    """Return whether a worker is lost by a drain or by an order for its machine.
+
+    An order that came long after the worker's first failed call is not the cause.
+    """
+    if worker.facts.draining or worker.draining_until_s is not None:
+        return True
+    failed_s = now_s if worker.failed_s is None else worker.failed_s
+    return worker.is_cordoned and now_s - failed_s < ORDER_S
+
+
+def crash_count(subtask: Subtask) -> int:
+    """Return the crashes of a subtask, or the most of any member of its gang."""
+    return max(len(member.crashed_runs) for member in together(subtask))
+
+
+def together(subtask: Subtask) -> list[Subtask]:
+    """Return the members of a subtask's gang, or only the subtask."""
+    step = subtask.step
+    return step.subtasks if step.spec.gang else [subtask]
+
 
+# Counting
 
-def log_loss(
-    worker: WorkerState, runs: Iterable[Run], reason: str, now_s: float
+
+def lose_runs(
+    scheduler: Scheduler,
+    worker: WorkerState,
+    lost: list[Run],
+    reason: str,
+    now_s: float,
+    kept: Iterable[Run] = (),
+) -> None:
+    """Release the runs lost with a worker and count the crash.
+
+    ``kept`` holds runs that may be the cause of the crash, but may not be over.
+    """
+    blamed = [run for run in (*lost, *kept) if is_recent(run)]
+    _log_loss(worker, len(lost), blamed, reason, now_s)
+    if is_loss_planned(worker, now_s):
+        blamed = []
+    for run in blamed:
+        _count_crash(scheduler, run)
+    for run in lost:
+        scheduler.release(run, now_s)
+    prompt = [run for run in blamed if _is_prompt(run, now_s)]
+    is_alone = len({run.subtask.step.job.job_id for run in prompt}) == 1
+    for run in blamed:
+        limit_count = SHARED_LIMIT_COUNT
+        if is_alone and run in prompt:
+            limit_count = ALONE_LIMIT_COUNT
+        if crash_count(run.subtask) >= limit_count:
+            _give_up(scheduler, run.subtask, now_s)
+
+
+def _count_crash(scheduler: Scheduler, run: Run) -> None:
+    subtask = run.subtask
+    job = subtask.step.job
+    is_over = job.is_final or subtask.phase is SubtaskPhase.DONE
+    if is_over or run.number in subtask.crashed_runs:
+        return
+    _add_crash(scheduler, subtask, run.number, run.worker.facts.worker_id)
+    subtask.is_start_noted = True
+    scheduler.suspects[subtask.name] = subtask
+    scheduler.counts["crashed"] = scheduler.counts.get("crashed", 0) + 1
+
+
+def _add_crash(
+    scheduler: Scheduler, subtask: Subtask, run_number: int, worker_id: str
 ) -> None:
-    """Log the loss of a worker with the runs that may be its cause."""
-    lost = list(runs)
-    recent = [run for run in lost if is_recent(run)]
-    if not recent:
+    subtask.crashed_runs[run_number] = worker_id
+    subtask.unstored_crashes.add(run_number)
+    scheduler.changed_jobs[subtask.step.job.job_id] = None
+
+
+def _give_up(scheduler: Scheduler, subtask: Subtask, now_s: float) -> None:
+    job = subtask.step.job
+    if job.is_final:
+        return
+    logger.warning(
+        "scheduler: giving up a subtask that crashes its workers.",
+        extra={
+            "subtask": str(subtask.name),
+            "crash_count": crash_count(subtask),
+            "workers": sorted(filter(None, subtask.crashed_runs.values())),
+        },
+    )
+    scheduler.finish(job, JobPhase.FAILED, now_s)
+    scheduler.stop_runs(job)
+
+
+def _log_loss(
+    worker: WorkerState,
+    run_count: int,
+    blamed: list[Run],
+    reason: str,
+    now_s: float,
+) -> None:
+    if not blamed:
         return
     answer_age_s = None if worker.answered_s is None else now_s - worker.answered_s
     logger.warning(
@@ -49,10 +184,124 @@
             "worker_id": worker.facts.worker_id,
             "pool": worker.facts.pool,
             "reason": reason,
-            "is_planned": is_loss_planned(worker),
+            "is_planned": is_loss_planned(worker, now_s),
             "answer_age_s": None if answer_age_s is None else round(answer_age_s, 3),
-            "run_count": len(lost),
-            "recent_count": len(recent),
-            "subtasks": [str(run.subtask.name) for run in recent[:LOGGED_LIMIT_COUNT]],
+            "run_count": run_count,
+            "recent_count": len(blamed),
+            "subtasks": [str(run.subtask.name) for run in blamed[:LOGGED_LIMIT_COUNT]],
         },
     )
+
+
+# Clearing
+
+
+def withdraw_crashes(scheduler: Scheduler, worker: WorkerState) -> None:
+    """Take back the crashes of a worker that answers again: it was only cut off."""
+    for run in worker.unreported_runs:
+        withdraw_crash(scheduler, run.subtask, run.number)
+
+
+def check_survival(scheduler: Scheduler, run: Run, now_s: float) -> None:
+    """Clear a run's subtask of suspicion if the run has outlived the crash window.
+
+    Call it for each run that a worker lists as running.
+    """
+    if not run.subtask.crashed_runs:
+        return
+    withdraw_crash(scheduler, run.subtask, run.number)
+    if run.answered_s is not None and now_s - run.answered_s > CRASH_WINDOW_S:
+        clear_crashes(scheduler, run.subtask)
+
+
+def withdraw_crash(scheduler: Scheduler, subtask: Subtask, run_number: int) -> None:
+    """Take back the crash of a run that a worker has reported."""
+    _discard_crash(scheduler, subtask, run_number)
+    if run_number < scheduler.settings.epoch * RUNS_PER_EPOCH:
+        _discard_crash(scheduler, subtask, _presumed(scheduler))
+
+
+def clear_crashes(scheduler: Scheduler, subtask: Subtask) -> None:
+    """Forget the crashes of a subtask that is not their cause."""
+    for run_number in list(subtask.crashed_runs):
+        _discard_crash(scheduler, subtask, run_number)
+
+
+def _discard_crash(scheduler: Scheduler, subtask: Subtask, run_number: int) -> None:
+    if subtask.crashed_runs.pop(run_number, None) is None:
+        return
+    subtask.unstored_crashes.discard(run_number)
+    scheduler.changed_jobs[subtask.step.job.job_id] = None
+    if not subtask.crashed_runs:
+        scheduler.suspects.pop(subtask.name, None)
+
+
+def drop_ended_suspects(scheduler: Scheduler) -> None:
+    """Drop suspects that don't start any more."""
+    for name, subtask in list(scheduler.suspects.items()):
+        is_done = subtask.phase is SubtaskPhase.DONE
+        if is_done or subtask.step.job.is_final:
+            del scheduler.suspects[name]
+
+
+# Storage
+
+
+def note_start(scheduler: Scheduler, subtask: Subtask, now_s: float) -> bool:
+    """Return whether a successor would know that a suspect may have been started.
+
+    Otherwise it is stored, and the suspect can start after that. Without the store,
+    a suspect with one crash starts all the same, as accepted work goes on.
+    """
+    for member in together(subtask):
+        if member.crashed_runs and not member.is_start_noted:
+            member.is_start_noted = True
+            member.unstored_crashes.add(NOTED_START)
+            scheduler.changed_jobs[member.step.job.job_id] = None
+            scheduler.on_change()
+    if not any(member.unstored_crashes for member in together(subtask)):
+        return True
+    return crash_count(subtask) == 1 and now_s - subtask.ready_s > STORE_WAIT_S
+
+
+def restore_suspects(scheduler: Scheduler, job: JobState) -> None:
+    """Add the suspects of a job that an earlier leader stored.
+
+    If the earlier leader may have started a suspect once more, that run is presumed
+    to have crashed its worker until a worker reports it.
+    """
+    for steps in job.occurrences.values():
+        for step in steps:
+            for subtask in step.subtasks:
+                if not subtask.crashed_runs:
+                    continue
+                scheduler.suspects[subtask.name] = subtask
+                if subtask.is_start_noted:
+                    subtask.is_start_noted = False
+                    _add_crash(scheduler, subtask, _presumed(scheduler), "")
+
+
+def _presumed(scheduler: Scheduler) -> int:
+    """Return what stands for the number of a run that an earlier leader started."""
+    return -scheduler.settings.epoch
+
+
+def collect_unstored(
+    scheduler: Scheduler, job_ids: Container[str]
+) -> list[tuple[Subtask, frozenset[int]]]:
+    """Return the crashes of some jobs that are about to be stored."""
+    return [
+        (subtask, frozenset(subtask.unstored_crashes))
+        for subtask in scheduler.suspects.values()
+        if subtask.unstored_crashes and subtask.step.job.job_id in job_ids
+    ]
+
+
+def mark_stored(
+    scheduler: Scheduler, crashes: list[tuple[Subtask, frozenset[int]]]
+) -> None:
+    """Let suspects start again whose crashes have been stored."""
+    for subtask, runs in crashes:
+        subtask.unstored_crashes -= runs
+    if crashes:
+        scheduler.on_change()
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from cicadatrail_core.jobs.crash_suspicion import note_start
 from cicadatrail_core.jobs.models import Queue, Step
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import (
@@ -18,6 +19,11 @@
     SubtaskPhase,
     WorkerState,
 )
+from cicadatrail_core.jobs.suspect_placement import (
+    SuspectPlacement,
+    is_suspect_step,
+    ready_suspects,
+)
 from cicadatrail_core.jobs.worker_score import worker_score
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
@@ -80,10 +86,25 @@
         order = _order(scheduler, step, steps, queue, is_over_share, now_s)
         pools.setdefault(queue.pool, []).append(_Candidate(order, step, queue))
     unreconciled = _unreconciled_by_team(scheduler, now_s)
+    suspects = ready_suspects(scheduler) if scheduler.suspects else []
     for pool, candidates in pools.items():
         is_reconciled = scheduler.is_pool_reconciled(pool, now_s)
         candidates.sort(key=lambda candidate: candidate.order)
         workers = _usable_workers(scheduler, pool, now_s)
+        if scheduler.suspects:
+            placement = SuspectPlacement(scheduler, workers, now_s)
+            in_pool = {candidate.step for candidate in candidates}
+            for subtask in suspects:
+                if subtask.step in in_pool:
+                    _place_suspect(
+                        scheduler,
+                        subtask,
+                        placement,
+                        is_reconciled,
+                        unreconciled,
+                        now_s,
+                    )
+            workers = placement.open_workers
         _place_candidates(
             scheduler, candidates, workers, is_reconciled, unreconciled, now_s
         )
@@ -206,16 +227,14 @@
         if step.job.inherited and not is_reconciled:
             continue
         if step.spec.gang:
-            _place_gang(scheduler, step, workers, reserved, unreconciled, now_s)
+            if not is_suspect_step(step):
+                _place_gang(scheduler, step, workers, reserved, unreconciled, now_s)
             continue
         blocked = False
         for subtask in list(step.ready.values()):
             if not _within_limit(scheduler, step, 1, unreconciled):
                 break
-            limit = scheduler.attempt_limit(step.job)
-            if not step.spec.lasting and subtask.attempt_count >= limit:
-                # A run whose lease expired unreported counts as failed until its
-                # end is known: it may have been the last attempt.
+            if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
                 continue
             worker = _best_worker(scheduler, subtask, workers, reserved, now_s)
             if worker is None:
@@ -229,6 +248,48 @@
                 has_reserved = True
 
 
+def _has_attempt(scheduler: Scheduler, subtask: Subtask) -> bool:
+    """Return whether a subtask may start once more.
+
+    A run whose lease expired unreported counts as failed until its end is known: it
+    may have been the last attempt.
+    """
+    limit = scheduler.attempt_limit(subtask.step.job)
+    return subtask.step.spec.lasting or subtask.attempt_count < limit
+
+
+def _place_suspect(
+    scheduler: Scheduler,
+    subtask: Subtask,
+    placement: SuspectPlacement,
+    is_reconciled: bool,
+    unreconciled: dict[str, Resources],
+    now_s: float,
+) -> None:
+    """Start a suspect, or the gang that it belongs to, apart from other runs."""
+    step = subtask.step
+    if step.job.inherited and not is_reconciled:
+        return
+    count = step.spec.count if step.spec.gang else 1
+    if not _within_limit(scheduler, step, count, unreconciled):
+        return
+    if not step.spec.gang and not _has_attempt(scheduler, subtask):
+        return
+    if not note_start(scheduler, subtask, now_s):
+        return
+    for workers in placement.candidates(subtask):
+        if step.spec.gang:
+            _place_gang(scheduler, step, workers, set(), unreconciled, now_s)
+        else:
+            worker = _best_worker(scheduler, subtask, workers, set(), now_s)
+            if worker is not None:
+                scheduler.place(subtask, worker, now_s)
+        if subtask.live_runs:
+            placement.keep(subtask)
+            return
+    placement.reserve(subtask, _can_ever_run)
+
+
 def _may_reserve(step: StepState, now_s: float) -> bool:
     if step.spec.lasting:
         return True
@@ -238,18 +299,20 @@
 
 def _worker_to_reserve(spec: Step, workers: list[WorkerState]) -> str | None:
     """Return the worker to keep free until the step fits on it, or None."""
-    eligible = [
-        worker
-        for worker in workers
-        if spec.reserved.fits_in(worker.facts.capacity)
-        and (not spec.required_label or spec.required_label in worker.facts.labels)
-    ]
+    eligible = [worker for worker in workers if _can_ever_run(spec, worker)]
     if not eligible:
         return None
     best = max(eligible, key=lambda worker: worker.free_capacity.cpu_millicores)
     return best.facts.worker_id
 
 
+def _can_ever_run(spec: Step, worker: WorkerState) -> bool:
+    """Return whether a worker that is empty can run a subtask of a step."""
+    if spec.required_label and spec.required_label not in worker.facts.labels:
+        return False
+    return spec.reserved.fits_in(worker.facts.capacity)
+
+
 def _within_limit(
     scheduler: Scheduler,
     step: StepState,
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
@@ -24,7 +24,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StepReport:
-    """A step of one occurrence; ``reason`` is why its subtasks are waiting."""
+    """A step of one occurrence; ``reason`` is why its subtasks are waiting.
+
+    ``crashed_run_count`` counts the runs that may have crashed their worker.
+    """
 
     occurrence: int
     step: int
@@ -34,6 +37,7 @@
     failed_run_count: int
     reason: str
     runs: tuple[RunReport, ...]
+    crashed_run_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +89,7 @@
             for subtask in step.subtasks
             for run in subtask.live_runs
         ),
+        crashed_run_count=sum(len(subtask.crashed_runs) for subtask in step.subtasks),
     )
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/records.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/records.py
@@ -82,6 +82,22 @@
     return [bytes(done), attempts, checkpoints, step.gang_failures]
 
 
+def _encode_crashes(job: JobState) -> list[list[Any]]:
+    return [
+        [
+            number,
+            step.position,
+            subtask.index,
+            subtask.crashed_runs,
+            subtask.is_start_noted,
+        ]
+        for number, steps in job.occurrences.items()
+        for step in steps
+        for subtask in step.subtasks
+        if subtask.crashed_runs and subtask.phase is not SubtaskPhase.DONE
+    ]
+
+
 def encode_progress(job: JobState) -> bytes:
     """Return the record of a job's progress."""
     occurrences = [
@@ -102,6 +118,10 @@
         occurrences if not job.is_final else [],
         sorted(job.done_occurrences) if not job.is_final else [],
     ]
+    crashes = _encode_crashes(job)
+    if crashes and not job.is_final:
+        # At the end, where earlier versions don't look.
+        value.append(crashes)
     packed: bytes = msgpack.packb(value)
     return packed
 
@@ -120,13 +140,27 @@
         return
     job.done_occurrences = set(value[3])
     for number, steps in value[2]:
-        states = [
-            StepState(job, number, position)
-            for position in range(len(job.definition.steps))
-        ]
+        states = _new_steps(job, number)
         job.occurrences[number] = states
         for state, entry in zip(states, steps, strict=True):
             _apply_step(state, entry)
+    _apply_crashes(job, value[4] if len(value) > 4 else [])
+
+
+def _apply_crashes(job: JobState, entries: list[list[Any]]) -> None:
+    for number, position, index, crashed_runs, is_start_noted in entries:
+        if number not in job.occurrences:
+            job.occurrences[number] = _new_steps(job, number)
+        subtask = job.occurrences[number][position].subtasks[index]
+        subtask.crashed_runs = crashed_runs
+        subtask.is_start_noted = is_start_noted
+
+
+def _new_steps(job: JobState, number: int) -> list[StepState]:
+    return [
+        StepState(job, number, position)
+        for position in range(len(job.definition.steps))
+    ]
 
 
 def _apply_step(state: StepState, entry: list[Any]) -> None:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -11,18 +11,20 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from cicadatrail_core.jobs.crash_suspicion import log_loss
+from cicadatrail_core.jobs.crash_suspicion import lose_runs, restore_suspects
 from cicadatrail_core.jobs.durations import Durations
 from cicadatrail_core.jobs.models import (
     FleetConfiguration,
     JobDefinition,
     JobPhase,
     Queue,
+    SubtaskName,
     WorkerFacts,
 )
 from cicadatrail_core.jobs.scheduler_settings import (
     CLOCK_DRIFT,
     LEASE_MARGIN_S,
+    RUNS_PER_EPOCH,
     SchedulerSettings,
 )
 from cicadatrail_core.jobs.state import (
@@ -38,9 +40,6 @@
 
 logger = logging.getLogger("cicadatrail.scheduler")
 
-RUNS_PER_EPOCH = 1000
-"""Run numbers of a subtask in one epoch, so that numbers rise across epochs."""
-
 START_DELAY_MS = 20
 """Delay of an occurrence after its due time, to allow for clock error."""
 
@@ -62,6 +61,8 @@
         self.jobs: dict[str, JobState] = {}
         self.workers: dict[str, WorkerState] = {}
         self.team_used: dict[str, Resources] = {}
+        # Subtasks that may have crashed a worker.
+        self.suspects: dict[SubtaskName, Subtask] = {}
         self.durations = Durations()
         self.changed_jobs: dict[str, None] = {}
         self.evicted_job_ids: list[str] = []
@@ -126,9 +127,7 @@
             "scheduler: worker removed; releasing its runs.",
             extra={**fields, "reason": reason},
         )
-        log_loss(worker, worker.runs.values(), reason, now_s)
-        for run in list(worker.runs.values()):
-            self.release(run, now_s)
+        lose_runs(self, worker, list(worker.runs.values()), reason, now_s)
         self.on_change()
 
     # Jobs
@@ -354,6 +353,9 @@
                     self.on_change()
         for worker in list(self.workers.values()):
             self._expire(worker, now_s)
+        if self.suspects:
+            # Workers that were kept for a suspect become free with time.
+            self.on_change()
 
     def _evict_old_job(self, job: JobState, now_s: float) -> None:
         kept_s = self.settings.status_kept_s
@@ -376,12 +378,11 @@
                     "answer_age_s": round(now_s - (worker.answered_s or 0), 3),
                 },
             )
-        log_loss(worker, worker.runs.values(), "lease expired", now_s)
-        for run in list(worker.runs.values()):
+        for run in worker.runs.values():
             if run.phase is not RunPhase.SENT or run.unanswered_s is not None:
                 run.subtask.expired_runs.add(run.number)
                 worker.unreported_runs.append(run)
-            self.release(run, now_s)
+        lose_runs(self, worker, list(worker.runs.values()), "lease expired", now_s)
         if not worker.is_listed:
             self.remove_worker(worker.facts.worker_id, now_s, "no longer listed")
 
@@ -401,6 +402,7 @@
             job.inherited = True
             job.is_stored = True
             self.jobs[job.job_id] = job
+            restore_suspects(self, job)
 
     def is_pool_reconciled(self, pool: str, now_s: float) -> bool:
         """Return whether the runs of every worker of a pool are known."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler_settings.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler_settings.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+RUNS_PER_EPOCH = 1000
+"""Run numbers of a subtask in one epoch, so that numbers rise across epochs."""
+
 CLOCK_DRIFT = 0.02
 """Largest fraction by which a worker's clock runs slow, as the platform states."""
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -42,6 +42,7 @@
 
     __slots__ = (
         "answered_s",
+        "apart_until_s",
         "is_start_pending",
         "measurement",
         "number",
@@ -78,6 +79,8 @@
         self.progress_s = sent_s
         self.measurement = 0
         self.paced_percent = 100
+        # Until then the worker starts nothing else, as the run may crash it.
+        self.apart_until_s = 0.0
 
     def mark_unanswered(self, now_s: float) -> None:
         """Record that the start order got no answer, so the run may have started."""
@@ -102,11 +105,13 @@
         "expired_runs",
         "failed_runs",
         "index",
+        "is_start_noted",
         "last_run",
         "live_runs",
         "phase",
         "ready_s",
         "step",
+        "unstored_crashes",
     )
 
     def __init__(self, step: StepState, index: int) -> None:
@@ -117,6 +122,10 @@
         self.expired_runs: set[int] = set()
         # Runs whose worker crashed soon after their start, and that worker.
         self.crashed_runs: dict[int, str] = {}
+        # Those of them that a successor would not know of.
+        self.unstored_crashes: set[int] = set()
+        # A successor presumes that the suspect has been started once more.
+        self.is_start_noted = False
         self.checkpoint = ""
         self.last_run = 0
         self.ready_s = 0.0
@@ -248,6 +257,7 @@
         "ejected_until_s",
         "end_outcomes",
         "facts",
+        "failed_s",
         "is_cordoned",
         "is_listed",
         "is_reconciled",
@@ -275,6 +285,7 @@
         self.is_reconciled = False
         # A call has failed since the last report: the worker may have restarted.
         self.is_suspect = False
+        self.failed_s: float | None = None
         self.is_listed = True
         self.is_cordoned = False
         self.ejected_until_s = 0.0
@@ -298,6 +309,12 @@
             run.subtask.expired_runs.discard(run.number)
         self.unreported_runs.clear()
 
+    def mark_failed(self, now_s: float) -> None:
+        """Record that a call got no answer, so the worker may have restarted."""
+        self.is_suspect = True
+        if self.failed_s is None:
+            self.failed_s = now_s
+
     @property
     def acknowledged_end(self) -> int:
         """Return the number of the last end that the worker may delete.
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -9,7 +9,13 @@
 
 import logging
 
-from cicadatrail_core.jobs.crash_suspicion import log_loss
+from cicadatrail_core.jobs.crash_suspicion import (
+    check_survival,
+    clear_crashes,
+    lose_runs,
+    withdraw_crash,
+    withdraw_crashes,
+)
 from cicadatrail_core.jobs.ejection import record_outcome
 from cicadatrail_core.jobs.models import (
     EndKind,
@@ -49,8 +55,11 @@
         return False
     if report.born_unix_ms > worker.born_unix_ms:
         _start_new_incarnation(scheduler, worker, report, sent_s, now_s)
+    else:
+        withdraw_crashes(scheduler, worker)
     worker.answered_s = now_s
     worker.is_suspect = False
+    worker.failed_s = None
     worker.clock_ms = report.clock_ms
     worker.clock_at_s = now_s
     has_ends = False
@@ -87,6 +96,7 @@
         run.percent = row.percent
         run.progress_s = now_s
     run.measurement = row.measurement
+    check_survival(scheduler, run, now_s)
     if row.checkpoint and row.checkpoint != run.subtask.checkpoint:
         run.subtask.checkpoint = row.checkpoint
 
@@ -164,6 +174,7 @@
             "age_s": round(now_s - run.sent_s, 3) if run else None,
         },
     )
+    withdraw_crash(scheduler, subtask, row.run)
     _count_end(scheduler, row.kind)
     scheduler.changed_jobs[job.job_id] = None
     match row.kind:
@@ -176,6 +187,7 @@
                     now_s - run.answered_s,
                 )
             _apply_done(scheduler, subtask, now_s)
+            clear_crashes(scheduler, subtask)
         case EndKind.FAILED if row.run not in subtask.failed_runs:
             _apply_failure(scheduler, worker, subtask, row.run, now_s)
         case _:
@@ -271,10 +283,6 @@
         "scheduler: worker restarted; releasing the runs it no longer lists.",
         extra={**worker_fields(worker), "born_unix_ms": born_unix_ms},
     )
-    listed = {(row.name, row.run) for row in report.running}
-    listed |= {(end.name, end.run) for end in report.ends}
-    missing = [run for key, run in worker.runs.items() if key not in listed]
-    log_loss(worker, missing, "restarted", now_s)
     worker.clear_unreported_runs()
     worker.born_unix_ms = born_unix_ms
     worker.processed_end = 0
@@ -282,13 +290,22 @@
     worker.lease_expires_s = now_s
     worker.clock_at_s = None
     worker.end_outcomes.clear()
-    worker.draining_until_s = None
-    for key, run in list(worker.runs.items()):
+    listed = {(row.name, row.run) for row in report.running}
+    listed |= {(end.name, end.run) for end in report.ends}
+    lost: list[Run] = []
+    kept: list[Run] = []
+    for key, run in worker.runs.items():
         is_answered = run.answered_s is not None and run.answered_s < sent_s
-        if is_answered and key not in listed:
-            scheduler.release(run, now_s)
-        elif not is_answered:
+        if not is_answered:
             # The order's deadlines were on the clock of the previous incarnation, so
             # the new one may accept it late and shortens its lease only to the limit.
             run.start_expires_s = float("inf")
             worker.lease_expires_s = now_s + scheduler.settings.longest_lease_s
+        if key in listed:
+            continue
+        if is_answered:
+            lost.append(run)
+        elif run.answered_s is None:
+            kept.append(run)
+    lose_runs(scheduler, worker, lost, "restarted", now_s, kept)
+    worker.draining_until_s = None
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -7,6 +7,7 @@
 
 import msgpack
 
+from cicadatrail_core.jobs.crash_suspicion import collect_unstored, mark_stored
 from cicadatrail_core.jobs.models import JobDefinition, JobPhase, WorkerFacts
 from cicadatrail_core.jobs.records import (
     apply_progress,
@@ -83,6 +84,7 @@
             for number, value in self._waves.encode():
                 records.append(KeyedRecord(f"{WAVE_PREFIX}{number}", value))
         changed, scheduler.changed_jobs = scheduler.changed_jobs, {}
+        crashes = collect_unstored(scheduler, changed)
         ended: list[tuple[JobState, JobPhase]] = []
         accepted: list[JobState] = []
         for job_id in changed:
@@ -113,6 +115,7 @@
                     scheduler.stop_runs(job)
             for job in accepted:
                 scheduler.activate(job, now_s, unix_now_ms())
+            mark_stored(scheduler, crashes)
 
         return records, on_stored
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -251,7 +251,7 @@
 
     async def _handle_failure(self, worker: WorkerState, outcome: OrderOutcome) -> None:
         worker_id = worker.facts.worker_id
-        worker.is_suspect = True
+        worker.mark_failed(loop_now_s())
         match outcome:
             case OrderOutcome.FENCED:
                 self._step_down(f"worker {worker_id} obeys a newer leader")
