--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
+from cicadatrail_core.jobs.crash_suspicion import collect_unstored, mark_stored
 from cicadatrail_core.jobs.dispatch import dispatch
 from cicadatrail_core.jobs.models import (
     FINAL_PHASES,
@@ -27,7 +28,8 @@
     encode_definition,
     encode_progress,
 )
-from cicadatrail_core.jobs.scheduler import Scheduler, SchedulerSettings
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
 from cicadatrail_core.jobs.state import JobState, Run, RunPhase, WorkerState
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
@@ -159,8 +161,14 @@
         for name in self.sims:
             self.report(name)
 
+    def store_crashes(self) -> None:
+        """Let the store answer at once."""
+        crashes = collect_unstored(self.scheduler, self.scheduler.jobs)
+        mark_stored(self.scheduler, crashes)
+
     def dispatch(self) -> list[Run]:
         """Run one dispatch cycle; return the runs whose start would be sent."""
+        self.store_crashes()
         dispatch(self.scheduler, self.now_s)
         starts, self.scheduler.starts = self.scheduler.starts, []
         return starts
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/record_checks.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/record_checks.py
@@ -49,11 +49,11 @@
         for step in steps:
             numbers.append(step.gang_failures)
             for subtask in step.subtasks:
-                numbers += subtask.failed_runs
-                texts.append(subtask.checkpoint)
+                numbers += [*subtask.failed_runs, *subtask.crashed_runs]
+                texts += [subtask.checkpoint, *subtask.crashed_runs.values()]
     if not all(type(number) is int for number in numbers):
         raise ValueError("a number of the progress has another type")
     if not all(isinstance(text, str) for text in texts):
-        raise ValueError("a checkpoint has another type")
+        raise ValueError("a text of the progress has another type")
     if not all(0 <= k < job.definition.occurrence_count for k in job.occurrences):
         raise ValueError("an occurrence is out of range")
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -10,16 +10,23 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
+from cicadatrail_core.jobs.crash_suspicion import lose_runs, restore_suspects
 from cicadatrail_core.jobs.durations import Durations
 from cicadatrail_core.jobs.models import (
     FleetConfiguration,
     JobDefinition,
     JobPhase,
     Queue,
+    SubtaskName,
     WorkerFacts,
 )
+from cicadatrail_core.jobs.scheduler_settings import (
+    CLOCK_DRIFT,
+    LEASE_MARGIN_S,
+    RUNS_PER_EPOCH,
+    SchedulerSettings,
+)
 from cicadatrail_core.jobs.state import (
     JobState,
     Run,
@@ -33,39 +40,10 @@
 
 logger = logging.getLogger("cicadatrail.scheduler")
 
-RUNS_PER_EPOCH = 1000
-"""Run numbers of a subtask in one epoch, so that numbers rise across epochs."""
-
-CLOCK_DRIFT = 0.02
-"""Largest fraction by which a worker's clock runs slow, as the platform states."""
-
-LEASE_MARGIN_S = 0.1
-"""Time added to a lease before its runs are considered over."""
-
 START_DELAY_MS = 20
 """Delay of an occurrence after its due time, to allow for clock error."""
 
 
-@dataclass(frozen=True, slots=True)
-class SchedulerSettings:
-    """Configure a scheduler for one term of leadership.
-
-    ``lease_s`` is the length of the leases granted to workers, ``lease_limit_s`` the
-    longest lease that a worker accepts, and ``status_kept_s`` how long the status of
-    an ended job is retained.
-    """
-
-    epoch: int
-    lease_s: float
-    lease_limit_s: float
-    status_kept_s: float
-
-    @property
-    def longest_lease_s(self) -> float:
-        """Return the time after which any lease of a worker has expired."""
-        return self.lease_limit_s / (1 - CLOCK_DRIFT) + LEASE_MARGIN_S
-
-
 class Scheduler:
     """Track the state of jobs and workers and decide when runs start and stop.
 
@@ -80,6 +58,8 @@
         self.jobs: dict[str, JobState] = {}
         self.workers: dict[str, WorkerState] = {}
         self.team_used: dict[str, Resources] = {}
+        # Subtasks that may have crashed a worker.
+        self.suspects: dict[SubtaskName, Subtask] = {}
         self.durations = Durations()
         self.changed_jobs: dict[str, None] = {}
         self.evicted_job_ids: list[str] = []
@@ -144,8 +124,7 @@
             "scheduler: worker removed; releasing its runs.",
             extra={**fields, "reason": reason},
         )
-        for run in list(worker.runs.values()):
-            self.release(run, now_s)
+        lose_runs(self, worker, list(worker.runs.values()), reason, now_s)
         self.on_change()
 
     # Jobs
@@ -371,6 +350,9 @@
                     self.on_change()
         for worker in list(self.workers.values()):
             self._expire(worker, now_s)
+        if self.suspects:
+            # Workers that were kept for a suspect become free with time.
+            self.on_change()
 
     def _evict_old_job(self, job: JobState, now_s: float) -> None:
         kept_s = self.settings.status_kept_s
@@ -393,11 +375,11 @@
                     "answer_age_s": round(now_s - (worker.answered_s or 0), 3),
                 },
             )
-        for run in list(worker.runs.values()):
+        for run in worker.runs.values():
             if run.phase is not RunPhase.SENT or run.unanswered_s is not None:
                 run.subtask.expired_runs.add(run.number)
                 worker.unreported_runs.append(run)
-            self.release(run, now_s)
+        lose_runs(self, worker, list(worker.runs.values()), "lease expired", now_s)
         if not worker.is_listed:
             self.remove_worker(worker.facts.worker_id, now_s, "no longer listed")
 
@@ -417,6 +399,7 @@
             job.inherited = True
             job.is_stored = True
             self.jobs[job.job_id] = job
+            restore_suspects(self, job)
 
     def is_pool_reconciled(self, pool: str, now_s: float) -> bool:
         """Return whether the runs of every worker of a pool are known."""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -8,6 +8,7 @@
 
 import msgpack
 
+from cicadatrail_core.jobs.crash_suspicion import collect_unstored, mark_stored
 from cicadatrail_core.jobs.models import JobDefinition, JobPhase, WorkerFacts
 from cicadatrail_core.jobs.record_checks import check_definition, check_progress
 from cicadatrail_core.jobs.records import (
@@ -16,7 +17,8 @@
     encode_definition,
     encode_progress,
 )
-from cicadatrail_core.jobs.scheduler import CLOCK_DRIFT, LEASE_MARGIN_S, Scheduler
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.scheduler_settings import CLOCK_DRIFT, LEASE_MARGIN_S
 from cicadatrail_core.jobs.state import JobState, WorkerState
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.store import KeyedRecord
@@ -86,6 +88,7 @@
             for number, value in self._waves.encode():
                 records.append(KeyedRecord(f"{WAVE_PREFIX}{number}", value))
         changed, scheduler.changed_jobs = scheduler.changed_jobs, {}
+        crashes = collect_unstored(scheduler, changed)
         ended: list[tuple[JobState, JobPhase]] = []
         accepted: list[JobState] = []
         for job_id in changed:
@@ -116,6 +119,7 @@
                     scheduler.stop_runs(job)
             for job in accepted:
                 scheduler.activate(job, now_s, unix_now_ms())
+            mark_stored(scheduler, crashes)
 
         return records, on_stored
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -115,7 +115,7 @@
         except FencedError:
             raise
         except Exception as error:
-            worker.is_suspect = True
+            worker.mark_failed(loop_now_s())
             if worker.facts.worker_id not in self._failing_ids:
                 self._failing_ids.add(worker.facts.worker_id)
                 logger.exception(
@@ -210,7 +210,7 @@
 
     async def _handle_failure(self, worker: WorkerState, outcome: OrderOutcome) -> None:
         worker_id = worker.facts.worker_id
-        worker.is_suspect = True
+        worker.mark_failed(loop_now_s())
         match outcome:
             case OrderOutcome.FENCED:
                 self._step_down(f"worker {worker_id} obeys a newer leader")
