Let the mutant that cuts requests on shutdown skip the drain as well

The mutant waits for no request in flight; since the drain of the listeners answers them all the same, so that there was nothing to detect.

--- a/features/support/matrix_mutants.py
+++ b/features/support/matrix_mutants.py
@@ -11,6 +11,7 @@
 from cicadatrail_core.fold import maintenance_records, move_operations
 from cicadatrail_core.models.state import State
 from cicadatraild.app import Instance
+from cicadatraild.network.http_server import HttpServer
 from cicadatraild.serving import id_partitions
 from cicadatraild.serving.placed_tasks import GivenUpTasks
 from cicadatraild.sharing.fleet_maintenance import FleetMaintenance
@@ -66,10 +67,11 @@
 
 
 def _cut_requests_on_shutdown(stack: ExitStack) -> None:
-    async def at_once(_: Any) -> None:
+    async def at_once(*_: Any) -> None:
         return
 
     stack.enter_context(patch.object(InFlightWork, "ended", at_once))
+    stack.enter_context(patch.object(HttpServer, "drain", at_once))
 
 
 def _ignore_leaving_workers(stack: ExitStack) -> None:
