Answer requests that arrive while a late loop drains

A request on a connection that was accepted around the drain was cut, although read, when the loop was 0.2 s late or more: the drain waited for the connections that it knew at one moment, and cancelled what looked idle before its bytes had been read.

The drain lets the loop accept and read what has arrived before it closes the listener and again before it closes idle connections, and waits for all connections. The short limit for the head of a request counts from the drain on only; the product's own daemon had it from the start of its leave.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -41,6 +41,15 @@
     When a leader stops while a request waits for its takeover
     Then the request is told at once that this instance leads nothing
 
+  Scenario Outline: Requests that arrive while a late loop drains are answered, <on>
+    When requests arrive on <on> while the loop is blocked over a drain
+    Then each of these requests got 200
+
+    Examples: connections
+      | on               |
+      | new connections  |
+      | idle connections |
+
   Scenario Outline: <signal> during its start <does> <daemon>
     When <daemon> gets <signal> while it reads its settings
     Then it <state>
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -24,11 +24,14 @@
 from features.support.platform_actions import JOB, run_on_cluster, start_instances
 from features.support.platform_cluster import PlatformCluster, job, run_scenario
 from features.support.soak import SOURCES
+from features.support.thread_caller import ThreadCaller
 
 SERIES_S = 9.0
 RESTART_S = 0.3
 CALL_PAUSE_S = 0.03
 SERVED_SHARE = 0.75
+LATE_CALLERS_COUNT = 5
+BLOCKED_S = 0.35
 JOB_NUMBERS = itertools.count(0xC000)
 
 
@@ -213,6 +216,31 @@
     assert share >= SERVED_SHARE, (share, len(context.outcomes))
 
 
+@when("requests arrive on {connections} while the loop is blocked over a drain")
+def step_late_loop(context: Any, connections: str) -> None:
+    async def answer(exchange: HttpExchange) -> None:
+        await exchange.respond(200, headers=((b"Connection", b"close"),))
+
+    async def scenario(cluster: PlatformCluster) -> None:
+        async with AsyncExitStack() as stack:
+            server = HttpServer("drained", answer, HttpLimits())
+            port = await server.listen(stack, HOST, 0)
+            callers = [
+                ThreadCaller(HOST, port, connections == "idle connections")
+                for _ in range(LATE_CALLERS_COUNT)
+            ]
+            await asyncio.sleep(0.1)
+            for caller in callers:
+                caller.start(delay_s=0.1)
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.05, time.sleep, BLOCKED_S)
+            await asyncio.sleep(0.06)
+            await server.drain(1.0)
+            context.outcomes = [caller.join() for caller in callers]
+
+    run_scenario(scenario, 1)
+
+
 @when("an instance has ended while a peer's stream to it was open")
 def step_stream_open(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
@@ -40,6 +40,12 @@
 DRAIN_HEAD_TIMEOUT_S = 0.2
 """Time for the request on a connection that was opened right before a drain."""
 
+READ_PASSES_COUNT = 6
+"""Passes of the loop from a connection in the backlog to the reading of its bytes."""
+
+SLOW_PASS_S = 0.05
+"""Duration of a pass of the loop in which more requests may have arrived."""
+
 REQUEST_TIMEOUT_STATUS = 408
 HEAD_TOO_LONG_STATUS = 431
 
@@ -60,6 +66,7 @@
         "_connections",
         "_handler",
         "_idle",
+        "_is_closing",
         "_limits",
         "_name",
         "_server",
@@ -74,6 +81,7 @@
         # Connections that wait for the head of a request.
         self._idle: dict[asyncio.Task[None], HttpTransport] = {}
         self._server: asyncio.Server | None = None
+        self._is_closing = False
         self.draining = False
 
     async def listen(self, stack: AsyncExitStack, host: str, port: int) -> int:
@@ -90,14 +98,22 @@
 
         What takes longer than ``timeout_s`` is dropped when the stack closes.
         """
+        until_s = asyncio.get_running_loop().time() + timeout_s
         self.draining = True
+        self._is_closing = True
+        # Requests that have arrived are read first, also when the loop is late.
+        await _run_ready(until_s)
         if self._server is not None:
             self._server.close()
+        await _run_ready(until_s)
         for task, transport in self._idle.items():
             if not transport.has_unparsed:
                 task.cancel()
-        if self._connections:
-            await asyncio.wait(tuple(self._connections), timeout=timeout_s)
+        while self._connections:
+            left_s = until_s - asyncio.get_running_loop().time()
+            if left_s <= 0:
+                return
+            await asyncio.wait(tuple(self._connections), timeout=left_s)
 
     def _new_transport(self) -> HttpTransport:
         return HttpTransport(
@@ -135,7 +151,7 @@
 
     async def _serve_one(self, transport: HttpTransport, wait_s: float) -> bool:
         """Serve one request; return whether the connection stays open for another."""
-        if self.draining:
+        if self._is_closing:
             wait_s = min(wait_s, DRAIN_HEAD_TIMEOUT_S)
         task = cast(asyncio.Task[None], asyncio.current_task())
         self._idle[task] = transport
@@ -179,6 +195,19 @@
             await asyncio.wait(tuple(self._connections), timeout=CLOSE_GRACE_S)
 
 
+async def _run_ready(until_s: float) -> None:
+    """Let the loop accept connections and read bytes that have arrived.
+
+    A slow pass of the loop starts the count anew, as more may have arrived meanwhile.
+    """
+    loop = asyncio.get_running_loop()
+    quick_count = 0
+    while quick_count < READ_PASSES_COUNT and loop.time() < until_s:
+        began_s = loop.time()
+        await asyncio.sleep(0)
+        quick_count = quick_count + 1 if loop.time() - began_s < SLOW_PASS_S else 0
+
+
 def _skip_body(transport: HttpTransport) -> bool:
     """Skip received bytes of an unread body; return whether the body is complete."""
     http = transport.http
