Let a named successor lead that is stopped before its claim

Callers waited for a leader although stopping instances had seconds left, in three cases: the successor that a leader named was stopped before its claim (1.0 s, or until a restart with all instances stopping); a claim was won after SIGTERM, whose winner then didn't lead (1.5 s); the query for a successor hung, so that the release was not stored (1.3 s).

A stopping instance claims when it is named, leads when a claim of its own is won, and hands over whenever a peer can lead, until it takes no more requests; it releases leadership after the last request has been answered.

'A named successor ...' failed before (not within 3.0 s), 'A peer that hangs ...' too (not released).

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -33,6 +33,18 @@
       | two each 0.5 s     |
       | three each 0.2 s   |
 
+  Scenario: A named successor that is stopped before its claim leads all the same
+    When the leader hands over to an instance that has just been told to stop
+    Then that instance leads within 0.5 s
+
+  Scenario: An instance that is stopped while its claim is under way leads all the same
+    When an instance is told to stop after its claim was stored but not answered
+    Then that instance leads within 1.5 s
+
+  Scenario: A peer that hangs does not keep a stopped leader from releasing leadership
+    When the only instance is stopped while its queries for a successor hang
+    Then the store shows that it has released leadership
+
   Scenario: An instance that has ended answers no peer
     When an instance has ended while a peer's stream to it was open
     Then the peer can't reach it
--- a/features/steps/platform_leader_steps.py
+++ b/features/steps/platform_leader_steps.py
@@ -97,7 +97,7 @@
 def step_missing_successor(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
         leader = await start_instances(cluster, 3)
-        await cluster.instances[leader].hand_over("127.0.0.99")
+        await cluster.instances[leader].handover.release("127.0.0.99")
         await cluster.wait_until(lambda: cluster.leader() not in (None, leader), 3.0)
         context.leader = cluster.leader()
 
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -13,15 +13,23 @@
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
+import msgpack
 from behave import then, when
 
 from cicadatraild.network.http_server import HttpExchange, HttpLimits, HttpServer
+from cicadatraild.platform.store import LEADER_TOPIC
 from cicadatraild.scheduling.messages import AskHolder, CountQueued, HolderIs
 from cicadatraild.scheduling.peers import PeerClient, PeerUnreachableError
 from features.support.faulty_proxy import HOST
 from features.support.open_caller import CallOutcome, OpenCaller, open_caller
-from features.support.platform_actions import JOB, run_on_cluster, start_instances
+from features.support.platform_actions import (
+    JOB,
+    other_instance,
+    run_on_cluster,
+    start_instances,
+)
 from features.support.platform_cluster import PlatformCluster, job, run_scenario
 from features.support.soak import SOURCES
 from features.support.thread_caller import ThreadCaller
@@ -216,6 +224,75 @@
     assert share >= SERVED_SHARE, (share, len(context.outcomes))
 
 
+@when("the leader hands over to an instance that has just been told to stop")
+def step_stopped_successor(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster, 2)
+        successor = other_instance(cluster, leader)
+        stopping = asyncio.create_task(cluster.stop(successor))
+        await asyncio.sleep(0)
+        await cluster.instances[leader].handover.release(cluster.host(successor))
+        context.led_s = await _time_until_led(cluster, successor)
+        await cluster.kill(leader)
+        await stopping
+
+    run_on_cluster(context, scenario)
+
+
+async def _time_until_led(cluster: PlatformCluster, name: str) -> float:
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    instance = cluster.instances[name]
+    while not instance.is_leader and loop.time() < began_s + 3.0:  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
+    return loop.time() - began_s
+
+
+@then("that instance leads within {limit_s:g} s")
+def step_leads_within(context: Any, limit_s: float) -> None:
+    assert context.led_s < limit_s, context.led_s
+
+
+@when("an instance is told to stop after its claim was stored but not answered")
+def step_claim_under_way(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster, 2)
+        other = other_instance(cluster, leader)
+        await cluster.kill(leader)
+        cluster.store.faults.lost_answers = 1
+        records = cluster.store.topic(LEADER_TOPIC)
+        count = records.end
+        await cluster.wait_until(lambda: records.end > count)
+        stopping = asyncio.create_task(cluster.stop(other))
+        await asyncio.sleep(0)
+        context.led_s = await _time_until_led(cluster, other)
+        await stopping
+
+    run_on_cluster(context, scenario)
+
+
+@when("the only instance is stopped while its queries for a successor hang")
+def step_hanging_queries(context: Any) -> None:
+    async def hang() -> str:
+        await asyncio.sleep(60)
+        return ""
+
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster, 1)
+        instance = cluster.instances[leader]
+        with patch.object(instance._entry, "choose_successor", hang):
+            await cluster.stop(leader)
+        records = cluster.store.topic(LEADER_TOPIC).newest
+        context.record = msgpack.unpackb(records["holder"][1])
+
+    run_on_cluster(context, scenario)
+
+
+@then("the store shows that it has released leadership")
+def step_released(context: Any) -> None:
+    assert context.record["released"], context.record
+
+
 @when("requests arrive on {connections} while the loop is blocked over a drain")
 def step_late_loop(context: Any, connections: str) -> None:
     async def answer(exchange: HttpExchange) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -9,7 +9,7 @@
 import json
 import logging
 import signal
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any
@@ -33,6 +33,7 @@
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.entry import Entry
 from cicadatraild.scheduling.feeds import TopicFeed
+from cicadatraild.scheduling.handover import Handover
 from cicadatraild.scheduling.leader import Leader
 from cicadatraild.scheduling.leadership import Leadership
 from cicadatraild.scheduling.messages import CandidateIs
@@ -51,8 +52,8 @@
 SEND_MARGIN_S = 0.15
 """Part of that time reserved for sending the last answers."""
 
-SUCCESSOR_PAUSE_S = 0.2
-"""Interval between queries for a successor while no peer can lead."""
+RELEASE_TIMEOUT_S = 0.5
+"""Time for storing the release of leadership; half of the stop margin."""
 
 METRICS_PATH = "/metrics"
 JOBS_PATH = "/jobs/"
@@ -115,6 +116,7 @@
             lambda: self._leader,
             self._describe_candidate,
         )
+        self.handover = Handover(self._leadership, self._entry)
         self._callers = CallerInterface(
             self._entry, lambda: self._configuration, lambda: self._stop.is_set()
         )
@@ -320,7 +322,7 @@
                     extra={"lag_s": round(lag_s, 3)},
                 )
                 slow_count = 0
-                await self._hand_over_to_peer()
+                await self.handover.to_peer()
                 self._leadership.claims_disabled = self._stop.is_set()
 
     def _describe_candidate(self) -> CandidateIs:
@@ -335,27 +337,6 @@
             loop_now_s() - self._began_s,
         )
 
-    async def _hand_over_to_peer(self) -> None:
-        """Hand leadership to the peer that is least likely to stop soon."""
-        successor = ""
-        if self._leadership.held_epoch:
-            successor = await self._entry.choose_successor()
-        # Also needed when not the leader: it disables further claims.
-        await self.hand_over(successor)
-
-    async def hand_over(self, successor: str) -> None:
-        """Release leadership and disable further claims.
-
-        ``successor`` is the host that should claim first, or "" for any.
-        """
-        epoch = self._leadership.held_epoch
-        if epoch:
-            logger.info(
-                "instance: handing over leadership.",
-                extra={"epoch": epoch, "successor": successor},
-            )
-        await self._leadership.release(successor)
-
     async def _shut_down(self, front: HttpServer) -> None:
         """Serve until the platform's grace period ends, and answer every request.
 
@@ -363,29 +344,18 @@
         """
         logger.info("instance: stopping.", extra={"epoch": self._leadership.held_epoch})
         end_s = loop_now_s() + max(0.0, self._settings.grace_s - STOP_MARGIN_S)
-        drain_s = end_s - DRAIN_S
         self._leadership.claims_disabled = True
         self._entry.limits.close_at(end_s - SEND_MARGIN_S)
-        handing_over = asyncio.create_task(self._hand_over_by(drain_s))
-        try:
-            await asyncio.sleep(max(0.0, drain_s - loop_now_s()))
-            await front.drain(max(0.0, end_s - loop_now_s()))
-            await asyncio.wait({handing_over}, timeout=max(0.0, end_s - loop_now_s()))
-        finally:
-            handing_over.cancel()
+        await self.handover.until(end_s - DRAIN_S)
+        await front.drain(max(0.0, end_s - loop_now_s()))
+        self._leadership.is_closed = True
+        with suppress(TimeoutError):
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                await self.handover.release("")
         logger.info(
             "instance: stopped.", extra={"open_count": self._callers.open_count}
         )
 
-    async def _hand_over_by(self, until_s: float) -> None:
-        """Lead on until a peer can, as callers would wait, but only until a time."""
-        successor = ""
-        while self._leadership.held_epoch and not successor and loop_now_s() < until_s:
-            successor = await self._entry.choose_successor()
-            if not successor:
-                await asyncio.sleep(SUCCESSOR_PAUSE_S)
-        await self.hand_over(successor)
-
 
 def _cancel_all(tasks: list[asyncio.Task[Any]]) -> None:
     for task in tasks:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -110,7 +110,9 @@
 
     ``on_elected`` is called with the epoch that this instance has won,
     ``on_step_down`` with the reason when it is no longer the leader.
-    ``claim_delay_s`` delays claims in favour of other instances.
+    ``claim_delay_s`` delays claims in favour of other instances. With
+    ``claims_disabled`` this instance claims only as the named successor, with
+    ``is_closed`` not at all.
     """
 
     def __init__(
@@ -141,6 +143,7 @@
         self.held_epoch = 0
         self._left_epoch = 0
         self.claims_disabled = False
+        self.is_closed = False
         self.suspected_epoch = 0
         self.store_answered_s: float | None = None
         self.claim_count = 0
@@ -297,7 +300,7 @@
             self.step_down(f"epoch {leader.epoch} of {leader.node}")
         is_new = leader.epoch > max(self.held_epoch, self._left_epoch)
         has_won = is_own and not leader.released and is_new
-        if has_won and not self.claims_disabled:
+        if has_won and not self.is_closed:
             # A claim that was not answered has succeeded.
             self._become_leader(leader.epoch, boot_now_s())
         if leader != self.current:
@@ -310,13 +313,18 @@
         self._changed = asyncio.Event()
 
     def _may_claim(self) -> bool:
-        if self.held_epoch or self.claims_disabled:
+        if self.held_epoch or self.is_closed:
             return False
         current = self.current
+        if current is not None and current.released and self._is_successor(current):
+            # Also when told to stop since: other instances wait for this claim.
+            return True
+        if self.claims_disabled:
+            return False
         if current is None:
             return True
         if current.released:
-            is_mine = current.successor in ("", self._host)
+            is_mine = not current.successor
             silent_s = loop_now_s() - self._seen_s
             return is_mine or silent_s > SUCCESSOR_HEAD_START_S
         if current.epoch <= self.suspected_epoch:
@@ -325,9 +333,14 @@
             return bool(current.process_id)
         return loop_now_s() - self._seen_s > SILENCE_LIMIT_S
 
+    def _is_successor(self, leader: LeaderRecord) -> bool:
+        return leader.successor == self._host
+
     async def _claim(self) -> None:
-        if self.current is None or self.current.successor != self._host:
+        if self.current is None or not self._is_successor(self.current):
             await asyncio.sleep(self._claim_delay_s + random.uniform(0, CLAIM_JITTER_S))
+            if not self._may_claim():
+                return
         epoch = (self.current.epoch if self.current else 0) + 1
         record = LeaderRecord(epoch, self._node, self._host, self._process_id)
         sent_s = boot_now_s()
@@ -354,9 +367,10 @@
                 extra={"reason": str(error)},
             )
             return
-        if not self.claims_disabled:
-            self._become_leader(epoch, sent_s)
-            self._set_current(record)
+        self._become_leader(epoch, sent_s)
+        self._set_current(record)
+        if self.is_closed:
+            await self.release("")
 
     async def _append(self, record: LeaderRecord, epoch: int) -> None:
         producer = Producer(PRODUCER, epoch, self._sequence)
