--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -45,6 +45,10 @@
     When the only instance is stopped while its queries for a successor hang
     Then the store shows that it has released leadership
 
+  Scenario: A flush of a closed journal fails at once
+    When a journal is flushed after its leader has ended
+    Then the flush has failed
+
   Scenario: An instance that has ended answers no peer
     When an instance has ended while a peer's stream to it was open
     Then the peer can't reach it
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -19,7 +19,7 @@
 from behave import then, when
 
 from cicadatraild.network.http_server import HttpExchange, HttpLimits, HttpServer
-from cicadatraild.platform.store import LEADER_TOPIC
+from cicadatraild.platform.store import LEADER_TOPIC, FencedError
 from cicadatraild.scheduling.messages import AskHolder, CountQueued, HolderIs
 from cicadatraild.scheduling.peers import PeerClient, PeerUnreachableError
 from features.support.faulty_proxy import HOST
@@ -293,6 +293,27 @@
     assert context.record["released"], context.record
 
 
+@when("a journal is flushed after its leader has ended")
+def step_flush_closed(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster, 1)
+        journal = cluster.instances[leader]._leader.journal  # type: ignore[union-attr]
+        await cluster.kill(leader)
+        await asyncio.sleep(0.1)
+        try:
+            async with asyncio.timeout(0.5):
+                await journal.flush()
+        except (FencedError, TimeoutError) as error:
+            context.error = error
+
+    run_on_cluster(context, scenario)
+
+
+@then("the flush has failed")
+def step_flush_failed(context: Any) -> None:
+    assert isinstance(context.error, FencedError), repr(context.error)
+
+
 @when("requests arrive on {connections} while the loop is blocked over a drain")
 def step_late_loop(context: Any, connections: str) -> None:
     async def answer(exchange: HttpExchange) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/journal.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/journal.py
@@ -61,6 +61,7 @@
         self._wake = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
         self._sent_s: float | None = None
+        self._is_closed = False
         self.append_count = 0
         self.stored_bytes = 0
 
@@ -84,6 +85,8 @@
 
         Raises FencedError when the journal ends before.
         """
+        if self._is_closed:
+            raise FencedError("the journal is closed")
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters.append(future)
         self._wake.set()
@@ -116,7 +119,8 @@
                     waiter.set_result(None)
 
     def close(self) -> None:
-        """Fail all waiters."""
+        """Fail all waiters, and those to come."""
+        self._is_closed = True
         _fail(self._waiters)
 
     async def _append(self, records: list[KeyedRecord]) -> None:
