Give up a subtask whose crashes no leader has lived to see

A leader that ended right after it had started a suspect again left only a presumed crash, and presumed crashes never gave a job up: with leaders ending in turn the subtask was started 11 times and on. Now a suspect with four crashes, presumed ones among them, is given up instead of started, once every worker of its pool has reported, as a worker that has the run would have taken the presumption back.

'A new leader counts a crash that no leader has seen' failed before (11 starts, 5 allowed).

--- a/features/crashing_subtasks.feature
+++ b/features/crashing_subtasks.feature
@@ -70,6 +70,16 @@
     When each worker that starts a subtask is cut off for 5 s, 6 times
     Then no crash is counted for the subtask, and its job is not failed
 
+  Scenario: A crash is taken back as soon as the worker answers again
+    Given 3 workers of 16 cores that return under a new id after 3.3 s
+    When the worker of a subtask is cut off until its loss counts as a crash
+    Then no crash of the subtask counts 0.2 s after the worker answers again
+
+  Scenario: A new leader counts a crash that no leader has seen
+    Given 6 workers of 16 cores that return under a new id after 3.3 s
+    When each leader ends right after it has started the suspected subtask again
+    Then that job is failed after at most 5 starts of the subtask
+
   Scenario: A planned loss of its worker is not blamed on a subtask
     Given 3 workers of 16 cores that return under a new id after 3.3 s
     When each worker that starts a subtask leaves as announced, 6 times
--- a/features/steps/crashing_subtasks_steps.py
+++ b/features/steps/crashing_subtasks_steps.py
@@ -10,7 +10,7 @@
 
 from cicadatrail_core.jobs.models import JobPhase, SubtaskName
 from cicadatrail_core.jobs.records import apply_progress, encode_progress
-from cicadatrail_core.jobs.state import JobState, StepState
+from cicadatrail_core.jobs.state import JobState, StepState, Subtask
 from features.support.crash_world import (
     STEP_S,
     CrashWorld,
@@ -200,6 +200,51 @@
         world.advance(0.2)
 
 
+@when("the worker of a subtask is cut off until its loss counts as a crash")
+def step_cut_once(context: Any) -> None:
+    world = context.world
+    world.durations_s[DEADLY] = LONG_S
+    world.submit(DEADLY, definition(1, 2))
+    context.cut_off = _wait_for_start(world)
+    world.silent.add(context.cut_off)
+    world.worker(context.cut_off).is_suspect = True
+    until_s = world.now_s + 10.0
+    while not _subtask(world).crashed_runs and world.now_s < until_s:
+        world.advance_step()
+    assert len(_subtask(world).crashed_runs) == 1
+
+
+def _subtask(world: CrashWorld) -> Subtask:
+    subtask = world.scheduler.jobs[DEADLY].subtask(SubtaskName(DEADLY, 0, 0, 0))
+    assert subtask is not None
+    return subtask
+
+
+@then("no crash of the subtask counts {seconds:g} s after the worker answers again")
+def step_taken_back(context: Any, seconds: float) -> None:
+    world = context.world
+    world.silent.discard(context.cut_off)
+    world.advance(seconds)
+    assert not _subtask(world).crashed_runs, _subtask(world).crashed_runs
+
+
+@when("each leader ends right after it has started the suspected subtask again")
+def step_unseen_crashes(context: Any) -> None:
+    world = context.world
+    world.submit_deadly(DEADLY, definition(1, 2))
+    name = SubtaskName(DEADLY, 0, 0, 0)
+    while not _subtask(world).crashed_runs:
+        world.advance_step()
+    for _ in range(8):
+        starts = world.starts[name]
+        until_s = world.now_s + 15.0
+        while world.starts[name] == starts and world.now_s < until_s:
+            world.advance_step()
+        # The worker crashes, and the leader ends before it has noticed that.
+        world.advance_step()
+        world.fail_over(world.epoch + 1)
+
+
 def _wait_for_start(world: CrashWorld) -> str:
     """Return the worker on which the subtask has just started."""
     name = SubtaskName(DEADLY, 0, 0, 0)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
@@ -168,6 +168,18 @@
     scheduler.stop_runs(job)
 
 
+def give_up_inherited(scheduler: Scheduler, subtask: Subtask, now_s: float) -> bool:
+    """Give up a suspect that may have crashed too many workers unseen.
+
+    Call it once every worker has reported: presumed crashes would be taken back by
+    then. Return whether the subtask is given up.
+    """
+    if crash_count(subtask) < SHARED_LIMIT_COUNT:
+        return False
+    _give_up(scheduler, subtask, now_s)
+    return True
+
+
 def _log_loss(
     worker: WorkerState,
     run_count: int,
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from cicadatrail_core.jobs.crash_suspicion import note_start
+from cicadatrail_core.jobs.crash_suspicion import give_up_inherited, note_start
 from cicadatrail_core.jobs.models import Queue, Step
 from cicadatrail_core.jobs.placement_error import Cursor, PlacementError
 from cicadatrail_core.jobs.scheduler import Scheduler
@@ -220,6 +220,8 @@
     step = subtask.step
     if step.job.inherited and not is_reconciled:
         return
+    if give_up_inherited(scheduler, subtask, now_s):
+        return
     count = step.spec.count if step.spec.gang else 1
     if not _within_limit(scheduler, step, count, unreconciled):
         return
