--- a/features/support/outer_names.py
+++ b/features/support/outer_names.py
@@ -49,7 +49,7 @@
 from cicadatraild.platform import settings
 from cicadatraild.platform.callers import CallerInterface, CallKind
 from cicadatraild.platform.store import StoreClient
-from cicadatraild.scheduling import leadership, messages
+from cicadatraild.scheduling import leader_record, leadership, messages
 from cicadatraild.scheduling.leader import Leader
 from cicadatraild.scheduling.leader_records import LeaderRecords
 from cicadatraild.scheduling.machine_inventory import MachineInventory
@@ -249,11 +249,11 @@
 
 
 def code_holder_record() -> dict[str, Coded]:
-    record = sample(leadership.LeaderRecord)
-    stored = leadership._encode(record)
+    record = sample(leader_record.LeaderRecord)
+    stored = leader_record.encode_leader(record)
 
     def decode(raw: bytes) -> Any:
-        return leadership._decode(type(stored)(stored.key, raw))
+        return leader_record.decode_leader(type(stored)(stored.key, raw))
 
     return {stored.key: Coded(record, stored.value or b"", decode)}
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -9,7 +9,8 @@
 
 from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
 from cicadatraild.scheduling.leader import Leader
-from cicadatraild.scheduling.leadership import LeaderRecord, Leadership
+from cicadatraild.scheduling.leader_record import LeaderRecord
+from cicadatraild.scheduling.leadership import Leadership
 from cicadatraild.scheduling.messages import (
     AskCandidate,
     AskHolder,
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -15,10 +15,7 @@
 import random
 import uuid
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
-from typing import Any
-
-import msgpack
+from dataclasses import asdict
 
 from cicadatraild.platform.store import (
     LEADER_TOPIC,
@@ -32,6 +29,11 @@
     StoreUnavailableError,
 )
 from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
+from cicadatraild.scheduling.leader_record import (
+    LeaderRecord,
+    decode_leader,
+    encode_leader,
+)
 
 logger = logging.getLogger("cicadatrail.leadership")
 
@@ -65,44 +67,6 @@
 """Mean delay before another attempt after the store was unavailable."""
 
 PRODUCER = "holder"
-HOLDER_KEY = "holder"
-
-
-@dataclass(frozen=True, slots=True)
-class LeaderRecord:
-    """The stored record of the leader of an epoch.
-
-    ``process_id`` identifies one incarnation of the leader's process.
-    ``released`` is set once the leader has stepped down; ``successor`` is then
-    the host that should claim first, or "" for any.
-    """
-
-    epoch: int
-    node: str
-    host: str
-    process_id: str
-    released: bool = False
-    successor: str = ""
-
-
-def _encode(leader: LeaderRecord) -> KeyedRecord:
-    value: bytes = msgpack.packb(asdict(leader))
-    return KeyedRecord(HOLDER_KEY, value)
-
-
-def _decode(record: KeyedRecord) -> LeaderRecord | None:
-    try:
-        value: Any = msgpack.unpackb(record.value or b"")
-        leader = LeaderRecord(**value)
-        if type(leader.epoch) is not int:
-            raise TypeError(f"the epoch can't be {leader.epoch!r}")
-        return leader
-    except (ValueError, TypeError, msgpack.exceptions.UnpackException) as error:
-        logger.warning(
-            "leadership: ignoring an invalid leader record.",
-            extra={"reason": repr(error)},
-        )
-        return None
 
 
 class Leadership:
@@ -289,7 +253,7 @@
             self._apply_record(record)
 
     def _apply_record(self, record: KeyedRecord) -> None:
-        leader = _decode(record)
+        leader = decode_leader(record)
         if leader is None:
             return
         self._seen_s = loop_now_s()
@@ -357,7 +321,7 @@
             # Claims have no producer: the store would treat the claims of two
             # instances with the same producer and sequence as one, retried.
             await self._store.append(
-                LEADER_TOPIC, [_encode(record)], expected_end=self._offset
+                LEADER_TOPIC, [encode_leader(record)], expected_end=self._offset
             )
         except PositionError:
             return
@@ -374,7 +338,9 @@
 
     async def _append(self, record: LeaderRecord, epoch: int) -> None:
         producer = Producer(PRODUCER, epoch, self._sequence)
-        await self._store.append(LEADER_TOPIC, [_encode(record)], producer=producer)
+        await self._store.append(
+            LEADER_TOPIC, [encode_leader(record)], producer=producer
+        )
         self._sequence += 1
 
     def _become_leader(self, epoch: int, sent_s: float) -> None:
