--- a/features/support/run_tests.py
+++ b/features/support/run_tests.py
@@ -21,6 +21,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 FEATURE_TIMEOUT_S = 600
+ERROR_LINES_COUNT = 60
 CHECKS = (
     ("formatter", ("ruff", "format", "--check", ".")),
     ("linter", ("ruff", "check", ".")),
@@ -82,12 +83,12 @@
             if element.get("type") == "background" or status == "skipped":
                 continue
             label = f"{name}: {element['name']}"
-            failure = _describe_failure(element)
+            failure = _describe_failure(element, output)
             results.append(CheckResult(label, status == "passed", output, failure))
     return results
 
 
-def _describe_failure(element: dict[str, Any]) -> str:
+def _describe_failure(element: dict[str, Any], output: str) -> str:
     """Return the failed steps of a scenario, each with its error."""
     lines: list[str] = []
     for step in element.get("steps", ()):
@@ -95,10 +96,19 @@
         if result.get("status") not in (None, "passed", "skipped", "untested"):
             message = result.get("error_message", "")
             text = "\n".join(message) if isinstance(message, list) else str(message)
-            lines += [f"  step: {step['name']}", text]
+            lines += [f"  step: {step['name']}", text or _find_error(step, output)]
     return "\n".join(lines)
 
 
+def _find_error(step: dict[str, Any], output: str) -> str:
+    """Return what was printed after a step; errors have no message in the report."""
+    _, found, after = output.partition(f"{step['name']} ... error")
+    if not found:
+        return ""
+    printed = after.partition("\nCaptured ")[0]
+    return "\n".join(printed.splitlines()[:ERROR_LINES_COUNT])
+
+
 def known_red() -> dict[str, str]:
     """Return the known failures: scenario names and their full entries."""
     if not KNOWN_RED.exists():
