Start suspects within 3 s where there is capacity

A suspect that has waited for 2.75 s starts on any worker with capacity. A refused start keeps the time since when its subtask is ready, for all subtasks. The only worker of a pool is not kept empty. Suspects that have ended are dropped with each tick.

--- a/features/crashing_subtasks.feature
+++ b/features/crashing_subtasks.feature
@@ -80,6 +80,23 @@
     When each leader ends right after it has started the suspected subtask again
     Then that job is failed after at most 5 starts of the subtask
 
+  Scenario Outline: Suspects don't stand still after a takeover, <count> workers
+    Given <count> workers of 32 cores that return under a new id after 3.3 s
+    When a worker with <runs> runs crashes and the leader changes as it is noticed
+    Then every lost subtask starts within 3 s
+
+    Examples: pools
+      | count | runs |
+      | 2     | 20   |
+      | 3     | 20   |
+      | 4     | 32   |
+      | 6     | 32   |
+
+  Scenario: A refused start does not set back the wait of its subtask
+    Given 2 workers of 16 cores that return under a new id after 3.3 s
+    When the worker refuses the start of a subtask that has waited for 1 s
+    Then the subtask still counts as ready since then
+
   Scenario: A planned loss of its worker is not blamed on a subtask
     Given 3 workers of 16 cores that return under a new id after 3.3 s
     When each worker that starts a subtask leaves as announced, 6 times
--- a/features/steps/crashing_subtasks_steps.py
+++ b/features/steps/crashing_subtasks_steps.py
@@ -10,7 +10,7 @@
 
 from cicadatrail_core.jobs.models import JobPhase, SubtaskName
 from cicadatrail_core.jobs.records import apply_progress, encode_progress
-from cicadatrail_core.jobs.state import JobState, StepState, Subtask
+from cicadatrail_core.jobs.state import JobState, StepState, Subtask, SubtaskPhase
 from features.support.crash_world import (
     STEP_S,
     CrashWorld,
@@ -228,6 +228,52 @@
     assert not _subtask(world).crashed_runs, _subtask(world).crashed_runs
 
 
+@when("a worker with {count:d} runs crashes and the leader changes as it is noticed")
+def step_takeover_at_crash(context: Any, count: int) -> None:
+    world = context.world
+    _submit_others(context, count, LONG_S)
+    world.advance(0.3)
+    sim = max(world.sims.values(), key=lambda sim: len(sim.running))
+    context.lost = [*sim.running]
+    world.crash(sim)
+    while not world.scheduler.suspects:
+        context.began_s = world.now_s
+        world.advance_step()
+    world.store()
+    world.fail_over(world.epoch + 1)
+    world.advance(12.0)
+
+
+@then("every lost subtask starts within {limit_s:g} s")
+def step_all_start(context: Any, limit_s: float) -> None:
+    waits_s = [
+        min(
+            at_s for at_s in context.world.start_times_s[name] if at_s > context.began_s
+        )
+        - context.began_s
+        for name in context.lost
+    ]
+    assert waits_s, "nothing was lost"
+    assert max(waits_s) < limit_s, sorted(waits_s)
+
+
+@when("the worker refuses the start of a subtask that has waited for {seconds:d} s")
+def step_refused(context: Any, seconds: int) -> None:
+    world = context.world
+    world.submit(DEADLY, definition(1, 2))
+    context.ready_s = _subtask(world).ready_s
+    world.now_s += seconds
+    (run,) = world.dispatch()
+    world.scheduler.release_refused(run, world.now_s, "busy")
+
+
+@then("the subtask still counts as ready since then")
+def step_still_ready(context: Any) -> None:
+    subtask = _subtask(context.world)
+    assert subtask.phase is SubtaskPhase.READY, subtask.phase
+    assert subtask.ready_s == context.ready_s, subtask.ready_s
+
+
 @when("each leader ends right after it has started the suspected subtask again")
 def step_unseen_crashes(context: Any) -> None:
     world = context.world
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -11,7 +11,11 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from cicadatrail_core.jobs.crash_suspicion import lose_runs, restore_suspects
+from cicadatrail_core.jobs.crash_suspicion import (
+    drop_ended_suspects,
+    lose_runs,
+    restore_suspects,
+)
 from cicadatrail_core.jobs.durations import Durations
 from cicadatrail_core.jobs.models import (
     FleetConfiguration,
@@ -254,7 +258,10 @@
         """
         self.counts[reason] = self.counts.get(reason, 0) + 1
         if run.subtask.name in {name for name, _ in run.worker.runs}:
+            # The subtask has waited since then all the same.
+            ready_s = run.subtask.ready_s
             self.release(run, now_s)
+            run.subtask.ready_s = ready_s
 
     def detach(self, run: Run) -> None:
         """Remove a run that is over from its worker, subtask and team."""
@@ -350,6 +357,7 @@
                     self.on_change()
         for worker in list(self.workers.values()):
             self._expire(worker, now_s)
+        drop_ended_suspects(self)
         if self.suspects:
             # Workers that were kept for a suspect become free with time.
             self.on_change()
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/suspect_placement.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/suspect_placement.py
@@ -30,6 +30,9 @@
 WAIT_LIMIT_S = 2.0
 """Longest wait of a suspect for a worker without others, or for an idle one."""
 
+START_LIMIT_S = 2.75
+"""Longest wait of a suspect for which there is a worker with free capacity."""
+
 KEPT_LIMIT_FRACTION = 0.5
 """Largest fraction of a pool's workers that is kept for suspects at once."""
 
@@ -92,7 +95,8 @@
             return [*_by_run_count(free), *late]
         if self._may_wait(subtask):
             return [[w for w in free if _runs_only(w, subtask.step.job)]]
-        return _by_run_count(free)
+        is_overdue = self._now_s - subtask.ready_s > START_LIMIT_S
+        return [*_by_run_count(free), *([self._workers] if is_overdue else [])]
 
     def keep(self, subtask: Subtask) -> None:
         """Keep other runs from the workers that a suspect or its gang has just got."""
@@ -105,6 +109,9 @@
         """Keep workers so that they empty for a suspect that should get idle ones."""
         if crash_count(subtask) < IDLE_FROM_COUNT or not self._may_wait(subtask):
             return
+        if len(self._workers) == 1:
+            # All other work would wait for the suspect.
+            return
         spec = subtask.step.spec
         eligible = [w for w in self.open_workers if can_ever_run(spec, w)]
         eligible.sort(key=_time_to_empty)
