Handle a worker's restart again after its report could not be applied

When the first report after a restart failed and was undone, the new incarnation stayed noted. The undo restores the incarnation as well.

'A restart whose report fails is still a restart in the next report' failed before.

--- a/features/crashing_subtasks.feature
+++ b/features/crashing_subtasks.feature
@@ -97,6 +97,11 @@
     When the worker refuses the start of a subtask that has waited for 1 s
     Then the subtask still counts as ready since then
 
+  Scenario: A restart whose report fails is still a restart in the next report
+    Given 2 workers of 16 cores that return under its old id after 0.3 s
+    When the first report of a restarted worker is undone
+    Then the crash of its subtask still counts after its next report
+
   Scenario: A planned loss of its worker is not blamed on a subtask
     Given 3 workers of 16 cores that return under a new id after 3.3 s
     When each worker that starts a subtask leaves as announced, 6 times
--- a/features/steps/crashing_subtasks_steps.py
+++ b/features/steps/crashing_subtasks_steps.py
@@ -8,15 +8,17 @@
 import msgpack
 from behave import given, then, when
 
+from cicadatrail_core.jobs.crash_suspicion import clear_crashes, note_start
 from cicadatrail_core.jobs.models import JobPhase, SubtaskName
 from cicadatrail_core.jobs.records import apply_progress, encode_progress
+from cicadatrail_core.jobs.report_rollback import ReportRollback
 from cicadatrail_core.jobs.state import JobState, StepState, Subtask, SubtaskPhase
 from features.support.crash_world import (
     STEP_S,
     CrashWorld,
     play_random_crashes,
 )
-from features.support.job_world import definition
+from features.support.job_world import LEASE_S, definition
 
 DEADLY = "00000000000000dd"
 SECOND = "00000000000000de"
@@ -274,6 +276,78 @@
     assert subtask.ready_s == context.ready_s, subtask.ready_s
 
 
+@when("the first report of a restarted worker is undone")
+def step_undone_report(context: Any) -> None:
+    world = context.world
+    world.submit(DEADLY, definition(1, 2))
+    name = _wait_for_start(world)
+    sim = world.sims[name]
+    worker = world.worker(name)
+    world.report(name)
+    sim.running.clear()
+    sim.started_ms += 1000
+    rollback = ReportRollback(worker)
+    world.report(name)
+    assert len(_subtask(world).crashed_runs) == 1
+    rollback.undo(world.scheduler)
+    # The lease ends before the next report.
+    worker.is_suspect = True
+    world.now_s += LEASE_S * 2
+    world.scheduler.tick(world.now_s, world.now_ms)
+    world.report(name)
+
+
+@then("the crash of its subtask still counts after its next report")
+def step_crash_counts(context: Any) -> None:
+    assert len(_subtask(context.world).crashed_runs) == 1
+
+
+@when("a member of a suspected gang is cleared while the note of its start is unstored")
+def step_cleared_member(context: Any) -> None:
+    world = context.world
+    world.submit(DEADLY, definition(2, 2, gang=True))
+    first = _subtask(world)
+    second = first.step.subtasks[1]
+    _suspect(world, first, {1: "w8"})
+    _suspect(world, second, {1: "w8", 2: "w9"})
+    assert not note_start(world.scheduler, first, world.now_s)
+    clear_crashes(world.scheduler, first)
+    world.store()
+
+
+@then("the gang may start once the other members' crashes are stored")
+def step_gang_may_start(context: Any) -> None:
+    world = context.world
+    assert note_start(world.scheduler, _subtask(world), world.now_s)
+
+
+def _suspect(world: CrashWorld, subtask: Subtask, crashes: dict[int, str]) -> None:
+    subtask.crashed_runs.update(crashes)
+    world.scheduler.suspects[subtask.name] = subtask
+
+
+@when("a subtask with one seen and one presumed crash loses its worker")
+def step_presumed(context: Any) -> None:
+    world = context.world
+    world.submit(DEADLY, definition(1, 2))
+    _suspect(world, _subtask(world), {1: "w8", -3: ""})
+    _lose_worker(world, _wait_for_start(world))
+
+
+def _lose_worker(world: CrashWorld, worker_id: str) -> None:
+    """Crash a worker, and advance until its runs have been released."""
+    world.crash(world.sims[worker_id])
+    workers = world.scheduler.workers
+    while worker_id in workers and workers[worker_id].runs:
+        world.advance_step()
+
+
+@then("its job is not failed")
+def step_not_failed(context: Any) -> None:
+    job = context.world.scheduler.jobs[DEADLY]
+    assert job.phase is not JobPhase.FAILED, _subtask(context.world).crashed_runs
+
+
 @when("each leader ends right after it has started the suspected subtask again")
 def step_unseen_crashes(context: Any) -> None:
     world = context.world
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/report_rollback.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/report_rollback.py
@@ -21,10 +21,10 @@
         self._processed_end = worker.processed_end
 
     def undo(self, scheduler: Scheduler) -> None:
-        """Account for all earlier runs again and leave the ends unread."""
+        """Account for all earlier runs again, and leave ends and a restart unread."""
         worker = self._worker
-        is_same = worker.born_unix_ms == self._born_unix_ms
-        worker.processed_end = self._processed_end if is_same else 0
+        worker.born_unix_ms = self._born_unix_ms
+        worker.processed_end = self._processed_end
         for run in self._runs:
             subtask = run.subtask
             if run in subtask.live_runs:
