Let a gang start again whose member was cleared before its note was stored

A member that is no suspect any more kept the note of its next start among what is to be stored, where nothing stores it; with two crashes of another member the gang never started again (by hand in the review: a takeover, the store away and a late end). The note goes with the last crash. 'A gang starts again ...' failed before.

--- a/features/crashing_subtasks.feature
+++ b/features/crashing_subtasks.feature
@@ -102,6 +102,11 @@
     When the first report of a restarted worker is undone
     Then the crash of its subtask still counts after its next report
 
+  Scenario: A gang starts again after a member is cleared with an unstored note
+    Given 2 workers of 16 cores that return under a new id after 3.3 s
+    When a member of a suspected gang is cleared while the note of its start is unstored
+    Then the gang may start once the other members' crashes are stored
+
   Scenario: A planned loss of its worker is not blamed on a subtask
     Given 3 workers of 16 cores that return under a new id after 3.3 s
     When each worker that starts a subtask leaves as announced, 6 times
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
@@ -245,6 +245,7 @@
     subtask.unstored_crashes.discard(run_number)
     scheduler.changed_jobs[subtask.step.job.job_id] = None
     if not subtask.crashed_runs:
+        subtask.unstored_crashes.clear()
         scheduler.suspects.pop(subtask.name, None)
 
 
