--- a/features/crashing_subtasks.feature
+++ b/features/crashing_subtasks.feature
@@ -70,6 +70,48 @@
     When each worker that starts a subtask is cut off for 5 s, 6 times
     Then no crash is counted for the subtask, and its job is not failed
 
+  Scenario: A crash is taken back as soon as the worker answers again
+    Given 3 workers of 16 cores that return under a new id after 3.3 s
+    When the worker of a subtask is cut off until its loss counts as a crash
+    Then no crash of the subtask counts 0.2 s after the worker answers again
+
+  Scenario: A new leader counts a crash that no leader has seen
+    Given 6 workers of 16 cores that return under a new id after 3.3 s
+    When each leader ends right after it has started the suspected subtask again
+    Then that job is failed after at most 5 starts of the subtask
+
+  Scenario Outline: Suspects don't stand still after a takeover, <count> workers
+    Given <count> workers of 32 cores that return under a new id after 3.3 s
+    When a worker with <runs> runs crashes and the leader changes as it is noticed
+    Then every lost subtask starts within 3 s
+
+    Examples: pools
+      | count | runs |
+      | 2     | 20   |
+      | 3     | 20   |
+      | 4     | 32   |
+      | 6     | 32   |
+
+  Scenario: A refused start does not set back the wait of its subtask
+    Given 2 workers of 16 cores that return under a new id after 3.3 s
+    When the worker refuses the start of a subtask that has waited for 1 s
+    Then the subtask still counts as ready since then
+
+  Scenario: A restart whose report fails is still a restart in the next report
+    Given 2 workers of 16 cores that return under its old id after 0.3 s
+    When the first report of a restarted worker is undone
+    Then the crash of its subtask still counts after its next report
+
+  Scenario: A gang starts again after a member is cleared with an unstored note
+    Given 2 workers of 16 cores that return under a new id after 3.3 s
+    When a member of a suspected gang is cleared while the note of its start is unstored
+    Then the gang may start once the other members' crashes are stored
+
+  Scenario: A presumed crash does not give up a subtask at the third
+    Given 4 workers of 16 cores that return under a new id after 3.3 s
+    When a subtask with one seen and one presumed crash loses its worker
+    Then its job is not failed
+
   Scenario: A planned loss of its worker is not blamed on a subtask
     Given 3 workers of 16 cores that return under a new id after 3.3 s
     When each worker that starts a subtask leaves as announced, 6 times
--- a/features/steps/crashing_subtasks_steps.py
+++ b/features/steps/crashing_subtasks_steps.py
@@ -8,15 +8,17 @@
 import msgpack
 from behave import given, then, when
 
+from cicadatrail_core.jobs.crash_suspicion import clear_crashes, note_start
 from cicadatrail_core.jobs.models import JobPhase, SubtaskName
 from cicadatrail_core.jobs.records import apply_progress, encode_progress
-from cicadatrail_core.jobs.state import JobState, StepState
+from cicadatrail_core.jobs.report_rollback import ReportRollback
+from cicadatrail_core.jobs.state import JobState, StepState, Subtask, SubtaskPhase
 from features.support.crash_world import (
     STEP_S,
     CrashWorld,
     play_random_crashes,
 )
-from features.support.job_world import definition
+from features.support.job_world import LEASE_S, definition
 
 DEADLY = "00000000000000dd"
 SECOND = "00000000000000de"
@@ -200,6 +202,169 @@
         world.advance(0.2)
 
 
+@when("the worker of a subtask is cut off until its loss counts as a crash")
+def step_cut_once(context: Any) -> None:
+    world = context.world
+    world.durations_s[DEADLY] = LONG_S
+    world.submit(DEADLY, definition(1, 2))
+    context.cut_off = _wait_for_start(world)
+    world.silent.add(context.cut_off)
+    world.worker(context.cut_off).is_suspect = True
+    until_s = world.now_s + 10.0
+    while not _subtask(world).crashed_runs and world.now_s < until_s:
+        world.advance_step()
+    assert len(_subtask(world).crashed_runs) == 1
+
+
+def _subtask(world: CrashWorld) -> Subtask:
+    subtask = world.scheduler.jobs[DEADLY].subtask(SubtaskName(DEADLY, 0, 0, 0))
+    assert subtask is not None
+    return subtask
+
+
+@then("no crash of the subtask counts {seconds:g} s after the worker answers again")
+def step_taken_back(context: Any, seconds: float) -> None:
+    world = context.world
+    world.silent.discard(context.cut_off)
+    world.advance(seconds)
+    assert not _subtask(world).crashed_runs, _subtask(world).crashed_runs
+
+
+@when("a worker with {count:d} runs crashes and the leader changes as it is noticed")
+def step_takeover_at_crash(context: Any, count: int) -> None:
+    world = context.world
+    _submit_others(context, count, LONG_S)
+    world.advance(0.3)
+    sim = max(world.sims.values(), key=lambda sim: len(sim.running))
+    context.lost = [*sim.running]
+    world.crash(sim)
+    while not world.scheduler.suspects:
+        context.began_s = world.now_s
+        world.advance_step()
+    world.store()
+    world.fail_over(world.epoch + 1)
+    world.advance(12.0)
+
+
+@then("every lost subtask starts within {limit_s:g} s")
+def step_all_start(context: Any, limit_s: float) -> None:
+    waits_s = [
+        min(
+            at_s for at_s in context.world.start_times_s[name] if at_s > context.began_s
+        )
+        - context.began_s
+        for name in context.lost
+    ]
+    assert waits_s, "nothing was lost"
+    assert max(waits_s) < limit_s, sorted(waits_s)
+
+
+@when("the worker refuses the start of a subtask that has waited for {seconds:d} s")
+def step_refused(context: Any, seconds: int) -> None:
+    world = context.world
+    world.submit(DEADLY, definition(1, 2))
+    context.ready_s = _subtask(world).ready_s
+    world.now_s += seconds
+    (run,) = world.dispatch()
+    world.scheduler.release_refused(run, world.now_s, "busy")
+
+
+@then("the subtask still counts as ready since then")
+def step_still_ready(context: Any) -> None:
+    subtask = _subtask(context.world)
+    assert subtask.phase is SubtaskPhase.READY, subtask.phase
+    assert subtask.ready_s == context.ready_s, subtask.ready_s
+
+
+@when("the first report of a restarted worker is undone")
+def step_undone_report(context: Any) -> None:
+    world = context.world
+    world.submit(DEADLY, definition(1, 2))
+    name = _wait_for_start(world)
+    sim = world.sims[name]
+    worker = world.worker(name)
+    world.report(name)
+    sim.running.clear()
+    sim.started_ms += 1000
+    rollback = ReportRollback(worker)
+    world.report(name)
+    assert len(_subtask(world).crashed_runs) == 1
+    rollback.undo(world.scheduler)
+    # The lease ends before the next report.
+    worker.is_suspect = True
+    world.now_s += LEASE_S * 2
+    world.scheduler.tick(world.now_s, world.now_ms)
+    world.report(name)
+
+
+@then("the crash of its subtask still counts after its next report")
+def step_crash_counts(context: Any) -> None:
+    assert len(_subtask(context.world).crashed_runs) == 1
+
+
+@when("a member of a suspected gang is cleared while the note of its start is unstored")
+def step_cleared_member(context: Any) -> None:
+    world = context.world
+    world.submit(DEADLY, definition(2, 2, gang=True))
+    first = _subtask(world)
+    second = first.step.subtasks[1]
+    _suspect(world, first, {1: "w8"})
+    _suspect(world, second, {1: "w8", 2: "w9"})
+    assert not note_start(world.scheduler, first, world.now_s)
+    clear_crashes(world.scheduler, first)
+    world.store()
+
+
+@then("the gang may start once the other members' crashes are stored")
+def step_gang_may_start(context: Any) -> None:
+    world = context.world
+    assert note_start(world.scheduler, _subtask(world), world.now_s)
+
+
+def _suspect(world: CrashWorld, subtask: Subtask, crashes: dict[int, str]) -> None:
+    subtask.crashed_runs.update(crashes)
+    world.scheduler.suspects[subtask.name] = subtask
+
+
+@when("a subtask with one seen and one presumed crash loses its worker")
+def step_presumed(context: Any) -> None:
+    world = context.world
+    world.submit(DEADLY, definition(1, 2))
+    _suspect(world, _subtask(world), {1: "w8", -3: ""})
+    _lose_worker(world, _wait_for_start(world))
+
+
+def _lose_worker(world: CrashWorld, worker_id: str) -> None:
+    """Crash a worker, and advance until its runs have been released."""
+    world.crash(world.sims[worker_id])
+    workers = world.scheduler.workers
+    while worker_id in workers and workers[worker_id].runs:
+        world.advance_step()
+
+
+@then("its job is not failed")
+def step_not_failed(context: Any) -> None:
+    job = context.world.scheduler.jobs[DEADLY]
+    assert job.phase is not JobPhase.FAILED, _subtask(context.world).crashed_runs
+
+
+@when("each leader ends right after it has started the suspected subtask again")
+def step_unseen_crashes(context: Any) -> None:
+    world = context.world
+    world.submit_deadly(DEADLY, definition(1, 2))
+    name = SubtaskName(DEADLY, 0, 0, 0)
+    while not _subtask(world).crashed_runs:
+        world.advance_step()
+    for _ in range(8):
+        starts = world.starts[name]
+        until_s = world.now_s + 15.0
+        while world.starts[name] == starts and world.now_s < until_s:
+            world.advance_step()
+        # The worker crashes, and the leader ends before it has noticed that.
+        world.advance_step()
+        world.fail_over(world.epoch + 1)
+
+
 def _wait_for_start(world: CrashWorld) -> str:
     """Return the worker on which the subtask has just started."""
     name = SubtaskName(DEADLY, 0, 0, 0)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
@@ -125,13 +125,21 @@
     prompt = [run for run in blamed if _is_prompt(run, now_s)]
     is_alone = len({run.subtask.step.job.job_id for run in prompt}) == 1
     for run in blamed:
-        limit_count = SHARED_LIMIT_COUNT
-        if is_alone and run in prompt:
-            limit_count = ALONE_LIMIT_COUNT
-        if crash_count(run.subtask) >= limit_count:
+        is_cause = is_alone and run in prompt
+        if crash_count(run.subtask) >= SHARED_LIMIT_COUNT or (
+            is_cause and _seen_crash_count(run.subtask) >= ALONE_LIMIT_COUNT
+        ):
             _give_up(scheduler, run.subtask, now_s)
 
 
+def _seen_crash_count(subtask: Subtask) -> int:
+    """Return the crashes that are not only presumed, as ``crash_count`` does."""
+    return max(
+        sum(number > 0 for number in member.crashed_runs)
+        for member in together(subtask)
+    )
+
+
 def _count_crash(scheduler: Scheduler, run: Run) -> None:
     subtask = run.subtask
     job = subtask.step.job
@@ -168,6 +176,18 @@
     scheduler.stop_runs(job)
 
 
+def give_up_inherited(scheduler: Scheduler, subtask: Subtask, now_s: float) -> bool:
+    """Give up a suspect that may have crashed too many workers unseen.
+
+    Call it once every worker has reported: presumed crashes would be taken back by
+    then. Return whether the subtask is given up.
+    """
+    if crash_count(subtask) < SHARED_LIMIT_COUNT:
+        return False
+    _give_up(scheduler, subtask, now_s)
+    return True
+
+
 def _log_loss(
     worker: WorkerState,
     run_count: int,
@@ -233,6 +253,7 @@
     subtask.unstored_crashes.discard(run_number)
     scheduler.changed_jobs[subtask.step.job.job_id] = None
     if not subtask.crashed_runs:
+        subtask.unstored_crashes.clear()
         scheduler.suspects.pop(subtask.name, None)
 
 
