--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -49,6 +49,10 @@
     When a journal is flushed after its leader has ended
     Then the flush has failed
 
+  Scenario: A moved worker that is still listed holds up no start after a takeover
+    When the leader changes each 2 s while a moved worker is still listed
+    Then a subtask that was ready starts within 1 s of the first takeover
+
   Scenario: An instance that has ended answers no peer
     When an instance has ended while a peer's stream to it was open
     Then the peer can't reach it
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -18,11 +18,14 @@
 import msgpack
 from behave import then, when
 
+from cicadatrail_core.jobs.models import SubtaskName
 from cicadatraild.network.http_server import HttpExchange, HttpLimits, HttpServer
 from cicadatraild.platform.store import LEADER_TOPIC, FencedError
 from cicadatraild.scheduling.messages import AskHolder, CountQueued, HolderIs
 from cicadatraild.scheduling.peers import PeerClient, PeerUnreachableError
+from features.support.crash_world import CrashWorld
 from features.support.faulty_proxy import HOST
+from features.support.job_world import definition
 from features.support.open_caller import CallOutcome, OpenCaller, open_caller
 from features.support.platform_actions import (
     JOB,
@@ -339,6 +342,26 @@
     run_scenario(scenario, 1)
 
 
+@when("the leader changes each {gap_s:g} s while a moved worker is still listed")
+def step_moved_worker(context: Any, gap_s: float) -> None:
+    world = CrashWorld(context.stack, 3, 16)
+    world.scheduler.remove_worker("w2", world.now_s, "moved")
+    world.silent.add("w2")
+    world.submit(JOB, definition(1, 2))
+    world.fail_over(2)
+    context.taken_over_s = world.now_s
+    for epoch in range(3, 6):
+        world.advance(gap_s)
+        world.fail_over(epoch)
+    context.started_s = world.start_times_s.get(SubtaskName(JOB, 0, 0, 0), [])
+
+
+@then("a subtask that was ready starts within {limit_s:g} s of the first takeover")
+def step_starts_soon(context: Any, limit_s: float) -> None:
+    assert context.started_s, "it has not started"
+    assert context.started_s[0] - context.taken_over_s < limit_s, context.started_s
+
+
 @when("an instance has ended while a peer's stream to it was open")
 def step_stream_open(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
