Show that a route's move to another service lets a subtask run twice

A script: a version gives the route of a running job another service; one worker of the former service is cut off and the leader is killed. The new leader starts the subtask in the other service while the first run is at work (rule TWICE).

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:.
+exec timeout -k 5 118 python3 review/3/case.py
