--- a/review/deployment.py
+++ b/review/deployment.py
@@ -414,7 +414,12 @@
             deployment = Deployment(logs, record, ledger, began_s=began_s)
             async with AsyncExitStack() as stack:
                 async with asyncio.timeout(110):
-                    return await scenario(deployment, stack, has_trouble)
+                    found = await scenario(deployment, stack, has_trouble)
+            # The proxies' streams complain if they outlive the event loop.
+            for daemon in deployment.daemons:
+                daemon.store_link.reset()
+            await asyncio.sleep(0.1)
+            return found
 
         with tempfile.TemporaryDirectory() as name:
             logs = Path(os.environ.get("KEEP_LOGS", name))
