Don't count a waiting suspect as started by each new leader

Cause: the start of a suspect was noted when its crash was counted and in each pass before a worker was looked for, and was never taken back. Each successor presumes a crash for a noted start, so a suspect that only waits for capacity collected one a takeover, and the fourth failed its job. Evidence: the stored crashes of the case's job were run 1001 and one presumed crash an epoch. Ruled out: the same crash counted again (runs are keyed by number), a second crash.

The note is now made when a worker could start the suspect, and withdrawn when none can or when its last run is gone, so that it says that a run may be under way. Until the note is stored the chosen worker starts nothing else.

--- a/features/crashing_subtasks.feature
+++ b/features/crashing_subtasks.feature
@@ -140,3 +140,15 @@
 
   Scenario: A job without crashes is stored as before, and one with them can be read
     Then crashes only add an entry at the end of a job's record
+
+  # Guards against LOST: each new leader presumed a crash of a suspect that only waited.
+  Scenario: A suspect that waits for capacity is not failed when the leader changes
+    Given 3 workers of 4 cores that return under a new id after 600 s
+    When a suspect waits for capacity while 4 leaders take over in turn
+    Then one crash counts for the subtask, and its job is not failed
+
+  # Guards against LOST: the note of a start outlasted a run that ended otherwise.
+  Scenario: A suspect whose run has ended is not presumed to have crashed a worker
+    Given 3 workers of 4 cores that return under a new id after 3.3 s
+    When a suspect fails on a worker, waits, and 4 leaders take over in turn
+    Then one crash counts for the subtask, and its job is not failed
--- a/features/steps/crashing_subtasks_steps.py
+++ b/features/steps/crashing_subtasks_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from cicadatrail_core.jobs.crash_suspicion import clear_crashes, note_start
-from cicadatrail_core.jobs.models import JobPhase, SubtaskName
+from cicadatrail_core.jobs.models import EndKind, JobPhase, SubtaskName
 from cicadatrail_core.jobs.records import apply_progress, encode_progress
 from cicadatrail_core.jobs.report_rollback import ReportRollback
 from cicadatrail_core.jobs.state import JobState, StepState, Subtask, SubtaskPhase
@@ -482,3 +482,52 @@
     unaware = JobState(DEADLY, plan, 0.0)
     apply_progress(unaware, before)
     assert not unaware.occurrences
+
+
+@when("a suspect waits for capacity while {count:d} leaders take over in turn")
+def step_suspect_waits(context: Any, count: int) -> None:
+    world = context.world
+    _crash_beside_full_workers(world)
+    _change_leaders(world, count)
+
+
+@when("a suspect fails on a worker, waits, and {count:d} leaders take over in turn")
+def step_suspect_fails(context: Any, count: int) -> None:
+    world = context.world
+    _crash_beside_full_workers(world)
+    worker_id = _wait_for_start(world)
+    world.sims[worker_id].end(SubtaskName(DEADLY, 0, 0, 0), EndKind.FAILED)
+    # The worker that has become free is lost as announced, so the subtask waits.
+    lost = world.sims[worker_id]
+    world.scheduler.update_worker(world.facts(lost, draining=True), world.now_s)
+    world.advance_step()
+    world.down_s = LONG_S
+    world.crash(lost)
+    _change_leaders(world, count)
+
+
+def _crash_beside_full_workers(world: CrashWorld) -> None:
+    """Let a worker crash just after it has started a subtask; the others are full."""
+    world.durations_s[DEADLY] = LONG_S
+    world.submit(DEADLY, definition(1, 4))
+    name = _wait_for_start(world)
+    for number in range(1, len(world.sims)):
+        job_id = f"{number:016x}"
+        world.durations_s[job_id] = LONG_S
+        world.submit(job_id, definition(1, 4))
+    world.advance(0.3)
+    _lose_worker(world, name)
+
+
+def _change_leaders(world: CrashWorld, count: int) -> None:
+    for _ in range(count):
+        world.advance(2.0)
+        world.fail_over(world.epoch + 1)
+    world.advance(5.0)
+
+
+@then("one crash counts for the subtask, and its job is not failed")
+def step_one_crash(context: Any) -> None:
+    world = context.world
+    assert world.phase(DEADLY) is not JobPhase.FAILED
+    assert len(_subtask(world).crashed_runs) == 1, _subtask(world).crashed_runs
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
@@ -147,7 +147,6 @@
     if is_over or run.number in subtask.crashed_runs:
         return
     _add_crash(scheduler, subtask, run.number, run.worker.facts.worker_id)
-    subtask.is_start_noted = True
     scheduler.suspects[subtask.name] = subtask
     scheduler.counts["crashed"] = scheduler.counts.get("crashed", 0) + 1
 
@@ -272,11 +271,13 @@
     """Return whether a successor would know that a suspect may have been started.
 
     Otherwise it is stored, and the suspect can start after that. Without the store,
-    a suspect with one crash starts all the same, as accepted work goes on.
+    a suspect with one crash starts all the same, as accepted work goes on. Call it
+    only if a worker could start the suspect now: each leader that finds the note
+    presumes one more crash.
     """
     for member in together(subtask):
-        if member.crashed_runs and not member.is_start_noted:
-            member.is_start_noted = True
+        if member.crashed_runs and member.start_noted_s is None:
+            member.start_noted_s = now_s
             member.unstored_crashes.add(NOTED_START)
             scheduler.changed_jobs[member.step.job.job_id] = None
             scheduler.on_change()
@@ -285,6 +286,24 @@
     return crash_count(subtask) == 1 and now_s - subtask.ready_s > STORE_WAIT_S
 
 
+def is_start_note_new(subtask: Subtask, now_s: float) -> bool:
+    """Return whether the note of a start is likely to be stored soon."""
+    return any(
+        member.start_noted_s is not None and now_s - member.start_noted_s < STORE_WAIT_S
+        for member in together(subtask)
+    )
+
+
+def withdraw_start_notes(scheduler: Scheduler, subtask: Subtask) -> None:
+    """Let successors know that no run of a suspect, or of its gang, is under way."""
+    for member in together(subtask):
+        if member.start_noted_s is None or member.live_runs:
+            continue
+        member.start_noted_s = None
+        member.unstored_crashes.discard(NOTED_START)
+        scheduler.changed_jobs[member.step.job.job_id] = None
+
+
 def restore_suspects(scheduler: Scheduler, job: JobState) -> None:
     """Add the suspects of a job that an earlier leader stored.
 
@@ -297,8 +316,8 @@
                 if not subtask.crashed_runs:
                     continue
                 scheduler.suspects[subtask.name] = subtask
-                if subtask.is_start_noted:
-                    subtask.is_start_noted = False
+                if subtask.start_noted_s is not None:
+                    subtask.start_noted_s = None
                     _add_crash(scheduler, subtask, _presumed(scheduler), "")
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -9,8 +9,14 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from functools import partial
 
-from cicadatrail_core.jobs.crash_suspicion import give_up_inherited, note_start
+from cicadatrail_core.jobs.crash_suspicion import (
+    give_up_inherited,
+    is_start_note_new,
+    note_start,
+    withdraw_start_notes,
+)
 from cicadatrail_core.jobs.models import Queue, Step
 from cicadatrail_core.jobs.placement_error import Cursor, PlacementError
 from cicadatrail_core.jobs.scheduler import Scheduler
@@ -227,19 +233,51 @@
         return
     if not step.spec.gang and not _has_attempt(scheduler, subtask):
         return
+    choose = partial(_choose_for_suspect, scheduler, subtask, unreconciled, now_s)
+    chosen = choose(placement.candidates(subtask))
+    if chosen is None:
+        if choose([placement.soon_free()]) is not None:
+            note_start(scheduler, subtask, now_s)
+        else:
+            # A suspect that only waits must not count as started by each successor.
+            withdraw_start_notes(scheduler, subtask)
+        placement.reserve(subtask, _can_ever_run)
+        return
     if not note_start(scheduler, subtask, now_s):
+        if is_start_note_new(subtask, now_s):
+            placement.hold(chosen)
         return
-    for workers in placement.candidates(subtask):
+    if step.spec.gang:
+        _start_gang(scheduler, step, chosen, now_s)
+    else:
+        scheduler.place(subtask, chosen[0], now_s)
+    placement.keep(subtask)
+
+
+def _choose_for_suspect(
+    scheduler: Scheduler,
+    subtask: Subtask,
+    unreconciled: dict[str, Resources],
+    now_s: float,
+    groups: list[list[WorkerState]],
+) -> list[WorkerState] | None:
+    """Return a worker for a suspect or one for each member of its gang, or None.
+
+    ``groups`` has the workers to choose from, the preferred first.
+    """
+    step = subtask.step
+    for workers in groups:
         if step.spec.gang:
-            _place_gang(scheduler, step, workers, set(), unreconciled, now_s)
-        else:
-            worker = _best_worker(scheduler, subtask, workers, set(), now_s)
-            if worker is not None:
-                scheduler.place(subtask, worker, now_s)
-        if subtask.live_runs:
-            placement.keep(subtask)
-            return
-    placement.reserve(subtask, _can_ever_run)
+            chosen = _choose_gang_workers(
+                scheduler, step, workers, set(), unreconciled, now_s
+            )
+            if chosen is not None:
+                return chosen
+            continue
+        worker = _best_worker(scheduler, subtask, workers, set(), now_s)
+        if worker is not None:
+            return [worker]
+    return None
 
 
 def _may_reserve(step: StepState, now_s: float) -> bool:
@@ -340,21 +378,37 @@
     unreconciled: dict[str, Resources],
     now_s: float,
 ) -> None:
-    """Start all subtasks of a gang with the same run number, or none of them."""
+    """Start all subtasks of a gang, or none of them."""
+    chosen = _choose_gang_workers(
+        scheduler, step, workers, reserved, unreconciled, now_s
+    )
+    if chosen is not None:
+        _start_gang(scheduler, step, chosen, now_s)
+
+
+def _choose_gang_workers(
+    scheduler: Scheduler,
+    step: StepState,
+    workers: list[WorkerState],
+    reserved: set[str],
+    unreconciled: dict[str, Resources],
+    now_s: float,
+) -> list[WorkerState] | None:
+    """Return a worker for each subtask of a gang that may start now, or None."""
     members = step.subtasks
     if len(step.ready) < len(members):
-        return
+        return None
     # The members of a run share its number; one that ended unreported may have failed.
     unreported = {number for member in members for number in member.expired_runs}
     attempt_count = step.gang_failures + len(unreported)
     if not step.spec.lasting and attempt_count >= scheduler.attempt_limit(step.job):
-        return
+        return None
     if scheduler.needs_advice(step):
         if now_s >= step.tickets_expire_s:
-            return
+            return None
         workers = [w for w in workers if w.facts.worker_id in step.tickets]
     if not _within_limit(scheduler, step, len(members), unreconciled):
-        return
+        return None
     groups = [workers]
     if step.spec.same_rack:
         racks: dict[str, list[WorkerState]] = {}
@@ -365,9 +419,15 @@
     for group in groups:
         chosen = _fit_gang(step, group, reserved)
         if chosen is not None:
-            break
-    else:
-        return
+            return chosen
+    return None
+
+
+def _start_gang(
+    scheduler: Scheduler, step: StepState, chosen: list[WorkerState], now_s: float
+) -> None:
+    """Start the subtasks of a gang on one worker each, with the same run number."""
+    members = step.subtasks
     number = max(member.last_run for member in members)
     for member, worker in zip(members, chosen, strict=True):
         member.last_run = number
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/records.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/records.py
@@ -89,7 +89,7 @@
             step.position,
             subtask.index,
             subtask.crashed_runs,
-            subtask.is_start_noted,
+            subtask.start_noted_s is not None,
         ]
         for number, steps in job.occurrences.items()
         for step in steps
@@ -153,7 +153,7 @@
             job.occurrences[number] = _new_steps(job, number)
         subtask = job.occurrences[number][position].subtasks[index]
         subtask.crashed_runs = dict(crashed_runs)
-        subtask.is_start_noted = is_start_noted is True
+        subtask.start_noted_s = 0.0 if is_start_noted is True else None
 
 
 def _new_steps(job: JobState, number: int) -> list[StepState]:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -15,6 +15,7 @@
     drop_ended_suspects,
     lose_runs,
     restore_suspects,
+    withdraw_start_notes,
 )
 from cicadatrail_core.jobs.durations import Durations
 from cicadatrail_core.jobs.models import (
@@ -270,6 +271,7 @@
             return
         subtask.live_runs.remove(run)
         run.worker.remove(run)
+        withdraw_start_notes(self, subtask)
         team = subtask.step.job.definition.team
         if team:
             self.team_used[team] = self.team_used[team] - subtask.step.spec.need
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -105,11 +105,11 @@
         "expired_runs",
         "failed_runs",
         "index",
-        "is_start_noted",
         "last_run",
         "live_runs",
         "phase",
         "ready_s",
+        "start_noted_s",
         "step",
         "unstored_crashes",
     )
@@ -124,8 +124,9 @@
         self.crashed_runs: dict[int, str] = {}
         # Those of them that a successor would not know of.
         self.unstored_crashes: set[int] = set()
-        # A successor presumes that the suspect has been started once more.
-        self.is_start_noted = False
+        # When it was noted that the suspect is about to start: a successor presumes
+        # that it has been started. None while no run of it is or may be under way.
+        self.start_noted_s: float | None = None
         self.checkpoint = ""
         self.last_run = 0
         self.ready_s = 0.0
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/suspect_placement.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/suspect_placement.py
@@ -67,12 +67,15 @@
         self._now_s = now_s
         self._limit_count = max(1, int(len(workers) * KEPT_LIMIT_FRACTION))
         in_pool = {worker.facts.worker_id for worker in workers}
-        self._kept = in_pool.intersection(
+        self._apart = in_pool.intersection(
             run.worker.facts.worker_id
             for subtask in scheduler.suspects.values()
             for run in subtask.live_runs
             if now_s < run.apart_until_s
         )
+        # Those and the workers that empty for a suspect.
+        self._kept = set(self._apart)
+        self._held: set[str] = set()
 
     @property
     def open_workers(self) -> list[WorkerState]:
@@ -87,8 +90,11 @@
         free = [
             worker
             for worker in self._workers
-            if (worker.facts.worker_id not in self._kept and not self._is_full)
-            or _runs_only(worker, subtask.step.job)
+            if worker.facts.worker_id not in self._held
+            and (
+                (worker.facts.worker_id not in self._kept and not self._is_full)
+                or _runs_only(worker, subtask.step.job)
+            )
         ]
         if crash_count(subtask) < IDLE_FROM_COUNT:
             late = [] if self._may_wait(subtask) else [self._workers]
@@ -103,7 +109,16 @@
         for member in together(subtask):
             for run in member.live_runs:
                 run.apart_until_s = self._now_s + PROMPT_S
-                self._kept.add(run.worker.facts.worker_id)
+                self._set_apart([run.worker])
+
+    def hold(self, workers: list[WorkerState]) -> None:
+        """Keep other runs from workers until a suspect's note is stored."""
+        self._set_apart(workers)
+        self._held.update(worker.facts.worker_id for worker in workers)
+
+    def soon_free(self) -> list[WorkerState]:
+        """Return the workers that are kept for other suspects only for a moment."""
+        return [w for w in self._workers if w.facts.worker_id in self._apart]
 
     def reserve(self, subtask: Subtask, can_ever_run: Callable[..., bool]) -> None:
         """Keep workers so that they empty for a suspect that should get idle ones."""
@@ -119,6 +134,11 @@
             if not self._is_full:
                 self._kept.add(worker.facts.worker_id)
 
+    def _set_apart(self, workers: list[WorkerState]) -> None:
+        ids = [worker.facts.worker_id for worker in workers]
+        self._apart.update(ids)
+        self._kept.update(ids)
+
     @property
     def _is_full(self) -> bool:
         return len(self._kept) >= self._limit_count
