Count ends of occurrences that a new leader has not opened

Cause: a leader opens at most 64 occurrences of a job. The former one went on without the store, so workers listed ends of later occurrences. The new leader opened an occurrence for a running row, but dropped an end whose subtask it did not have, and acknowledged it. Evidence: the repeated subtasks are those past the 64 that were open, and their ends were noted after the takeover. Ruled out: an acknowledgement by the former leader.

An end now opens its occurrence as a running row does, so it is stored before it is acknowledged.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -199,3 +199,17 @@
 
   Scenario: Random histories violate no invariant
     Then random histories of starts, ends, silence and successors violate no invariant
+
+  # Guards against TWICE: acknowledged ends of occurrences that the leader had not opened.
+  Scenario: An end of an occurrence that the new leader has not opened counts
+    Given a scheduler with 2 workers of 64 cores
+    And a job of 100 occurrences, of which the leader runs on while nothing is stored
+    When a new leader takes over, reads the ends and runs the job to its end
+    Then each occurrence was started once, and the job is completed
+
+  # Guards against LOST: attempts that ended in an occurrence that was not open.
+  Scenario: A failed run of an occurrence that the new leader has not opened counts
+    Given a scheduler with 2 workers of 64 cores
+    And a job of 100 occurrences, of which the leader runs on while nothing is stored
+    When a new leader reads that the run of occurrence 80 has failed
+    Then the run counts as one of its attempts
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -109,10 +109,9 @@
     Returns None for a run of an unknown job, which is only counted and logged.
     """
     job = scheduler.jobs.get(row.name.job_id)
-    subtask = job.subtask(row.name) if job is not None else None
-    if job is not None and subtask is None:
+    if job is not None:
         _open_inherited_occurrence(scheduler, job, row.name.occurrence, now_s)
-        subtask = job.subtask(row.name)
+    subtask = job.subtask(row.name) if job is not None else None
     if job is None or subtask is None:
         scheduler.counts["stray"] = scheduler.counts.get("stray", 0) + 1
         logger.warning(
@@ -135,16 +134,25 @@
     return run
 
 
+def _is_over(job: JobState, occurrence: int) -> bool:
+    return job.is_final or occurrence in job.done_occurrences
+
+
 def _open_inherited_occurrence(
     scheduler: Scheduler, job: JobState, occurrence: int, now_s: float
 ) -> None:
+    """Open an occurrence that an earlier leader had opened, unless it is open.
+
+    An earlier leader may have been ahead: it goes on while its ends can't be stored,
+    and its clock may differ.
+    """
     if occurrence in job.occurrences or occurrence >= job.definition.occurrence_count:
         return
     job.occurrences[occurrence] = [
         StepState(job, occurrence, position)
         for position in range(len(job.definition.steps))
     ]
-    if job.is_final or occurrence in job.done_occurrences:
+    if _is_over(job, occurrence):
         for step in job.occurrences[occurrence]:
             step.mark_done()
         return
@@ -156,6 +164,9 @@
 ) -> None:
     run = worker.runs.get((row.name, row.run))
     job = scheduler.jobs.get(row.name.job_id)
+    if job is not None and not _is_over(job, row.name.occurrence):
+        # The worker forgets the end once it is acknowledged, so it must count now.
+        _open_inherited_occurrence(scheduler, job, row.name.occurrence, now_s)
     subtask = job.subtask(row.name) if job is not None else None
     if run is not None:
         subtask = run.subtask
