Store the queues of jobs and their former pools for successors

Cause of both: what a leader knows of a queue's past was in its memory only. A successor waited for the workers of the present pool, and knew only the queues of the newest configuration. Ruled out: a worker missing in the stored list.

q/NAME now has the queue and its former pools; it is written with or before a job, and before anything starts in a new pool. Successors wait for all of its pools, and restore removed queues. A queue without a record waits for all workers.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -68,7 +68,12 @@
     unreconciled = _unreconciled_by_team(scheduler, now_s)
     suspects = ready_suspects(scheduler) if scheduler.suspects else []
     for pool, candidates in pools.items():
-        is_reconciled = scheduler.is_pool_reconciled(pool, now_s)
+        queues = {candidate.queue.name: candidate.queue for candidate in candidates}
+        reconciled = {
+            name
+            for name, queue in queues.items()
+            if scheduler.is_queue_reconciled(queue, now_s)
+        }
         candidates.sort(key=lambda candidate: candidate.order)
         workers = _usable_workers(scheduler, pool, now_s)
         if scheduler.suspects:
@@ -77,14 +82,14 @@
                 candidates,
                 suspects,
                 workers,
-                is_reconciled,
+                reconciled,
                 unreconciled,
                 now_s,
             )
         cursor = Cursor(candidates)
         try:
             _place_candidates(
-                scheduler, cursor, workers, is_reconciled, unreconciled, now_s
+                scheduler, cursor, workers, reconciled, unreconciled, now_s
             )
         except Exception as error:
             if cursor.last is None:
@@ -100,7 +105,7 @@
         if job.is_final or not job.is_stored or now_s < job.held_until_s:
             continue
         queue = scheduler.queues.get(job.definition.queue)
-        if queue is None:
+        if queue is None or queue.name in scheduler.queue_pools.unstored:
             continue
         for steps in job.occurrences.values():
             for step in steps:
@@ -148,7 +153,7 @@
     scheduler: Scheduler,
     candidates: Iterable[_Candidate],
     workers: list[WorkerState],
-    is_reconciled: bool,
+    reconciled: set[str],
     unreconciled: dict[str, Resources],
     now_s: float,
 ) -> None:
@@ -156,7 +161,7 @@
     has_reserved = False
     for candidate in candidates:
         step = candidate.step
-        if step.job.inherited and not is_reconciled:
+        if step.job.inherited and candidate.queue.name not in reconciled:
             continue
         if step.spec.gang:
             if not is_suspect_step(step):
@@ -195,7 +200,7 @@
     candidates: list[_Candidate],
     suspects: list[Subtask],
     workers: list[WorkerState],
-    is_reconciled: bool,
+    reconciled: set[str],
     unreconciled: dict[str, Resources],
     now_s: float,
 ) -> list[WorkerState]:
@@ -207,7 +212,7 @@
             continue
         try:
             _place_suspect(
-                scheduler, subtask, placement, is_reconciled, unreconciled, now_s
+                scheduler, subtask, placement, reconciled, unreconciled, now_s
             )
         except Exception as error:
             raise PlacementError(subtask.step.job) from error
@@ -218,13 +223,13 @@
     scheduler: Scheduler,
     subtask: Subtask,
     placement: SuspectPlacement,
-    is_reconciled: bool,
+    reconciled: set[str],
     unreconciled: dict[str, Resources],
     now_s: float,
 ) -> None:
     """Start a suspect, or the gang that it belongs to, apart from other runs."""
     step = subtask.step
-    if step.job.inherited and not is_reconciled:
+    if step.job.inherited and step.job.definition.queue not in reconciled:
         return
     if give_up_inherited(scheduler, subtask, now_s):
         return
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
@@ -117,7 +117,9 @@
     queue = scheduler.queues.get(job.definition.queue)
     if queue is None:
         return "the queue is not in the configuration"
-    if job.inherited and not scheduler.is_pool_reconciled(queue.pool, now_s):
+    if queue.name in scheduler.queue_pools.unstored:
+        return "the new pool of the queue is not stored yet"
+    if job.inherited and not scheduler.is_queue_reconciled(queue, now_s):
         return "a worker of the pool has not answered since the takeover"
     if scheduler.needs_advice(step) and now_s >= step.tickets_expire_s:
         return "no advice yet on the workers that may run it"
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -26,6 +26,7 @@
     SubtaskName,
     WorkerFacts,
 )
+from cicadatrail_core.jobs.queue_pools import QueuePools
 from cicadatrail_core.jobs.scheduler_settings import (
     CLOCK_DRIFT,
     LEASE_MARGIN_S,
@@ -60,6 +61,7 @@
         self.settings = settings
         self.configuration = FleetConfiguration(0)
         self.queues: dict[str, Queue] = {}
+        self.queue_pools = QueuePools()
         self.jobs: dict[str, JobState] = {}
         self.workers: dict[str, WorkerState] = {}
         self.team_used: dict[str, Resources] = {}
@@ -84,7 +86,11 @@
         if configuration.version <= self.configuration.version:
             return
         self.configuration = configuration
-        self.queues.update({queue.name: queue for queue in configuration.queues})
+        for queue in configuration.queues:
+            previous = self.queues.get(queue.name)
+            if previous is not None:
+                self.queue_pools.replace(previous, queue)
+            self.queues[queue.name] = queue
         self.on_change()
 
     def update_worker(self, facts: WorkerFacts, now_s: float) -> WorkerState:
@@ -359,6 +365,7 @@
                     self.on_change()
         for worker in list(self.workers.values()):
             self._expire(worker, now_s)
+        self.queue_pools.drop_unused(self, now_s)
         drop_ended_suspects(self)
         if self.suspects:
             # Workers that were kept for a suspect become free with time.
@@ -402,8 +409,8 @@
     def inherit(self, jobs: Iterable[JobState]) -> None:
         """Add jobs that an earlier leader stored.
 
-        Their subtasks start in a pool only once each of its workers has
-        reported, has been removed, or has no unexpired lease.
+        Their subtasks start only once each worker of every pool that their queue
+        has had has reported, has been removed, or has no unexpired lease.
         """
         for job in jobs:
             job.inherited = True
@@ -411,12 +418,13 @@
             self.jobs[job.job_id] = job
             restore_suspects(self, job)
 
-    def is_pool_reconciled(self, pool: str, now_s: float) -> bool:
-        """Return whether the runs of every worker of a pool are known."""
+    def is_queue_reconciled(self, queue: Queue, now_s: float) -> bool:
+        """Return whether every worker is known on which a queue's jobs may run."""
+        pools = self.queue_pools.of(queue)
         return all(
             worker.is_reconciled or self.has_expired_lease(worker, now_s)
             for worker in self.workers.values()
-            if worker.facts.pool == pool
+            if worker.facts.pool in pools
         )
 
     def unreconciled_capacity(self, now_s: float) -> Resources:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -303,7 +303,7 @@
                 if held_until_s is not None:
                     self._dispatch_at(held_until_s)
             self.orders.send()
-            if self.scheduler.changed_jobs or self._records.has_fleet_changes():
+            if self._records.has_changes():
                 self.journal.flush_soon()
             await asyncio.sleep(DISPATCH_PAUSE_S)
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -26,6 +26,7 @@
 from cicadatraild.scheduling.journal import Batch
 from cicadatraild.scheduling.machine_inventory import MachineInventory
 from cicadatraild.scheduling.maintenance import WaveRunner
+from cicadatraild.scheduling.queue_records import QueueRecords
 
 logger = logging.getLogger("cicadatrail.holder")
 
@@ -42,15 +43,16 @@
 class LeaderRecords:
     """Encode the leader's changed state, and restore it after a takeover.
 
-    There are records of each job's definition and its progress, of the machines
-    that a wave has started on, of the workers that may run subtasks, and of the
-    machines that may recently have got an order.
+    There are records of each job's definition and its progress, of the queues of jobs,
+    of the machines that a wave has started on, of the workers that may run subtasks,
+    and of the machines that may recently have got an order.
     """
 
     def __init__(self, scheduler: Scheduler) -> None:
         self._scheduler = scheduler
         self._fleet: tuple[str, ...] | None = None
         self._changed_waves = False
+        self._queues = QueueRecords(scheduler)
         self._inventory: MachineInventory
         self._waves: WaveRunner
         # Workers that the store listed when this leader took over.
@@ -67,7 +69,15 @@
         """Include the progress of waves in the next batch."""
         self._changed_waves = True
 
-    def has_fleet_changes(self) -> bool:
+    def has_changes(self) -> bool:
+        """Return whether anything differs from what is stored."""
+        return bool(
+            self._scheduler.changed_jobs
+            or self._has_fleet_changes()
+            or self._queues.has_changes()
+        )
+
+    def _has_fleet_changes(self) -> bool:
         """Return whether the set of workers differs from the stored one."""
         return self._fleet != tuple(self._scheduler.workers)
 
@@ -78,7 +88,7 @@
         """
         scheduler = self._scheduler
         records: list[KeyedRecord] = []
-        if self.has_fleet_changes():
+        if self._has_fleet_changes():
             self._fleet = tuple(scheduler.workers)
             records.append(KeyedRecord(FLEET_KEY, self._encode_fleet()))
         if self._inventory.has_unstored_announcements:
@@ -88,6 +98,9 @@
             for number, value in self._waves.encode():
                 records.append(KeyedRecord(f"{WAVE_PREFIX}{number}", value))
         changed, scheduler.changed_jobs = scheduler.changed_jobs, {}
+        # Before the jobs, as an append may be split: a successor must know the queue.
+        queue_records, on_queues_stored = self._queues.collect(changed)
+        records += queue_records
         crashes = collect_unstored(scheduler, changed)
         ended: list[tuple[JobState, JobPhase]] = []
         accepted: list[JobState] = []
@@ -113,6 +126,7 @@
 
         def on_stored() -> None:
             now_s = loop_now_s()
+            on_queues_stored()
             for job, phase in ended:
                 job.stored_phase = phase
                 if phase is JobPhase.CANCELLED:
@@ -161,6 +175,7 @@
                 self._restore_wave(key, value)
         jobs = self._restore_jobs(values, now_s)
         self._scheduler.inherit(jobs)
+        self._queues.restore(values)
         for job in jobs:
             # Without a list, a subtask may run on a worker that only the list named.
             job.held_until_s = now_s if has_fleet else leases_end_s
