Renew leases only while no other leader can have been elected

The users' real processes ran subtasks twice (TWICE, 81 cases): a subtask starts again 4.5 s after an election, while its first run goes on; the former leader learns of the election 10 s after it. No lease lapsed.

Cause: a successor counts the leases of workers that it doesn't reach as over 4.3 s after its election, but a former leader renewed leases without asking for any right, and its right to start was extended when one peer answered, also one that was cut off with it. Ruled out: late renewals (deadlines are absolute), ends dropped at the takeover and a wrongly lost worker (the successor had not reached it).

Renewals now need the right to start, and without the store this right needs the confirmation of every instance that could have been elected. These register in the leader's topic before they claim; a leader acknowledges later ones, drops silent ones after 12 s, and an instance with an open claim confirms nothing. So no renewal is sent later than 0.5 s after an election.

partitions.feature failed in 2 of 3 scenarios before, 3 of 3 pass. Tried and left: confirmation without any other instance, and an acknowledgement with the next renewal only: instances that had just registered then waited 10 s (3 scenarios failed).

--- /dev/null
+++ b/features/partitions.feature
@@ -0,0 +1,22 @@
+Feature: Parts of the system that stay together while they are cut off
+  Real processes, with proxies on their links to the store, to each other and to workers.
+  By hand: python -m features.support.soak --partitions --seed 1 --seeds 50 --seconds 30
+
+  # Guards against TWICE: a former leader went on renewing the leases of workers that
+  # only its data centre reached, while its successor took them for over.
+  Scenario Outline: A leader, a peer and a worker are cut off from the others together
+    When the leader's data centre is cut off for 10 s, the store <store> s later
+    Then no subtask ran twice, and the job is completed
+
+    Examples: orders of loss
+      | store |
+      | 0     |
+      | 1.5   |
+
+  # Guards against TWICE: the former leader still reaches the worker, but nobody else.
+  Scenario: A leader hears nothing of the store and of the other data centre
+    When the leader's data centre is sent nothing by the others for 10 s
+    Then no subtask ran twice, and the job is completed
+
+  Scenario: Random partitions, seed 1
+    Then a soak of seed 1 with partitions over 20 s finds no violation
--- a/features/standins/platform_store.py
+++ b/features/standins/platform_store.py
@@ -6,8 +6,10 @@
 import base64
 import json
 import struct
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -17,6 +19,8 @@
 OFFSETS = struct.Struct(">QQ")
 KEPT_ANSWER_COUNT = 5
 
+Rewrite = Callable[[bytes], bytes]
+
 
 @dataclass
 class Topic:
@@ -57,8 +61,12 @@
         self.append_count = 0
         self._appended = asyncio.Event()
 
-    async def listen(self, stack: AsyncExitStack, host: str) -> int:
-        server = HttpServer("store", self.handle, HttpLimits())
+    async def listen(
+        self, stack: AsyncExitStack, host: str, rewrite: Rewrite = bytes
+    ) -> int:
+        """Listen until ``stack`` closes; readers get records through ``rewrite``."""
+        handle = partial(self.handle, rewrite=rewrite)
+        server = HttpServer("store", handle, HttpLimits())
         return await server.listen(stack, host, 0)
 
     def topic(self, name: str) -> Topic:
@@ -86,7 +94,7 @@
         self._appended.set()
         self._appended = asyncio.Event()
 
-    async def handle(self, exchange: HttpExchange) -> None:
+    async def handle(self, exchange: HttpExchange, rewrite: Rewrite = bytes) -> None:
         body = await exchange.read_body()
         host = exchange.header_values(b"x-caller")
         if self.faults.unresponsive:
@@ -106,9 +114,9 @@
             case "log-append":
                 await self._append(exchange, topic, query, body)
             case "log-read":
-                await self._read(exchange, topic, query)
+                await self._read(exchange, topic, query, rewrite)
             case "log-newest":
-                await self._newest(exchange, topic, query)
+                await self._newest(exchange, topic, query, rewrite)
             case _:
                 await exchange.respond(404)
 
@@ -158,7 +166,11 @@
         return 200, answer
 
     async def _read(
-        self, exchange: HttpExchange, topic: Topic, query: dict[str, str]
+        self,
+        exchange: HttpExchange,
+        topic: Topic,
+        query: dict[str, str],
+        rewrite: Rewrite,
     ) -> None:
         offset = int(query["from"])
         until = asyncio.get_running_loop().time() + int(query.get("wait-ms", 0)) / 1000
@@ -175,19 +187,23 @@
                 410, json.dumps({"first": topic.first_offset}).encode()
             )
             return
-        found = topic.records[offset:]
+        found = [rewrite(record) for record in topic.records[offset:]]
         body = OFFSETS.pack(topic.end, topic.first_offset)
         body += b"".join(RECORD_LENGTH.pack(len(r)) + r for r in found)
         await exchange.respond(200, body)
 
     async def _newest(
-        self, exchange: HttpExchange, topic: Topic, query: dict[str, str]
+        self,
+        exchange: HttpExchange,
+        topic: Topic,
+        query: dict[str, str],
+        rewrite: Rewrite,
     ) -> None:
         keys = sorted(key for key in topic.newest if key > query.get("after", ""))
         items = [
             {
                 "key": key,
-                "value": base64.b64encode(topic.newest[key][1]).decode(),
+                "value": base64.b64encode(rewrite(topic.newest[key][1])).decode(),
                 "offset": topic.newest[key][0],
             }
             for key in keys[:500]
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -21,8 +21,15 @@
     _check_soak(seed, seconds, has_series=True)
 
 
-def _check_soak(seed: int, seconds: int, has_series: bool) -> None:
+@then("a soak of seed {seed:d} with partitions over {seconds:d} s finds no violation")
+def step_soak_with_partitions(context: Any, seed: int, seconds: int) -> None:
+    _check_soak(seed, seconds, has_series=False, has_partitions=True)
+
+
+def _check_soak(
+    seed: int, seconds: int, has_series: bool, has_partitions: bool = False
+) -> None:
     with tempfile.TemporaryDirectory() as folder:
-        soak = run_seed(seed, seconds, Path(folder), has_series)
+        soak = run_seed(seed, seconds, Path(folder), has_series, has_partitions)
     assert soak.accepted, soak.faults
     assert not soak.findings, (soak.findings, soak.faults)
--- /dev/null
+++ b/features/support/partition_run.py
@@ -0,0 +1,102 @@
+"""One partition of real processes: the leader's data centre stays together alone.
+
+The leader, a peer of its data centre and one worker reach each other, but neither the
+store nor the other instances. The rest reaches the store and the other workers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from pathlib import Path
+
+from returns.result import Success
+
+from cicadatraild.network.client_exchange import Address
+from cicadatraild.network.http_client import ConnectionPool
+from features.support.faulty_network import STORE
+from features.support.platform_cluster import job
+from features.support.soak import WORKER_COUNT, Soak
+
+JOB = "00000000000000a1"
+RUN_MS = 14_000
+CUT_S = 10.0
+
+
+@dataclass
+class PartitionRun(Soak):
+    """A run in which ``store_cut_s`` passes between the cut and the loss of the store.
+
+    ``is_one_way`` only loses what the others send, and the store's answers.
+    """
+
+    store_cut_s: float = 0.0
+    is_one_way: bool = False
+
+    async def _submit(self, until_s: float) -> None:
+        body = job(ms=RUN_MS, count=WORKER_COUNT, **{"anti-affinity": 2})
+        await self._submit_until_accepted(JOB, body)
+        await self.cluster.wait_until(
+            lambda: len(self.cluster.fleet.starts) == WORKER_COUNT
+        )
+
+    async def _inject_faults(self, until_s: float) -> None:
+        await self.cluster.wait_until(
+            lambda: len(self.cluster.fleet.starts) == WORKER_COUNT
+        )
+        leader = await self._leader()
+        near = [d.name for d in self.daemons if self._is_near(d.name, leader)]
+        far = [d.name for d in self.daemons if not self._is_near(d.name, leader)]
+        kept = min(self.cluster.fleet.used_workers)
+        others = {worker.worker_id for worker in self.cluster.workers} - {kept}
+        if self.is_one_way:
+            self._lose_one_way(near, far, kept)
+        else:
+            self.network.part(near, far)
+            self.network.cut(far, [kept])
+            self.network.cut(near, others)
+            await asyncio.sleep(self.store_cut_s)
+            self.network.cut(near, [STORE])
+        await asyncio.sleep(CUT_S)
+        self.network.heal()
+
+    def _is_near(self, name: str, leader: str) -> bool:
+        centres = {daemon.name: daemon.data_centre for daemon in self.daemons}
+        return centres[name] == centres[leader]
+
+    def _lose_one_way(self, near: list[str], far: list[str], worker_id: str) -> None:
+        """Let the leader's side send, but hear nothing of the others."""
+        for (source, target), link in self.network.links.items():
+            if source in near and (target in far or target == STORE):
+                link.loses_answers = True
+            elif source in far and target in (*near, worker_id):
+                link.loses_requests = True
+
+    async def _leader(self) -> str:
+        """Return the instance that answers operators for jobs."""
+        async with asyncio.timeout(5):
+            while True:
+                for daemon in self.daemons:
+                    if await self._leads(daemon.name):
+                        return daemon.name
+                await asyncio.sleep(0.05)
+
+    async def _leads(self, name: str) -> bool:
+        clients = ConnectionPool(0.5)
+        address = Address(self.cluster.host(name), self.cluster.operator_port)
+        result = await clients.fetch(address, "GET", f"/jobs/{JOB}", timeout_s=0.5)
+        return isinstance(result, Success) and result.unwrap().status == 200
+
+
+def play_partition(
+    folder: Path, store_cut_s: float = 0.0, is_one_way: bool = False
+) -> PartitionRun:
+    run = PartitionRun(
+        1,
+        0.0,
+        has_partitions=True,
+        store_cut_s=store_cut_s,
+        is_one_way=is_one_way,
+    )
+    asyncio.run(run.run(folder))
+    return run
--- a/features/support/platform_cluster.py
+++ b/features/support/platform_cluster.py
@@ -149,10 +149,14 @@
     def store_port(self) -> int:
         return self._store_port
 
-    def settings_text(self, name: str, store_port: int) -> str:
+    def settings_text(
+        self, name: str, store_port: int, peer_port: int | None = None
+    ) -> str:
         """Return an instance's settings as TOML, with the store at ``store_port``."""
         table = self._settings_table(name)
         table["platform"] = {"address": f"{HOST}:{store_port}"}
+        if peer_port is not None:
+            table["internal-ports"] = [peer_port, self.operator_port]
         tables = {key: value for key, value in table.items() if isinstance(value, dict)}
         lines = [
             f"{key} = {json.dumps(value)}"
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -3,7 +3,8 @@
 The stand-ins of the store, workers and machines run in this process; each daemon
 is a process on its own loopback address. Faults follow each other and overlap:
 processes are killed, paused and told to stop, a proxy delays, resets or silences
-the connection to the store, and the store and workers lose or delay answers.
+the connection to the store, and the store and workers lose or delay answers. With
+--partitions the links between instances and to workers are cut as well.
 The checks are what callers and workers observe: no subtask runs twice or starts
 after its end, no worker is over its capacity, and every accepted job is completed.
 
@@ -27,6 +28,7 @@
 from pathlib import Path
 from typing import Any
 
+from features.support.faulty_network import STORE, FaultyNetwork
 from features.support.faulty_proxy import FaultyProxy
 from features.support.open_caller import open_caller
 from features.support.platform_cluster import PlatformCluster, configuration, job
@@ -42,6 +44,9 @@
 COMPLETION_LIMIT_S = 45.0
 CONNECTION_COUNT = 3
 UNDISTURBED_S = 4.0
+SHORT_MS = (50, 900)
+LONG_MS = (4000, 12_000)
+LONG_FRACTION = 0.15
 
 
 @dataclass
@@ -49,6 +54,7 @@
     """A daemon process and its proxy to the store."""
 
     name: str
+    data_centre: int
     proxy: FaultyProxy
     settings: Path
     process: subprocess.Popen[bytes] | None = None
@@ -78,12 +84,14 @@
     """A soak with one seed; ``accepted`` has the jobs that were answered with 200.
 
     ``faults`` lists the injected faults, ``findings`` the violations found. With
-    ``has_series`` processes are stopped in overlapping series.
+    ``has_series`` processes are stopped in overlapping series, with ``has_partitions``
+    links of instances to each other and to workers are cut.
     """
 
     seed: int
     seconds: float
     has_series: bool = False
+    has_partitions: bool = False
     cluster: PlatformCluster = field(default_factory=PlatformCluster)
     daemons: list[Daemon] = field(default_factory=list)
     accepted: set[str] = field(default_factory=set)
@@ -98,8 +106,12 @@
             stack.callback(self._end_all)
             stack.push_async_callback(self.cluster.close)
             await self.cluster.open(WORKER_COUNT)
-            for number in range(1, INSTANCE_COUNT + 1):
-                await self._add_daemon(stack, folder, f"edge-{number}")
+            names = [f"edge-{number}" for number in range(1, INSTANCE_COUNT + 1)]
+            self.network = FaultyNetwork(self.cluster, names)
+            if self.has_partitions:
+                await self.network.open(stack)
+            for number, name in enumerate(names):
+                await self._add_daemon(stack, folder, name, number // 2)
             supervisor = asyncio.create_task(self._restart_ended_daemons())
             stack.callback(supervisor.cancel)
             await self._wait_for_service()
@@ -118,12 +130,18 @@
             await self._wait_for_completion()
             self.findings += self.cluster.fleet.violations
 
-    async def _add_daemon(self, stack: AsyncExitStack, folder: Path, name: str) -> None:
-        proxy = FaultyProxy(self.cluster.store_port)
-        port = await proxy.listen(stack)
+    async def _add_daemon(
+        self, stack: AsyncExitStack, folder: Path, name: str, data_centre: int
+    ) -> None:
         settings = folder / f"{name}.toml"
-        settings.write_text(self.cluster.settings_text(name, port))
-        daemon = Daemon(name, proxy, settings)
+        if self.has_partitions:
+            proxy = self.network.links[name, STORE]
+            settings.write_text(self.network.settings_text(name))
+        else:
+            proxy = FaultyProxy(self.cluster.store_port)
+            port = await proxy.listen(stack)
+            settings.write_text(self.cluster.settings_text(name, port))
+        daemon = Daemon(name, data_centre, proxy, settings)
         daemon.start()
         self.daemons.append(daemon)
 
@@ -163,11 +181,15 @@
         await asyncio.gather(*tasks)
 
     async def _submit_one(self, job_id: str) -> None:
+        has_long_run = self.has_partitions and self.random.random() < LONG_FRACTION
         body = job(
-            ms=self.random.randint(50, 900),
+            ms=self.random.randint(*(LONG_MS if has_long_run else SHORT_MS)),
             steps=self.random.randint(1, 2),
             count=self.random.randint(1, 4),
         )
+        await self._submit_until_accepted(job_id, body)
+
+    async def _submit_until_accepted(self, job_id: str, body: object) -> None:
         for _ in range(4):
             if await self._call("POST", f"/q/{job_id}", body) == 200:
                 self.accepted.add(job_id)
@@ -217,6 +239,19 @@
                 self._make_worker_unresponsive,
                 self._kill,
             )
+        if self.has_partitions:
+            actions = (
+                self._part_data_centres,
+                self._part_data_centres,
+                self._cut_one_way,
+                self._cut_off_workers,
+                self._store_down,
+                self._kill,
+                self._pause,
+                self._terminate,
+                self._restart_worker,
+                self._late_starts,
+            )
         pending: set[asyncio.Task[None]] = set()
         while loop.time() < until_s:
             action = self.random.choice(actions)
@@ -300,7 +335,50 @@
     async def _restart_worker(self) -> None:
         self.random.choice(self.cluster.workers).restart()
 
+    async def _part_data_centres(self) -> None:
+        """Cut one data centre off; some workers stay with it, the others don't.
+
+        Its instances lose the store in most cases, and may lose it a moment later.
+        """
+        near = [d.name for d in self.daemons if d.data_centre == 0]
+        far = [d.name for d in self.daemons if d.data_centre == 1]
+        if self.random.random() < 0.5:
+            near, far = far, near
+        ids = [worker.worker_id for worker in self.cluster.workers]
+        kept = self.random.sample(ids, self.random.randint(0, len(ids)))
+        self.network.part(near, far)
+        self.network.cut(far, kept)
+        self.network.cut(near, set(ids) - set(kept))
+        if self.random.random() < 0.8:
+            await asyncio.sleep(self.random.choice((0.0, 0.5)))
+            self.network.cut(near, [STORE])
+        await asyncio.sleep(self.random.uniform(2, 12))
+        self.network.heal()
+
+    async def _cut_one_way(self) -> None:
+        """Lose what is sent one way on some links of an instance."""
+        name = self._daemon().name
+        links = [p for (source, _), p in self.network.links.items() if source == name]
+        loses_requests = self.random.random() < 0.5
+        for link in self.random.sample(links, self.random.randint(1, len(links))):
+            link.loses_requests = loses_requests
+            link.loses_answers = not loses_requests
+        await asyncio.sleep(self.random.uniform(1, 6))
+        self.network.heal()
+
+    async def _cut_off_workers(self) -> None:
+        """Cut some workers off from some instances."""
+        names = [daemon.name for daemon in self.daemons]
+        ids = [worker.worker_id for worker in self.cluster.workers]
+        self.network.cut(
+            self.random.sample(names, self.random.randint(1, len(names))),
+            self.random.sample(ids, self.random.randint(1, 2)),
+        )
+        await asyncio.sleep(self.random.uniform(1, 6))
+        self.network.heal()
+
     def _clear_faults(self) -> None:
+        self.network.heal()
         self.cluster.store.faults.down = False
         self.cluster.store.faults.lost_answers = 0
         for worker in self.cluster.workers:
@@ -333,8 +411,14 @@
                 daemon.process.wait()
 
 
-def run_seed(seed: int, seconds: float, folder: Path, has_series: bool = False) -> Soak:
-    soak = Soak(seed, seconds, has_series)
+def run_seed(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    has_series: bool = False,
+    has_partitions: bool = False,
+) -> Soak:
+    soak = Soak(seed, seconds, has_series, has_partitions)
     asyncio.run(soak.run(folder))
     return soak
 
@@ -349,6 +433,11 @@
     parser.add_argument(
         "--series", action="store_true", help="stop processes in overlapping series"
     )
+    parser.add_argument(
+        "--partitions",
+        action="store_true",
+        help="cut links between instances and to workers",
+    )
     parser.add_argument("--keep", type=Path, help="folder to keep the logs in")
     options = parser.parse_args()
     failed = 0
@@ -356,7 +445,13 @@
         with tempfile.TemporaryDirectory() as folder:
             log_folder = options.keep / str(seed) if options.keep else Path(folder)
             log_folder.mkdir(parents=True, exist_ok=True)
-            soak = run_seed(seed, options.seconds, log_folder, options.series)
+            soak = run_seed(
+                seed,
+                options.seconds,
+                log_folder,
+                options.series,
+                options.partitions,
+            )
         failed += bool(soak.findings)
         summary = {
             "seed": seed,
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -15,6 +15,8 @@
     AskCandidate,
     AskHolder,
     CandidateIs,
+    Confirmed,
+    ConfirmHolder,
     HolderIs,
     Refused,
     Reply,
@@ -38,6 +40,12 @@
 PEER_QUERY_TIMEOUT_S = 0.4
 """Time for a peer's reply about the leader."""
 
+CONFIRM_TIMEOUT_S = 0.25
+"""Time for an instance's reply on whether it may have been elected."""
+
+LOST_MEMBER_S = 12.0
+"""Time without an answer after which an instance is dropped from the registry."""
+
 CANDIDATE_TIMEOUT_S = 0.15
 """Time for the replies of candidates for leader; peers are 1 ms away."""
 
@@ -93,6 +101,7 @@
         self._candidate = candidate
         self.limits = RequestLimits()
         self._queried_s = float("-inf")
+        self._silent_since_s: dict[str, float] = {}
         self.answered_s: float | None = None
 
     async def ask(self, request: Request, deadline_s: float) -> Reply:
@@ -158,6 +167,8 @@
         """
         if isinstance(request, AskCandidate):
             return self._candidate()
+        if isinstance(request, ConfirmHolder):
+            return self._confirm_holder(request.epoch)
         leader = self._leader()
         if isinstance(request, AskHolder) or leader is None:
             current = self._leadership.current
@@ -186,19 +197,59 @@
         """Add the host of a peer that has connected to this instance."""
         self._hosts[host] = None
 
+    def _confirm_holder(self, epoch: int) -> Reply:
+        if self._leadership.can_confirm(epoch):
+            return Confirmed()
+        current = self._leadership.current
+        if current is None or current.released or current.epoch <= epoch:
+            return Refused("this instance may have claimed leadership")
+        return HolderIs(current.epoch, current.host)
+
     async def confirm_leadership(self) -> None:
-        """Ask peers whether they know a newer leader; they may reach the store.
+        """Ask all other instances whether one may have been elected.
 
-        Extends the permission to start subtasks when a peer answers. Without an answer
-        this instance may be cut off from all others, and a new leader among them.
+        Extends the permission to start subtasks and to renew leases only if none may:
+        an instance that does not answer may reach the store. One whose machine refuses
+        the connection has ended, and claims nothing before it is asked again.
         """
         epoch = self._leadership.held_epoch
         asked_s = boot_now_s()
-        hosts = self._sample_peers()
-        replies = await asyncio.gather(*[self._query_leader(host) for host in hosts])
-        if any(replies):
+        hosts = self._leadership.members.hosts - {self._own_host}
+        replies = await asyncio.gather(*[self._confirms(host, epoch) for host in hosts])
+        if hosts and all(replies):
             self._leadership.confirm(epoch, asked_s)
 
+    async def drop_lost_members(self) -> None:
+        """Have instances removed from the registry that have not answered for long.
+
+        Without the store the leader would wait for their confirmation.
+        """
+        hosts = self._leadership.members.hosts - {self._own_host}
+        answered = await asyncio.gather(*[self._query_leader(host) for host in hosts])
+        now_s = loop_now_s()
+        for host, has_answered in zip(hosts, answered, strict=True):
+            if has_answered:
+                self._silent_since_s.pop(host, None)
+            elif now_s - self._silent_since_s.setdefault(host, now_s) > LOST_MEMBER_S:
+                del self._silent_since_s[host]
+                logger.info("entry: dropping a lost instance.", extra={"host": host})
+                self._leadership.members.drop(host)
+
+    async def _confirms(self, host: str, epoch: int) -> bool:
+        """Return whether an instance can't have been elected after an epoch."""
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                reply = await self._peers.call(
+                    host, ConfirmHolder(epoch), CONFIRM_TIMEOUT_S
+                )
+        except PeerUnreachableError as error:
+            return error.is_refused
+        except TimeoutError:
+            return False
+        if isinstance(reply, HolderIs):
+            self._leadership.learn_leader(reply.epoch, reply.host)
+        return isinstance(reply, Confirmed)
+
     async def choose_successor(self) -> str:
         """Return the host of the peer that should lead next, or "" without one.
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -30,7 +30,7 @@
     KeyedRecord,
     StoreClient,
 )
-from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
 from cicadatraild.scheduling.entry import Entry
 from cicadatraild.scheduling.feeds import TopicFeed
 from cicadatraild.scheduling.handover import Handover
@@ -77,7 +77,13 @@
 """Interval between probes of the event loop's lag."""
 
 CONFIRM_PAUSE_S = 0.2
-"""Interval between queries to peers while the store does not answer the leader."""
+"""Interval between queries to others while the store does not answer the leader."""
+
+CONFIRM_AHEAD_S = 0.4
+"""Time before the end of the lease from which others are asked; two intervals."""
+
+MEMBER_CHECK_PAUSE_S = 4.0
+"""Interval between the leader's checks for lost instances."""
 
 HANDOVER_LAG_S = 0.25
 """Lag of the event loop above which a probe counts as slow."""
@@ -300,11 +306,18 @@
         return self._leadership.may_start()
 
     async def _confirm_leadership(self) -> None:
-        """Ask peers about a newer leader while the lease can't be renewed."""
+        """Ask others about a newer leader once the lease is about to end."""
+        checked_s = loop_now_s()
         while True:
             await asyncio.sleep(CONFIRM_PAUSE_S)
-            if self._leadership.held_epoch and not self._leadership.is_lease_valid():
+            if not self._leadership.held_epoch:
+                continue
+            soon_s = boot_now_s() + CONFIRM_AHEAD_S
+            if not self._leadership.held_lease_after(soon_s):
                 await self._entry.confirm_leadership()
+            elif loop_now_s() - checked_s > MEMBER_CHECK_PAUSE_S:
+                checked_s = loop_now_s()
+                await self._entry.drop_lost_members()
 
     async def _watch_lag(self) -> None:
         """Hand over leadership when the event loop lags persistently."""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -15,6 +15,7 @@
 import random
 import uuid
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import asdict
 
 from cicadatraild.platform.store import (
@@ -30,10 +31,12 @@
 )
 from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
 from cicadatraild.scheduling.leader_record import (
+    HOLDER_KEY,
     LeaderRecord,
     decode_leader,
     encode_leader,
 )
+from cicadatraild.scheduling.membership import Membership
 
 logger = logging.getLogger("cicadatrail.leadership")
 
@@ -48,10 +51,13 @@
 """Length of the lease, from the sending of a renewal. Shorter than the silence
 limit, so no other instance can have claimed leadership while it is valid."""
 
-CONFIRMATION_S = 0.7
-"""Time for which the peers' confirmation that they know no newer epoch is valid:
-one round of queries with a peer that does not answer, and the pause before the
-next round."""
+CONFIRMATION_S = 0.5
+"""Time for which the confirmation of all other instances is valid: one round of
+queries, and the pause before the next one."""
+
+UNKNOWN_CLAIM_S = 10.0
+"""Silence after which an instance claims that the leader does not know. The leader may
+still be confirmed by all others, but more likely it has ended."""
 
 FOLLOW_WAIT_MS = 500
 """Time for which the store may delay a read until the next record (long poll)."""
@@ -103,6 +109,11 @@
         self._renewing: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
         self._store_failed = False
+        self.members = Membership(host)
+        # Set when the leader has to acknowledge an instance.
+        self._registered = asyncio.Event()
+        # Where the newest claim without an answer expected the topic's end.
+        self._open_claim_offset: int | None = None
         self.current: LeaderRecord | None = None
         self.held_epoch = 0
         self._left_epoch = 0
@@ -117,11 +128,12 @@
         return self.held_epoch > 0 and boot_now_s() < self._lease_until_s
 
     def may_start(self) -> bool:
-        """Return whether subtasks may be started.
+        """Return whether subtasks may be started and workers' leases renewed.
 
-        Either the lease is valid or peers have recently confirmed that they know no
-        newer leader. The fence of a worker isn't enough: after a restart it accepts
-        any epoch, also that of a leader that was suspended or partitioned.
+        Either the lease is valid or every other instance has recently confirmed that
+        there is no newer leader. The fence of a worker isn't enough: after a restart
+        it accepts any epoch, also that of a leader that was suspended or partitioned,
+        and a newer leader may not reach the worker.
         """
         until_s = max(self._lease_until_s, self._confirmed_until_s)
         return self.held_epoch > 0 and boot_now_s() < until_s
@@ -131,13 +143,21 @@
         return self.held_epoch > 0 and boot_s < self._lease_until_s
 
     def confirm(self, epoch: int, asked_s: float) -> None:
-        """Record that peers know no leader newer than ``epoch``.
+        """Record that no other instance could have claimed an epoch after ``epoch``.
 
         ``asked_s`` is the boot clock's time at which they were asked.
         """
         if epoch == self.held_epoch:
             self._confirmed_until_s = asked_s + CONFIRMATION_S
 
+    def can_confirm(self, epoch: int) -> bool:
+        """Return whether this instance has not claimed an epoch after ``epoch``.
+
+        A claim without an answer may be carried out until the topic has moved on.
+        """
+        known_epoch = self.current.epoch if self.current else 0
+        return known_epoch <= epoch and self._open_claim_offset is None
+
     async def changed(self, timeout_s: float) -> None:
         """Wait until the leader changes, for at most ``timeout_s``."""
         event = self._changed
@@ -223,9 +243,21 @@
                 self._record_store_state(str(error))
                 await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
                 continue
-            if self._may_claim():
+            if not self.members.is_registered:
+                await self._register()
+            elif self._may_claim():
                 await self._claim()
 
+    async def _register(self) -> None:
+        """Store that this instance may claim; the next read has the record."""
+        try:
+            await self._store.append(LEADER_TOPIC, [self.members.registration()])
+        except StoreUnavailableError as error:
+            logger.warning(
+                "leadership: failed to register.", extra={"reason": str(error)}
+            )
+            await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
+
     def _record_store_state(self, failure: str | None) -> None:
         if failure is None:
             self.store_answered_s = loop_now_s()
@@ -243,14 +275,22 @@
     async def _follow(self) -> None:
         if self._offset is None:
             records, self._offset = await self._store.read_newest(LEADER_TOPIC)
-            if not records:
+            self.members.reset()
+            if not any(record.key == HOLDER_KEY for record in records):
                 self._seen_s = loop_now_s() - SILENCE_LIMIT_S
         else:
             records, self._offset = await self._store.read(
                 LEADER_TOPIC, self._offset, FOLLOW_WAIT_MS
             )
+        claim_offset = self._open_claim_offset
+        if claim_offset is not None and self._offset > claim_offset:
+            # The topic has another end now, or the claim is among the records.
+            self._open_claim_offset = None
         for record in records:
-            self._apply_record(record)
+            if not self.members.apply(record):
+                self._apply_record(record)
+        if self.members.needs_acknowledgement:
+            self._registered.set()
 
     def _apply_record(self, record: KeyedRecord) -> None:
         leader = decode_leader(record)
@@ -295,7 +335,11 @@
             return True
         if current.node == self._node and current.process_id != self._process_id:
             return bool(current.process_id)
-        return loop_now_s() - self._seen_s > SILENCE_LIMIT_S
+        # A leader without the store goes on while all that it knows confirm it.
+        is_asked = self.members.is_known_to_leader
+        is_limit_short = is_asked or not self.members.can_confirm_leader(current.host)
+        limit_s = SILENCE_LIMIT_S if is_limit_short else UNKNOWN_CLAIM_S
+        return loop_now_s() - self._seen_s > limit_s
 
     def _is_successor(self, leader: LeaderRecord) -> bool:
         return leader.successor == self._host
@@ -317,13 +361,17 @@
                 "suspected_epoch": self.suspected_epoch,
             },
         )
+        self._open_claim_offset = self._offset
         try:
             # Claims have no producer: the store would treat the claims of two
             # instances with the same producer and sequence as one, retried.
             await self._store.append(
-                LEADER_TOPIC, [encode_leader(record)], expected_end=self._offset
+                LEADER_TOPIC,
+                [encode_leader(record), self.members.acknowledgement()],
+                expected_end=self._offset,
             )
         except PositionError:
+            self._open_claim_offset = None
             return
         except StoreUnavailableError as error:
             logger.warning(
@@ -331,6 +379,7 @@
                 extra={"reason": str(error)},
             )
             return
+        self._open_claim_offset = None
         self._become_leader(epoch, sent_s)
         self._set_current(record)
         if self.is_closed:
@@ -339,7 +388,9 @@
     async def _append(self, record: LeaderRecord, epoch: int) -> None:
         producer = Producer(PRODUCER, epoch, self._sequence)
         await self._store.append(
-            LEADER_TOPIC, [encode_leader(record)], producer=producer
+            LEADER_TOPIC,
+            [encode_leader(record), *self.members.collect_changes()],
+            producer=producer,
         )
         self._sequence += 1
 
@@ -376,4 +427,7 @@
                 await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
                 continue
             pause_s = began_s + RENEWAL_S - loop_now_s()
-            await asyncio.sleep(max(0.0, pause_s))
+            with suppress(TimeoutError):
+                async with asyncio.timeout(max(0.0, pause_s)):
+                    await self._registered.wait()
+            self._registered.clear()
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/messages.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/messages.py
@@ -48,6 +48,18 @@
     """Request whether the peer could become the leader."""
 
 
+@dataclass(frozen=True, slots=True)
+class ConfirmHolder:
+    """Request that the peer confirms that no leader is newer than this epoch."""
+
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """Report that the peer knows no newer leader and is not claiming leadership."""
+
+
 @dataclass(frozen=True, slots=True)
 class Stored:
     """Report that the job or its cancellation is stored."""
@@ -102,8 +114,19 @@
     age_s: float
 
 
-Request = Submit | AskPhase | Cancel | CountQueued | AskHolder | AskCandidate
-Reply = Stored | Refused | Unsettled | PhaseIs | QueuedCount | HolderIs | CandidateIs
+Request = (
+    Submit | AskPhase | Cancel | CountQueued | AskHolder | AskCandidate | ConfirmHolder
+)
+Reply = (
+    Stored
+    | Refused
+    | Unsettled
+    | PhaseIs
+    | QueuedCount
+    | HolderIs
+    | CandidateIs
+    | Confirmed
+)
 
 _TYPES: dict[str, Any] = {
     cls.__name__: cls
@@ -121,6 +144,8 @@
         QueuedCount,
         HolderIs,
         CandidateIs,
+        ConfirmHolder,
+        Confirmed,
     )
 }
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -64,6 +64,7 @@
         self._client = client
         self._journal = journal
         self._orders = orders
+        self._leadership = leadership
         self._step_down = leadership.step_down
         self._links: dict[str, asyncio.Task[None]] = {}
         # Workers that the store listed when this leader took over; used once each.
@@ -146,7 +147,7 @@
         result = await self._client.read_lists(
             worker.facts,
             self._acknowledged_end(worker),
-            scheduler.renew_lease(worker, sent_s),
+            self._next_deadline_ms(worker, sent_s),
             wait_ms,
         )
         if isinstance(result, ListFailure):
@@ -174,6 +175,16 @@
         if wait_ms or is_behind or not worker.is_reconciled:
             await asyncio.sleep(LIST_PAUSE_S)
 
+    def _next_deadline_ms(self, worker: WorkerState, now_s: float) -> int | None:
+        """Return the deadline of a renewed lease, or None if it may not be renewed.
+
+        A successor that doesn't reach the worker takes its lease for expired, a fixed
+        time after its own election.
+        """
+        if not self._leadership.may_start():
+            return None
+        return self._scheduler.renew_lease(worker, now_s)
+
     def _apply(self, worker: WorkerState, report: WorkerReport, sent_s: float) -> None:
         rollback = ReportRollback(worker)
         try:
