Log why the earlier run of a subtask and the leases of silent workers count as over

- worker: start sent. has epoch and previous_end (run number, and its end as listed, or why it counts as over).
- holder: leases of a worker that has not answered are over. has worker, epoch and proof.

The wait itself is unchanged. It moves into FormerLeases, so that it can be bounded by more than a constant.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
@@ -121,7 +121,7 @@
     for run in blamed:
         _count_crash(scheduler, run)
     for run in lost:
-        scheduler.release(run, now_s)
+        scheduler.release(run, now_s, reason)
     prompt = [run for run in blamed if _is_prompt(run, now_s)]
     is_alone = len({run.subtask.step.job.job_id for run in prompt}) == 1
     for run in blamed:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -267,14 +267,15 @@
         if run.subtask.name in {name for name, _ in run.worker.runs}:
             # The subtask has waited since then all the same.
             ready_s = run.subtask.ready_s
-            self.release(run, now_s)
+            self.release(run, now_s, reason)
             run.subtask.ready_s = ready_s
 
-    def detach(self, run: Run) -> None:
+    def detach(self, run: Run, reason: str) -> None:
         """Remove a run that is over from its worker, subtask and team."""
         subtask = run.subtask
         if run not in subtask.live_runs:
             return
+        subtask.previous_end = f"{run.number} {reason}"
         subtask.live_runs.remove(run)
         run.worker.remove(run)
         withdraw_start_notes(self, subtask)
@@ -282,9 +283,9 @@
         if team:
             self.team_used[team] = self.team_used[team] - subtask.step.spec.need
 
-    def release(self, run: Run, now_s: float) -> None:
+    def release(self, run: Run, now_s: float, reason: str) -> None:
         """Remove a run that is over and make its subtask ready again if unfinished."""
-        self.detach(run)
+        self.detach(run, reason)
         subtask = run.subtask
         job = subtask.step.job
         if job.is_final and not job.has_runs:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler_settings.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler_settings.py
@@ -28,6 +28,11 @@
     lease_limit_s: float
     status_kept_s: float
 
+    @property
+    def granted_lease_s(self) -> float:
+        """Return the time after its grant at which a lease of a worker has expired."""
+        return self.lease_s / (1 - CLOCK_DRIFT) + LEASE_MARGIN_S
+
     @property
     def longest_lease_s(self) -> float:
         """Return the time after which any lease of a worker has expired."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -108,6 +108,7 @@
         "last_run",
         "live_runs",
         "phase",
+        "previous_end",
         "ready_s",
         "start_noted_s",
         "step",
@@ -117,6 +118,8 @@
     def __init__(self, step: StepState, index: int) -> None:
         self.step = step
         self.index = index
+        # How the newest run that is over ended, for the log of the next start.
+        self.previous_end = ""
         self.phase = SubtaskPhase.WAITING
         self.failed_runs: set[int] = set()
         self.expired_runs: set[int] = set()
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -170,7 +170,7 @@
     subtask = job.subtask(row.name) if job is not None else None
     if run is not None:
         subtask = run.subtask
-        scheduler.detach(run)
+        scheduler.detach(run, row.kind.value)
     if job is None or subtask is None:
         return
     if row.checkpoint:
@@ -266,13 +266,13 @@
         if key in listed or run.is_start_pending:
             continue
         if run.stop_acked_s is not None and run.stop_acked_s < sent_s:
-            scheduler.release(run, now_s)
+            scheduler.release(run, now_s, "stopped")
         elif run.answered_s is not None and run.answered_s < sent_s:
             scheduler.counts["vanished"] = scheduler.counts.get("vanished", 0) + 1
             scheduler.stop(run)
         elif run.start_expires_s < sent_s:
             # The worker refuses a start order that arrives after its deadline.
-            scheduler.release(run, now_s)
+            scheduler.release(run, now_s, "not listed")
         elif run.unanswered_s is not None and run.unanswered_s < sent_s:
             scheduler.stop(run)
 
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
@@ -0,0 +1,80 @@
+"""Leases that earlier leaders may have given to workers that have not answered yet."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.state import JobState, WorkerState
+from cicadatraild.scheduling.clocks import loop_now_s
+
+logger = logging.getLogger("cicadatrail.holder")
+
+
+class FormerLeases:
+    """Bound the leases of workers that a new leader has not reached.
+
+    ``former_until_s`` returns until when an earlier leader may act, on the event loop's
+    clock, and ``proof`` what that rests on. The bound may become earlier.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        former_until_s: Callable[[], float],
+        proof: Callable[[], str],
+    ) -> None:
+        self._scheduler = scheduler
+        self._former_until_s = former_until_s
+        self._proof = proof
+        self._awaited: dict[str, WorkerState] = {}
+        self._held_jobs: list[JobState] = []
+
+    @property
+    def end_s(self) -> float:
+        """Return when every lease of an earlier leader is over, on the loop's clock."""
+        return self._former_until_s() + self._scheduler.settings.granted_lease_s
+
+    def await_workers(self) -> None:
+        """Count all workers that are known now as under the lease of a predecessor."""
+        self._awaited = dict(self._scheduler.workers)
+        self.update()
+
+    def hold_jobs(self, jobs: Iterable[JobState]) -> None:
+        """Have nothing of these jobs start before the leases are over.
+
+        Their subtasks may run on workers that aren't known.
+        """
+        self._held_jobs = list(jobs)
+        self.update()
+
+    def update(self) -> None:
+        """Apply the present bound to the workers that have not answered."""
+        end_s = self.end_s
+        is_over = loop_now_s() > end_s
+        for job in self._held_jobs:
+            job.held_until_s = end_s
+        for worker_id, worker in [*self._awaited.items()]:
+            is_present = self._scheduler.workers.get(worker_id) is worker
+            if not is_present or worker.answered_s is not None:
+                del self._awaited[worker_id]
+                continue
+            worker.lease_expires_s = end_s
+            if is_over:
+                self._log_end(worker)
+        if is_over and (self._awaited or self._held_jobs):
+            self._awaited.clear()
+            self._held_jobs.clear()
+            self._scheduler.on_change()
+
+    def _log_end(self, worker: WorkerState) -> None:
+        logger.info(
+            "holder: leases of a worker that has not answered are over.",
+            extra={
+                "worker_id": worker.facts.worker_id,
+                "epoch": self._scheduler.settings.epoch,
+                "proof": self._proof(),
+                "is_listed": worker.is_listed,
+            },
+        )
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -324,6 +324,7 @@
                 self._dirty.set()
             could_start = may_start
             self._unlist_missing(now_s)
+            self._records.former_leases.update()
             self.scheduler.tick(now_s, unix_now_ms())
             for worker in stop_stuck_runs(self.scheduler, now_s):
                 eject(worker, now_s, EJECTION_S, self.scheduler.workers, "no progress")
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -18,11 +18,11 @@
     encode_progress,
 )
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.scheduler_settings import CLOCK_DRIFT, LEASE_MARGIN_S
 from cicadatrail_core.jobs.state import JobState, WorkerState
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.store import KeyedRecord
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
+from cicadatraild.scheduling.former_leases import FormerLeases
 from cicadatraild.scheduling.journal import Batch
 from cicadatraild.scheduling.machine_inventory import MachineInventory
 from cicadatraild.scheduling.maintenance import WaveRunner
@@ -53,6 +53,10 @@
         self._fleet: tuple[str, ...] | None = None
         self._changed_waves = False
         self._queues = QueueRecords(scheduler)
+        self._former_until_s = float("-inf")
+        self.former_leases = FormerLeases(
+            scheduler, lambda: self._former_until_s, lambda: "elapsed"
+        )
         self._inventory: MachineInventory
         self._waves: WaveRunner
         # Workers that the store listed when this leader took over.
@@ -162,25 +166,24 @@
         is held back, since its subtasks may be running or done.
         """
         now_s = loop_now_s()
-        lease_s = self._scheduler.settings.lease_s / (1 - CLOCK_DRIFT) + LEASE_MARGIN_S
         values = {record.key: record.value or b"" for record in records}
         has_fleet = self._restore_fleet(values.get(FLEET_KEY))
         if ORDERS_KEY in values:
             self._inventory.restore(values[ORDERS_KEY])
-        leases_end_s = now_s + lease_s + FORMER_LEADER_S
-        for worker in self._scheduler.workers.values():
-            worker.lease_expires_s = leases_end_s
+        self._former_until_s = now_s + FORMER_LEADER_S
+        self.former_leases.await_workers()
         for key, value in values.items():
             if key.startswith(WAVE_PREFIX):
                 self._restore_wave(key, value)
         jobs = self._restore_jobs(values, now_s)
         self._scheduler.inherit(jobs)
         self._queues.restore(values)
+        if not has_fleet:
+            # A subtask may run on a worker that only the list named.
+            self.former_leases.hold_jobs(jobs)
         for job in jobs:
-            # Without a list, a subtask may run on a worker that only the list named.
-            job.held_until_s = now_s if has_fleet else leases_end_s
             self._activate(job, now_s)
-        return now_s if has_fleet else leases_end_s
+        return now_s if has_fleet else self.former_leases.end_s
 
     def _activate(self, job: JobState, now_s: float) -> None:
         try:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -172,6 +172,8 @@
             extra={
                 "subtask": str(subtask.name),
                 "run": run.number,
+                "epoch": scheduler.settings.epoch,
+                "previous_end": subtask.previous_end,
                 "worker_id": worker.facts.worker_id,
                 "answer_age_s": age_s(worker.answered_s),
                 "waited_s": round(run.sent_s - subtask.ready_s, 3),
