Show that refusals and first starts make a cut-off leader keep its right (failing)

In one run, on a busy machine, the former leader also started two subtasks on its worker while they ran on another one that it had lost and its successor had kept.

Two partitions of real processes, with the product's code unchanged:

The successor's log has "leases of a worker that has not answered are over", proof "elapsed", 4.2 to 4.3 s after its election; the former leader steps down 4 to 5 s after that, when the partition ends. - Three instances are cut off with a worker and keep each other; only then the fourth starts for the first time.

A port that an outgoing end of a relay has used stays in TIME_WAIT and can't be bound (shown apart from the run), so that FaultyNetwork now draws ports that are free at all of its hosts.

FaultyProxy refuses connections between refuse() and accept(); its port stays bound, so that nobody else gets it.

--- a/features/partitions.feature
+++ b/features/partitions.feature
@@ -18,5 +18,20 @@
     When the leader's data centre is sent nothing by the others for 10 s
     Then no subtask ran twice, and the job is completed
 
+  # Guards against TWICE: the leader took refused connections for ended processes.
+  Scenario Outline: No second run when the other data centre refuses connections
+    When links between data centres refuse for 10 s, the store is lost <store> s later
+    Then no subtask ran twice, and the job is completed
+
+    Examples: orders of loss
+      | store |
+      | 0     |
+      | 1.5   |
+
+  # Guards against TWICE: the leader was confirmed by all but one, which it didn't know.
+  Scenario: No second run when a new instance claims beside a leader without the store
+    When an instance starts for the first time while all others are cut off for 20 s
+    Then no subtask ran twice, and the job is completed
+
   Scenario: Random partitions, seed 1
     Then a soak of seed 1 with partitions over 20 s finds no violation
--- a/features/steps/partitions_steps.py
+++ b/features/steps/partitions_steps.py
@@ -8,7 +8,12 @@
 
 from behave import then, when
 
-from features.support.partition_run import JOB, PartitionRun, play_partition
+from features.support.partition_run import (
+    JOB,
+    PartitionRun,
+    play_first_start,
+    play_partition,
+)
 
 
 @when("the leader's data centre is cut off for 10 s, the store {seconds:g} s later")
@@ -17,6 +22,20 @@
         context.run = play_partition(Path(folder), store_cut_s=seconds)
 
 
+@when(
+    "links between data centres refuse for 10 s, the store is lost {seconds:g} s later"
+)
+def step_refuse(context: Any, seconds: float) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        context.run = play_partition(Path(folder), store_cut_s=seconds, refuses=True)
+
+
+@when("an instance starts for the first time while all others are cut off for 20 s")
+def step_first_start(context: Any) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        context.run = play_first_start(Path(folder))
+
+
 @when("the leader's data centre is sent nothing by the others for 10 s")
 def step_one_way(context: Any) -> None:
     with tempfile.TemporaryDirectory() as folder:
--- a/features/support/faulty_network.py
+++ b/features/support/faulty_network.py
@@ -11,7 +11,7 @@
 from contextlib import AsyncExitStack
 
 from features.support.faulty_proxy import HOST, FaultyProxy
-from features.support.platform_cluster import PlatformCluster, free_port
+from features.support.platform_cluster import PlatformCluster, free_port, is_free
 
 STORE = "store"
 
@@ -22,10 +22,14 @@
     def __init__(self, cluster: PlatformCluster, names: list[str]) -> None:
         self.links: dict[tuple[str, str], FaultyProxy] = {}
         self._cluster = cluster
+        hosts = [cluster.host(name) for name in names]
         # Drawn as a set, as a free port may be drawn twice.
         ports: set[int] = set()
         while len(ports) < len(names):
-            ports.add(free_port())
+            port = free_port()
+            # Ends of relays in an earlier run of this process may still use it there.
+            if all(is_free(host, port) for host in hosts):
+                ports.add(port)
         self._peer_ports = dict(zip(names, ports, strict=True))
         self._store_ports: dict[str, int] = {}
 
@@ -64,22 +68,33 @@
             name, self._store_ports[name], self._peer_ports[name]
         )
 
-    def cut(self, sources: Iterable[str], targets: Iterable[str]) -> None:
-        """Cut the links from some daemons to others, to workers or to the store."""
-        for proxy in self._between(sources, targets):
-            proxy.silent = True
+    def cut(
+        self, sources: Iterable[str], targets: Iterable[str], refuses: bool = False
+    ) -> None:
+        """Cut the links from some daemons to others, to workers or to the store.
 
-    def part(self, names: Iterable[str], others: Iterable[str]) -> None:
+        The links are silent, or with ``refuses`` refuse connections.
+        """
+        for proxy in self._between(sources, targets):
+            if refuses:
+                proxy.refuse()
+            else:
+                proxy.silent = True
+
+    def part(
+        self, names: Iterable[str], others: Iterable[str], refuses: bool = False
+    ) -> None:
         """Cut the links between two groups of daemons, as seen from both."""
-        self.cut(names, others)
-        self.cut(others, names)
+        self.cut(names, others, refuses)
+        self.cut(others, names, refuses)
 
-    def heal(self) -> None:
+    async def heal(self) -> None:
         """Restore all links; their connections are broken, as data was lost."""
         for proxy in self.links.values():
             if proxy.silent or proxy.loses_requests or proxy.loses_answers:
                 proxy.silent = proxy.loses_requests = proxy.loses_answers = False
                 proxy.reset()
+            await proxy.accept()
 
     def _between(
         self, sources: Iterable[str], targets: Iterable[str]
--- a/features/support/faulty_proxy.py
+++ b/features/support/faulty_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack, suppress
 
@@ -13,8 +14,9 @@
     """Relay connections to a port with the faults that are set.
 
     ``delay_s`` delays each chunk; ``silent`` reads and discards the data, and
-    ``loses_requests`` and ``loses_answers`` only that of one direction. The target sees
-    ``source_host`` as the caller.
+    ``loses_requests`` and ``loses_answers`` only that of one direction. From ``refuse``
+    to ``accept`` connections are refused. The target sees ``source_host`` as the
+    caller.
     """
 
     def __init__(
@@ -27,15 +29,57 @@
         self._target = (target_host, target_port)
         self._source_host = source_host
         self._writers: set[asyncio.StreamWriter] = set()
+        self._address = (HOST, 0)
+        self._socket: socket.socket | None = None
+        self._server: asyncio.Server | None = None
+
+    @property
+    def refuses(self) -> bool:
+        return self._server is None
 
     async def listen(
         self, stack: AsyncExitStack, host: str = HOST, port: int = 0
     ) -> int:
-        server = await asyncio.start_server(self._serve, host, port)
+        self._address = (host, port)
+        self._socket = self._bind()
+        self._address = self._socket.getsockname()
         stack.callback(self.reset)
-        stack.callback(server.close)
-        bound_port: int = server.sockets[0].getsockname()[1]
-        return bound_port
+        stack.callback(self._close)
+        await self.accept()
+        return self._address[1]
+
+    def refuse(self) -> None:
+        """Refuse connections, and reset those that are open."""
+        if self.refuses:
+            return
+        self._close()
+        # Without a listener the port is bound all the same, or others could take it.
+        self._socket = self._bind()
+        self.reset()
+
+    async def accept(self) -> None:
+        """Accept connections again, at the same address and port."""
+        if not self.refuses or self._socket is None:
+            return
+        # Made first, without a pause, so that faults that overlap open one listener.
+        self._server = await asyncio.start_server(
+            self._serve, sock=self._socket, start_serving=False
+        )
+        await self._server.start_serving()
+
+    def _bind(self) -> socket.socket:
+        bound = socket.socket()
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind(self._address)
+        return bound
+
+    def _close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
 
     def reset(self) -> None:
         for writer in list(self._writers):
--- a/features/support/odd_entries.py
+++ b/features/support/odd_entries.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from features.support.platform_cluster import configuration, job
-from features.support.soak import Soak
+from features.support.soak import Daemon, Soak
 
 DEPTHS = (500, 990, 5000)
 RECORD_DEPTH = 100_000
@@ -66,12 +66,12 @@
 
     ends: list[str] = field(default_factory=list)
 
-    async def _add_daemon(
+    async def _prepare_daemon(
         self, stack: Any, folder: Path, name: str, data_centre: int
-    ) -> None:
-        if not self.daemons:
+    ) -> Daemon:
+        if not self.later_daemons:
             self._write_odd_entries("before")
-        await super()._add_daemon(stack, folder, name, data_centre)
+        return await super()._prepare_daemon(stack, folder, name, data_centre)
 
     async def _restart_ended_daemons(self) -> None:
         """Record processes that end; they are not restarted."""
--- a/features/support/partition_run.py
+++ b/features/support/partition_run.py
@@ -1,7 +1,7 @@
-"""One partition of real processes: the leader's data centre stays together alone.
+"""One partition of real processes: the leader's side stays together without the store.
 
-The leader, a peer of its data centre and one worker reach each other, but neither the
-store nor the other instances. The rest reaches the store and the other workers.
+The leader, its peers and one worker reach each other, but neither the store nor the
+other instances. The rest reaches the store and the other workers.
 """
 
 from __future__ import annotations
@@ -10,31 +10,51 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import msgpack
 from returns.result import Success
 
 from cicadatraild.network.client_exchange import Address
 from cicadatraild.network.http_client import ConnectionPool
+from cicadatraild.platform.store import LEADER_TOPIC
+from cicadatraild.scheduling.membership import KNOWN_KEY
 from features.support.faulty_network import STORE
 from features.support.platform_cluster import job
-from features.support.soak import WORKER_COUNT, Soak
+from features.support.soak import INSTANCE_COUNT, WORKER_COUNT, Soak
 
 JOB = "00000000000000a1"
 RUN_MS = 14_000
 CUT_S = 10.0
+FIRST_START_RUN_MS = 28_000
+FIRST_START_CUT_S = 20.0
 
 
 @dataclass
 class PartitionRun(Soak):
     """A run in which ``store_cut_s`` passes between the cut and the loss of the store.
 
-    ``is_one_way`` only loses what the others send, and the store's answers.
+    ``is_one_way`` only loses what the others send, and the store's answers; with
+    ``refuses`` the links between instances refuse connections.
     """
 
     store_cut_s: float = 0.0
     is_one_way: bool = False
+    refuses: bool = False
+    run_ms: int = RUN_MS
+
+    async def _wait_for_service(self) -> None:
+        """Wait until the leader also knows every instance that runs."""
+        await super()._wait_for_service()
+        await self.cluster.wait_until(
+            lambda: self._known_count() == len(self.daemons), timeout_s=15
+        )
+
+    def _known_count(self) -> int:
+        topic = self.cluster.store.topic(LEADER_TOPIC)
+        _, known = topic.newest.get(KNOWN_KEY, (0, msgpack.packb([])))
+        return len(msgpack.unpackb(known))
 
     async def _submit(self, until_s: float) -> None:
-        body = job(ms=RUN_MS, count=WORKER_COUNT, **{"anti-affinity": 2})
+        body = job(ms=self.run_ms, count=WORKER_COUNT, **{"anti-affinity": 2})
         await self._submit_until_accepted(JOB, body)
         await self.cluster.wait_until(
             lambda: len(self.cluster.fleet.starts) == WORKER_COUNT
@@ -52,13 +72,13 @@
         if self.is_one_way:
             self._lose_one_way(near, far, kept)
         else:
-            self.network.part(near, far)
+            self.network.part(near, far, self.refuses)
             self.network.cut(far, [kept])
             self.network.cut(near, others)
             await asyncio.sleep(self.store_cut_s)
             self.network.cut(near, [STORE])
         await asyncio.sleep(CUT_S)
-        self.network.heal()
+        await self.network.heal()
 
     def _is_near(self, name: str, leader: str) -> bool:
         centres = {daemon.name: daemon.data_centre for daemon in self.daemons}
@@ -88,8 +108,33 @@
         return isinstance(result, Success) and result.unwrap().status == 200
 
 
+class FirstStartRun(PartitionRun):
+    """A run in which all but one instance are cut off, and only then the last starts.
+
+    No instance knows of the last one, as it has never run before.
+    """
+
+    async def _inject_faults(self, until_s: float) -> None:
+        await self.cluster.wait_until(
+            lambda: len(self.cluster.fleet.starts) == WORKER_COUNT
+        )
+        near = [daemon.name for daemon in self.daemons]
+        far = [daemon.name for daemon in self.later_daemons]
+        kept = min(self.cluster.fleet.used_workers)
+        others = {worker.worker_id for worker in self.cluster.workers} - {kept}
+        self.network.part(near, far)
+        self.network.cut(far, [kept])
+        self.network.cut(near, others | {STORE})
+        self._start_later()
+        await asyncio.sleep(FIRST_START_CUT_S)
+        await self.network.heal()
+
+
 def play_partition(
-    folder: Path, store_cut_s: float = 0.0, is_one_way: bool = False
+    folder: Path,
+    store_cut_s: float = 0.0,
+    is_one_way: bool = False,
+    refuses: bool = False,
 ) -> PartitionRun:
     run = PartitionRun(
         1,
@@ -97,6 +142,19 @@
         has_partitions=True,
         store_cut_s=store_cut_s,
         is_one_way=is_one_way,
+        refuses=refuses,
+    )
+    asyncio.run(run.run(folder))
+    return run
+
+
+def play_first_start(folder: Path) -> FirstStartRun:
+    run = FirstStartRun(
+        1,
+        0.0,
+        has_partitions=True,
+        first_count=INSTANCE_COUNT - 1,
+        run_ms=FIRST_START_RUN_MS,
     )
     asyncio.run(run.run(folder))
     return run
--- a/features/support/platform_cluster.py
+++ b/features/support/platform_cluster.py
@@ -91,6 +91,15 @@
         return port
 
 
+def is_free(host: str, port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 class PlatformCluster:
     """Platform instances and the stand-ins of store, workers and machine service.
 
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -85,7 +85,8 @@
 
     ``faults`` lists the injected faults, ``findings`` the violations found. With
     ``has_series`` processes are stopped in overlapping series, with ``has_partitions``
-    links of instances to each other and to workers are cut.
+    links of instances to each other and to workers are cut. The first ``first_count``
+    instances run from the start, ``later_daemons`` not before ``_start_later``.
     """
 
     seed: int
@@ -99,6 +100,8 @@
     findings: list[str] = field(default_factory=list)
     used_count: int = 0
     version: int = 1
+    first_count: int = INSTANCE_COUNT
+    later_daemons: list[Daemon] = field(default_factory=list)
 
     async def run(self, folder: Path) -> None:
         self.random = random.Random(self.seed)
@@ -111,7 +114,10 @@
             if self.has_partitions:
                 await self.network.open(stack)
             for number, name in enumerate(names):
-                await self._add_daemon(stack, folder, name, number // 2)
+                daemon = await self._prepare_daemon(stack, folder, name, number // 2)
+                self.later_daemons.append(daemon)
+            for _ in range(self.first_count):
+                self._start_later()
             supervisor = asyncio.create_task(self._restart_ended_daemons())
             stack.callback(supervisor.cancel)
             await self._wait_for_service()
@@ -126,13 +132,13 @@
             for user in users:
                 user.cancel()
             await asyncio.gather(*users, return_exceptions=True)
-            self._clear_faults()
+            await self._clear_faults()
             await self._wait_for_completion()
             self.findings += self.cluster.fleet.violations
 
-    async def _add_daemon(
+    async def _prepare_daemon(
         self, stack: AsyncExitStack, folder: Path, name: str, data_centre: int
-    ) -> None:
+    ) -> Daemon:
         settings = folder / f"{name}.toml"
         if self.has_partitions:
             proxy = self.network.links[name, STORE]
@@ -141,7 +147,11 @@
             proxy = FaultyProxy(self.cluster.store_port)
             port = await proxy.listen(stack)
             settings.write_text(self.cluster.settings_text(name, port))
-        daemon = Daemon(name, data_centre, proxy, settings)
+        return Daemon(name, data_centre, proxy, settings)
+
+    def _start_later(self) -> None:
+        """Start the next instance for the first time."""
+        daemon = self.later_daemons.pop(0)
         daemon.start()
         self.daemons.append(daemon)
 
@@ -353,7 +363,7 @@
             await asyncio.sleep(self.random.choice((0.0, 0.5)))
             self.network.cut(near, [STORE])
         await asyncio.sleep(self.random.uniform(2, 12))
-        self.network.heal()
+        await self.network.heal()
 
     async def _cut_one_way(self) -> None:
         """Lose what is sent one way on some links of an instance."""
@@ -364,7 +374,7 @@
             link.loses_requests = loses_requests
             link.loses_answers = not loses_requests
         await asyncio.sleep(self.random.uniform(1, 6))
-        self.network.heal()
+        await self.network.heal()
 
     async def _cut_off_workers(self) -> None:
         """Cut some workers off from some instances."""
@@ -375,10 +385,10 @@
             self.random.sample(ids, self.random.randint(1, 2)),
         )
         await asyncio.sleep(self.random.uniform(1, 6))
-        self.network.heal()
+        await self.network.heal()
 
-    def _clear_faults(self) -> None:
-        self.network.heal()
+    async def _clear_faults(self) -> None:
+        await self.network.heal()
         self.cluster.store.faults.down = False
         self.cluster.store.faults.lost_answers = 0
         for worker in self.cluster.workers:
