Bound the right of a leader without the store, and wait for it

Callers saw TWICE: a leader that was cut off from the store with a worker and with peers went on renewing the worker's lease and starting, while its successor, which reached neither, started the worker's subtasks elsewhere 4.2 s after its election.

Cause: the right to act was prolonged by what is no proof that nobody else was elected: a refused connection counted as a confirmation, and an instance that the leader doesn't know could claim after 10 s of silence while all known ones still confirmed it. The successor waited a fixed time that had nothing to do with the former leader's right.

- Without the store a leader needs the confirmation of a majority of the instances that it knows, and stops 6 s after the sending of its last stored renewal in any case.
- A successor that doesn't reach a worker counts the former right as over 6 s after the former leader's last record was read; or sooner, when the former leader says so, was released, or when so many of its instances promise to follow the new epoch that the others are no majority.
Workers that it reaches don't wait.
- An instance that has restarted confirms nobody before it has read the topic, and none confirms an older epoch after a promise.
- "settled" in the topic names the epoch before which no leader can act, so that a takeover minds more than one predecessor only when two ended within a second.

Ruled out: that only refusals or only first starts have to be mended. Without the store no set of answers proves that an instance outside of it was not elected.

Costs: no right without the store where half of the instances have ended or are silent; starts pause after 6 s of an outage for all, and what runs ends after 9.5 s.

--- a/features/registry.feature
+++ b/features/registry.feature
@@ -11,6 +11,16 @@
     When the store is down and one of three instances has been killed
     Then the leader may start subtasks all the while
 
+  # Guards against TWICE: machines that refuse connections may be behind a filter.
+  Scenario: Refused connections confirm no leader
+    When the store is down and two of three instances have been killed
+    Then the leader may neither start subtasks nor renew leases after its lease
+
+  # Guards against TWICE: it may have promised to follow a newer leader before.
+  Scenario: An instance that has restarted confirms no leader before it has read the topic
+    When an instance has started and not read the leader's topic
+    Then it confirms no leader, and after reading only the newest
+
   # Guards against TWICE: a claim that got no answer may still be carried out.
   Scenario: An instance whose claim got no answer confirms no leader
     When an instance has claimed leadership and got no answer
--- a/features/steps/leader_containment_steps.py
+++ b/features/steps/leader_containment_steps.py
@@ -24,6 +24,7 @@
 )
 from cicadatrail_core.jobs.records import encode_definition
 from cicadatrail_core.jobs.state import StepState, WorkerState
+from cicadatrail_core.leadership.acting_right import LEASE_S as LEADERSHIP_LEASE_S
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.network.client_exchange import Address
 from cicadatraild.network.http_server import HttpExchange, HttpLimits, HttpServer
@@ -32,7 +33,6 @@
 from cicadatraild.platform.machines import MachineClient, MachineOutcome
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
 from cicadatraild.scheduling import leader as leader_module
-from cicadatraild.scheduling.leadership import LEADERSHIP_LEASE_S
 from features.standins.platform_fleet import Fleet, PlatformWorker
 from features.support.faulty_proxy import HOST
 from features.support.job_world import JobWorld
--- a/features/steps/registry_steps.py
+++ b/features/steps/registry_steps.py
@@ -8,14 +8,16 @@
 
 from behave import given, then, when
 
+from cicadatrail_core.leadership.acting_right import CONFIRMATION_S, LEASE_S
 from cicadatraild.platform.store import KeyedRecord, StoreUnavailableError
-from cicadatraild.scheduling.leadership import CONFIRMATION_S, Leadership
+from cicadatraild.scheduling.leader_record import LeaderRecord, encode_leader
+from cicadatraild.scheduling.leadership import Leadership
 from cicadatraild.scheduling.membership import Membership
 from cicadatraild.scheduling.messages import Refused
 from features.support.platform_actions import run_on_cluster, start_instances
 from features.support.platform_cluster import PlatformCluster
 
-LEASE_OVER_S = 1.0 + CONFIRMATION_S + 0.3
+LEASE_OVER_S = LEASE_S + CONFIRMATION_S + 0.3
 
 
 @when("the store is down and one of three instances does not confirm the leader")
@@ -66,6 +68,53 @@
     assert all(context.seen), context.seen
 
 
+@when("the store is down and two of three instances have been killed")
+def step_two_killed(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        name = await start_instances(cluster, 3)
+        for other in [n for n in cluster.instances if n != name]:
+            await cluster.kill(other)
+        cluster.store.faults.down = True
+        await asyncio.sleep(LEASE_OVER_S)
+        leader = cluster.instances[name]
+        running = leader._leader
+        assert running is not None
+        context.may_start = leader.may_start
+        context.deadlines = [
+            running.links._next_deadline_ms(worker, 0.0)
+            for worker in running.scheduler.workers.values()
+        ]
+
+    run_on_cluster(context, scenario)
+
+
+@then("the leader may neither start subtasks nor renew leases after its lease")
+def step_no_right_alone(context: Any) -> None:
+    step_no_right(context)
+
+
+@when("an instance has started and not read the leader's topic")
+def step_unread(context: Any) -> None:
+    async def run() -> None:
+        store = MagicMock()
+
+        async def read_newest(topic: str) -> tuple[list[KeyedRecord], int]:
+            return [encode_leader(LeaderRecord(5, "b", "h2", "p2"))], 5
+
+        store.read_newest = read_newest
+        leadership = Leadership(store, "a", "h", lambda epoch: None, lambda why: None)
+        context.seen = [leadership.promise(4), leadership.promise(5)]
+        await leadership._follow()
+        context.seen += [leadership.promise(4), leadership.promise(5)]
+
+    asyncio.run(run())
+
+
+@then("it confirms no leader, and after reading only the newest")
+def step_confirms_newest(context: Any) -> None:
+    assert context.seen == [False, False, False, True], context.seen
+
+
 @when("an instance has claimed leadership and got no answer")
 def step_open_claim(context: Any) -> None:
     async def run() -> None:
@@ -84,9 +133,9 @@
         leadership = Leadership(store, "a", "h", lambda epoch: None, lambda why: None)
         await leadership._follow()
         await leadership._claim()
-        context.seen = [leadership.can_confirm(1)]
+        context.seen = [leadership.promise(1)]
         await leadership._follow()
-        context.seen.append(leadership.can_confirm(1))
+        context.seen.append(leadership.promise(1))
 
     asyncio.run(run())
 
@@ -104,7 +153,7 @@
     _pass_on(context, context.leader.registration())
     _pass_on(context, context.second.registration())
     _renew(context)
-    assert context.second.is_known_to_leader
+    assert "second" in context.second.known_hosts
 
 
 def _pass_on(context: Any, record: KeyedRecord) -> None:
@@ -113,7 +162,7 @@
 
 
 def _renew(context: Any) -> None:
-    for record in context.leader.collect_changes():
+    for record in context.leader.collect_changes(0):
         _pass_on(context, record)
 
 
@@ -126,11 +175,11 @@
 @then("the third is known to the leader with its next renewal, and not before")
 def step_known(context: Any) -> None:
     assert context.third.is_registered
-    assert not context.third.is_known_to_leader
+    assert "third" not in context.third.known_hosts
     _renew(context)
-    assert context.third.is_known_to_leader
+    assert "third" in context.third.known_hosts
     assert context.leader.hosts == {"first", "second", "third"}
-    assert context.leader.collect_changes() == []
+    assert context.leader.collect_changes(0) == []
 
 
 @when("the leader drops the second one")
@@ -144,8 +193,8 @@
 def step_dropped(context: Any) -> None:
     assert context.leader.hosts == {"first"}
     assert not context.second.is_registered
-    assert not context.second.is_known_to_leader
+    assert "second" not in context.second.known_hosts
     _pass_on(context, context.second.registration())
-    assert not context.second.is_known_to_leader
+    assert "second" not in context.second.known_hosts
     _renew(context)
-    assert context.second.is_known_to_leader
+    assert "second" in context.second.known_hosts
--- a/features/support/crash_world.py
+++ b/features/support/crash_world.py
@@ -18,7 +18,9 @@
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
 from cicadatrail_core.jobs.state import JobState, Run
+from cicadatrail_core.leadership.acting_right import CONFIRMATION_S
 from cicadatraild.platform.store import KeyedRecord
+from cicadatraild.scheduling.former_leases import FormerLeases
 from cicadatraild.scheduling.leader_records import LeaderRecords
 from features.support.job_world import (
     LEASE_LIMIT_S,
@@ -60,7 +62,9 @@
         down_s: float = 3.3,
     ) -> None:
         module = "cicadatraild.scheduling.leader_records"
+        leases = "cicadatraild.scheduling.former_leases"
         stack.enter_context(patch(f"{module}.loop_now_s", lambda: self.now_s))
+        stack.enter_context(patch(f"{leases}.loop_now_s", lambda: self.now_s))
         stack.enter_context(patch(f"{module}.unix_now_ms", lambda: self.now_ms))
         super().__init__(worker_count, cores)
         self.returns = returns
@@ -91,7 +95,12 @@
         return scheduler
 
     def new_records(self) -> LeaderRecords:
-        records = LeaderRecords(self.scheduler)
+        right: Any = SimpleNamespace(
+            former_until_loop_s=self.now_s + CONFIRMATION_S,
+            former=SimpleNamespace(proof="promises"),
+        )
+        leases = FormerLeases(self.scheduler, right)
+        records = LeaderRecords(self.scheduler, leases)
         inventory: Any = SimpleNamespace(
             has_unstored_announcements=False, restore=lambda value: None
         )
--- a/features/support/outer_names.py
+++ b/features/support/outer_names.py
@@ -323,7 +323,7 @@
         pass
 
     scheduler = Scheduler(SchedulerSettings(3, 3.5, 6.0, 120.0))
-    leader_records = LeaderRecords(scheduler)
+    leader_records = LeaderRecords(scheduler, MagicMock())
     inventory = MachineInventory(MagicMock(), lambda: True, 5.0, flush)
     waves = WaveRunner(inventory, MagicMock(), scheduler, list, lambda: None)
     leader_records.attach(inventory, waves)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -6,10 +6,12 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
 from cicadatraild.scheduling.leader import Leader
 from cicadatraild.scheduling.leader_record import LeaderRecord
+from cicadatraild.scheduling.leader_right import ConfirmationRound
 from cicadatraild.scheduling.leadership import Leadership
 from cicadatraild.scheduling.messages import (
     AskCandidate,
@@ -77,6 +79,14 @@
         return Refused(self.reason)
 
 
+@dataclass(frozen=True, slots=True)
+class _TimedReply:
+    """A peer's reply and when it came, on the boot clock."""
+
+    reply: Reply
+    answered_s: float
+
+
 class Entry:
     """Forward requests to the leader, on this instance or another.
 
@@ -198,26 +208,37 @@
         self._hosts[host] = None
 
     def _confirm_holder(self, epoch: int) -> Reply:
-        if self._leadership.can_confirm(epoch):
+        if self._leadership.promise(epoch):
             return Confirmed()
+        if not self._leadership.has_read:
+            return HolderIs(0, "")
         current = self._leadership.current
         if current is None or current.released or current.epoch <= epoch:
             return Refused("this instance may have claimed leadership")
         return HolderIs(current.epoch, current.host)
 
     async def confirm_leadership(self) -> None:
-        """Ask all other instances whether one may have been elected.
+        """Ask all other instances whether they follow this one, and no newer leader.
 
-        Extends the permission to start subtasks and to renew leases only if none may:
-        an instance that does not answer may reach the store. One whose machine refuses
-        the connection has ended, and claims nothing before it is asked again.
+        One that does not answer, or whose machine refuses the connection, may reach the
+        store and does not count.
         """
         epoch = self._leadership.held_epoch
         asked_s = boot_now_s()
-        hosts = self._leadership.members.hosts - {self._own_host}
-        replies = await asyncio.gather(*[self._confirms(host, epoch) for host in hosts])
-        if hosts and all(replies):
-            self._leadership.confirm(epoch, asked_s)
+        members = self._leadership.members
+        hosts = sorted((members.hosts | members.known_hosts) - {self._own_host})
+        replies = await asyncio.gather(*[self._confirm(host, epoch) for host in hosts])
+        answers = ConfirmationRound(
+            epoch,
+            asked_s,
+            {
+                host: reply.answered_s
+                for host, reply in zip(hosts, replies, strict=True)
+                if reply is not None and isinstance(reply.reply, Confirmed)
+            },
+            any(reply and isinstance(reply.reply, Refused) for reply in replies),
+        )
+        self._leadership.apply_round(answers)
 
     async def drop_lost_members(self) -> None:
         """Have instances removed from the registry that have not answered for long.
@@ -235,20 +256,18 @@
                 logger.info("entry: dropping a lost instance.", extra={"host": host})
                 self._leadership.members.drop(host)
 
-    async def _confirms(self, host: str, epoch: int) -> bool:
-        """Return whether an instance can't have been elected after an epoch."""
+    async def _confirm(self, host: str, epoch: int) -> _TimedReply | None:
+        """Ask an instance whether it follows an epoch; return None without a reply."""
         try:
             async with asyncio.timeout(CONFIRM_TIMEOUT_S):
                 reply = await self._peers.call(
                     host, ConfirmHolder(epoch), CONFIRM_TIMEOUT_S
                 )
-        except PeerUnreachableError as error:
-            return error.is_refused
-        except TimeoutError:
-            return False
+        except (PeerUnreachableError, TimeoutError):
+            return None
         if isinstance(reply, HolderIs):
             self._leadership.learn_leader(reply.epoch, reply.host)
-        return isinstance(reply, Confirmed)
+        return _TimedReply(reply, boot_now_s())
 
     async def choose_successor(self) -> str:
         """Return the host of the peer that should lead next, or "" without one.
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import JobState, WorkerState
 from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.leader_right import LeaderRight
 
 logger = logging.getLogger("cicadatrail.holder")
 
@@ -15,26 +16,21 @@
 class FormerLeases:
     """Bound the leases of workers that a new leader has not reached.
 
-    ``former_until_s`` returns until when an earlier leader may act, on the event loop's
-    clock, and ``proof`` what that rests on. The bound may become earlier.
+    The bound follows from the end of the earlier leaders' rights, which may turn out to
+    be earlier than it was at the election.
     """
 
-    def __init__(
-        self,
-        scheduler: Scheduler,
-        former_until_s: Callable[[], float],
-        proof: Callable[[], str],
-    ) -> None:
+    def __init__(self, scheduler: Scheduler, right: LeaderRight) -> None:
         self._scheduler = scheduler
-        self._former_until_s = former_until_s
-        self._proof = proof
+        self._right = right
         self._awaited: dict[str, WorkerState] = {}
         self._held_jobs: list[JobState] = []
 
     @property
     def end_s(self) -> float:
         """Return when every lease of an earlier leader is over, on the loop's clock."""
-        return self._former_until_s() + self._scheduler.settings.granted_lease_s
+        lease_s = self._scheduler.settings.granted_lease_s
+        return self._right.former_until_loop_s + lease_s
 
     def await_workers(self) -> None:
         """Count all workers that are known now as under the lease of a predecessor."""
@@ -74,7 +70,7 @@
             extra={
                 "worker_id": worker.facts.worker_id,
                 "epoch": self._scheduler.settings.epoch,
-                "proof": self._proof(),
+                "proof": self._right.former.proof,
                 "is_listed": worker.is_listed,
             },
         )
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -30,7 +30,7 @@
     KeyedRecord,
     StoreClient,
 )
-from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
+from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.entry import Entry
 from cicadatraild.scheduling.feeds import TopicFeed
 from cicadatraild.scheduling.handover import Handover
@@ -127,6 +127,7 @@
             self._entry, lambda: self._configuration, lambda: self._stop.is_set()
         )
         self._stop = asyncio.Event()
+        self._elected = asyncio.Event()
         self._began_s = loop_now_s()
         self.metrics = InstanceMetrics(
             self._store, self._leadership, lambda: self._leader, self._callers, output
@@ -282,6 +283,7 @@
             leader.configure(self._configuration)
         self._leader = leader
         self._leader_task = asyncio.create_task(self._lead(leader))
+        self._elected.set()
 
     async def _lead(self, leader: Leader) -> None:
         try:
@@ -306,18 +308,24 @@
         return self._leadership.may_start()
 
     async def _confirm_leadership(self) -> None:
-        """Ask others about a newer leader once the lease is about to end."""
+        """Ask others whether they follow this leader, while its lease isn't enough.
+
+        Rounds overlap, as each waits for instances that don't answer.
+        """
         checked_s = loop_now_s()
-        while True:
-            await asyncio.sleep(CONFIRM_PAUSE_S)
-            if not self._leadership.held_epoch:
-                continue
-            soon_s = boot_now_s() + CONFIRM_AHEAD_S
-            if not self._leadership.held_lease_after(soon_s):
-                await self._entry.confirm_leadership()
-            elif loop_now_s() - checked_s > MEMBER_CHECK_PAUSE_S:
-                checked_s = loop_now_s()
-                await self._entry.drop_lost_members()
+        async with asyncio.TaskGroup() as rounds:
+            while True:
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(CONFIRM_PAUSE_S):
+                        await self._elected.wait()
+                self._elected.clear()
+                if self._leadership.needs_confirmation(CONFIRM_AHEAD_S):
+                    rounds.create_task(self._entry.confirm_leadership())
+                    continue
+                is_due = loop_now_s() - checked_s > MEMBER_CHECK_PAUSE_S
+                if is_due and self._leadership.held_epoch:
+                    checked_s = loop_now_s()
+                    await self._entry.drop_lost_members()
 
     async def _watch_lag(self) -> None:
         """Hand over leadership when the event loop lags persistently."""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -34,6 +34,7 @@
 from cicadatraild.scheduling.adviser import Adviser
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
 from cicadatraild.scheduling.feeds import TopicFeed
+from cicadatraild.scheduling.former_leases import FormerLeases
 from cicadatraild.scheduling.journal import RECORD_LIMIT_BYTES, Journal
 from cicadatraild.scheduling.leader_records import LeaderRecords
 from cicadatraild.scheduling.leadership import Leadership
@@ -117,7 +118,8 @@
         self._leadership = leadership
         self._dirty = asyncio.Event()
         self.scheduler.on_change = self._dirty.set
-        self._records = LeaderRecords(self.scheduler)
+        self._former_leases = FormerLeases(self.scheduler, leadership.right)
+        self._records = LeaderRecords(self.scheduler, self._former_leases)
         self.journal = Journal(
             store, epoch, self._records.collect, leadership.step_down
         )
@@ -324,7 +326,7 @@
                 self._dirty.set()
             could_start = may_start
             self._unlist_missing(now_s)
-            self._records.former_leases.update()
+            self._former_leases.update()
             self.scheduler.tick(now_s, unix_now_ms())
             for worker in stop_stuck_runs(self.scheduler, now_s):
                 eject(worker, now_s, EJECTION_S, self.scheduler.workers, "no progress")
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -30,9 +30,6 @@
 
 logger = logging.getLogger("cicadatrail.holder")
 
-FORMER_LEADER_S = 0.5
-"""Time for which an earlier leader may renew leases before it is fenced."""
-
 JOB_PREFIX = "j/"
 PROGRESS_PREFIX = "p/"
 WAVE_PREFIX = "w/"
@@ -48,15 +45,12 @@
     and of the machines that may recently have got an order.
     """
 
-    def __init__(self, scheduler: Scheduler) -> None:
+    def __init__(self, scheduler: Scheduler, former_leases: FormerLeases) -> None:
         self._scheduler = scheduler
+        self._former_leases = former_leases
         self._fleet: tuple[str, ...] | None = None
         self._changed_waves = False
         self._queues = QueueRecords(scheduler)
-        self._former_until_s = float("-inf")
-        self.former_leases = FormerLeases(
-            scheduler, lambda: self._former_until_s, lambda: "elapsed"
-        )
         self._inventory: MachineInventory
         self._waves: WaveRunner
         # Workers that the store listed when this leader took over.
@@ -170,8 +164,7 @@
         has_fleet = self._restore_fleet(values.get(FLEET_KEY))
         if ORDERS_KEY in values:
             self._inventory.restore(values[ORDERS_KEY])
-        self._former_until_s = now_s + FORMER_LEADER_S
-        self.former_leases.await_workers()
+        self._former_leases.await_workers()
         for key, value in values.items():
             if key.startswith(WAVE_PREFIX):
                 self._restore_wave(key, value)
@@ -180,10 +173,10 @@
         self._queues.restore(values)
         if not has_fleet:
             # A subtask may run on a worker that only the list named.
-            self.former_leases.hold_jobs(jobs)
+            self._former_leases.hold_jobs(jobs)
         for job in jobs:
             self._activate(job, now_s)
-        return now_s if has_fleet else self.former_leases.end_s
+        return now_s if has_fleet else self._former_leases.end_s
 
     def _activate(self, job: JobState, now_s: float) -> None:
         try:
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
@@ -0,0 +1,140 @@
+"""An instance's right to act as the leader, and what it knows of its predecessors'."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from cicadatrail_core.leadership.acting_right import (
+    ActingRight,
+    FormerRight,
+    blocking_time_s,
+)
+from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
+from cicadatraild.scheduling.leader_record import LeaderRecord
+from cicadatraild.scheduling.membership import Membership
+
+logger = logging.getLogger("cicadatrail.leadership")
+
+
+@dataclass(frozen=True, slots=True)
+class ConfirmationRound:
+    """The answers of other instances to the question whether they follow an epoch.
+
+    ``asked_s`` is when they were asked, ``confirmed_s`` when each host confirmed, both
+    on the boot clock. ``has_objection`` is set when one may have been elected.
+    """
+
+    epoch: int
+    asked_s: float
+    confirmed_s: Mapping[str, float]
+    has_objection: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _StoredRenewal:
+    """A renewal that the store has acknowledged and that was not read back yet."""
+
+    sequence: int
+    end_offset: int
+
+
+class LeaderRight:
+    """Track the right of this instance to act, and until when earlier leaders may.
+
+    Times are on the boot clock, which counts suspended time.
+    """
+
+    def __init__(self, members: Membership, node: str, host: str) -> None:
+        self._members = members
+        self._node = node
+        self._host = host
+        self.acting = ActingRight()
+        self.former = FormerRight(float("-inf"))
+        self._read_s = boot_now_s()
+        self._stored: list[_StoredRenewal] = []
+        self._former_members: frozenset[str] = frozenset()
+        self._former_host = ""
+        self._promised_s: dict[str, float] = {}
+
+    def note_record(self) -> None:
+        """Record that a leader's record, or the whole topic, has just been read."""
+        self._read_s = boot_now_s()
+
+    def begin(self, predecessor: LeaderRecord | None, sent_s: float) -> None:
+        """Begin a term after ``predecessor``, the newest leader in the topic.
+
+        ``sent_s`` is when the claim was sent.
+        """
+        self.acting = ActingRight(sent_s)
+        self._stored.clear()
+        self._promised_s = {self._host: boot_now_s()}
+        self._former_members = frozenset()
+        self._former_host = ""
+        if predecessor is None:
+            self.former = FormerRight(float("-inf"))
+            return
+        self.former = FormerRight(self._read_s)
+        if self._members.settled_epoch < predecessor.epoch:
+            # Earlier leaders may act as well, and their instances are not known.
+            return
+        self._former_members = self._members.known_hosts
+        self._former_host = predecessor.host
+        if predecessor.released or predecessor.node == self._node:
+            self.former = self.former.end(self._read_s)
+
+    def end(self) -> None:
+        """End this instance's own right at once."""
+        self.acting = ActingRight()
+        self._stored.clear()
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether no earlier leader can act any more."""
+        return boot_now_s() >= self.former.until_s
+
+    @property
+    def former_until_loop_s(self) -> float:
+        """Return until when an earlier leader may act, on the event loop's clock."""
+        return loop_now_s() + self.former.until_s - boot_now_s()
+
+    def note_stored(self, sequence: int, sent_s: float, end_offset: int) -> None:
+        """Prolong the lease by a renewal that the store has acknowledged."""
+        self.acting = self.acting.renew(sent_s)
+        self._stored.append(_StoredRenewal(sequence, end_offset))
+
+    def note_offset(self, offset: int) -> None:
+        """Record that the renewals before ``offset`` were read back."""
+        read = [renewal for renewal in self._stored if renewal.end_offset <= offset]
+        self._stored = [r for r in self._stored if r.end_offset > offset]
+        for renewal in read:
+            self._members.mark_read(renewal.sequence)
+
+    def apply_round(self, answers: ConfirmationRound) -> None:
+        """Apply the answers of the other instances, for this instance's epoch."""
+        hosts = {self._host, *answers.confirmed_s}
+        if not answers.has_objection and self._members.is_confirmed_by(hosts):
+            self.acting = self.acting.confirm(answers.asked_s)
+        if not self.is_settled:
+            self._apply_promises(answers.confirmed_s)
+
+    def _apply_promises(self, confirmed_s: Mapping[str, float]) -> None:
+        before = self.former
+        for host, answered_s in confirmed_s.items():
+            self._promised_s.setdefault(host, answered_s)
+        blocked_s = blocking_time_s(self._promised_s, self._former_members)
+        if math.isfinite(blocked_s):
+            self.former = self.former.promise(blocked_s)
+        if self._former_host in confirmed_s:
+            self.former = self.former.end(confirmed_s[self._former_host])
+        if self.former != before:
+            logger.info(
+                "leadership: end of earlier leaders is known.",
+                extra={
+                    "proof": self.former.proof,
+                    "left_s": round(self.former.until_s - boot_now_s(), 3),
+                    "promised": sorted(self._promised_s),
+                },
+            )
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -36,6 +36,7 @@
     decode_leader,
     encode_leader,
 )
+from cicadatraild.scheduling.leader_right import ConfirmationRound, LeaderRight
 from cicadatraild.scheduling.membership import Membership
 
 logger = logging.getLogger("cicadatrail.leadership")
@@ -47,18 +48,6 @@
 """Time without a renewal after which other instances claim leadership; covers a
 store that is 60 times slower than usual."""
 
-LEADERSHIP_LEASE_S = 1.0
-"""Length of the lease, from the sending of a renewal. Shorter than the silence
-limit, so no other instance can have claimed leadership while it is valid."""
-
-CONFIRMATION_S = 0.5
-"""Time for which the confirmation of all other instances is valid: one round of
-queries, and the pause before the next one."""
-
-UNKNOWN_CLAIM_S = 10.0
-"""Silence after which an instance claims that the leader does not know. The leader may
-still be confirmed by all others, but more likely it has ended."""
-
 FOLLOW_WAIT_MS = 500
 """Time for which the store may delay a read until the next record (long poll)."""
 
@@ -78,6 +67,8 @@
 class Leadership:
     """Track the current leader, and claim leadership when there is none.
 
+    ``right`` has the time for which this instance may act while it is the leader.
+
     ``on_elected`` is called with the epoch that this instance has won,
     ``on_step_down`` with the reason when it is no longer the leader.
     ``claim_delay_s`` delays claims in favour of other instances. With
@@ -104,12 +95,14 @@
         self._offset: int | None = None
         self._seen_s = 0.0
         self._sequence = 0
-        self._lease_until_s = 0.0
-        self._confirmed_until_s = 0.0
         self._renewing: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
         self._store_failed = False
         self.members = Membership(host)
+        self.right = LeaderRight(self.members, node, host)
+        self._has_read = False
+        # Newest epoch that this instance has promised a peer to follow.
+        self._promised_epoch = 0
         # Set when the leader has to acknowledge an instance.
         self._registered = asyncio.Event()
         # Where the newest claim without an answer expected the topic's end.
@@ -125,38 +118,56 @@
 
     def is_lease_valid(self) -> bool:
         """Return whether the lease is valid: no other instance can have claimed."""
-        return self.held_epoch > 0 and boot_now_s() < self._lease_until_s
+        return self.held_lease_after(boot_now_s())
 
     def may_start(self) -> bool:
         """Return whether subtasks may be started and workers' leases renewed.
 
-        Either the lease is valid or every other instance has recently confirmed that
-        there is no newer leader. The fence of a worker isn't enough: after a restart
-        it accepts any epoch, also that of a leader that was suspended or partitioned,
-        and a newer leader may not reach the worker.
+        The fence of a worker isn't enough: after a restart it accepts any epoch, also
+        that of a leader that was suspended or partitioned, and a newer leader may not
+        reach the worker.
         """
-        until_s = max(self._lease_until_s, self._confirmed_until_s)
-        return self.held_epoch > 0 and boot_now_s() < until_s
+        return self.held_epoch > 0 and boot_now_s() < self.right.acting.until_s
 
     def held_lease_after(self, boot_s: float) -> bool:
         """Return whether the lease was valid at or after a time on the boot clock."""
-        return self.held_epoch > 0 and boot_s < self._lease_until_s
+        return self.held_epoch > 0 and boot_s < self.right.acting.lease_until_s
 
-    def confirm(self, epoch: int, asked_s: float) -> None:
-        """Record that no other instance could have claimed an epoch after ``epoch``.
+    def needs_confirmation(self, ahead_s: float) -> bool:
+        """Return whether others have to be asked, as the lease ends in ``ahead_s``.
 
-        ``asked_s`` is the boot clock's time at which they were asked.
+        Also until it is known that no earlier leader can act.
         """
-        if epoch == self.held_epoch:
-            self._confirmed_until_s = asked_s + CONFIRMATION_S
+        is_held = self.held_lease_after(boot_now_s() + ahead_s)
+        return self.held_epoch > 0 and not (is_held and self.right.is_settled)
+
+    def apply_round(self, answers: ConfirmationRound) -> None:
+        """Apply the answers of the other instances to a round of questions."""
+        if answers.epoch == self.held_epoch:
+            self.right.apply_round(answers)
 
-    def can_confirm(self, epoch: int) -> bool:
-        """Return whether this instance has not claimed an epoch after ``epoch``.
+    def promise(self, epoch: int) -> bool:
+        """Promise to confirm no leader before ``epoch``; return False if impossible.
 
-        A claim without an answer may be carried out until the topic has moved on.
+        A newer leader may rely on it, so that an instance that has restarted first
+        reads the topic, which has every epoch that it may have promised to follow. A
+        claim without an answer may be carried out until the topic has moved on.
         """
         known_epoch = self.current.epoch if self.current else 0
-        return known_epoch <= epoch and self._open_claim_offset is None
+        is_open = self._open_claim_offset is not None
+        if not self._has_read or is_open:
+            return False
+        if epoch < max(known_epoch, self._promised_epoch):
+            return False
+        self._promised_epoch = epoch
+        if epoch > self.held_epoch > 0:
+            self.step_down(f"a peer leads epoch {epoch}")
+        return True
+
+    @property
+    def has_read(self) -> bool:
+        """Return whether this process has read the leader's topic."""
+        return self._has_read
 
     async def changed(self, timeout_s: float) -> None:
         """Wait until the leader changes, for at most ``timeout_s``."""
@@ -193,8 +204,7 @@
             extra={"epoch": self.held_epoch, "reason": reason},
         )
         self._left_epoch, self.held_epoch = self.held_epoch, 0
-        self._lease_until_s = 0.0
-        self._confirmed_until_s = 0.0
+        self.right.end()
         if self._renewing is not None:
             self._renewing.cancel()
             self._renewing = None
@@ -276,6 +286,8 @@
         if self._offset is None:
             records, self._offset = await self._store.read_newest(LEADER_TOPIC)
             self.members.reset()
+            self._has_read = True
+            self.right.note_record()
             if not any(record.key == HOLDER_KEY for record in records):
                 self._seen_s = loop_now_s() - SILENCE_LIMIT_S
         else:
@@ -289,6 +301,7 @@
         for record in records:
             if not self.members.apply(record):
                 self._apply_record(record)
+        self.right.note_offset(self._offset)
         if self.members.needs_acknowledgement:
             self._registered.set()
 
@@ -297,6 +310,7 @@
         if leader is None:
             return
         self._seen_s = loop_now_s()
+        self.right.note_record()
         if self.current is not None and leader.epoch < self.current.epoch:
             return
         is_own = leader.process_id == self._process_id
@@ -335,11 +349,7 @@
             return True
         if current.node == self._node and current.process_id != self._process_id:
             return bool(current.process_id)
-        # A leader without the store goes on while all that it knows confirm it.
-        is_asked = self.members.is_known_to_leader
-        is_limit_short = is_asked or not self.members.can_confirm_leader(current.host)
-        limit_s = SILENCE_LIMIT_S if is_limit_short else UNKNOWN_CLAIM_S
-        return loop_now_s() - self._seen_s > limit_s
+        return loop_now_s() - self._seen_s > SILENCE_LIMIT_S
 
     def _is_successor(self, leader: LeaderRecord) -> bool:
         return leader.successor == self._host
@@ -367,7 +377,7 @@
             # instances with the same producer and sequence as one, retried.
             await self._store.append(
                 LEADER_TOPIC,
-                [encode_leader(record), self.members.acknowledgement()],
+                [encode_leader(record), self.members.begin_term()],
                 expected_end=self._offset,
             )
         except PositionError:
@@ -386,18 +396,22 @@
             await self.release("")
 
     async def _append(self, record: LeaderRecord, epoch: int) -> None:
-        producer = Producer(PRODUCER, epoch, self._sequence)
-        await self._store.append(
-            LEADER_TOPIC,
-            [encode_leader(record), *self.members.collect_changes()],
-            producer=producer,
-        )
-        self._sequence += 1
+        sequence = self._sequence
+        sent_s = boot_now_s()
+        records = [encode_leader(record), *self.members.collect_changes(sequence)]
+        if self.right.is_settled:
+            records += self.members.settlement(epoch)
+        producer = Producer(PRODUCER, epoch, sequence)
+        end = await self._store.append(LEADER_TOPIC, records, producer=producer)
+        self._sequence = sequence + 1
+        if self.held_epoch == epoch:
+            self.right.note_stored(sequence, sent_s, end)
+            self.right.note_offset(self._offset or 0)
 
     def _become_leader(self, epoch: int, sent_s: float) -> None:
+        self.right.begin(self.current, sent_s)
         self.held_epoch = epoch
         self._sequence = 0
-        self._lease_until_s = sent_s + LEADERSHIP_LEASE_S
         self._seen_s = loop_now_s()
         self._renewing = asyncio.create_task(self._renew(epoch))
         logger.info("leadership: elected.", extra={"epoch": epoch})
@@ -407,12 +421,8 @@
         record = LeaderRecord(epoch, self._node, self._host, self._process_id)
         while self.held_epoch == epoch:
             began_s = loop_now_s()
-            sent_s = boot_now_s()
             try:
                 await self._append(record, epoch)
-                self._lease_until_s = max(
-                    self._lease_until_s, sent_s + LEADERSHIP_LEASE_S
-                )
             except FencedError as error:
                 self._renewing = None
                 self.step_down(str(error))
