Count a repeated renewal from its first sending

Cause of a possible TWICE: an append without an answer is repeated with its sequence number, and the store answers it like the first one. The lease was counted from the repeat, while others had read the record when it was first carried out, up to 1.1 s before, and may claim 1.3 s after that.

The new scenario of leader_lease.feature failed before: the lease was valid after the repeat.

--- /dev/null
+++ b/features/steps/leader_lease_steps.py
@@ -0,0 +1,233 @@
+"""Steps about the lease that a leader's renewals give it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from contextlib import ExitStack, suppress
+from typing import Any
+from unittest.mock import patch
+
+from behave import given, then, when
+
+from cicadatraild.platform.store import (
+    KeyedRecord,
+    PositionError,
+    Producer,
+    StoreUnavailableError,
+)
+from cicadatraild.scheduling.leader_record import LeaderRecord, encode_leader
+from cicadatraild.scheduling.leadership import Leadership
+
+MODULES = ("leadership", "leader_right")
+
+
+class LeaderTopic:
+    """The leader's topic in memory; the answers of ``lost_count`` appends are lost."""
+
+    def __init__(self) -> None:
+        self.records: list[KeyedRecord] = []
+        self.ends: dict[tuple[int, int], int] = {}
+        self.lost_count = 0
+
+    async def append(
+        self,
+        topic: str,
+        records: Sequence[KeyedRecord],
+        *,
+        producer: Producer | None = None,
+        expected_end: int | None = None,
+    ) -> int:
+        if expected_end is not None and expected_end != len(self.records):
+            raise PositionError
+        key = (producer.epoch, producer.sequence) if producer else None
+        if key not in self.ends:
+            self.records += records
+            if key is not None:
+                self.ends[key] = len(self.records)
+        if self.lost_count:
+            self.lost_count -= 1
+            raise StoreUnavailableError("no answer", may_have_run=True)
+        return self.ends[key] if key is not None else len(self.records)
+
+    async def read_newest(self, topic: str) -> tuple[list[KeyedRecord], int]:
+        newest = {record.key: record for record in self.records}
+        return [*newest.values()], len(self.records)
+
+    async def read(
+        self, topic: str, offset: int, wait_ms: int
+    ) -> tuple[list[KeyedRecord], int]:
+        return self.records[offset:], len(self.records)
+
+
+class LeaseWorld:
+    """One instance on the topic; its tasks run only as ``act`` says."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        self.topic = LeaderTopic()
+        self.reasons: list[str] = []
+
+    def play(self, action: Callable[[], Awaitable[None]]) -> None:
+        """Run an action with this world's clock."""
+        with ExitStack() as stack:
+            for module in MODULES:
+                name = f"cicadatraild.scheduling.{module}.boot_now_s"
+                stack.enter_context(patch(name, lambda: self.now_s))
+            asyncio.run(self._play(action))
+
+    async def _play(self, action: Callable[[], Awaitable[None]]) -> None:
+        self.leadership = Leadership(
+            self.topic,  # type: ignore[arg-type]
+            "a",
+            "h1",
+            lambda epoch: None,
+            self.reasons.append,
+        )
+        await self.leadership._follow()
+        await self.leadership._register()
+        await self.leadership._follow()
+        await action()
+        self.leadership.close()
+
+    async def claim(self) -> None:
+        await self.leadership._claim()
+        await self.leadership._follow()
+
+    async def renew(self) -> None:
+        """Send one renewal, as the renewing task would, and read what is stored."""
+        renewing = self.leadership._renewing
+        if renewing is not None:
+            renewing.cancel()
+        await self.send_renewal()
+        await self.leadership._follow()
+
+    async def send_renewal(self) -> None:
+        epoch = self.leadership.held_epoch
+        record = LeaderRecord(epoch, "a", "h1", self.leadership._process_id)
+        await self.leadership._append(record, epoch)
+
+    def claim_of_another(self, epoch: int) -> None:
+        self.topic.records.append(encode_leader(LeaderRecord(epoch, "b", "h2", "p2")))
+
+
+@given("a leader whose renewal is stored and not answered")
+def step_unanswered(context: Any) -> None:
+    world = context.world = LeaseWorld()
+
+    async def action() -> None:
+        await world.claim()
+        await world.renew()
+        assert world.leadership.is_lease_valid()
+        world.now_s += 0.3
+        world.topic.lost_count = 1
+        with suppress(StoreUnavailableError):
+            await world.send_renewal()
+
+    context.action = action
+
+
+@when("the repeat is answered 1.1 s later")
+def step_repeat(context: Any) -> None:
+    world = context.world
+    seen = context.seen = []
+
+    async def action() -> None:
+        await context.action()
+        world.now_s += 1.1
+        await world.renew()
+        seen.append(world.leadership.may_start())
+        await world.renew()
+        seen.append(world.leadership.may_start())
+
+    world.play(action)
+
+
+@then("the lease is over, and the next renewal makes it valid")
+def step_valid_again(context: Any) -> None:
+    assert context.seen == [False, True], context.seen
+
+
+@given("a leader that was suspended while another instance claimed")
+def step_suspended(context: Any) -> None:
+    world = context.world = LeaseWorld()
+
+    async def action() -> None:
+        await world.claim()
+        await world.renew()
+        world.now_s += 5.0
+        world.claim_of_another(world.leadership.held_epoch + 1)
+
+    context.action = action
+
+
+@when("its next renewal is acknowledged before it reads the claim")
+def step_acknowledged(context: Any) -> None:
+    world = context.world
+    seen = context.seen = []
+
+    async def action() -> None:
+        await context.action()
+        await world.send_renewal()
+        seen.append(world.leadership.may_start())
+        await world.leadership._follow()
+        seen.append(world.leadership.held_epoch > 0)
+
+    world.play(action)
+
+
+@then("the lease is over, and it steps down when it reads the claim")
+def step_deposed(context: Any) -> None:
+    assert context.seen == [False, False], context.seen
+
+
+@given("an instance whose claim is stored and not answered")
+def step_open_claim(context: Any) -> None:
+    world = context.world = LeaseWorld()
+
+    async def action() -> None:
+        world.topic.lost_count = 1
+        await world.leadership._claim()
+        assert not world.leadership.held_epoch
+
+    context.action = action
+
+
+@when("it reads the claim 1.2 s later")
+def step_read_late(context: Any) -> None:
+    world = context.world
+    seen = context.seen = []
+
+    async def action() -> None:
+        await context.action()
+        world.now_s += 1.2
+        await world.leadership._follow()
+        assert world.leadership.held_epoch
+        seen.append(world.leadership.may_start())
+        await world.renew()
+        seen.append(world.leadership.may_start())
+
+    world.play(action)
+
+
+@then("it leads without a lease until a renewal was read back")
+def step_no_lease(context: Any) -> None:
+    assert context.seen == [False, True], context.seen
+
+
+@when("it reads the claim after another instance has claimed the same epoch")
+def step_same_epoch(context: Any) -> None:
+    world = context.world
+
+    async def action() -> None:
+        await context.action()
+        world.claim_of_another(1)
+        await world.leadership._follow()
+        context.held_epoch = world.leadership.held_epoch
+
+    world.play(action)
+
+
+@then("it does not lead")
+def step_no_leader(context: Any) -> None:
+    assert context.held_epoch == 0, context.held_epoch
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
@@ -54,6 +54,7 @@
         self.acting = ActingRight()
         self.former = FormerRight(float("-inf"))
         self._read_s = boot_now_s()
+        self._sending: tuple[int, float] = (-1, 0.0)
         self._stored: list[_StoredRenewal] = []
         self._former_members: frozenset[str] = frozenset()
         self._former_host = ""
@@ -69,6 +70,7 @@
         ``sent_s`` is when the claim was sent.
         """
         self.acting = ActingRight(sent_s)
+        self._sending = (-1, 0.0)
         self._stored.clear()
         self._promised_s = {self._host: boot_now_s()}
         self._former_members = frozenset()
@@ -100,6 +102,16 @@
         """Return until when an earlier leader may act, on the event loop's clock."""
         return loop_now_s() + self.former.until_s - boot_now_s()
 
+    def note_sending(self, sequence: int) -> float:
+        """Return when the append of a sequence number is first sent.
+
+        The store answers a repeat like the first one, which others may have read long
+        ago.
+        """
+        if self._sending[0] != sequence:
+            self._sending = (sequence, boot_now_s())
+        return self._sending[1]
+
     def note_stored(self, sequence: int, sent_s: float, end_offset: int) -> None:
         """Prolong the lease by a renewal that the store has acknowledged."""
         self.acting = self.acting.renew(sent_s)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -397,7 +397,7 @@
 
     async def _append(self, record: LeaderRecord, epoch: int) -> None:
         sequence = self._sequence
-        sent_s = boot_now_s()
+        sent_s = self.right.note_sending(sequence)
         records = [encode_leader(record), *self.members.collect_changes(sequence)]
         if self.right.is_settled:
             records += self.members.settlement(epoch)
