Count a renewal only once it was read back

Cause of a possible TWICE: claims don't fence the former leader's appends; only the first renewal of the new one does. A former leader that had been suspended could store a renewal in between and took its lease for valid, though another was elected. A claim whose answer was lost gave a lease from when it was read, which may be a second after it was carried out.

The lease now begins with renewals that the leader has read back, with no claim before them. A full read of the topic, which has only the newest record, counts for none.

Both new scenarios failed before.

--- a/features/leader_lease.feature
+++ b/features/leader_lease.feature
@@ -7,3 +7,15 @@
     Given a leader whose renewal is stored and not answered
     When the repeat is answered 1.1 s later
     Then the lease is over, and the next renewal makes it valid
+
+  # Guards against TWICE: the successor's first fenced append had not arrived yet.
+  Scenario: A renewal that is stored after a claim prolongs no lease
+    Given a leader that was suspended while another instance claimed
+    When its next renewal is acknowledged before it reads the claim
+    Then the lease is over, and it steps down when it reads the claim
+
+  # Guards against TWICE: the silence counts from the claim, not from its reading.
+  Scenario: A claim that is read back late gives no lease
+    Given an instance whose claim is stored and not answered
+    When it reads the claim 1.2 s later
+    Then it leads without a lease until a renewal was read back
--- a/packages/cicadatrail-core/src/cicadatrail_core/leadership/acting_right.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/leadership/acting_right.py
@@ -39,8 +39,9 @@
 class ActingRight:
     """The right of one leader to start subtasks and to renew the leases of workers.
 
-    ``renewed_s`` is when the newest renewal that counts was sent, ``confirmed_s`` when
-    the newest round of questions was asked that a majority has confirmed.
+    ``renewed_s`` is when its newest renewal was first sent that it has read back before
+    any claim of a newer epoch, ``confirmed_s`` when it asked the newest round of
+    questions that a majority has confirmed.
     """
 
     renewed_s: float = float("-inf")
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
@@ -38,6 +38,7 @@
     """A renewal that the store has acknowledged and that was not read back yet."""
 
     sequence: int
+    sent_s: float
     end_offset: int
 
 
@@ -64,12 +65,12 @@
         """Record that a leader's record, or the whole topic, has just been read."""
         self._read_s = boot_now_s()
 
-    def begin(self, predecessor: LeaderRecord | None, sent_s: float) -> None:
+    def begin(self, predecessor: LeaderRecord | None) -> None:
         """Begin a term after ``predecessor``, the newest leader in the topic.
 
-        ``sent_s`` is when the claim was sent.
+        The right to act begins with the first renewal that is read back.
         """
-        self.acting = ActingRight(sent_s)
+        self.acting = ActingRight()
         self._sending = (-1, 0.0)
         self._stored.clear()
         self._promised_s = {self._host: boot_now_s()}
@@ -113,15 +114,25 @@
         return self._sending[1]
 
     def note_stored(self, sequence: int, sent_s: float, end_offset: int) -> None:
-        """Prolong the lease by a renewal that the store has acknowledged."""
-        self.acting = self.acting.renew(sent_s)
-        self._stored.append(_StoredRenewal(sequence, end_offset))
+        """Record that the store has acknowledged a renewal."""
+        self._stored.append(_StoredRenewal(sequence, sent_s, end_offset))
+
+    def forget_stored(self) -> None:
+        """Don't count renewals that can't be read back in order any more.
+
+        The newest record of the leader may hide a claim that came before it.
+        """
+        self._stored.clear()
 
     def note_offset(self, offset: int) -> None:
-        """Record that the renewals before ``offset`` were read back."""
+        """Prolong the lease by the renewals before ``offset``, which were read back.
+
+        A claim before one of them has ended this term.
+        """
         read = [renewal for renewal in self._stored if renewal.end_offset <= offset]
         self._stored = [r for r in self._stored if r.end_offset > offset]
         for renewal in read:
+            self.acting = self.acting.renew(renewal.sent_s)
             self._members.mark_read(renewal.sequence)
 
     def apply_round(self, answers: ConfirmationRound) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -288,6 +288,7 @@
             self.members.reset()
             self._has_read = True
             self.right.note_record()
+            self.right.forget_stored()
             if not any(record.key == HOLDER_KEY for record in records):
                 self._seen_s = loop_now_s() - SILENCE_LIMIT_S
         else:
@@ -320,7 +321,7 @@
         has_won = is_own and not leader.released and is_new
         if has_won and not self.is_closed:
             # A claim that was not answered has succeeded.
-            self._become_leader(leader.epoch, boot_now_s())
+            self._become_leader(leader.epoch)
         if leader != self.current:
             self._set_current(leader)
 
@@ -361,7 +362,6 @@
                 return
         epoch = (self.current.epoch if self.current else 0) + 1
         record = LeaderRecord(epoch, self._node, self._host, self._process_id)
-        sent_s = boot_now_s()
         self.claim_count += 1
         logger.info(
             "leadership: claiming leadership.",
@@ -390,7 +390,7 @@
             )
             return
         self._open_claim_offset = None
-        self._become_leader(epoch, sent_s)
+        self._become_leader(epoch)
         self._set_current(record)
         if self.is_closed:
             await self.release("")
@@ -408,8 +408,8 @@
             self.right.note_stored(sequence, sent_s, end)
             self.right.note_offset(self._offset or 0)
 
-    def _become_leader(self, epoch: int, sent_s: float) -> None:
-        self.right.begin(self.current, sent_s)
+    def _become_leader(self, epoch: int) -> None:
+        self.right.begin(self.current)
         self.held_epoch = epoch
         self._sequence = 0
         self._seen_s = loop_now_s()
