Step down when another process leads the same epoch

Cause of a possible TWICE: a leader stepped down for a higher epoch only. Two leaders of one epoch share token, run numbers and sequence numbers, so that nothing else ends them. How an epoch can be claimed twice is mended apart.

The new scenario of leader_lease.feature failed before.

--- a/features/leader_lease.feature
+++ b/features/leader_lease.feature
@@ -19,3 +19,8 @@
     Given an instance whose claim is stored and not answered
     When it reads the claim 1.2 s later
     Then it leads without a lease until a renewal was read back
+
+  Scenario: Of two leaders with one epoch, the one that reads the other steps down
+    Given an instance whose claim is stored and not answered
+    When it reads the claim after another instance has claimed the same epoch
+    Then it does not lead
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -315,7 +315,7 @@
         if self.current is not None and leader.epoch < self.current.epoch:
             return
         is_own = leader.process_id == self._process_id
-        if leader.epoch > self.held_epoch > 0 and not is_own:
+        if leader.epoch >= self.held_epoch > 0 and not is_own:
             self.step_down(f"epoch {leader.epoch} of {leader.node}")
         is_new = leader.epoch > max(self.held_epoch, self._left_epoch)
         has_won = is_own and not leader.released and is_new
