Grant leases that end in time on slow clocks

Cause of a possible TWICE: a lease's deadline is the worker's clock at its last answer, and the time since then, and the length of the lease. On a clock that is 2% slow the time since then lasts longer too, by 0.6 s after 30 s without an answer; a successor counts the lease from its grant and adds 0.1 s.

The deadline now takes the slow clock's share of that time. On a clock that keeps time a lease is shorter by 2% of the age of the last answer.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -154,6 +154,12 @@
     When the first worker reports a newer incarnation without the run
     Then the run counts until the longest lease of a worker is over
 
+  # Guards against TWICE: a successor waits for a lease as from its grant.
+  Scenario: A lease that is granted long after a worker's answer ends as soon as any
+    Given a worker with a slow clock that answered 30 s ago
+    When its lease is renewed
+    Then the lease is over by the time that a successor waits
+
   Scenario: A gang that may have used its last attempt is awaited
     Given a scheduler with 3 workers of 8 cores
     And a gang has failed twice of three times and a third run's lease expired
--- a/features/steps/jobs_restart_steps.py
+++ b/features/steps/jobs_restart_steps.py
@@ -8,6 +8,7 @@
 
 from cicadatrail_core.jobs.evacuation import stop_stuck_runs
 from cicadatrail_core.jobs.models import EndKind
+from cicadatrail_core.jobs.scheduler_settings import CLOCK_DRIFT
 from cicadatrail_core.jobs.state import Run, SubtaskPhase
 from features.support.job_world import LEASE_S, JobWorld, definition
 
@@ -129,3 +130,28 @@
 def step_reported_once(context: Any) -> None:
     assert context.stuck == [context.world.worker("w0")], context.stuck
     assert len(context.world.stops()) == 2
+
+
+@given("a worker with a slow clock that answered 30 s ago")
+def step_old_answer(context: Any) -> None:
+    context.world = JobWorld(1)
+    context.world.report_all()
+    context.answered_s = context.world.now_s
+    context.world.now_s += 30
+
+
+@when("its lease is renewed")
+def step_renewed(context: Any) -> None:
+    world = context.world
+    worker = world.worker("w0")
+    deadline_ms = world.scheduler.renew_lease(worker, world.now_s)
+    assert deadline_ms is not None
+    left_s = (deadline_ms - worker.clock_ms) / 1000 / (1 - CLOCK_DRIFT)
+    context.ended_s = context.answered_s + left_s
+
+
+@then("the lease is over by the time that a successor waits")
+def step_over_in_time(context: Any) -> None:
+    world = context.world
+    awaited_s = world.now_s + world.scheduler.settings.granted_lease_s
+    assert context.ended_s <= awaited_s, (context.ended_s, awaited_s)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -347,7 +347,8 @@
         """
         if worker.clock_at_s is None or worker.is_suspect:
             return None
-        elapsed_s = now_s - worker.clock_at_s
+        # A slow clock may have advanced by less than the time that has passed.
+        elapsed_s = (now_s - worker.clock_at_s) * (1 - CLOCK_DRIFT)
         deadline = worker.clock_ms + int((elapsed_s + self.settings.lease_s) * 1000)
         bound_s = (deadline - worker.clock_ms) / 1000 / (1 - CLOCK_DRIFT)
         expires_s = worker.clock_at_s + bound_s + LEASE_MARGIN_S
