Keep the newest claimed epoch apart from the leader's record

Cause of a possible TWICE: all leaders' records share one key. A renewal of the former leader that lands after a claim replaces it in what a process reads at its start. Such a process confirmed the former epoch, though it had promised to follow the new one before it restarted, and could claim the new epoch once more.

Claims now store their epoch under a key that nobody else writes. As claims name the end of the topic, it never goes back.

The new scenario failed before: the older epoch was confirmed.

--- a/features/leader_lease.feature
+++ b/features/leader_lease.feature
@@ -20,6 +20,13 @@
     When it reads the claim 1.2 s later
     Then it leads without a lease until a renewal was read back
 
+  # Guards against TWICE: the newest record of the leader was the late one.
+  Scenario: A claim that a late renewal of the former leader hides is known to all
+    Given a claim of epoch 2 and after it a late renewal of epoch 1
+    When an instance reads only the newest records
+    Then it confirms no epoch before 2, and claims epoch 3
+
+  # Guards against TWICE: with an epoch in common, workers can't tell the two apart.
   Scenario: Of two leaders with one epoch, the one that reads the other steps down
     Given an instance whose claim is stored and not answered
     When it reads the claim after another instance has claimed the same epoch
--- a/features/steps/leader_lease_steps.py
+++ b/features/steps/leader_lease_steps.py
@@ -16,7 +16,11 @@
     Producer,
     StoreUnavailableError,
 )
-from cicadatraild.scheduling.leader_record import LeaderRecord, encode_leader
+from cicadatraild.scheduling.leader_record import (
+    HOLDER_KEY,
+    LeaderRecord,
+    encode_leader,
+)
 from cicadatraild.scheduling.leadership import Leadership
 
 MODULES = ("leadership", "leader_right")
@@ -215,6 +219,41 @@
     assert context.seen == [False, True], context.seen
 
 
+@given("a claim of epoch 2 and after it a late renewal of epoch 1")
+def step_hidden_claim(context: Any) -> None:
+    world = context.world = LeaseWorld()
+
+    async def claim_twice() -> None:
+        await world.claim()
+        first = world.topic.records[-3:]
+        world.leadership.step_down("suspended")
+        world.leadership.suspect(1)
+        await world.claim()
+        assert world.leadership.held_epoch == 2
+        world.topic.records.append(next(r for r in first if r.key == HOLDER_KEY))
+
+    world.play(claim_twice)
+
+
+@when("an instance reads only the newest records")
+def step_read_newest(context: Any) -> None:
+    world = context.world
+
+    async def action() -> None:
+        leadership = world.leadership
+        context.seen = [leadership.promise(1), leadership.promise(2)]
+        leadership.suspect(2)
+        await leadership._claim()
+        context.seen.append(leadership.held_epoch)
+
+    world.play(action)
+
+
+@then("it confirms no epoch before 2, and claims epoch 3")
+def step_no_reuse(context: Any) -> None:
+    assert context.seen == [False, True, 3], context.seen
+
+
 @when("it reads the claim after another instance has claimed the same epoch")
 def step_same_epoch(context: Any) -> None:
     world = context.world
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
@@ -80,7 +80,8 @@
             self.former = FormerRight(float("-inf"))
             return
         self.former = FormerRight(self._read_s)
-        if self._members.settled_epoch < predecessor.epoch:
+        newest_epoch = max(predecessor.epoch, self._members.claimed_epoch)
+        if self._members.settled_epoch < newest_epoch:
             # Earlier leaders may act as well, and their instances are not known.
             return
         self._former_members = self._members.known_hosts
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -153,17 +153,22 @@
         reads the topic, which has every epoch that it may have promised to follow. A
         claim without an answer may be carried out until the topic has moved on.
         """
-        known_epoch = self.current.epoch if self.current else 0
         is_open = self._open_claim_offset is not None
         if not self._has_read or is_open:
             return False
-        if epoch < max(known_epoch, self._promised_epoch):
+        if epoch < max(self._known_epoch, self._promised_epoch):
             return False
         self._promised_epoch = epoch
         if epoch > self.held_epoch > 0:
             self.step_down(f"a peer leads epoch {epoch}")
         return True
 
+    @property
+    def _known_epoch(self) -> int:
+        """Return the newest epoch that this instance knows of, or 0."""
+        current_epoch = self.current.epoch if self.current else 0
+        return max(current_epoch, self.members.claimed_epoch)
+
     @property
     def has_read(self) -> bool:
         """Return whether this process has read the leader's topic."""
@@ -302,6 +307,8 @@
         for record in records:
             if not self.members.apply(record):
                 self._apply_record(record)
+        if self.members.claimed_epoch > self.held_epoch > 0:
+            self.step_down(f"epoch {self.members.claimed_epoch} was claimed")
         self.right.note_offset(self._offset)
         if self.members.needs_acknowledgement:
             self._registered.set()
@@ -360,7 +367,7 @@
             await asyncio.sleep(self._claim_delay_s + random.uniform(0, CLAIM_JITTER_S))
             if not self._may_claim():
                 return
-        epoch = (self.current.epoch if self.current else 0) + 1
+        epoch = self._known_epoch + 1
         record = LeaderRecord(epoch, self._node, self._host, self._process_id)
         self.claim_count += 1
         logger.info(
@@ -377,7 +384,7 @@
             # instances with the same producer and sequence as one, retried.
             await self._store.append(
                 LEADER_TOPIC,
-                [encode_leader(record), self.members.begin_term()],
+                [encode_leader(record), *self.members.begin_term(epoch)],
                 expected_end=self._offset,
             )
         except PositionError:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/membership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/membership.py
@@ -4,6 +4,8 @@
 (``known``). Without the store a majority of them has to confirm it, and a successor
 asks the same instances to follow it. The leader also stores that no earlier leader can
 act any more (``settled``), so that its own successor has to mind only this one.
+Claims store their epoch (``claimed``) beside the leader's record, which a late renewal
+of the former leader may replace.
 """
 
 from __future__ import annotations
@@ -22,6 +24,7 @@
 MEMBER_PREFIX = "i/"
 KNOWN_KEY = "known"
 SETTLED_KEY = "settled"
+CLAIMED_KEY = "claimed"
 
 CLAIM_SEQUENCE = -1
 """Stands for the sequence number of a claim, which has none."""
@@ -31,7 +34,7 @@
     """The registered instances, by host, as read from the leader's topic.
 
     ``known_hosts`` are those that the leader has acknowledged last. No leader before
-    ``settled_epoch`` can act any more.
+    ``settled_epoch`` can act any more. ``claimed_epoch`` is the newest one claimed.
     """
 
     def __init__(self, own_host: str) -> None:
@@ -43,6 +46,7 @@
         self._unread: list[tuple[int, frozenset[str]]] = []
         self.known_hosts: frozenset[str] = frozenset()
         self.settled_epoch = 0
+        self.claimed_epoch = 0
 
     @property
     def hosts(self) -> set[str]:
@@ -70,10 +74,11 @@
         """Return the record that registers this instance."""
         return KeyedRecord(MEMBER_PREFIX + self._own_host, msgpack.packb(True))
 
-    def begin_term(self) -> KeyedRecord:
-        """Return the acknowledgement that is stored with a claim."""
+    def begin_term(self, epoch: int) -> list[KeyedRecord]:
+        """Return the records that are stored with a claim."""
         self._unread.clear()
-        return self._acknowledge(CLAIM_SEQUENCE)
+        claimed = KeyedRecord(CLAIMED_KEY, msgpack.packb(epoch))
+        return [self._acknowledge(CLAIM_SEQUENCE), claimed]
 
     def _acknowledge(self, sequence: int) -> KeyedRecord:
         known = frozenset(self._members - self._dropped)
@@ -122,6 +127,9 @@
         if record.key == SETTLED_KEY:
             self.settled_epoch = max(self.settled_epoch, _decode_epoch(record.value))
             return True
+        if record.key == CLAIMED_KEY:
+            self.claimed_epoch = max(self.claimed_epoch, _decode_epoch(record.value))
+            return True
         return False
 
     def _apply_member(self, record: KeyedRecord) -> None:
