Read the topic again before a claim once its history was dropped

Cause of a possible TWICE, and of two leaders of one epoch: after a 410 an instance that suspected the leader went on to claim with no position, so that the store carried the claim out whatever others had claimed. It had read nothing of its predecessors either.

The new scenario failed before: a claim without the end of the topic.

--- a/features/leader_lease.feature
+++ b/features/leader_lease.feature
@@ -31,3 +31,9 @@
     Given an instance whose claim is stored and not answered
     When it reads the claim after another instance has claimed the same epoch
     Then it does not lead
+
+  # Guards against TWICE: such a claim was carried out whatever others had claimed.
+  Scenario: An instance whose history was dropped reads the topic before it claims
+    Given an instance that suspects the leader, and whose history was dropped
+    When it follows the topic
+    Then it has read the whole topic, and no claim lacks the end of the topic
--- a/features/steps/leader_lease_steps.py
+++ b/features/steps/leader_lease_steps.py
@@ -14,6 +14,7 @@
     KeyedRecord,
     PositionError,
     Producer,
+    RecordsDroppedError,
     StoreUnavailableError,
 )
 from cicadatraild.scheduling.leader_record import (
@@ -33,6 +34,8 @@
         self.records: list[KeyedRecord] = []
         self.ends: dict[tuple[int, int], int] = {}
         self.lost_count = 0
+        self.first_offset = 0
+        self.claim_ends: list[int | None] = []
 
     async def append(
         self,
@@ -42,6 +45,8 @@
         producer: Producer | None = None,
         expected_end: int | None = None,
     ) -> int:
+        if producer is None and any(record.key == HOLDER_KEY for record in records):
+            self.claim_ends.append(expected_end)
         if expected_end is not None and expected_end != len(self.records):
             raise PositionError
         key = (producer.epoch, producer.sequence) if producer else None
@@ -61,6 +66,10 @@
     async def read(
         self, topic: str, offset: int, wait_ms: int
     ) -> tuple[list[KeyedRecord], int]:
+        if offset < self.first_offset:
+            raise RecordsDroppedError
+        if offset == len(self.records):
+            await asyncio.sleep(0.01)
         return self.records[offset:], len(self.records)
 
 
@@ -270,3 +279,38 @@
 @then("it does not lead")
 def step_no_leader(context: Any) -> None:
     assert context.held_epoch == 0, context.held_epoch
+
+
+@given("an instance that suspects the leader, and whose history was dropped")
+def step_dropped(context: Any) -> None:
+    world = context.world = LeaseWorld()
+
+    async def action() -> None:
+        world.claim_of_another(1)
+        await world.leadership._follow()
+        world.leadership.suspect(1)
+        world.now_s += 5.0
+        world.claim_of_another(2)
+        world.topic.first_offset = len(world.topic.records)
+
+    context.action = action
+
+
+@when("it follows the topic")
+def step_follow(context: Any) -> None:
+    world = context.world
+
+    async def action() -> None:
+        await context.action()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await world.leadership.run()
+
+    world.play(action)
+
+
+@then("it has read the whole topic, and no claim lacks the end of the topic")
+def step_read_whole(context: Any) -> None:
+    world = context.world
+    assert world.leadership.current.epoch >= 2, world.leadership.current
+    assert None not in world.topic.claim_ends, world.topic.claim_ends
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -253,7 +253,9 @@
                 await self._follow()
                 self._record_store_state(None)
             except RecordsDroppedError:
+                # A claim has to name the end of what was read.
                 self._offset = None
+                continue
             except StoreUnavailableError as error:
                 self._record_store_state(str(error))
                 await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
@@ -363,6 +365,8 @@
         return leader.successor == self._host
 
     async def _claim(self) -> None:
+        if self._offset is None:
+            return
         if self.current is None or not self._is_successor(self.current):
             await asyncio.sleep(self._claim_delay_s + random.uniform(0, CLAIM_JITTER_S))
             if not self._may_claim():
