Wait for one's own earlier leases after an election

Cause of a possible TWICE: a leader that acts without the store for seconds, steps down and is elected again took its former right for over as of the last record that it had read. It now counts from when it stepped down.

The new scenario failed before: over 5 s too early.

--- a/features/leader_lease.feature
+++ b/features/leader_lease.feature
@@ -37,3 +37,9 @@
     Given an instance that suspects the leader, and whose history was dropped
     When it follows the topic
     Then it has read the whole topic, and no claim lacks the end of the topic
+
+  # Guards against TWICE: without the store it had given leases until it stepped down.
+  Scenario: A leader that is elected again waits for the leases that it gave itself
+    Given a leader that acted without the store for 5 s and stepped down
+    When it is elected again
+    Then it counts its former right as over from when it stepped down, not before
--- a/features/steps/leader_lease_steps.py
+++ b/features/steps/leader_lease_steps.py
@@ -22,6 +22,7 @@
     LeaderRecord,
     encode_leader,
 )
+from cicadatraild.scheduling.leader_right import ConfirmationRound
 from cicadatraild.scheduling.leadership import Leadership
 
 MODULES = ("leadership", "leader_right")
@@ -314,3 +315,40 @@
     world = context.world
     assert world.leadership.current.epoch >= 2, world.leadership.current
     assert None not in world.topic.claim_ends, world.topic.claim_ends
+
+
+@given("a leader that acted without the store for 5 s and stepped down")
+def step_acted(context: Any) -> None:
+    world = context.world = LeaseWorld()
+
+    async def action() -> None:
+        await world.claim()
+        await world.renew()
+        world.now_s += 5.0
+        confirmed = ConfirmationRound(1, world.now_s, {}, False)
+        world.leadership.apply_round(confirmed)
+        assert world.leadership.may_start()
+        context.ended_s = world.now_s
+        world.leadership.step_down("a link failed")
+
+    context.action = action
+
+
+@when("it is elected again")
+def step_elected_again(context: Any) -> None:
+    world = context.world
+
+    async def action() -> None:
+        await context.action()
+        world.now_s += 1.5
+        world.leadership.suspect(1)
+        await world.leadership._claim()
+        assert world.leadership.held_epoch == 2
+
+    world.play(action)
+
+
+@then("it counts its former right as over from when it stepped down, not before")
+def step_own_end(context: Any) -> None:
+    until_s = context.world.leadership.right.former.until_s
+    assert until_s >= context.ended_s, (until_s, context.ended_s)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
@@ -55,6 +55,8 @@
         self.acting = ActingRight()
         self.former = FormerRight(float("-inf"))
         self._read_s = boot_now_s()
+        # When this process last led, after which it gave no lease.
+        self._ended_s = float("-inf")
         self._sending: tuple[int, float] = (-1, 0.0)
         self._stored: list[_StoredRenewal] = []
         self._former_members: frozenset[str] = frozenset()
@@ -87,10 +89,11 @@
         self._former_members = self._members.known_hosts
         self._former_host = predecessor.host
         if predecessor.released or predecessor.node == self._node:
-            self.former = self.former.end(self._read_s)
+            self.former = self.former.end(max(self._read_s, self._ended_s))
 
     def end(self) -> None:
         """End this instance's own right at once."""
+        self._ended_s = boot_now_s()
         self.acting = ActingRight()
         self._stored.clear()
 
