Claim after a refused connection only once the leader's lease is over

Cause of a possible TWICE and ONE: an instance whose connection to the leader was refused claimed at once. A packet filter answers like a machine without a process, and while its lease is valid the leader orders machines, starts on restarted workers and answers 410, as no other instance could have been elected. The successor now waits 1.0 s from the leader's last record, instead of 1.3 s without the refusal.

It costs up to 1 s after a leader was killed.

--- a/features/leader_lease.feature
+++ b/features/leader_lease.feature
@@ -43,3 +43,9 @@
     Given a leader that acted without the store for 5 s and stepped down
     When it is elected again
     Then it counts its former right as over from when it stepped down, not before
+
+  # Guards against TWICE and ONE: a filter that rejects answers like a dead machine.
+  Scenario: A leader whose machine refuses connections is not replaced during its lease
+    Given an instance that suspects the leader, whose record it has just read
+    When 0.9 s and then 0.2 s have passed
+    Then it may claim only after the second time
--- a/features/steps/leader_lease_steps.py
+++ b/features/steps/leader_lease_steps.py
@@ -23,7 +23,7 @@
     encode_leader,
 )
 from cicadatraild.scheduling.leader_right import ConfirmationRound
-from cicadatraild.scheduling.leadership import Leadership
+from cicadatraild.scheduling.leadership import SILENCE_LIMIT_S, Leadership
 
 MODULES = ("leadership", "leader_right")
 
@@ -121,6 +121,10 @@
         record = LeaderRecord(epoch, "a", "h1", self.leadership._process_id)
         await self.leadership._append(record, epoch)
 
+    def fall_silent(self) -> None:
+        """Have the instance claim, as it has read no record for long."""
+        self.leadership._seen_s -= SILENCE_LIMIT_S
+
     def claim_of_another(self, epoch: int) -> None:
         self.topic.records.append(encode_leader(LeaderRecord(epoch, "b", "h2", "p2")))
 
@@ -237,7 +241,7 @@
         await world.claim()
         first = world.topic.records[-3:]
         world.leadership.step_down("suspended")
-        world.leadership.suspect(1)
+        world.fall_silent()
         await world.claim()
         assert world.leadership.held_epoch == 2
         world.topic.records.append(next(r for r in first if r.key == HOLDER_KEY))
@@ -252,7 +256,7 @@
     async def action() -> None:
         leadership = world.leadership
         context.seen = [leadership.promise(1), leadership.promise(2)]
-        leadership.suspect(2)
+        world.fall_silent()
         await leadership._claim()
         context.seen.append(leadership.held_epoch)
 
@@ -341,7 +345,7 @@
     async def action() -> None:
         await context.action()
         world.now_s += 1.5
-        world.leadership.suspect(1)
+        world.fall_silent()
         await world.leadership._claim()
         assert world.leadership.held_epoch == 2
 
@@ -352,3 +356,34 @@
 def step_own_end(context: Any) -> None:
     until_s = context.world.leadership.right.former.until_s
     assert until_s >= context.ended_s, (until_s, context.ended_s)
+
+
+@given("an instance that suspects the leader, whose record it has just read")
+def step_suspects(context: Any) -> None:
+    world = context.world = LeaseWorld()
+
+    async def action() -> None:
+        world.claim_of_another(1)
+        await world.leadership._follow()
+        world.leadership.suspect(1)
+
+    context.action = action
+
+
+@when("{first:g} s and then {second:g} s have passed")
+def step_passed(context: Any, first: float, second: float) -> None:
+    world = context.world
+    seen = context.seen = []
+
+    async def action() -> None:
+        await context.action()
+        for passed_s in (first, second):
+            world.leadership._seen_s -= passed_s
+            seen.append(world.leadership._may_claim())
+
+    world.play(action)
+
+
+@then("it may claim only after the second time")
+def step_claims_second(context: Any) -> None:
+    assert context.seen == [False, True], context.seen
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -18,6 +18,7 @@
 from contextlib import suppress
 from dataclasses import asdict
 
+from cicadatrail_core.leadership.acting_right import LEASE_S
 from cicadatraild.platform.store import (
     LEADER_TOPIC,
     FencedError,
@@ -194,7 +195,7 @@
             self._set_current(LeaderRecord(epoch, "", host, ""))
 
     def suspect(self, epoch: int) -> None:
-        """Record that the process of the leader of ``epoch`` has died."""
+        """Record that the process of the leader of ``epoch`` has probably died."""
         self.suspected_epoch = max(self.suspected_epoch, epoch)
 
     def step_down(self, reason: str) -> None:
@@ -355,11 +356,12 @@
             is_mine = not current.successor
             silent_s = loop_now_s() - self._seen_s
             return is_mine or silent_s > SUCCESSOR_HEAD_START_S
-        if current.epoch <= self.suspected_epoch:
-            return True
         if current.node == self._node and current.process_id != self._process_id:
             return bool(current.process_id)
-        return loop_now_s() - self._seen_s > SILENCE_LIMIT_S
+        # A refused connection is no proof that the leader has ended.
+        is_suspected = current.epoch <= self.suspected_epoch
+        limit_s = LEASE_S if is_suspected else SILENCE_LIMIT_S
+        return loop_now_s() - self._seen_s > limit_s
 
     def _is_successor(self, leader: LeaderRecord) -> bool:
         return leader.successor == self._host
