Step down when renewals can't be read back

Callers would see LOST: a leader whose appends succeed and whose reads fail has no right to act 6 s later, but its renewals kept all others from claiming. It steps down when a stored renewal was not read back within that time.

The new scenario failed before.

--- a/features/leader_lease.feature
+++ b/features/leader_lease.feature
@@ -49,3 +49,9 @@
     Given an instance that suspects the leader, whose record it has just read
     When 0.9 s and then 0.2 s have passed
     Then it may claim only after the second time
+
+  # Guards against LOST: it kept others from claiming, and could start nothing itself.
+  Scenario: A leader that stores renewals and can't read them steps down
+    Given a leader whose reads of the topic fail
+    When it has renewed for 7 s
+    Then it has stepped down
--- a/features/steps/leader_lease_steps.py
+++ b/features/steps/leader_lease_steps.py
@@ -387,3 +387,37 @@
 @then("it may claim only after the second time")
 def step_claims_second(context: Any) -> None:
     assert context.seen == [False, True], context.seen
+
+
+@given("a leader whose reads of the topic fail")
+def step_reads_fail(context: Any) -> None:
+    world = context.world = LeaseWorld()
+
+    async def action() -> None:
+        await world.claim()
+        await world.renew()
+
+    context.action = action
+
+
+@when("it has renewed for {seconds:d} s")
+def step_renewed_on(context: Any, seconds: int) -> None:
+    world = context.world
+
+    async def action() -> None:
+        await context.action()
+        for _ in range(seconds * 2):
+            world.now_s += 0.5
+            await world.send_renewal()
+        leadership = world.leadership
+        with suppress(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await leadership._renew(leadership.held_epoch)
+
+    world.play(action)
+
+
+@then("it has stepped down")
+def step_stepped_down(context: Any) -> None:
+    assert context.world.leadership.held_epoch == 0
+    assert context.world.reasons == ["renewals can't be read back"]
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from cicadatrail_core.leadership.acting_right import (
+    OUTAGE_LIMIT_S,
     ActingRight,
     FormerRight,
     blocking_time_s,
@@ -121,6 +122,11 @@
         """Record that the store has acknowledged a renewal."""
         self._stored.append(_StoredRenewal(sequence, sent_s, end_offset))
 
+    def has_lost_track(self) -> bool:
+        """Return whether a stored renewal was not read back while it counted."""
+        since_s = min((r.sent_s for r in self._stored), default=float("inf"))
+        return boot_now_s() - since_s > OUTAGE_LIMIT_S
+
     def forget_stored(self) -> None:
         """Don't count renewals that can't be read back in order any more.
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -65,6 +65,13 @@
 PRODUCER = "holder"
 
 
+class UnreadError(Exception):
+    """Raised when a leader stores renewals and can't read them back."""
+
+    def __init__(self) -> None:
+        super().__init__("renewals can't be read back")
+
+
 class Leadership:
     """Track the current leader, and claim leadership when there is none.
 
@@ -436,7 +443,10 @@
             began_s = loop_now_s()
             try:
                 await self._append(record, epoch)
-            except FencedError as error:
+                if self.right.has_lost_track():
+                    # Its renewals keep others from claiming, but give it no right.
+                    raise UnreadError
+            except (FencedError, UnreadError) as error:
                 self._renewing = None
                 self.step_down(str(error))
                 return
