Store a release also while a renewal is under way

Callers waited up to 1.3 s for a successor: a release took the sequence number of a renewal that had not been answered. If that one was carried out, the store answered the release as its repeat and did not store it. The release is then sent once more, with the next number.

Found by the review. The new scenario failed before.

--- a/features/leader_lease.feature
+++ b/features/leader_lease.feature
@@ -55,3 +55,9 @@
     Given a leader whose reads of the topic fail
     When it has renewed for 7 s
     Then it has stepped down
+
+  # Guards against seconds without a leader: the renewal had the same sequence number.
+  Scenario: A release is stored though a renewal is under way
+    Given a leader whose renewal is stored and not answered
+    When it releases its leadership
+    Then the newest record of the leader is released
--- a/features/steps/leader_lease_steps.py
+++ b/features/steps/leader_lease_steps.py
@@ -20,6 +20,7 @@
 from cicadatraild.scheduling.leader_record import (
     HOLDER_KEY,
     LeaderRecord,
+    decode_leader,
     encode_leader,
 )
 from cicadatraild.scheduling.leader_right import ConfirmationRound
@@ -421,3 +422,22 @@
 def step_stepped_down(context: Any) -> None:
     assert context.world.leadership.held_epoch == 0
     assert context.world.reasons == ["renewals can't be read back"]
+
+
+@when("it releases its leadership")
+def step_release(context: Any) -> None:
+    world = context.world
+
+    async def action() -> None:
+        await context.action()
+        await world.leadership.release("")
+
+    world.play(action)
+
+
+@then("the newest record of the leader is released")
+def step_released(context: Any) -> None:
+    stored = context.world.topic.records
+    records = [decode_leader(r) for r in stored if r.key == HOLDER_KEY]
+    leaders = [leader for leader in records if leader is not None]
+    assert leaders[-1].released, leaders[-1]
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
@@ -118,6 +118,10 @@
             self._sending = (sequence, boot_now_s())
         return self._sending[1]
 
+    def has_sent(self, sequence: int) -> bool:
+        """Return whether an append of a sequence number is under way."""
+        return self._sending[0] == sequence
+
     def note_stored(self, sequence: int, sent_s: float, end_offset: int) -> None:
         """Record that the store has acknowledged a renewal."""
         self._stored.append(_StoredRenewal(sequence, sent_s, end_offset))
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -242,9 +242,14 @@
         record = LeaderRecord(
             epoch, self._node, self._host, self._process_id, True, successor
         )
+        # The store answers a repeat of a renewal's number, and does not store this.
+        is_used = self.right.has_sent(self._sequence)
         for _ in range(3):
             try:
                 await self._append(record, epoch)
+                if is_used:
+                    is_used = False
+                    continue
                 return
             except (StoreUnavailableError, SequenceError) as error:
                 logger.warning(
