Keep confirmations from lapsing beside a silent instance

A round of questions waits 0.25 s for an instance that is silent, which is usual now that a majority is enough, and a confirmation lasts 0.5 s.

Also: a stream whose reply doesn't come is closed, as the shorter of two equal time limits now is the stream's; the check for lost instances delays no round; an invalid host among the stored instances counts as unreachable.

--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -43,7 +43,10 @@
 """Time for a peer's reply about the leader."""
 
 CONFIRM_TIMEOUT_S = 0.25
-"""Time for an instance's reply on whether it may have been elected."""
+"""Time to connect to an instance and learn whether it may have been elected."""
+
+CONFIRM_REPLY_S = 0.2
+"""Time for its reply on an open stream."""
 
 LOST_MEMBER_S = 12.0
 """Time without an answer after which an instance is dropped from the registry."""
@@ -260,8 +263,9 @@
         """Ask an instance whether it follows an epoch; return None without a reply."""
         try:
             async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                # The shorter time closes a stream that has died.
                 reply = await self._peers.call(
-                    host, ConfirmHolder(epoch), CONFIRM_TIMEOUT_S
+                    host, ConfirmHolder(epoch), CONFIRM_REPLY_S
                 )
         except (PeerUnreachableError, TimeoutError):
             return None
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -76,8 +76,10 @@
 LAG_PROBE_S = 0.1
 """Interval between probes of the event loop's lag."""
 
-CONFIRM_PAUSE_S = 0.2
-"""Interval between queries to others while the store does not answer the leader."""
+CONFIRM_PAUSE_S = 0.1
+"""Interval between queries to others while the store does not answer the leader. With
+the time that one waits for a silent instance it is well below the time that a
+confirmation lasts."""
 
 CONFIRM_AHEAD_S = 0.4
 """Time before the end of the lease from which others are asked; two intervals."""
@@ -325,7 +327,7 @@
                 is_due = loop_now_s() - checked_s > MEMBER_CHECK_PAUSE_S
                 if is_due and self._leadership.held_epoch:
                     checked_s = loop_now_s()
-                    await self._entry.drop_lost_members()
+                    rounds.create_task(self._entry.drop_lost_members())
 
     async def _watch_lag(self) -> None:
         """Hand over leadership when the event loop lags persistently."""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
@@ -191,7 +191,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(host, self._port)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
             is_refused = isinstance(error, ConnectionRefusedError)
             raise PeerUnreachableError(repr(error), False, is_refused) from error
         present = self._links.get(host)
