Don't take unreadable answers and records for an end

An append that is answered with 200 and no end offset counted as read back; it counts as unanswered now. A leader's record that can't be decoded counted as no leader, so that a successor waited for nothing; it waits for the outage limit now. Records of older epochs no longer delay claims.

--- a/packages/cicadatrail-node/src/cicadatraild/platform/store.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/store.py
@@ -126,7 +126,7 @@
         )
         match response.status:
             case 200:
-                return int(_json(response).get("end", 0))
+                return _end_offset(response)
             case 409 if _json(response).get("reason") == "seq":
                 raise SequenceError(_expected_sequence(response))
             case 409:
@@ -209,6 +209,13 @@
     return value if isinstance(value, dict) else {}
 
 
+def _end_offset(response: WholeResponse) -> int:
+    end = _json(response).get("end")
+    if type(end) is not int:
+        raise StoreUnavailableError("append: no end offset", may_have_run=True)
+    return end
+
+
 def _expected_sequence(response: WholeResponse) -> int:
     numbers = [v for v in _json(response).values() if isinstance(v, int)]
     return numbers[0] if numbers else 0
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
@@ -55,6 +55,7 @@
         self._host = host
         self.acting = ActingRight()
         self.former = FormerRight(float("-inf"))
+        self._has_record = False
         self._read_s = boot_now_s()
         # When this process last led, after which it gave no lease.
         self._ended_s = float("-inf")
@@ -65,7 +66,8 @@
         self._promised_s: dict[str, float] = {}
 
     def note_record(self) -> None:
-        """Record that a leader's record, or the whole topic, has just been read."""
+        """Record that a leader's record has just been read, even an invalid one."""
+        self._has_record = True
         self._read_s = boot_now_s()
 
     def begin(self, predecessor: LeaderRecord | None) -> None:
@@ -79,10 +81,9 @@
         self._promised_s = {self._host: boot_now_s()}
         self._former_members = frozenset()
         self._former_host = ""
+        self.former = FormerRight(self._read_s if self._has_record else float("-inf"))
         if predecessor is None:
-            self.former = FormerRight(float("-inf"))
             return
-        self.former = FormerRight(self._read_s)
         newest_epoch = max(predecessor.epoch, self._members.claimed_epoch)
         if self._members.settled_epoch < newest_epoch:
             # Earlier leaders may act as well, and their instances are not known.
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -307,7 +307,6 @@
             records, self._offset = await self._store.read_newest(LEADER_TOPIC)
             self.members.reset()
             self._has_read = True
-            self.right.note_record()
             self.right.forget_stored()
             if not any(record.key == HOLDER_KEY for record in records):
                 self._seen_s = loop_now_s() - SILENCE_LIMIT_S
@@ -329,13 +328,13 @@
             self._registered.set()
 
     def _apply_record(self, record: KeyedRecord) -> None:
+        self.right.note_record()
         leader = decode_leader(record)
         if leader is None:
             return
-        self._seen_s = loop_now_s()
-        self.right.note_record()
         if self.current is not None and leader.epoch < self.current.epoch:
             return
+        self._seen_s = loop_now_s()
         is_own = leader.process_id == self._process_id
         if leader.epoch >= self.held_epoch > 0 and not is_own:
             self.step_down(f"epoch {leader.epoch} of {leader.node}")
