Don't count runs of an earlier leader as at work while they may be stopping

Cause: a stop takes up to stop-timeout-ms (400), and the worker lists the run at 100 percent until it has ended. Stops aren't stored, so a new leader that read such a list took the subtask for at work and stopped another one.

A subtask that lasts and that a new leader reads back counts as at work only once its worker's clock is more than stop-timeout-ms after the worker's first answer. Since that answer the worker has refused the orders of earlier leaders, so whatever it was told before has ended by then. The second poll of a worker with such runs waits just that long, so that evictions are held for about 0.4 s after a takeover. Runs that the leader starts itself count as before. stop-timeout-ms is read from the settings, 400 without it.

--- a/features/support/outer_names.py
+++ b/features/support/outer_names.py
@@ -101,7 +101,13 @@
     "platform": {"address": "10.0.0.3:9005"},
     "cloud": {"address": "10.0.0.4:9006", "duties-per-s": 9},
     "advice": "10.0.0.5:9007",
-    "bounds": {"hold-max-ms": 4000, "lease-ms": 5000, "grace-s": 6, "status_s": 7},
+    "bounds": {
+        "hold-max-ms": 4000,
+        "lease-ms": 5000,
+        "grace-s": 6,
+        "status_s": 7,
+        "stop-timeout-ms": 300,
+    },
     "limits": {"cpu-share": 0.5, "cores": 8},
 }
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler_settings.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler_settings.py
@@ -13,20 +13,24 @@
 LEASE_MARGIN_S = 0.1
 """Time added to a lease before its runs are considered over."""
 
+DEFAULT_STOP_LIMIT_S = 0.4
+"""Longest time that a stop takes, where the platform states none."""
+
 
 @dataclass(frozen=True, slots=True)
 class SchedulerSettings:
     """Configure a scheduler for one term of leadership.
 
     ``lease_s`` is the length of the leases granted to workers, ``lease_limit_s`` the
-    longest lease that a worker accepts, and ``status_kept_s`` how long the status of
-    an ended job is retained.
+    longest lease that a worker accepts, ``status_kept_s`` how long the status of an
+    ended job is retained, and ``stop_limit_s`` the longest time that a stop takes.
     """
 
     epoch: int
     lease_s: float
     lease_limit_s: float
     status_kept_s: float
+    stop_limit_s: float = DEFAULT_STOP_LIMIT_S
 
     @property
     def granted_lease_s(self) -> float:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -43,6 +43,7 @@
     __slots__ = (
         "answered_s",
         "apart_until_s",
+        "inherited_clock_ms",
         "is_start_pending",
         "measurement",
         "number",
@@ -81,6 +82,9 @@
         self.paced_percent = 100
         # Until then the worker starts nothing else, as the run may crash it.
         self.apart_until_s = 0.0
+        # The worker's clock when it first listed this run of an earlier leader, or
+        # None once no stop by that leader can be under way.
+        self.inherited_clock_ms: int | None = None
 
     def mark_unanswered(self, now_s: float) -> None:
         """Record that the start order got no answer, so the run may have started."""
@@ -90,7 +94,7 @@
     @property
     def is_available(self) -> bool:
         """Return whether the run of a long-running subtask is known to be serving."""
-        if self.worker.is_suspect:
+        if self.worker.is_suspect or self.inherited_clock_ms is not None:
             return False
         return self.phase is RunPhase.RUNNING and self.percent >= 100
 
@@ -337,6 +341,11 @@
         if self.failed_s is None:
             self.failed_s = now_s
 
+    @property
+    def may_be_stopping_inherited_runs(self) -> bool:
+        """Return whether an earlier leader's stop may be under way here."""
+        return any(run.inherited_clock_ms is not None for run in self.runs.values())
+
     @property
     def acknowledged_end(self) -> int:
         """Return the number of the last end that the worker may delete.
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -92,6 +92,7 @@
     if run.phase is RunPhase.SENT:
         run.phase = RunPhase.RUNNING
         run.answered_s = run.answered_s or now_s
+    _settle_inherited(scheduler, run)
     if row.percent != run.percent:
         run.percent = row.percent
         run.progress_s = now_s
@@ -101,6 +102,19 @@
         run.subtask.checkpoint = row.checkpoint
 
 
+def _settle_inherited(scheduler: Scheduler, run: Run) -> None:
+    """Let an earlier leader's run count as available once no stop can end it.
+
+    Since its first answer to this leader the worker has refused that leader's stops,
+    but it may have taken one before, and lists the run until it has ended.
+    """
+    if run.inherited_clock_ms is None:
+        return
+    listed_ms = run.worker.clock_ms - run.inherited_clock_ms
+    if listed_ms > scheduler.settings.stop_limit_s * 1000:
+        run.inherited_clock_ms = None
+
+
 def _adopt(
     scheduler: Scheduler, worker: WorkerState, row: RunningRow, now_s: float
 ) -> Run | None:
@@ -127,6 +141,8 @@
     run.phase = RunPhase.RUNNING
     run.answered_s = now_s
     run.start_expires_s = now_s
+    if subtask.step.spec.lasting:
+        run.inherited_clock_ms = worker.clock_ms
     has_other = bool(subtask.live_runs) and not subtask.step.spec.copies_allowed
     scheduler.attach(run)
     if job.is_final or subtask.phase is SubtaskPhase.DONE or has_other:
@@ -313,6 +329,9 @@
             run.start_expires_s = float("inf")
             worker.lease_expires_s = now_s + scheduler.settings.longest_lease_s
         if key in listed:
+            if run.inherited_clock_ms is not None:
+                # The clock of the new incarnation starts anew.
+                run.inherited_clock_ms = report.clock_ms
             continue
         if is_answered:
             lost.append(run)
--- a/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
@@ -9,6 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
+from cicadatrail_core.jobs.scheduler_settings import DEFAULT_STOP_LIMIT_S
 from cicadatrail_core.utils.findings import Finding, Findings
 from cicadatraild.network.client_exchange import Address
 
@@ -25,7 +26,8 @@
 class PlatformSettings:
     """Settings of one entry instance, with the addresses of platform services.
 
-    ``lease_limit_s`` is the longest lease that workers grant. ``order_gap_s`` is the
+    ``lease_limit_s`` is the longest lease that workers grant, and ``stop_limit_s`` the
+    longest time that a stop of a run takes. ``order_gap_s`` is the
     minimum time between the machine orders of two successive leaders, and
     ``machine_orders_per_s`` the rate at which the machine service accepts them.
     """
@@ -47,6 +49,7 @@
     status_kept_s: float
     cores: float
     machine_orders_per_s: float
+    stop_limit_s: float
 
 
 def _find(table: dict[str, Any], path: str) -> Any:
@@ -172,6 +175,10 @@
         machine_orders_per_s=reader.number(
             table, "cloud.duties-per-s", 1, DEFAULT_ORDERS_PER_S
         ),
+        stop_limit_s=reader.number(
+            table, "bounds.stop-timeout-ms", 0, DEFAULT_STOP_LIMIT_S * 1000
+        )
+        / 1000,
     )
     if reader.findings:
         return Failure(tuple(reader.findings))
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -110,7 +110,11 @@
         lease_s = min(LEASE_S, settings.lease_limit_s)
         self.scheduler = Scheduler(
             SchedulerSettings(
-                epoch, lease_s, settings.lease_limit_s, settings.status_kept_s
+                epoch,
+                lease_s,
+                settings.lease_limit_s,
+                settings.status_kept_s,
+                settings.stop_limit_s,
             )
         )
         self._settings = settings
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -141,6 +141,9 @@
             run.unanswered_s is not None for run in worker.runs.values()
         )
         wait_ms = PACED_WAIT_MS if has_serving_and_best_effort(worker) else LIST_WAIT_MS
+        if worker.may_be_stopping_inherited_runs:
+            # The next answer shows that no stop is under way.
+            wait_ms = min(wait_ms, int(scheduler.settings.stop_limit_s * 1000) + 1)
         if not is_known or is_behind or has_unanswered_run:
             wait_ms = 0
         self.list_count += 1
