Don't evict long-running subtasks that a new leader may not start yet

Callers saw a long-running subtask stand still for 2.8 to 3.7 s after a change of leader, besides the time of its stop and of its own start.

Cause: nothing of an inherited job starts before every worker of its queue's pools is known or its lease is over, 4.2 s after the election if one of them is silent. An evacuation asked only for a worker with free capacity, and stopped the subtask at once.

A long-running subtask is now evacuated only when it could start at once as far as its queue goes; a worker that leaves is emptied at its end as before. So a wave waits up to 4.2 s with such subtasks after a takeover with a silent worker.

--- a/features/steps/takeover_evictions_steps.py
+++ b/features/steps/takeover_evictions_steps.py
@@ -121,3 +121,37 @@
     world = context.world
     (stopped,) = _evict(world, "w1")
     assert stopped.worker.facts.worker_id == "w1"
+
+
+def _report_others(world: JobWorld) -> None:
+    for name in ("w0", "w1", "w2", "w3"):
+        world.report(name)
+
+
+@when("a new leader takes over while a worker without runs is silent")
+def step_silent(context: Any) -> None:
+    world = context.world
+    world.fail_over(2)
+    _report_others(world)
+    world.tick(STOP_LIMIT_S + 3 * STEP_S)
+    _report_others(world)
+
+
+@then("it evicts no subtask before the silent worker's lease is over")
+def step_none_in_lease(context: Any) -> None:
+    world = context.world
+    while world.now_s < world.worker("w4").lease_expires_s:
+        assert _evict(world, "w1") == [], world.worker("w4").lease_expires_s
+        world.tick(0.1)
+        _report_others(world)
+
+
+@then("a subtask that it evicts after that starts elsewhere at once")
+def step_starts_at_once(context: Any) -> None:
+    world = context.world
+    (stopped,) = _evict(world, "w1")
+    world.sims["w1"].end(stopped.subtask.name, EndKind.STOPPED)
+    _report_others(world)
+    (run,) = world.run_all()
+    assert run.subtask is stopped.subtask
+    assert run.worker.facts.worker_id == "w3"
--- a/features/takeover_evictions.feature
+++ b/features/takeover_evictions.feature
@@ -21,3 +21,11 @@
     And a long-running step on 3 of them that may miss 1 is at work
     When a new leader has started one of its subtasks, and all are at work
     Then it evicts another at once
+
+  # Guards against long-running subtasks that stand still for the time of a lease.
+  Scenario: A new leader evicts no subtask that it may not start elsewhere yet
+    Given a scheduler with 5 workers of 8 cores
+    And a long-running step on 3 of them that may miss 1 is at work
+    When a new leader takes over while a worker without runs is silent
+    Then it evicts no subtask before the silent worker's lease is over
+    And a subtask that it evicts after that starts elsewhere at once
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
@@ -1,7 +1,8 @@
 """Evacuation of workers that are about to leave or be maintained.
 
 A long-running subtask is stopped only while enough other subtasks of its step are
-available and another worker can run it. Other subtasks get some time to finish.
+available, it may start again, and another worker can run it. Other subtasks get some
+time to finish.
 """
 
 from __future__ import annotations
@@ -36,6 +37,17 @@
     return unavailable_count < max(1, step.spec.may_miss_count)
 
 
+def _may_start_again(scheduler: Scheduler, step: StepState, now_s: float) -> bool:
+    """Return whether a stopped subtask could start at once.
+
+    After a takeover it can't before all workers that may run its queue are known.
+    """
+    if not step.job.inherited:
+        return True
+    queue = scheduler.queues.get(step.job.definition.queue)
+    return queue is not None and scheduler.is_queue_reconciled(queue, now_s)
+
+
 def _has_other_worker(scheduler: Scheduler, run: Run, now_s: float) -> bool:
     """Return whether another worker of the pool can take the run's subtask."""
     pool = run.worker.facts.pool
@@ -70,7 +82,11 @@
             scheduler.stop(run)
         elif step.spec.lasting:
             # Checked again for each run, as each stop makes a subtask unavailable.
-            if may_stop(step, run) and _has_other_worker(scheduler, run, now_s):
+            if (
+                may_stop(step, run)
+                and _may_start_again(scheduler, step, now_s)
+                and _has_other_worker(scheduler, run, now_s)
+            ):
                 scheduler.stop(run)
         elif now_s - since_s > _wait_limit_s(run):
             scheduler.stop(run)
