Store the machines of workers, so that a successor drains before an upkeep

Cause: the stored list of workers has no machines. A leader that takes over while entries have expired restores a worker without its machine. It found no worker on the machine of a wave, took it for drained and ordered its upkeep. For the same reason a worker on a machine that an earlier leader may have sent an order for was not cordoned, and got starts once its entry was back.

The record fleet-machines has the machine of each stored worker. It is apart from fleet, whose bytes stay as they are, so that older instances read the list as before; a list without the new record can be read, and knows no machines. A worker that isn't listed may be an earlier one of its machine: a listed one goes before it, and it changes neither what a pool has nor what may move.

--- /dev/null
+++ b/features/takeover_machines.feature
@@ -0,0 +1,30 @@
+Feature: Orders to machines after a change of leader
+  A successor knows the machine of a worker whose entry has expired.
+
+  # Guards against AVAIL: such a machine was taken for drained, and its upkeep ordered.
+  Scenario: A machine whose worker is not listed is not taken for drained
+    Given a long-running subtask runs on a worker whose machine a wave names
+    When a new leader takes over while the entry of that worker has expired
+    Then the upkeep of the machine is not ordered while the subtask runs there
+    And it is ordered once the worker has answered and the subtask was moved
+
+  # Guards against starts on a machine whose order by the former leader is under way.
+  Scenario: Nothing starts on a machine that may have got an order once it is listed
+    Given a long-running subtask runs on a worker whose machine a wave names
+    When a new leader takes over while the entry of that worker has expired
+    And the former leader may have sent an order for the machine
+    Then the worker gets no starts when its entry is back
+
+  Scenario: A list of workers without machines can be read
+    Given a long-running subtask runs on a worker whose machine a wave names
+    When a new leader takes over that finds no record of machines
+    Then it knows the worker, and learns of its machine when its entry is back
+
+  Scenario: A stored worker gives way to the one that its machine has now
+    Given a long-running subtask runs on a worker whose machine a wave names
+    When a new leader takes over after the machine has got a new worker
+    Then the new worker counts as the one on the machine
+
+  Scenario: A stored worker does not change what pools need and may give away
+    Given a pool with idle machines, of which one had another worker before
+    Then pools need the same machines as without that worker, and as many may move
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
@@ -82,13 +82,17 @@
 ) -> dict[str, PoolNeed]:
     """Return the need for machines of each pool that is not a standby pool."""
     work = _work_by_pool(scheduler)
-    # Machines that are being evacuated, or have no processor left, accept no work.
+    # Machines that are being evacuated, or have no processor left, accept no work. A
+    # worker that isn't listed may be an earlier one of its machine.
     leaving = {
         worker.facts.machine
         for worker in scheduler.workers.values()
-        if worker.is_cordoned
-        or worker.facts.draining
-        or not worker.facts.capacity.cpu_millicores
+        if worker.is_listed
+        and (
+            worker.is_cordoned
+            or worker.facts.draining
+            or not worker.facts.capacity.cpu_millicores
+        )
     }
     capacities: dict[str, list[Resources]] = {}
     for worker in scheduler.workers.values():
@@ -227,7 +231,8 @@
     standby = [
         name for name, pool in scheduler.configuration.pools.items() if pool.standby
     ]
-    workers = {w.facts.machine: w for w in scheduler.workers.values()}
+    by_listing = sorted(scheduler.workers.values(), key=lambda w: w.is_listed)
+    workers = {worker.facts.machine: worker for worker in by_listing}
     free = [
         machine
         for machine in machines.values()
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -118,11 +118,9 @@
         return worker
 
     def worker_on(self, machine: str) -> WorkerState | None:
-        """Return the worker on a machine, or None if there is none."""
-        for worker in self.workers.values():
-            if worker.facts.machine == machine:
-                return worker
-        return None
+        """Return the worker on a machine, or None; a listed one before a former one."""
+        found = (w for w in self.workers.values() if w.facts.machine == machine)
+        return max(found, key=lambda worker: worker.is_listed, default=None)
 
     def remove_worker(self, worker_id: str, now_s: float, reason: str) -> None:
         """Remove a worker that is known to run nothing more; release its runs."""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -3,13 +3,9 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import astuple
-from typing import Any
-
-import msgpack
 
 from cicadatrail_core.jobs.crash_suspicion import collect_unstored, mark_stored
-from cicadatrail_core.jobs.models import JobDefinition, JobPhase, WorkerFacts
+from cicadatrail_core.jobs.models import JobDefinition, JobPhase
 from cicadatrail_core.jobs.record_checks import check_definition, check_progress
 from cicadatrail_core.jobs.records import (
     apply_progress,
@@ -19,9 +15,14 @@
 )
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import JobState, WorkerState
-from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.store import KeyedRecord
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
+from cicadatraild.scheduling.fleet_record import (
+    FLEET_KEY,
+    MACHINES_KEY,
+    decode_fleet,
+    encode_fleet,
+)
 from cicadatraild.scheduling.former_leases import FormerLeases
 from cicadatraild.scheduling.journal import Batch
 from cicadatraild.scheduling.machine_inventory import MachineInventory
@@ -33,7 +34,6 @@
 JOB_PREFIX = "j/"
 PROGRESS_PREFIX = "p/"
 WAVE_PREFIX = "w/"
-FLEET_KEY = "fleet"
 ORDERS_KEY = "orders"
 
 
@@ -88,7 +88,7 @@
         records: list[KeyedRecord] = []
         if self._has_fleet_changes():
             self._fleet = tuple(scheduler.workers)
-            records.append(KeyedRecord(FLEET_KEY, self._encode_fleet()))
+            records += encode_fleet(scheduler.workers.values())
         if self._inventory.has_unstored_announcements:
             records.append(KeyedRecord(ORDERS_KEY, self._inventory.encode()))
         if self._changed_waves:
@@ -135,22 +135,6 @@
 
         return records, on_stored
 
-    def _encode_fleet(self) -> bytes:
-        value: bytes = msgpack.packb(
-            [
-                [
-                    worker.facts.worker_id,
-                    worker.facts.pool,
-                    worker.facts.host,
-                    worker.facts.port,
-                    astuple(worker.facts.capacity),
-                    worker.born_unix_ms,
-                ]
-                for worker in self._scheduler.workers.values()
-            ]
-        )
-        return value
-
     def restore(self, records: list[KeyedRecord]) -> float:
         """Restore the state that an earlier leader stored.
 
@@ -161,7 +145,7 @@
         """
         now_s = loop_now_s()
         values = {record.key: record.value or b"" for record in records}
-        has_fleet = self._restore_fleet(values.get(FLEET_KEY))
+        has_fleet = self._restore_fleet(values.get(FLEET_KEY), values.get(MACHINES_KEY))
         if ORDERS_KEY in values:
             self._inventory.restore(values[ORDERS_KEY])
         self._former_leases.await_workers()
@@ -238,7 +222,7 @@
         job.started = bool(job.occurrences or job.done_occurrences)
         return job
 
-    def _restore_fleet(self, value: bytes | None) -> bool:
+    def _restore_fleet(self, value: bytes | None, machines: bytes | None) -> bool:
         """Add workers that the previous leader used and that aren't listed now.
 
         Return False if the record can't be read.
@@ -246,7 +230,7 @@
         if value is None:
             return True
         try:
-            workers = [_decode_worker(entry) for entry in msgpack.unpackb(value)]
+            workers = decode_fleet(value, machines)
         except (ValueError, TypeError) as error:
             logger.error(
                 "holder: list of workers can't be read; stored jobs wait for leases.",
@@ -260,22 +244,3 @@
             self._scheduler.workers[facts.worker_id] = WorkerState(facts)
             self._scheduler.workers[facts.worker_id].is_listed = False
         return True
-
-
-def _decode_worker(entry: list[Any]) -> WorkerFacts:
-    """Return the facts of a stored worker; raise ValueError or TypeError if invalid."""
-    worker_id, pool, host, port, capacity, born_unix_ms = entry
-    amounts = (*capacity, port, born_unix_ms)
-    if not all(isinstance(text, str) for text in (worker_id, pool, host)):
-        raise ValueError(f"worker can't be {entry!r}")
-    if not all(type(amount) is int for amount in amounts):
-        raise ValueError(f"worker can't be {entry!r}")
-    return WorkerFacts(
-        worker_id=worker_id,
-        pool=pool,
-        host=host,
-        port=port,
-        zone="",
-        capacity=Resources(*capacity),
-        born_unix_ms=born_unix_ms,
-    )
