Keep the announced orders of earlier leaders in the record during the gap

Cause: the record orders has the announcements of the present leader only, and its first one replaced those of its predecessor. The leader after it knew nothing of machines that the leader before last had announced, though their gap was not over.

A leader's record now keeps the machines that it blocks itself, until their gap is over. The form of the record is unchanged. In a series of takeovers within the gap a machine may stay blocked for longer than its order asks for.

--- a/features/steps/takeover_machines_steps.py
+++ b/features/steps/takeover_machines_steps.py
@@ -13,6 +13,7 @@
 from cicadatrail_core.jobs.models import Machine, MachineState, Wave
 from cicadatrail_core.jobs.state import WorkerState
 from cicadatraild.platform.machines import MachineOutcome
+from cicadatraild.scheduling.machine_inventory import MachineInventory
 from cicadatraild.scheduling.maintenance import WaveRunner
 from cicadatraild.scheduling.pool_balance import PoolBalancer
 from features.support.balance_world import BalanceWorld
@@ -22,6 +23,7 @@
 JOB = "00000000000000a1"
 LONG_S = 1000.0
 CHECK_S = 0.1
+GAP_S = 3.0
 
 
 class FakeInventory:
@@ -183,3 +185,63 @@
     assert world.worker(context.used).facts.machine == ""
     world.scheduler.update_worker(world.facts(context.sim), world.now_s)
     assert world.scheduler.worker_on(context.machine) is world.worker(context.used)
+
+
+class Clock:
+    now_s = 100.0
+
+
+def _inventory(record: bytes | None = None) -> MachineInventory:
+    async def flush() -> None:
+        pass
+
+    inventory = MachineInventory(AsyncMock(), lambda: True, GAP_S, flush)
+    if record is not None:
+        inventory.restore(record)
+    return inventory
+
+
+def _announce(context: Any, name: str) -> None:
+    asyncio.run(context.inventory.announce([name]))
+    context.record = context.inventory.encode()
+
+
+@given("a leader has announced an order for a machine")
+def step_announced(context: Any) -> None:
+    stack = ExitStack()
+    context.add_cleanup(stack.close)
+    clock = context.clock = Clock()
+    module = "cicadatraild.scheduling.machine_inventory"
+    stack.enter_context(patch(f"{module}.loop_now_s", lambda: clock.now_s))
+    context.inventory = _inventory()
+    _announce(context, "m-1")
+
+
+@when("the next leader announces one for another machine, and a third takes over")
+def step_next_announces(context: Any) -> None:
+    context.clock.now_s += 1.5
+    context.inventory = _inventory(context.record)
+    context.clock.now_s += 0.5
+    _announce(context, "m-2")
+    context.clock.now_s += 0.5
+    context.inventory = _inventory(context.record)
+
+
+@then("the third leader sends no orders for either machine in its gap")
+def step_either_blocked(context: Any) -> None:
+    context.clock.now_s += GAP_S
+    assert context.inventory.blocked() == {"m-1", "m-2"}, context.inventory.blocked()
+    context.clock.now_s += 1.0
+    assert context.inventory.blocked() == set()
+
+
+@when("the next leader announces one for another machine after its gap")
+def step_announces_late(context: Any) -> None:
+    context.inventory = _inventory(context.record)
+    context.clock.now_s += GAP_S + 1.0
+    _announce(context, "m-2")
+
+
+@then("a third leader sends no orders in its gap for the other machine only")
+def step_other_blocked(context: Any) -> None:
+    assert _inventory(context.record).blocked() == {"m-2"}
--- a/features/takeover_machines.feature
+++ b/features/takeover_machines.feature
@@ -28,3 +28,14 @@
   Scenario: A stored worker does not change what pools need and may give away
     Given a pool with idle machines, of which one had another worker before
     Then pools need the same machines as without that worker, and as many may move
+
+  # Guards against ONE: the first announcement of each leader replaced all earlier ones.
+  Scenario: Announcements of the leader before last are known
+    Given a leader has announced an order for a machine
+    When the next leader announces one for another machine, and a third takes over
+    Then the third leader sends no orders for either machine in its gap
+
+  Scenario: Announcements are dropped once they matter to nobody
+    Given a leader has announced an order for a machine
+    When the next leader announces one for another machine after its gap
+    Then a third leader sends no orders in its gap for the other machine only
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/machine_inventory.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/machine_inventory.py
@@ -63,7 +63,8 @@
     def encode(self) -> bytes:
         """Return the record of the machines that may recently have got an order.
 
-        Drops announcements that are too old to matter to a successor.
+        Drops announcements that are too old to matter to a successor. Those of earlier
+        leaders stay in it during the gap, as the record replaces theirs.
         """
         self.has_unstored_announcements = False
         now_s = loop_now_s()
@@ -72,7 +73,8 @@
             if now_s - announced_s > kept_s:
                 del self._announced[name]
                 self._stored_announcements.pop(name, None)
-        value: bytes = msgpack.packb([*self._announced])
+        inherited = [n for n, until_s in self._blocked.items() if until_s > now_s]
+        value: bytes = msgpack.packb([*dict.fromkeys((*inherited, *self._announced))])
         return value
 
     def restore(self, record: bytes) -> None:
