Move reservations, team limits and worker conditions out of the dispatch

Functions are moved and renamed only where they leave the module; nothing else changes. The step that lets can_run fail takes the original from its new module.

--- a/features/steps/leader_containment_steps.py
+++ b/features/steps/leader_containment_steps.py
@@ -15,7 +15,7 @@
 from behave import then, when
 
 from cicadatrail_core.jobs import dispatch as dispatch_module
-from cicadatrail_core.jobs import ejection, worker_reports
+from cicadatrail_core.jobs import ejection, worker_conditions, worker_reports
 from cicadatrail_core.jobs.models import (
     JobDefinition,
     Step,
@@ -421,7 +421,7 @@
 
 @when("placing one job fails unexpectedly while others are submitted")
 def step_failing_job(context: Any) -> None:
-    right = dispatch_module.can_run
+    right = worker_conditions.can_run
 
     def can_run(step: StepState, worker: WorkerState) -> bool:
         if step.job.job_id == JOB:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -17,13 +17,17 @@
     note_start,
     withdraw_start_notes,
 )
-from cicadatrail_core.jobs.models import Queue, Step
+from cicadatrail_core.jobs.models import Queue
 from cicadatrail_core.jobs.placement_error import Cursor, PlacementError
+from cicadatrail_core.jobs.reservations import (
+    can_ever_run,
+    may_reserve,
+    worker_to_reserve,
+)
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import (
     StepState,
     Subtask,
-    SubtaskPhase,
     WorkerState,
 )
 from cicadatrail_core.jobs.suspect_placement import (
@@ -31,12 +35,11 @@
     is_suspect_step,
     ready_suspects,
 )
+from cicadatrail_core.jobs.team_limits import unreconciled_by_team, within_limit
 from cicadatrail_core.jobs.urgency import start_order, teams_over_share
+from cicadatrail_core.jobs.worker_conditions import can_run
 from cicadatrail_core.jobs.worker_scores import count_by_rack, placement_score
-from cicadatrail_core.models.resources import NO_RESOURCES, Resources
-
-RESERVE_AFTER_S = 1.5
-"""Time after which a worker is reserved for a step that doesn't fit anywhere."""
+from cicadatrail_core.models.resources import Resources
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +68,7 @@
         except Exception as error:
             raise PlacementError(step.job) from error
         pools.setdefault(queue.pool, []).append(_Candidate(order, step, queue))
-    unreconciled = _unreconciled_by_team(scheduler, now_s)
+    unreconciled = unreconciled_by_team(scheduler, now_s)
     suspects = ready_suspects(scheduler) if scheduler.suspects else []
     for pool, candidates in pools.items():
         queues = {candidate.queue.name: candidate.queue for candidate in candidates}
@@ -113,25 +116,6 @@
                     yield step, steps, queue
 
 
-def _unreconciled_by_team(scheduler: Scheduler, now_s: float) -> dict[str, Resources]:
-    """Return what each team may be running on workers that have not reported yet."""
-    capacity = scheduler.unreconciled_capacity(now_s)
-    if capacity == NO_RESOURCES:
-        return {}
-    totals: dict[str, Resources] = {}
-    for job in scheduler.jobs.values():
-        if not job.inherited or job.is_final or not job.definition.team:
-            continue
-        for steps in job.occurrences.values():
-            for step in steps:
-                for subtask in step.subtasks:
-                    if subtask.phase is SubtaskPhase.DONE or subtask.live_runs:
-                        continue
-                    previous = totals.get(job.definition.team, NO_RESOURCES)
-                    totals[job.definition.team] = previous + step.spec.need
-    return {team: total.at_most(capacity) for team, total in totals.items()}
-
-
 def _usable_workers(scheduler: Scheduler, pool: str, now_s: float) -> list[WorkerState]:
     usable = [
         worker
@@ -169,7 +153,7 @@
             continue
         blocked = False
         for subtask in list(step.ready.values()):
-            if not _within_limit(scheduler, step, 1, unreconciled):
+            if not within_limit(scheduler, step, 1, unreconciled):
                 break
             if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
                 continue
@@ -178,8 +162,8 @@
                 blocked = True
                 break
             scheduler.place(subtask, worker, now_s)
-        if blocked and not has_reserved and _may_reserve(step, now_s):
-            reserved_id = _worker_to_reserve(step.spec, workers)
+        if blocked and not has_reserved and may_reserve(step, now_s):
+            reserved_id = worker_to_reserve(step.spec, workers)
             if reserved_id is not None:
                 reserved.add(reserved_id)
                 has_reserved = True
@@ -234,7 +218,7 @@
     if give_up_inherited(scheduler, subtask, now_s):
         return
     count = step.spec.count if step.spec.gang else 1
-    if not _within_limit(scheduler, step, count, unreconciled):
+    if not within_limit(scheduler, step, count, unreconciled):
         return
     if not step.spec.gang and not _has_attempt(scheduler, subtask):
         return
@@ -246,7 +230,7 @@
         else:
             # A suspect that only waits must not count as started by each successor.
             withdraw_start_notes(scheduler, subtask)
-        placement.reserve(subtask, _can_ever_run)
+        placement.reserve(subtask, can_ever_run)
         return
     if not note_start(scheduler, subtask, now_s):
         if is_start_note_new(subtask, now_s):
@@ -285,54 +269,6 @@
     return None
 
 
-def _may_reserve(step: StepState, now_s: float) -> bool:
-    if step.spec.lasting:
-        return True
-    oldest_s = min(subtask.ready_s for subtask in step.ready.values())
-    return now_s - oldest_s > RESERVE_AFTER_S
-
-
-def _worker_to_reserve(spec: Step, workers: list[WorkerState]) -> str | None:
-    """Return the worker to keep free until the step fits on it, or None."""
-    eligible = [worker for worker in workers if _can_ever_run(spec, worker)]
-    if not eligible:
-        return None
-    best = max(eligible, key=lambda worker: worker.free_capacity.cpu_millicores)
-    return best.facts.worker_id
-
-
-def _can_ever_run(spec: Step, worker: WorkerState) -> bool:
-    """Return whether a worker that is empty can run a subtask of a step."""
-    if spec.required_label and spec.required_label not in worker.facts.labels:
-        return False
-    return spec.reserved.fits_in(worker.facts.capacity)
-
-
-def _within_limit(
-    scheduler: Scheduler,
-    step: StepState,
-    count: int,
-    unreconciled: dict[str, Resources],
-) -> bool:
-    """Return whether ``count`` more subtasks stay within the team's limit."""
-    team = scheduler.configuration.teams.get(step.job.definition.team)
-    if team is None:
-        return True
-    used = scheduler.team_used.get(team.name, NO_RESOURCES)
-    used = used + unreconciled.get(team.name, NO_RESOURCES)
-    for _ in range(count):
-        used = used + step.spec.need
-    limit = team.limit
-    return (
-        (not limit.cpu_millicores or used.cpu_millicores <= limit.cpu_millicores)
-        and (not limit.memory_mib or used.memory_mib <= limit.memory_mib)
-        and (
-            not limit.accelerator_count
-            or used.accelerator_count <= limit.accelerator_count
-        )
-    )
-
-
 def _best_worker(
     scheduler: Scheduler,
     subtask: Subtask,
@@ -362,19 +298,6 @@
     return best
 
 
-def can_run(step: StepState, worker: WorkerState) -> bool:
-    """Return whether capacity, label and spread limit let a worker run a subtask."""
-    spec = step.spec
-    if not spec.reserved.fits_in(worker.free_capacity):
-        return False
-    if spec.required_label and spec.required_label not in worker.facts.labels:
-        return False
-    if not spec.spread_limit_count:
-        return True
-    on_worker_count = sum(1 for run in worker.runs.values() if run.subtask.step is step)
-    return on_worker_count < spec.spread_limit_count
-
-
 def _place_gang(
     scheduler: Scheduler,
     step: StepState,
@@ -412,7 +335,7 @@
         if now_s >= step.tickets_expire_s:
             return None
         workers = [w for w in workers if w.facts.worker_id in step.tickets]
-    if not _within_limit(scheduler, step, len(members), unreconciled):
+    if not within_limit(scheduler, step, len(members), unreconciled):
         return None
     groups = [workers]
     if step.spec.same_rack:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-from cicadatrail_core.jobs.dispatch import can_run
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, RunPhase, StepState, WorkerState
+from cicadatrail_core.jobs.worker_conditions import can_run
 
 CHECKPOINTED_WAIT_S = 1.5
 """Time that a subtask with a checkpoint gets to finish before it is moved."""
