Bound the time for which a worker is reserved

What callers would see: jobs that wait for as long as a reserved worker takes to empty, and with several blocked steps for longer, though that worker has room for them. A run may take minutes, so the wait had no bound.

Cause: nothing related a reservation to the time at which it began.

Why this works: a pool has a worker reserved for at most 6 s on end, then for 6 s none, so that all that waits gets a pass without a reservation. Only the most urgent step that may have one counts in the break, too, so that blocked steps don't keep a worker in turns. Ticks wake the dispatch while a pool has a reservation, as its end is an event of time alone. A long-running gang ignores reservations as other long-running work does.

--- a/features/reservations.feature
+++ b/features/reservations.feature
@@ -34,3 +34,24 @@
     When the long-running work on one worker is stopped
     And 2 younger subtasks of 5 cores are ready
     Then 1 are started and the rest wait
+
+  Scenario: A reservation does not hold work back for long while there is room
+    Given a scheduler with 3 workers of 8 cores
+    And each worker runs a subtask of 1 core and a subtask of 8 cores is blocked
+    When 3 younger subtasks of 4 cores are ready
+    Then 2 are started and the rest wait
+    And the last one starts within 2.2 seconds
+
+  Scenario: A reservation holds work back for a limited time in a busy pool
+    Given a scheduler with 3 workers of 8 cores
+    And each worker runs a subtask of 3 cores and a subtask of 8 cores is blocked
+    When 3 younger subtasks of 5 cores are ready
+    Then 2 are started and the rest wait
+    And the last one starts within 6.2 seconds
+
+  Scenario: Blocked subtasks do not take turns at keeping a worker free
+    Given a scheduler with 3 workers of 8 cores
+    And each worker runs a subtask of 3 cores and 6 subtasks of 8 cores are blocked in turn
+    When 3 younger subtasks of 5 cores are ready
+    Then 2 are started and the rest wait
+    And the last one starts within 6.2 seconds
--- a/features/steps/reservations_steps.py
+++ b/features/steps/reservations_steps.py
@@ -106,6 +106,43 @@
     assert job.has_runs
 
 
+@step(
+    "each worker runs a subtask of {cores:d} core and a subtask of 8 cores is blocked"
+)
+@step(
+    "each worker runs a subtask of {cores:d} cores and a subtask of 8 cores is blocked"
+)
+def step_busy(context: Any, cores: int) -> None:
+    world = context.world
+    count = len(world.sims)
+    _submit(world, RUNNING, _plan(count, cores, spread_limit_count=1), count)
+    _submit(world, BLOCKED, _plan(1, 8), 0)
+    assert _wait(world, 2.0) == []
+
+
+@step(
+    "each worker runs a subtask of {cores:d} cores "
+    "and {count:d} subtasks of 8 cores are blocked in turn"
+)
+def step_busy_turns(context: Any, cores: int, count: int) -> None:
+    world = context.world
+    step_busy(context, cores)
+    for number in range(1, count):
+        _submit(world, f"{number:016x}", _plan(1, 8), 0)
+        assert _wait(world, 1.0) == []
+
+
+@then("the last one starts within {limit:f} seconds")
+def step_last_starts(context: Any, limit: float) -> None:
+    world = context.world
+    woken: list[None] = []
+    world.scheduler.on_change = lambda: woken.append(None)
+    world.scheduler.tick(world.now_s, world.now_ms)
+    assert woken, "the passing of time alone lets it start"
+    (run,) = _wait(world, limit)
+    assert run.subtask.name.job_id == YOUNGER
+
+
 @when("{count:d} younger subtasks of {cores:d} cores are ready")
 def step_younger(context: Any, count: int, cores: int) -> None:
     context.count = count
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 from dataclasses import dataclass
 from functools import partial
 
@@ -20,9 +20,9 @@
 from cicadatrail_core.jobs.models import Queue
 from cicadatrail_core.jobs.placement_error import Cursor, PlacementError
 from cicadatrail_core.jobs.reservations import (
+    Reservation,
     can_ever_run,
-    may_reserve,
-    worker_to_reserve,
+    forget_reservations,
 )
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import (
@@ -56,6 +56,7 @@
     """
     ready = list(_ready_steps(scheduler, now_s))
     if not ready:
+        forget_reservations(scheduler, ())
         return
     over_share = teams_over_share(scheduler, ready)
     pools: dict[str, list[_Candidate]] = {}
@@ -68,6 +69,7 @@
         except Exception as error:
             raise PlacementError(step.job) from error
         pools.setdefault(queue.pool, []).append(_Candidate(order, step, queue))
+    forget_reservations(scheduler, pools)
     unreconciled = unreconciled_by_team(scheduler, now_s)
     suspects = ready_suspects(scheduler) if scheduler.suspects else []
     for pool, candidates in pools.items():
@@ -90,9 +92,10 @@
                 now_s,
             )
         cursor = Cursor(candidates)
+        reservation = Reservation(scheduler, pool, workers, now_s)
         try:
             _place_candidates(
-                scheduler, cursor, workers, reconciled, unreconciled, now_s
+                scheduler, cursor, workers, reservation, reconciled, unreconciled, now_s
             )
         except Exception as error:
             if cursor.last is None:
@@ -137,18 +140,18 @@
     scheduler: Scheduler,
     candidates: Iterable[_Candidate],
     workers: list[WorkerState],
+    reservation: Reservation,
     reconciled: set[str],
     unreconciled: dict[str, Resources],
     now_s: float,
 ) -> None:
-    reserved: set[str] = set()
-    has_reserved = False
     for candidate in candidates:
         step = candidate.step
         if step.job.inherited and candidate.queue.name not in reconciled:
             continue
         if step.spec.gang:
             if not is_suspect_step(step):
+                reserved = reservation.closed_to(step.subtasks[0])
                 _place_gang(scheduler, step, workers, reserved, unreconciled, now_s)
             continue
         blocked = False
@@ -157,16 +160,15 @@
                 break
             if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
                 continue
+            reserved = reservation.closed_to(subtask)
             worker = _best_worker(scheduler, subtask, workers, reserved, now_s)
             if worker is None:
                 blocked = True
                 break
             scheduler.place(subtask, worker, now_s)
-        if blocked and not has_reserved and may_reserve(step, now_s):
-            reserved_id = worker_to_reserve(scheduler, step, workers, now_s)
-            if reserved_id is not None:
-                reserved.add(reserved_id)
-                has_reserved = True
+        if blocked:
+            reservation.consider(step)
+    reservation.end()
 
 
 def _has_attempt(scheduler: Scheduler, subtask: Subtask) -> bool:
@@ -273,7 +275,7 @@
     scheduler: Scheduler,
     subtask: Subtask,
     workers: list[WorkerState],
-    reserved: set[str],
+    reserved: Set[str],
     now_s: float,
 ) -> WorkerState | None:
     """Return the allowed worker with the lowest score, or None."""
@@ -284,7 +286,7 @@
     best: WorkerState | None = None
     best_score = 0
     for worker in workers:
-        if worker.facts.worker_id in reserved and not spec.lasting:
+        if worker.facts.worker_id in reserved:
             continue
         if advised is not None and worker.facts.worker_id not in advised:
             continue
@@ -300,7 +302,7 @@
     scheduler: Scheduler,
     step: StepState,
     workers: list[WorkerState],
-    reserved: set[str],
+    reserved: Set[str],
     unreconciled: dict[str, Resources],
     now_s: float,
 ) -> None:
@@ -316,7 +318,7 @@
     scheduler: Scheduler,
     step: StepState,
     workers: list[WorkerState],
-    reserved: set[str],
+    reserved: Set[str],
     unreconciled: dict[str, Resources],
     now_s: float,
 ) -> list[WorkerState] | None:
@@ -360,7 +362,7 @@
 
 
 def _fit_gang(
-    step: StepState, workers: list[WorkerState], reserved: set[str]
+    step: StepState, workers: list[WorkerState], reserved: Set[str]
 ) -> list[WorkerState] | None:
     """Return a worker for each subtask of a gang, or None if not all fit."""
     spec = step.spec
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -67,6 +67,8 @@
         self.team_used: dict[str, Resources] = {}
         # Subtasks that may have crashed a worker.
         self.suspects: dict[SubtaskName, Subtask] = {}
+        # Since when each pool has had a worker reserved.
+        self.reserved_since_s: dict[str, float] = {}
         self.durations = Durations()
         self.changed_jobs: dict[str, None] = {}
         self.evicted_job_ids: list[str] = []
@@ -367,8 +369,8 @@
             self._expire(worker, now_s)
         self.queue_pools.drop_unused(self, now_s)
         drop_ended_suspects(self)
-        if self.suspects:
-            # Workers that were kept for a suspect become free with time.
+        if self.suspects or self.reserved_since_s:
+            # Workers that were kept for a suspect or reserved become free with time.
             self.on_change()
 
     def _evict_old_job(self, job: JobState, now_s: float) -> None:
