Keep no worker for a suspect that could not start there

What callers would see: work that waits for up to 2 s on each try of a suspect, beside a worker that is kept empty for nothing. By reading and by test.

A suspect of two crashes keeps a worker that label and total capacity suit, also at its step's limit, without a ticket, and beside long-running work, under which a worker never becomes idle.

Why this works: suspects ask reservable_workers, as reservations do, and a worker counts only if no long-running run of another job stays on it. The wait of the suspect itself is as before: after 2 s it starts beside other runs.

--- a/features/reservations.feature
+++ b/features/reservations.feature
@@ -55,3 +55,21 @@
     When 3 younger subtasks of 5 cores are ready
     Then 2 are started and the rest wait
     And the last one starts within 6.2 seconds
+
+  Scenario Outline: No worker is kept for a suspect that can't start there
+    Given a scheduler with 3 workers of 8 cores
+    And a subtask is suspected of two crashes and <hindrance>
+    When 3 younger subtasks of 5 cores are ready
+    Then 3 are started and the rest wait
+
+    Examples: hindrances
+      | hindrance                                   |
+      | each worker runs long-running work          |
+      | its step is at its limit on every worker    |
+      | its queue needs advice and it has no ticket |
+
+  Scenario: A worker that empties soon is kept for a suspect
+    Given a scheduler with 3 workers of 8 cores
+    And a subtask is suspected of two crashes and each worker runs other work
+    When 3 younger subtasks of 5 cores are ready
+    Then 2 are started and the rest wait
--- a/features/steps/reservations_steps.py
+++ b/features/steps/reservations_steps.py
@@ -9,7 +9,7 @@
 from behave import step, then, when
 
 from cicadatrail_core.jobs.models import EndKind, JobDefinition, Step
-from cicadatrail_core.jobs.state import JobState, Run
+from cicadatrail_core.jobs.state import JobState, Run, Subtask
 from cicadatrail_core.models.resources import Resources
 from features.support.job_world import JobWorld
 
@@ -143,6 +143,57 @@
     assert run.subtask.name.job_id == YOUNGER
 
 
+def _suspect(world: JobWorld, subtask: Subtask) -> None:
+    subtask.crashed_runs.update({1: "x", 2: "y"})
+    world.scheduler.suspects[subtask.name] = subtask
+
+
+def _submit_suspect(world: JobWorld) -> None:
+    job = world.submit(BLOCKED, _plan(1, 1))
+    _suspect(world, job.occurrences[0][0].subtasks[0])
+    assert world.run_all() == []
+
+
+@step("a subtask is suspected of two crashes and each worker runs long-running work")
+def step_suspect_lasting(context: Any) -> None:
+    world = context.world
+    count = len(world.sims)
+    plan = _plan(count, 2, lasting=True, spread_limit_count=1)
+    _submit(world, RUNNING, plan, count)
+    _submit_suspect(world)
+
+
+@step("a subtask is suspected of two crashes and each worker runs other work")
+def step_suspect_other(context: Any) -> None:
+    world = context.world
+    count = len(world.sims)
+    _submit(world, RUNNING, _plan(count, 2, spread_limit_count=1), count)
+    _submit_suspect(world)
+
+
+@step(
+    "a subtask is suspected of two crashes and its step is at its limit on every worker"
+)
+def step_suspect_limit(context: Any) -> None:
+    world = context.world
+    count = len(world.sims)
+    job = _submit(world, BLOCKED, _plan(count + 1, 1, spread_limit_count=1), count)
+    (subtask,) = job.occurrences[0][0].ready.values()
+    _suspect(world, subtask)
+    assert world.run_all() == []
+
+
+@step(
+    "a subtask is suspected of two crashes "
+    "and its queue needs advice and it has no ticket"
+)
+def step_suspect_ticket(context: Any) -> None:
+    world = context.world
+    job = _submit_advised(world, _plan(1, 1))
+    _suspect(world, job.occurrences[0][0].subtasks[0])
+    assert world.run_all() == []
+
+
 @when("{count:d} younger subtasks of {cores:d} cores are ready")
 def step_younger(context: Any, count: int, cores: int) -> None:
     context.count = count
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -21,7 +21,6 @@
 from cicadatrail_core.jobs.placement_error import Cursor, PlacementError
 from cicadatrail_core.jobs.reservations import (
     Reservation,
-    can_ever_run,
     forget_reservations,
 )
 from cicadatrail_core.jobs.scheduler import Scheduler
@@ -232,7 +231,7 @@
         else:
             # A suspect that only waits must not count as started by each successor.
             withdraw_start_notes(scheduler, subtask)
-        placement.reserve(subtask, can_ever_run)
+        placement.reserve(subtask)
         return
     if not note_start(scheduler, subtask, now_s):
         if is_start_note_new(subtask, now_s):
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/reservations.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/reservations.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterable, Set
 
-from cicadatrail_core.jobs.models import Step
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import StepState, Subtask, WorkerState
 from cicadatrail_core.jobs.worker_conditions import (
@@ -98,28 +97,28 @@
     return now_s - oldest_s > RESERVE_AFTER_S
 
 
-def _worker_to_reserve(
+def reservable_workers(
     scheduler: Scheduler, step: StepState, workers: list[WorkerState], now_s: float
-) -> str | None:
-    """Return the worker to keep free until the step fits on it, or None.
+) -> list[WorkerState]:
+    """Return the workers that could run a step once their runs that end have ended.
 
     A worker that lacks more than capacity would be kept free for nothing.
     """
     advised = advised_workers(scheduler, step, now_s)
-    eligible = [
+    return [
         worker
         for worker in workers
         if (advised is None or worker.facts.worker_id in advised)
         and lacks_only_capacity(step, worker)
     ]
+
+
+def _worker_to_reserve(
+    scheduler: Scheduler, step: StepState, workers: list[WorkerState], now_s: float
+) -> str | None:
+    """Return the worker to keep free until the step fits on it, or None."""
+    eligible = reservable_workers(scheduler, step, workers, now_s)
     if not eligible:
         return None
     best = max(eligible, key=lambda worker: worker.free_capacity.cpu_millicores)
     return best.facts.worker_id
-
-
-def can_ever_run(spec: Step, worker: WorkerState) -> bool:
-    """Return whether a worker that is empty can run a subtask of a step."""
-    if spec.required_label and spec.required_label not in worker.facts.labels:
-        return False
-    return spec.reserved.fits_in(worker.facts.capacity)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/suspect_placement.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/suspect_placement.py
@@ -7,17 +7,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from cicadatrail_core.jobs.crash_suspicion import (
     PROMPT_S,
     crash_count,
     drop_ended_suspects,
     together,
 )
+from cicadatrail_core.jobs.reservations import reservable_workers
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import (
     JobState,
+    RunPhase,
     StepState,
     Subtask,
     SubtaskPhase,
@@ -63,6 +63,7 @@
     def __init__(
         self, scheduler: Scheduler, workers: list[WorkerState], now_s: float
     ) -> None:
+        self._scheduler = scheduler
         self._workers = workers
         self._now_s = now_s
         self._limit_count = max(1, int(len(workers) * KEPT_LIMIT_FRACTION))
@@ -120,7 +121,7 @@
         """Return the workers that are kept for other suspects only for a moment."""
         return [w for w in self._workers if w.facts.worker_id in self._apart]
 
-    def reserve(self, subtask: Subtask, can_ever_run: Callable[..., bool]) -> None:
+    def reserve(self, subtask: Subtask) -> None:
         """Keep workers so that they empty for a suspect that should get idle ones."""
         if crash_count(subtask) < IDLE_FROM_COUNT or not self._may_wait(subtask):
             return
@@ -128,8 +129,11 @@
             # All other work would wait for the suspect.
             return
         spec = subtask.step.spec
-        eligible = [w for w in self.open_workers if can_ever_run(spec, w)]
-        eligible.sort(key=_time_to_empty)
+        reservable = reservable_workers(
+            self._scheduler, subtask.step, self.open_workers, self._now_s
+        )
+        eligible = [w for w in reservable if _may_empty(w, subtask.step.job)]
+        eligible.sort(key=lambda worker: len(worker.runs))
         for worker in eligible[: spec.count if spec.gang else 1]:
             if not self._is_full:
                 self._kept.add(worker.facts.worker_id)
@@ -156,8 +160,11 @@
     return [[w for w in workers if len(w.runs) <= count] for count in counts]
 
 
-def _time_to_empty(worker: WorkerState) -> tuple[bool, int]:
-    has_long_running = any(
-        run.subtask.step.spec.lasting for run in worker.runs.values()
+def _may_empty(worker: WorkerState, job: JobState) -> bool:
+    """Return whether all runs of other jobs end: long-running ones only if stopped."""
+    return not any(
+        run.subtask.step.spec.lasting
+        and run.subtask.step.job is not job
+        and run.phase is not RunPhase.STOPPING
+        for run in worker.runs.values()
     )
-    return has_long_running, len(worker.runs)
