Play refusals, first starts and frozen leaders in the soak, and an idle worker (failing)

- links between instances, to workers and to the store that refuse, both ways and one way,
- instances that start for the first time during a cut,
- leaders that are frozen during a cut,

The checks are the same.

Daemon moves to a module of its own, the cuts of links to another.

--- a/features/partitions.feature
+++ b/features/partitions.feature
@@ -1,6 +1,7 @@
 Feature: Parts of the system that stay together while they are cut off
   Real processes, with proxies on their links to the store, to each other and to workers.
   By hand: python -m features.support.soak --partitions --seed 1 --seeds 50 --seconds 30
+  and the same with --refusals in place of --partitions
 
   # Guards against TWICE: a former leader went on renewing the leases of workers that
   # only its data centre reached, while its successor took them for over.
@@ -33,5 +34,14 @@
     When an instance starts for the first time while all others are cut off for 20 s
     Then no subtask ran twice, and the job is completed
 
+  # Guards against TWICE: the leader took workers for lost that its successor reached.
+  Scenario: No second run on an idle worker that only the former leader reaches
+    When the leader and two peers keep only an idle worker for 10 s
+    Then no subtask ran twice, and the job is completed
+
   Scenario: Random partitions, seed 1
     Then a soak of seed 1 with partitions over 20 s finds no violation
+
+  # Guards against TWICE in the two partitions above, with other faults beside them.
+  Scenario: Random partitions with refusals, first starts and frozen leaders, seed 410
+    Then a soak of seed 410 with refusals over 20 s finds no violation
--- a/features/steps/partitions_steps.py
+++ b/features/steps/partitions_steps.py
@@ -12,6 +12,7 @@
     JOB,
     PartitionRun,
     play_first_start,
+    play_idle_worker,
     play_partition,
 )
 
@@ -36,6 +37,12 @@
         context.run = play_first_start(Path(folder))
 
 
+@when("the leader and two peers keep only an idle worker for 10 s")
+def step_idle_worker(context: Any) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        context.run = play_idle_worker(Path(folder))
+
+
 @when("the leader's data centre is sent nothing by the others for 10 s")
 def step_one_way(context: Any) -> None:
     with tempfile.TemporaryDirectory() as folder:
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -24,6 +24,7 @@
 from cicadatraild.scheduling.messages import AskHolder, CountQueued, HolderIs
 from cicadatraild.scheduling.peers import PeerClient, PeerUnreachableError
 from features.support.crash_world import CrashWorld
+from features.support.daemon_process import SOURCES
 from features.support.faulty_proxy import HOST
 from features.support.job_world import definition
 from features.support.open_caller import CallOutcome, OpenCaller, open_caller
@@ -34,7 +35,6 @@
     start_instances,
 )
 from features.support.platform_cluster import PlatformCluster, job, run_scenario
-from features.support.soak import SOURCES
 from features.support.thread_caller import ThreadCaller
 
 SERIES_S = 9.0
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -26,10 +26,21 @@
     _check_soak(seed, seconds, has_series=False, has_partitions=True)
 
 
+@then("a soak of seed {seed:d} with refusals over {seconds:d} s finds no violation")
+def step_soak_with_refusals(context: Any, seed: int, seconds: int) -> None:
+    _check_soak(seed, seconds, has_series=False, has_partitions=True, has_refusals=True)
+
+
 def _check_soak(
-    seed: int, seconds: int, has_series: bool, has_partitions: bool = False
+    seed: int,
+    seconds: int,
+    has_series: bool,
+    has_partitions: bool = False,
+    has_refusals: bool = False,
 ) -> None:
     with tempfile.TemporaryDirectory() as folder:
-        soak = run_seed(seed, seconds, Path(folder), has_series, has_partitions)
+        soak = run_seed(
+            seed, seconds, Path(folder), has_series, has_partitions, has_refusals
+        )
     assert soak.accepted, soak.faults
     assert not soak.findings, (soak.findings, soak.faults)
--- a/features/support/faulty_network.py
+++ b/features/support/faulty_network.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from contextlib import AsyncExitStack
+from enum import Enum
 
 from features.support.faulty_proxy import HOST, FaultyProxy
 from features.support.platform_cluster import PlatformCluster, free_port, is_free
@@ -16,6 +18,16 @@
 STORE = "store"
 
 
+class LinkFault(Enum):
+    SILENT = "silent"
+    LOSES_REQUESTS = "loses requests"
+    LOSES_ANSWERS = "loses answers"
+    REFUSES = "refuses"
+
+
+Cut = list[tuple[FaultyProxy, LinkFault]]
+
+
 class FaultyNetwork:
     """The links of a cluster's daemons; ``links`` has them by source and target."""
 
@@ -32,6 +44,7 @@
                 ports.add(port)
         self._peer_ports = dict(zip(names, ports, strict=True))
         self._store_ports: dict[str, int] = {}
+        self._faults: dict[FaultyProxy, Counter[LinkFault]] = {}
 
     async def open(self, stack: AsyncExitStack) -> None:
         """Open all links until ``stack`` closes; the workers must be listening."""
@@ -70,30 +83,60 @@
 
     def cut(
         self, sources: Iterable[str], targets: Iterable[str], refuses: bool = False
-    ) -> None:
+    ) -> Cut:
         """Cut the links from some daemons to others, to workers or to the store.
 
         The links are silent, or with ``refuses`` refuse connections.
         """
-        for proxy in self._between(sources, targets):
-            if refuses:
-                proxy.refuse()
-            else:
-                proxy.silent = True
+        fault = LinkFault.REFUSES if refuses else LinkFault.SILENT
+        return self.disturb(self._between(sources, targets), fault)
 
     def part(
         self, names: Iterable[str], others: Iterable[str], refuses: bool = False
-    ) -> None:
+    ) -> Cut:
         """Cut the links between two groups of daemons, as seen from both."""
-        self.cut(names, others, refuses)
-        self.cut(others, names, refuses)
+        return self.cut(names, others, refuses) + self.cut(others, names, refuses)
+
+    def disturb(self, links: Iterable[FaultyProxy], fault: LinkFault) -> Cut:
+        """Add a fault to links; each is to be removed as often as it was added."""
+        cut = [(proxy, fault) for proxy in links]
+        for proxy, _ in cut:
+            self._faults.setdefault(proxy, Counter())[fault] += 1
+            self._apply_faults(proxy)
+        return cut
+
+    async def restore(self, cut: Cut) -> None:
+        """Remove the faults of a cut that have not been removed since."""
+        for proxy, fault in cut:
+            faults = self._faults.get(proxy, Counter())
+            if faults[fault]:
+                faults[fault] -= 1
+                await self._remove_faults(proxy)
 
     async def heal(self) -> None:
-        """Restore all links; their connections are broken, as data was lost."""
-        for proxy in self.links.values():
-            if proxy.silent or proxy.loses_requests or proxy.loses_answers:
-                proxy.silent = proxy.loses_requests = proxy.loses_answers = False
-                proxy.reset()
+        """Restore all links."""
+        for proxy, faults in [*self._faults.items()]:
+            if faults.total():
+                faults.clear()
+                await self._remove_faults(proxy)
+
+    def _apply_faults(self, proxy: FaultyProxy) -> None:
+        faults = self._faults[proxy]
+        proxy.silent = faults[LinkFault.SILENT] > 0
+        proxy.loses_requests = faults[LinkFault.LOSES_REQUESTS] > 0
+        proxy.loses_answers = faults[LinkFault.LOSES_ANSWERS] > 0
+        if faults[LinkFault.REFUSES]:
+            proxy.refuse()
+
+    async def _remove_faults(self, proxy: FaultyProxy) -> None:
+        """Let a link do again what no fault keeps it from.
+
+        Its connections are broken, as data was lost.
+        """
+        self._apply_faults(proxy)
+        if not self._faults[proxy].total():
+            proxy.reset()
+        if not self._faults[proxy][LinkFault.REFUSES]:
             await proxy.accept()
 
     def _between(
--- a/features/support/odd_entries.py
+++ b/features/support/odd_entries.py
@@ -8,8 +8,9 @@
 from pathlib import Path
 from typing import Any
 
+from features.support.daemon_process import Daemon
 from features.support.platform_cluster import configuration, job
-from features.support.soak import Daemon, Soak
+from features.support.soak import Soak
 
 DEPTHS = (500, 990, 5000)
 RECORD_DEPTH = 100_000
--- a/features/support/partition_run.py
+++ b/features/support/partition_run.py
@@ -17,7 +17,7 @@
 from cicadatraild.network.http_client import ConnectionPool
 from cicadatraild.platform.store import LEADER_TOPIC
 from cicadatraild.scheduling.membership import KNOWN_KEY
-from features.support.faulty_network import STORE
+from features.support.faulty_network import STORE, LinkFault
 from features.support.platform_cluster import job
 from features.support.soak import INSTANCE_COUNT, WORKER_COUNT, Soak
 
@@ -88,9 +88,9 @@
         """Let the leader's side send, but hear nothing of the others."""
         for (source, target), link in self.network.links.items():
             if source in near and (target in far or target == STORE):
-                link.loses_answers = True
+                self.network.disturb([link], LinkFault.LOSES_ANSWERS)
             elif source in far and target in (*near, worker_id):
-                link.loses_requests = True
+                self.network.disturb([link], LinkFault.LOSES_REQUESTS)
 
     async def _leader(self) -> str:
         """Return the instance that answers operators for jobs."""
@@ -125,11 +125,35 @@
         self.network.part(near, far)
         self.network.cut(far, [kept])
         self.network.cut(near, others | {STORE})
-        self._start_later()
+        self.start_later()
         await asyncio.sleep(FIRST_START_CUT_S)
         await self.network.heal()
 
 
+class IdleWorkerRun(PartitionRun):
+    """A run in which the leader and two peers keep only a worker that runs nothing.
+
+    The fourth instance refuses their connections and reaches the workers that run
+    something, soon enough to renew their leases.
+    """
+
+    async def _inject_faults(self, until_s: float) -> None:
+        await self.cluster.wait_until(
+            lambda: len(self.cluster.fleet.starts) == WORKER_COUNT
+        )
+        leader = await self._leader()
+        names = [daemon.name for daemon in self.daemons]
+        far = [name for name in names if name != leader][-1:]
+        near = [name for name in names if name not in far]
+        ids = {worker.worker_id for worker in self.cluster.workers}
+        kept = max(ids - self.cluster.fleet.used_workers)
+        self.network.part(near, far, refuses=True)
+        self.network.cut(far, [kept])
+        self.network.cut(near, (ids - {kept}) | {STORE})
+        await asyncio.sleep(CUT_S)
+        await self.network.heal()
+
+
 def play_partition(
     folder: Path,
     store_cut_s: float = 0.0,
@@ -148,6 +172,12 @@
     return run
 
 
+def play_idle_worker(folder: Path) -> IdleWorkerRun:
+    run = IdleWorkerRun(1, 0.0, has_partitions=True)
+    asyncio.run(run.run(folder))
+    return run
+
+
 def play_first_start(folder: Path) -> FirstStartRun:
     run = FirstStartRun(
         1,
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -4,7 +4,9 @@
 is a process on its own loopback address. Faults follow each other and overlap:
 processes are killed, paused and told to stop, a proxy delays, resets or silences
 the connection to the store, and the store and workers lose or delay answers. With
---partitions the links between instances and to workers are cut as well.
+--partitions the links between instances and to workers are cut as well, with
+--refusals some of them refuse connections, instances start for the first time
+during a cut, and leaders are frozen in it.
 The checks are what callers and workers observe: no subtask runs twice or starts
 after its end, no worker is over its capacity, and every accepted job is completed.
 
@@ -16,10 +18,8 @@
 import argparse
 import asyncio
 import json
-import os
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 from collections.abc import Callable, Coroutine
@@ -28,16 +28,15 @@
 from pathlib import Path
 from typing import Any
 
+from features.support.daemon_process import Daemon
 from features.support.faulty_network import STORE, FaultyNetwork
 from features.support.faulty_proxy import FaultyProxy
 from features.support.open_caller import open_caller
+from features.support.partition_faults import PartitionFaults
 from features.support.platform_cluster import PlatformCluster, configuration, job
 
-SOURCES = ":".join(
-    str(Path(__file__).resolve().parents[2] / "packages" / name / "src")
-    for name in ("cicadatrail-core", "cicadatrail-node")
-)
 INSTANCE_COUNT = 4
+FIRST_START_COUNT = 2
 WORKER_COUNT = 5
 SUBMIT_PAUSE_S = 0.15
 FAULT_PAUSE_S = 0.8
@@ -47,36 +46,9 @@
 SHORT_MS = (50, 900)
 LONG_MS = (4000, 12_000)
 LONG_FRACTION = 0.15
-
-
-@dataclass
-class Daemon:
-    """A daemon process and its proxy to the store."""
-
-    name: str
-    data_centre: int
-    proxy: FaultyProxy
-    settings: Path
-    process: subprocess.Popen[bytes] | None = None
-    disturbed_s: float = 0.0
-
-    def start(self) -> None:
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "cicadatraild.main", "--platform"],
-            env={
-                **os.environ,
-                "PYTHONPATH": SOURCES,
-                "CICADATRAIL_NODE_FILE": str(self.settings),
-            },
-            stdout=self.settings.with_suffix(".log").open("ab"),
-            stderr=subprocess.STDOUT,
-        )
-
-    def send(self, number: signal.Signals) -> None:
-        if number in (signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT):
-            self.disturbed_s = asyncio.get_running_loop().time()
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
+# Runs that may outlast the claim of an instance that starts during a cut.
+LONGEST_MS = (8000, 24_000)
+LONGEST_FRACTION = 0.06
 
 
 @dataclass
@@ -86,13 +58,16 @@
     ``faults`` lists the injected faults, ``findings`` the violations found. With
     ``has_series`` processes are stopped in overlapping series, with ``has_partitions``
     links of instances to each other and to workers are cut. The first ``first_count``
-    instances run from the start, ``later_daemons`` not before ``_start_later``.
+    instances run from the start, ``later_daemons`` not before ``start_later``. With
+    ``has_refusals``, which needs ``has_partitions``, links are also cut by refusals,
+    and instances start for the first time.
     """
 
     seed: int
     seconds: float
     has_series: bool = False
     has_partitions: bool = False
+    has_refusals: bool = False
     cluster: PlatformCluster = field(default_factory=PlatformCluster)
     daemons: list[Daemon] = field(default_factory=list)
     accepted: set[str] = field(default_factory=set)
@@ -109,7 +84,9 @@
             stack.callback(self._end_all)
             stack.push_async_callback(self.cluster.close)
             await self.cluster.open(WORKER_COUNT)
-            names = [f"edge-{number}" for number in range(1, INSTANCE_COUNT + 1)]
+            later_count = FIRST_START_COUNT if self.has_refusals else 0
+            count = INSTANCE_COUNT + later_count
+            names = [f"edge-{number}" for number in range(1, count + 1)]
             self.network = FaultyNetwork(self.cluster, names)
             if self.has_partitions:
                 await self.network.open(stack)
@@ -117,7 +94,7 @@
                 daemon = await self._prepare_daemon(stack, folder, name, number // 2)
                 self.later_daemons.append(daemon)
             for _ in range(self.first_count):
-                self._start_later()
+                self.start_later()
             supervisor = asyncio.create_task(self._restart_ended_daemons())
             stack.callback(supervisor.cancel)
             await self._wait_for_service()
@@ -149,8 +126,10 @@
             settings.write_text(self.cluster.settings_text(name, port))
         return Daemon(name, data_centre, proxy, settings)
 
-    def _start_later(self) -> None:
-        """Start the next instance for the first time."""
+    def start_later(self) -> None:
+        """Start the next instance for the first time, if there is one."""
+        if not self.later_daemons:
+            return
         daemon = self.later_daemons.pop(0)
         daemon.start()
         self.daemons.append(daemon)
@@ -191,7 +170,12 @@
         await asyncio.gather(*tasks)
 
     async def _submit_one(self, job_id: str) -> None:
-        has_long_run = self.has_partitions and self.random.random() < LONG_FRACTION
+        if self.has_refusals and self.random.random() < LONGEST_FRACTION:
+            body = job(ms=self.random.randint(*LONGEST_MS), count=2)
+            await self._submit_until_accepted(job_id, body)
+            return
+        may_run_long = self.has_partitions and not self.has_refusals
+        has_long_run = may_run_long and self.random.random() < LONG_FRACTION
         body = job(
             ms=self.random.randint(*(LONG_MS if has_long_run else SHORT_MS)),
             steps=self.random.randint(1, 2),
@@ -250,11 +234,15 @@
                 self._kill,
             )
         if self.has_partitions:
+            faults = PartitionFaults(
+                self.random,
+                self.network,
+                self.cluster,
+                self.daemons,
+                self.start_later if self.has_refusals else None,
+            )
             actions = (
-                self._part_data_centres,
-                self._part_data_centres,
-                self._cut_one_way,
-                self._cut_off_workers,
+                *faults.actions(),
                 self._store_down,
                 self._kill,
                 self._pause,
@@ -265,7 +253,7 @@
         pending: set[asyncio.Task[None]] = set()
         while loop.time() < until_s:
             action = self.random.choice(actions)
-            self.faults.append(f"{action.__name__[1:]}")
+            self.faults.append(action.__name__.lstrip("_"))
             pending.add(asyncio.create_task(action()))
             await asyncio.sleep(self.random.uniform(0.2, 2 * FAULT_PAUSE_S))
         await asyncio.gather(*pending)
@@ -345,48 +333,6 @@
     async def _restart_worker(self) -> None:
         self.random.choice(self.cluster.workers).restart()
 
-    async def _part_data_centres(self) -> None:
-        """Cut one data centre off; some workers stay with it, the others don't.
-
-        Its instances lose the store in most cases, and may lose it a moment later.
-        """
-        near = [d.name for d in self.daemons if d.data_centre == 0]
-        far = [d.name for d in self.daemons if d.data_centre == 1]
-        if self.random.random() < 0.5:
-            near, far = far, near
-        ids = [worker.worker_id for worker in self.cluster.workers]
-        kept = self.random.sample(ids, self.random.randint(0, len(ids)))
-        self.network.part(near, far)
-        self.network.cut(far, kept)
-        self.network.cut(near, set(ids) - set(kept))
-        if self.random.random() < 0.8:
-            await asyncio.sleep(self.random.choice((0.0, 0.5)))
-            self.network.cut(near, [STORE])
-        await asyncio.sleep(self.random.uniform(2, 12))
-        await self.network.heal()
-
-    async def _cut_one_way(self) -> None:
-        """Lose what is sent one way on some links of an instance."""
-        name = self._daemon().name
-        links = [p for (source, _), p in self.network.links.items() if source == name]
-        loses_requests = self.random.random() < 0.5
-        for link in self.random.sample(links, self.random.randint(1, len(links))):
-            link.loses_requests = loses_requests
-            link.loses_answers = not loses_requests
-        await asyncio.sleep(self.random.uniform(1, 6))
-        await self.network.heal()
-
-    async def _cut_off_workers(self) -> None:
-        """Cut some workers off from some instances."""
-        names = [daemon.name for daemon in self.daemons]
-        ids = [worker.worker_id for worker in self.cluster.workers]
-        self.network.cut(
-            self.random.sample(names, self.random.randint(1, len(names))),
-            self.random.sample(ids, self.random.randint(1, 2)),
-        )
-        await asyncio.sleep(self.random.uniform(1, 6))
-        await self.network.heal()
-
     async def _clear_faults(self) -> None:
         await self.network.heal()
         self.cluster.store.faults.down = False
@@ -427,8 +373,9 @@
     folder: Path,
     has_series: bool = False,
     has_partitions: bool = False,
+    has_refusals: bool = False,
 ) -> Soak:
-    soak = Soak(seed, seconds, has_series, has_partitions)
+    soak = Soak(seed, seconds, has_series, has_partitions, has_refusals)
     asyncio.run(soak.run(folder))
     return soak
 
@@ -448,6 +395,11 @@
         action="store_true",
         help="cut links between instances and to workers",
     )
+    parser.add_argument(
+        "--refusals",
+        action="store_true",
+        help="as --partitions, with refusals, first starts and frozen leaders",
+    )
     parser.add_argument("--keep", type=Path, help="folder to keep the logs in")
     options = parser.parse_args()
     failed = 0
@@ -460,7 +412,8 @@
                 options.seconds,
                 log_folder,
                 options.series,
-                options.partitions,
+                options.partitions or options.refusals,
+                options.refusals,
             )
         failed += bool(soak.findings)
         summary = {
