Repeat no run that is only presumed to be over without the lease

It took their leases for expired and started their subtasks on a worker that only it reached, while the successor renewed these leases, or had taken note of the ends.

That a lease has ended, that a worker has restarted, left or given its address to another, tells a leader only what it knows itself. While its store lease is valid nobody else can have renewed the lease or read an end; with confirmations alone somebody can.

A subtask whose run no worker has listed as ended starts again only with the lease, checked when it is placed and when the order is sent. What a worker lists as ended is repeated as before: a successor that has asked that worker has fenced it.

Costs: while the store is down for all, the subtasks of a worker that is lost wait for it.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -159,6 +159,8 @@
                 break
             if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
                 continue
+            if not scheduler.may_repeat(subtask):
+                continue
             reserved = reservation.closed_to(subtask)
             worker = _best_worker(scheduler, subtask, workers, reserved, now_s)
             if worker is None:
@@ -223,6 +225,8 @@
         return
     if not step.spec.gang and not _has_attempt(scheduler, subtask):
         return
+    if not step.spec.gang and not scheduler.may_repeat(subtask):
+        return
     choose = partial(_choose_for_suspect, scheduler, subtask, unreconciled, now_s)
     chosen = choose(placement.candidates(subtask))
     if chosen is None:
@@ -325,6 +329,8 @@
     members = step.subtasks
     if len(step.ready) < len(members):
         return None
+    if not all(scheduler.may_repeat(member) for member in members):
+        return None
     # The members of a run share its number; one that ended unreported may have failed.
     unreported = {number for member in members for number in member.expired_runs}
     attempt_count = step.gang_failures + len(unreported)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -78,6 +78,8 @@
         self.stops: list[Run] = []
         self.next_maintenance_machines: frozenset[str] = frozenset()
         self.on_change: Callable[[], None] = lambda: None
+        # Whether no other leader can have been elected.
+        self.is_lease_valid: Callable[[], bool] = lambda: True
         self.counts: dict[str, int] = {}
 
     # Configuration and workers
@@ -271,9 +273,10 @@
         self.counts[reason] = self.counts.get(reason, 0) + 1
         if run.subtask.name in {name for name, _ in run.worker.runs}:
             # The subtask has waited since then all the same.
-            ready_s = run.subtask.ready_s
+            subtask = run.subtask
+            ready_s, is_presumed_over = subtask.ready_s, subtask.is_presumed_over
             self.release(run, now_s, reason)
-            run.subtask.ready_s = ready_s
+            subtask.ready_s, subtask.is_presumed_over = ready_s, is_presumed_over
 
     def detach(self, run: Run, reason: str) -> None:
         """Remove a run that is over from its worker, subtask and team."""
@@ -289,9 +292,13 @@
             self.team_used[team] = self.team_used[team] - subtask.step.spec.need
 
     def release(self, run: Run, now_s: float, reason: str) -> None:
-        """Remove a run that is over and make its subtask ready again if unfinished."""
+        """Remove a run that is over and make its subtask ready again if unfinished.
+
+        No worker has listed its end, so that a newer leader may have read another one.
+        """
         self.detach(run, reason)
         subtask = run.subtask
+        subtask.is_presumed_over = not self.is_lease_valid()
         job = subtask.step.job
         if job.is_final and not job.has_runs:
             self.changed_jobs[job.job_id] = None
@@ -302,6 +309,10 @@
 
     # Ends
 
+    def may_repeat(self, subtask: Subtask) -> bool:
+        """Return whether an earlier run of a subtask is known to be over."""
+        return not subtask.is_presumed_over or self.is_lease_valid()
+
     def needs_advice(self, step: StepState) -> bool:
         """Return whether only workers with a ticket may run a step."""
         queue = self.queues.get(step.job.definition.queue)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -109,6 +109,7 @@
         "expired_runs",
         "failed_runs",
         "index",
+        "is_presumed_over",
         "last_run",
         "live_runs",
         "phase",
@@ -122,6 +123,9 @@
     def __init__(self, step: StepState, index: int) -> None:
         self.step = step
         self.index = index
+        # True while its newest run counts as over though another leader may have been
+        # elected, which may know better.
+        self.is_presumed_over = False
         # How the newest run that is over ended, for the log of the next start.
         self.previous_end = ""
         self.phase = SubtaskPhase.WAITING
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -97,6 +97,7 @@
         run.percent = row.percent
         run.progress_s = now_s
     run.measurement = row.measurement
+    run.subtask.is_presumed_over = False
     check_survival(scheduler, run, now_s)
     if row.checkpoint and row.checkpoint != run.subtask.checkpoint:
         run.subtask.checkpoint = row.checkpoint
@@ -187,6 +188,7 @@
     if run is not None:
         subtask = run.subtask
         scheduler.detach(run, row.kind.value)
+        subtask.is_presumed_over = False
     if job is None or subtask is None:
         return
     if row.checkpoint:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -122,6 +122,7 @@
         self._leadership = leadership
         self._dirty = asyncio.Event()
         self.scheduler.on_change = self._dirty.set
+        self.scheduler.is_lease_valid = leadership.is_lease_valid
         self._former_leases = FormerLeases(self.scheduler, leadership.right)
         self._records = LeaderRecords(self.scheduler, self._former_leases)
         self.journal = Journal(
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -164,7 +164,11 @@
             subtask.checkpoint,
             subtask.step.tickets.get(worker.facts.worker_id, ""),
             deadline_ms,
-            lambda: _is_wanted(run) and self._is_fenced_for(worker),
+            lambda: (
+                _is_wanted(run)
+                and self._is_fenced_for(worker)
+                and scheduler.may_repeat(subtask)
+            ),
         )
         now_s = loop_now_s()
         logger.info(
