Search all orders of elections completely, and with each rule weakened

The search of scope three had not ended within 100 s, and the model lacked the fields claimed_epoch, _has_record and _ended_s. Times are now relative to now, and those past any use are equal, so that time has no bound. What has no effect any more is dropped: what an instance that claims no more has read, rounds that confirm nothing, late appends that the store will reject.

The weakened rules showed two holes of the model on the way, both closed: a round without answers was never applied (the unread acknowledgements survived), and one renewal was too few for two leaders of one epoch (the claimed epoch survived).

Learning a leader from a peer is left out: it only keeps an instance from confirming.

--- a/features/support/leadership_world.py
+++ b/features/support/leadership_world.py
@@ -11,17 +11,14 @@
 from collections.abc import Coroutine, Iterator
 from contextlib import ExitStack, contextmanager, suppress
 from dataclasses import dataclass, replace
-from enum import Enum
 from types import SimpleNamespace
 from typing import Any
 from unittest import mock
 
 from cicadatrail_core.leadership import acting_right
+from cicadatrail_core.leadership.acting_right import ActingRight, FormerRight
 from cicadatraild.platform.store import (
     FencedError,
-    KeyedRecord,
-    PositionError,
-    Producer,
     RecordsDroppedError,
     SequenceError,
     StoreUnavailableError,
@@ -34,6 +31,7 @@
 )
 from cicadatraild.scheduling.leader_right import ConfirmationRound
 from cicadatraild.scheduling.leadership import Leadership
+from features.support.leadership_topic import Answer, Append, Store, Topic
 
 # ruff: noqa: SLF001
 
@@ -42,71 +40,26 @@
 OUTAGE_LIMIT_TICKS = 4
 """Three times shorter than in the product, against the other two."""
 
+OLDEST_S = float(-OUTAGE_LIMIT_TICKS)
+"""Stands for all earlier times: no right can rest on them any more."""
+
 PARTS = ("", "members", "right")
 FIELDS = {
     "": "_process_id _offset _sequence _has_read _promised_epoch _open_claim_offset "
     "current held_epoch _left_epoch",
-    "members": "_members _dropped _unread known_hosts settled_epoch",
-    "right": "acting former _read_s _sending _stored _former_members _former_host "
-    "_promised_s",
+    "members": "_members _dropped _unread known_hosts settled_epoch claimed_epoch",
+    "right": "acting former _has_record _read_s _ended_s _sending _stored "
+    "_former_members _former_host _promised_s",
 }
 
 
-class Answer(Enum):
-    """What becomes of an append."""
-
-    GIVEN = "answered"
-    LOST = "carried out, answer lost"
-    LATE = "carried out later"
-
-
-@dataclass(frozen=True, slots=True)
-class Append:
-    """An append on its way to the store."""
-
-    records: tuple[KeyedRecord, ...]
-    producer: Producer | None
-    expected_end: int | None
-
-
-@dataclass(frozen=True, slots=True)
-class Topic:
-    """The leader's topic: records, the producer's epoch and its answers."""
-
-    records: tuple[KeyedRecord, ...] = ()
-    epoch: int = -1
-    ends: tuple[int, ...] = ()
-
-    def add(self, append: Append) -> tuple[Topic, int]:
-        """Carry out an append; return the topic and the answer."""
-        if append.expected_end not in (None, len(self.records)):
-            raise PositionError
-        records = self.records + append.records
-        producer = append.producer
-        if producer is None:
-            return replace(self, records=records), len(records)
-        if producer.epoch < self.epoch:
-            raise FencedError(f"epoch {self.epoch}")
-        ends = self.ends if producer.epoch == self.epoch else ()
-        if producer.sequence < len(ends):
-            return self, ends[producer.sequence]
-        if producer.sequence > len(ends):
-            raise SequenceError(len(ends))
-        return Topic(records, producer.epoch, (*ends, len(records))), len(records)
-
-    def newest(self) -> list[KeyedRecord]:
-        """Return the newest record of each key, by key, as the store lists them."""
-        newest = {record.key: record for record in self.records}
-        return [newest[k] for k in sorted(newest) if newest[k].value is not None]
-
-
 @dataclass(frozen=True, slots=True)
 class Instance:
     """One instance: its process's fields, and what the model adds to them.
 
-    ``asked_s`` is when its open round was asked, ``answers`` when each host confirmed;
-    ``awaited`` is the claim whose answer it waits for. ``start_count`` tells the
-    processes of one host apart.
+    ``answers`` are the hosts that have confirmed it at this time. ``awaited`` is the
+    claim whose answer it waits for. ``start_count`` tells the processes of one host
+    apart.
     """
 
     host: str
@@ -115,60 +68,17 @@
     held_epoch: int = 0
     acts_until_s: float = float("-inf")
     former_until_s: float = float("inf")
-    asked_s: float | None = None
-    answers: tuple[tuple[str, float], ...] = ()
+    answers: frozenset[str] = frozenset()
     awaited: LeaderRecord | None = None
 
     @property
     def is_up(self) -> bool:
         return bool(self.values)
 
-    @property
-    def has_read(self) -> bool:
-        return self.is_up and self.values[0][3]
-
     @property
     def offset(self) -> int | None:
         return self.values[0][1]
 
-    @property
-    def current(self) -> LeaderRecord | None:
-        return self.values[0][6]
-
-
-class _Store:
-    """The store as one step of one instance sees it."""
-
-    def __init__(self) -> None:
-        self.topic = Topic()
-        self.answer = Answer.GIVEN
-        self.late: Append | None = None
-
-    async def append(
-        self,
-        topic: str,
-        records: list[KeyedRecord],
-        *,
-        producer: Producer | None = None,
-        expected_end: int | None = None,
-    ) -> int:
-        append = Append(tuple(records), producer, expected_end)
-        if self.answer is Answer.LATE:
-            self.late = append
-            raise StoreUnavailableError("late", may_have_run=True)
-        self.topic, end = self.topic.add(append)
-        if self.answer is Answer.LOST:
-            raise StoreUnavailableError("answer lost", may_have_run=True)
-        return end
-
-    async def read_newest(self, topic: str) -> tuple[list[KeyedRecord], int]:
-        return self.topic.newest(), len(self.topic.records)
-
-    async def read(
-        self, topic: str, offset: int, wait_ms: int
-    ) -> tuple[list[KeyedRecord], int]:
-        return list(self.topic.records[offset:]), len(self.topic.records)
-
 
 class _Process(Leadership):
     """The product's leadership, which may claim at any time."""
@@ -201,6 +111,44 @@
             return value
 
 
+def _age(process: _Process, by_s: float) -> None:
+    """Move all times of a process ``by_s`` into the past."""
+
+    def aged(time_s: float) -> float:
+        return max(time_s - by_s, OLDEST_S)
+
+    right = process.right
+    acting, former = right.acting, right.former
+    right.acting = ActingRight(aged(acting.renewed_s), aged(acting.confirmed_s))
+    right.former = FormerRight(
+        aged(former.seen_s), aged(former.promised_s), aged(former.ended_s)
+    )
+    right._read_s, right._ended_s = aged(right._read_s), aged(right._ended_s)
+    right._sending = (right._sending[0], aged(right._sending[1]))
+    right._stored = [replace(r, sent_s=aged(r.sent_s)) for r in right._stored]
+    right._promised_s = {h: aged(t) for h, t in right._promised_s.items()}
+
+
+def _drop_unused(process: _Process) -> None:
+    """Set what has no effect any more to fixed values, for fewer states."""
+    right = process.right
+    if not process.held_epoch:
+        right._sending, process._sequence = (-1, OLDEST_S), 0
+        right._stored.clear()
+    if not process.held_epoch or right.is_settled:
+        right.former = FormerRight(OLDEST_S)
+        right._former_members, right._former_host = frozenset(), ""
+        right._promised_s = {}
+    elif right.former.promised_s <= 0:
+        # Later promises don't change it: only the end of the bound matters.
+        right.former = FormerRight(right.former.until_s - OUTAGE_LIMIT_TICKS)
+        right._former_members, right._promised_s = frozenset(), {}
+    if right.acting.confirmed_s + CONFIRMATION_TICKS <= 0:
+        right.acting = replace(right.acting, confirmed_s=OLDEST_S)
+    process._promised_epoch = max(process._promised_epoch, process._known_epoch)
+    _age(process, 0.0)
+
+
 def _ignore(*_: Any, **__: Any) -> None:
     return
 
@@ -214,13 +162,11 @@
 
 
 class World:
-    """Carry out steps of instances at ``now_s``; times are in ticks."""
+    """Carry out steps of instances; times are in ticks, and it is always 0."""
 
     def __init__(self) -> None:
-        self.now_s = 0.0
-        self._store = _Store()
+        self._store = Store()
         self._processes: dict[str, _Process] = {}
-        self._hosts: tuple[str, ...] = ()
 
     def _process(self, host: str) -> _Process:
         if host not in self._processes:
@@ -241,21 +187,14 @@
         return process
 
     def save(self, instance: Instance, process: _Process) -> Instance:
-        """Return an instance with the values of its process.
-
-        Without leadership, what the next term sets anew is dropped: fewer states.
-        """
-        right = process.right
-        if not process.held_epoch:
-            right.former = acting_right.FormerRight(float("-inf"))
-            right._sending, right._former_members = (-1, 0.0), frozenset()
-            right._former_host, right._promised_s = "", {}
-            right._stored.clear()
+        """Return an instance with the values of its process."""
+        _drop_unused(process)
         parts = [getattr(process, part) if part else process for part in PARTS]
         values = tuple(
             tuple(_freeze(getattr(owner, name)) for name in FIELDS[part].split())
             for part, owner in zip(PARTS, parts, strict=True)
         )
+        right = process.right
         is_same_term = process.held_epoch == instance.held_epoch > 0
         return replace(
             instance,
@@ -263,10 +202,54 @@
             held_epoch=process.held_epoch,
             acts_until_s=right.acting.until_s,
             former_until_s=right.former.until_s,
-            asked_s=instance.asked_s if is_same_term else None,
-            answers=instance.answers if is_same_term else (),
+            answers=instance.answers if is_same_term else frozenset(),
         )
 
+    def age(self, instance: Instance) -> Instance:
+        """Let one tick pass."""
+        if not instance.is_up:
+            return instance
+        process = self.load(instance)
+        _age(process, 1.0)
+        return self.save(replace(instance, answers=frozenset()), process)
+
+    def simplify(self, instance: Instance, topic: Topic, may_claim: bool) -> Instance:
+        """Return an instance without what has no effect any more, for fewer states."""
+        if not instance.is_up or instance.awaited is not None:
+            return instance
+        process = self.load(instance)
+        unread = topic.records[instance.offset or 0 :]
+        if not may_claim or any(record.key == HOLDER_KEY for record in unread):
+            # Used by a claim, before which the next record is read.
+            process.right._read_s = OLDEST_S
+        if may_claim or instance.held_epoch or not self.is_done(instance):
+            return self.save(instance, process)
+        process = self._new_process(instance.host)
+        process._has_read, process._offset = True, 0
+        process._process_id = ""
+        process._promised_epoch = instance.values[0][4]
+        process.members._members.add(instance.host)
+        return self.save(Instance(instance.host, 1), process)
+
+    def is_done(self, instance: Instance) -> bool:
+        """Return whether an instance that claims no more has nothing more to read.
+
+        It confirms the more the less it has read.
+        """
+        process = self.load(instance)
+        is_open = process._open_claim_offset is not None
+        has_read = process.has_read and process.members.is_registered
+        return has_read and not is_open and not process.held_epoch
+
+    def may_gain(self, instance: Instance) -> bool:
+        """Return whether the answers to questions may have an effect.
+
+        Else they only keep other leaders from acting.
+        """
+        acting = self.load(instance).right.acting
+        has_gain = acting.confirm(0.0).until_s > max(acting.until_s, 0.0)
+        return instance.former_until_s > 0 or has_gain
+
     def start(self, instance: Instance) -> Instance:
         """Start a new process, which remembers nothing."""
         process = self._processes[instance.host] = self._new_process(instance.host)
@@ -330,22 +313,13 @@
     def confirm(self, instance: Instance, host: str) -> Instance:
         """Apply the open round of a leader once ``host`` has confirmed as well."""
         process = self.load(instance)
-        answers = dict(instance.answers)
-        if host != instance.host:
-            answers.setdefault(host, self.now_s)
-        assert instance.asked_s is not None
-        process.apply_round(
-            ConfirmationRound(process.held_epoch, instance.asked_s, answers, False)
-        )
-        answered = replace(instance, answers=tuple(sorted(answers.items())))
+        hosts = instance.answers | ({host} - {instance.host})
+        # The time of an answer has an effect only when it is first applied.
+        answers = dict.fromkeys(hosts, 0.0)
+        process.apply_round(ConfirmationRound(process.held_epoch, 0.0, answers, False))
+        answered = replace(instance, answers=hosts)
         return self.save(answered, process)
 
-    def learn(self, instance: Instance, leader: LeaderRecord) -> Instance:
-        """Tell an instance of the leader that another one knows."""
-        process = self.load(instance)
-        process.learn_leader(leader.epoch, leader.host)
-        return self.save(instance, process)
-
     def drop(self, instance: Instance, host: str) -> Instance:
         """Have a leader remove an instance from the registry."""
         process = self.load(instance)
@@ -400,8 +374,9 @@
             patch(acting_right, "OUTAGE_LIMIT_S", OUTAGE_LIMIT_TICKS)
             for module in (leadership, leader_right, membership):
                 patch(module, "logger", silent)
+            patch(leader_right, "OUTAGE_LIMIT_S", OUTAGE_LIMIT_TICKS)
             for module in (leadership, leader_right):
-                patch(module, "boot_now_s", lambda: self.now_s)
-                patch(module, "loop_now_s", lambda: self.now_s)
+                patch(module, "boot_now_s", lambda: 0.0)
+                patch(module, "loop_now_s", lambda: 0.0)
             patch(leadership, "asyncio", fake_asyncio)
             yield self
