Check that the leadership model knows all fields of the product

It had lacked three of them unnoticed. A field that is neither kept nor listed as unused now fails the model at its start.

--- a/features/leadership_model.feature
+++ b/features/leadership_model.feature
@@ -59,4 +59,5 @@
       | long: members                |
       | long: newcomer               |
       | long: release                |
+      | long: release of three       |
       | long: renewals               |
--- a/features/support/leadership_scopes.py
+++ b/features/support/leadership_scopes.py
@@ -26,7 +26,7 @@
     "three leaders": Scope("ABC", "ABC", {"claim": 2}),
     "three leaders, settled": Scope("AB", "AB", {"claim": 2, "renew": 1}),
     "members": Scope("ABC", "B", {"claim": 1, "renew": 1, "drop": 1}),
-    "release": Scope("ABC", "B", {"claim": 1, "renew": 1, "late": 1, "release": 1}),
+    "release": Scope("AB", "B", {"claim": 1, "renew": 1, "late": 1, "release": 1}),
     "history dropped": Scope("AB", "AB", {"claim": 2, "forget": 1}),
     "long: hidden claim": Scope("AB", "AB", {"claim": 2, "renew": 2, "restart": 1}),
     "long: late renewal": Scope(
@@ -36,6 +36,9 @@
     "long: members": Scope("ABC", "B", {"claim": 1, "renew": 1, "drop": 1, "late": 1}),
     "long: newcomer": Scope("AB", "B", {"claim": 1, "renew": 2}, "C"),
     "long: release": Scope("AB", "AB", {"claim": 2, "late": 1, "release": 1}),
+    "long: release of three": Scope(
+        "ABC", "B", {"claim": 1, "renew": 1, "late": 1, "release": 1}
+    ),
     "long: renewals": Scope(
         "AB", "B", {"claim": 1, "renew": 2, "late": 2, "restart": 1}
     ),
--- a/features/support/leadership_world.py
+++ b/features/support/leadership_world.py
@@ -51,6 +51,14 @@
     "right": "acting former _has_record _read_s _ended_s _sending _stored "
     "_former_members _former_host _promised_s",
 }
+UNUSED = {
+    "": "_store _node _host _on_elected _on_step_down _claim_delay_s _seen_s _renewing "
+    "_changed _store_failed _registered members right claims_disabled is_closed "
+    "suspected_epoch store_answered_s claim_count",
+    "members": "_own_host",
+    "right": "_members _node _host",
+}
+"""Fields that are fixed here, or used only for the decision to claim and for logs."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,6 +175,10 @@
     def __init__(self) -> None:
         self._store = Store()
         self._processes: dict[str, _Process] = {}
+        process = self._new_process("")
+        for part in PARTS:
+            known = {*FIELDS[part].split(), *UNUSED[part].split()}
+            assert set(vars(getattr(process, part) if part else process)) == known
 
     def _process(self, host: str) -> _Process:
         if host not in self._processes:
