Repeat what a restarted worker lost without the lease again

That a lease has expired is a conclusion of the leader. That a worker has restarted is its own answer, as an end is. Only the former waits for the lease now. The scenario of presumed_ends.feature that asked the same of restarts is replaced: it asked for what the older check forbids, and work has to go on through an outage of the store.

--- a/features/presumed_ends.feature
+++ b/features/presumed_ends.feature
@@ -9,12 +9,11 @@
     When the leader has no lease, and their worker is silent until its lease has expired
     Then nothing is repeated before the leader has its lease again
 
-  # Guards against TWICE: the former incarnation had listed the end to the successor.
-  Scenario: A run of a worker that has restarted is not repeated without the lease
+  Scenario: What a worker has lost as it restarted is repeated without the lease
     Given a scheduler with 2 workers of 8 cores
     And 2 subtasks of 4 cores run
     When the leader has no lease, and their worker restarts
-    Then nothing is repeated before the leader has its lease again
+    Then both subtasks start again
 
   Scenario: What a worker lists as ended is repeated without the lease
     Given a scheduler with 2 workers of 8 cores
--- a/features/steps/presumed_ends_steps.py
+++ b/features/steps/presumed_ends_steps.py
@@ -49,6 +49,12 @@
     assert len(world.dispatch()) == len(context.runs)
 
 
+@then("both subtasks start again")
+def step_both_start(context: Any) -> None:
+    runs = context.world.dispatch()
+    assert {run.subtask for run in runs} == {run.subtask for run in context.runs}
+
+
 @when("the leader has no lease, and their worker lists one as failed")
 def step_failed(context: Any) -> None:
     world = context.world
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -340,4 +340,7 @@
         elif run.answered_s is None:
             kept.append(run)
     lose_runs(scheduler, worker, lost, "restarted", now_s, kept)
+    for run in lost:
+        # The worker itself says so, as it does of ends.
+        run.subtask.is_presumed_over = False
     worker.draining_until_s = None
