--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -256,7 +256,7 @@
                 self._missing.setdefault(record.key, now_s + grace_s)
             return
         facts = decode_worker(record.key, record.value)
-        if facts is None or self.scheduler.ended_lives.ignores(facts, now_s):
+        if facts is None:
             return
         self._missing.pop(record.key, None)
         worker = self.scheduler.update_worker(facts, now_s)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
@@ -9,7 +9,6 @@
 
 import msgpack
 
-from cicadatrail_core.jobs.ended_lives import MAINTENANCE
 from cicadatrail_core.jobs.evacuation import evacuate
 from cicadatrail_core.jobs.models import MachineState, Wave
 from cicadatrail_core.jobs.scheduler import Scheduler
@@ -241,10 +240,8 @@
         return worker.is_reconciled and not worker.runs
 
     async def _maintain(self, progress: WaveProgress, name: str) -> None:
-        # The order ends the life that is known now, not one that begins after it.
-        worker = self._scheduler.worker_on(name)
         outcome = await self._inventory.maintain(name, progress.wave.number)
-        self._apply_outcome(progress, name, worker, outcome)
+        self._apply_outcome(progress, name, self._scheduler.worker_on(name), outcome)
 
     def _apply_outcome(
         self,
@@ -261,7 +258,7 @@
                 progress.in_maintenance[name] = now_s
                 if worker is not None:
                     self._scheduler.remove_worker(
-                        worker.facts.worker_id, now_s, MAINTENANCE
+                        worker.facts.worker_id, now_s, "maintenance"
                     )
                 self._on_progress()
                 return
