Draw ports of test clusters that are free at every host, once each

One of the two links leads to the other's target. The option is now set only where a relay binds its own port again, which needs it.

--- a/features/support/faulty_network.py
+++ b/features/support/faulty_network.py
@@ -13,7 +13,7 @@
 from enum import Enum
 
 from features.support.faulty_proxy import HOST, FaultyProxy
-from features.support.platform_cluster import PlatformCluster, free_port, is_free
+from features.support.platform_cluster import PlatformCluster, draw_ports
 
 STORE = "store"
 
@@ -35,13 +35,8 @@
         self.links: dict[tuple[str, str], FaultyProxy] = {}
         self._cluster = cluster
         hosts = [cluster.host(name) for name in names]
-        # Drawn as a set, as a free port may be drawn twice.
-        ports: set[int] = set()
-        while len(ports) < len(names):
-            port = free_port()
-            # Ends of relays in an earlier run of this process may still use it there.
-            if all(is_free(host, port) for host in hosts):
-                ports.add(port)
+        # Ends of relays in an earlier run of this process may still use a port there.
+        ports = draw_ports(hosts, len(names), cluster.ports)
         self._peer_ports = dict(zip(names, ports, strict=True))
         self._store_ports: dict[str, int] = {}
         self._faults: dict[FaultyProxy, Counter[LinkFault]] = {}
--- a/features/support/faulty_proxy.py
+++ b/features/support/faulty_proxy.py
@@ -69,7 +69,9 @@
 
     def _bind(self) -> socket.socket:
         bound = socket.socket()
-        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self._address[1]:
+            # With port 0 the system could draw a port that another proxy has bound so.
+            bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         bound.bind(self._address)
         return bound
 
--- a/features/support/platform_cluster.py
+++ b/features/support/platform_cluster.py
@@ -6,7 +6,7 @@
 import json
 import os
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
@@ -29,6 +29,7 @@
 QUEUE_HOST = "jobs.example"
 KEY = "key-of-florists"
 MAINTENANCE_S = 0.5
+HOST_COUNT = 6
 
 
 def settings_table(**changes: Any) -> dict[str, Any]:
@@ -84,14 +85,26 @@
     } | changes
 
 
-def free_port() -> int:
+def draw_ports(hosts: Collection[str], count: int, used: Collection[int]) -> list[int]:
+    """Return different ports that are free at all hosts, none of them in ``used``."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _free_port()
+        # The system may draw a port twice, and one that is used at another host.
+        is_new = port not in ports and port not in used
+        if is_new and all(_is_free(host, port) for host in hosts):
+            ports.append(port)
+    return ports
+
+
+def _free_port() -> int:
     with socket.socket() as probe:
         probe.bind((HOST, 0))
         port: int = probe.getsockname()[1]
         return port
 
 
-def is_free(host: str, port: int) -> bool:
+def _is_free(host: str, port: int) -> bool:
     with socket.socket() as probe:
         try:
             probe.bind((host, port))
@@ -116,7 +129,8 @@
         self.cores: dict[str, float] = {}
         self.proxies: dict[str, FaultyProxy] = {}
         self._proxy_ports: dict[str, int] = {}
-        self._ports = [free_port() for _ in range(4)]
+        hosts = [self.host(f"edge-{number}") for number in range(1, HOST_COUNT + 1)]
+        self.ports = draw_ports(hosts, 4, ())
         self._store_port = 0
         self._machines_port = 0
         self._stack = AsyncExitStack()
@@ -142,11 +156,11 @@
 
     @property
     def front_port(self) -> int:
-        return self._ports[0]
+        return self.ports[0]
 
     @property
     def operator_port(self) -> int:
-        return self._ports[3]
+        return self.ports[3]
 
     def host(self, name: str) -> str:
         """Return an instance's loopback address, which only this process uses."""
@@ -187,7 +201,7 @@
 
     def _settings_table(self, name: str) -> dict[str, Any]:
         host = self.host(name)
-        front, ready, peer, metrics = self._ports
+        front, ready, peer, metrics = self.ports
         store_port = self._proxy_ports.get(name, self._store_port)
         return settings_table(
             **{
@@ -252,7 +266,7 @@
         )
         data = json.dumps(body).encode() if body is not None else b""
         result = await self._clients.fetch(
-            _QueueHostAddress(self.host(name), self._ports[0]),
+            _QueueHostAddress(self.host(name), self.ports[0]),
             method,
             path,
             headers=headers,
