End without an error when SIGTERM is repeated

Cause: the closing event loop restores the default of SIGTERM, and at its end the interpreter does so for every handler, so that a second SIGTERM in the last moments ends the process with -15. Signals stay blocked once the loop's coroutine is done; a SIGTERM during the start is ignored from then on. "SIGTERM during its start, the product's daemon", listed as failed once, sends a second SIGTERM after 0.5 s on a busy machine.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -81,6 +81,19 @@
       | SIGTERM | a platform instance   | ends without an error        | has ended with code 0  |
       | SIGTERM | the product's daemon  | ends without an error        | has ended with code 0  |
 
+  Scenario Outline: SIGTERM that is repeated during its start ends <daemon> without an error
+    When SIGTERM is sent to <daemon> repeatedly while it reads its settings
+    Then it has ended with code 0
+
+    Examples: daemons
+      | daemon               |
+      | a platform instance  |
+      | the product's daemon |
+
+  Scenario: SIGTERM that is repeated ends a running platform instance without an error
+    When SIGTERM is sent repeatedly to a platform instance that runs
+    Then it has ended with code 0
+
   Scenario: A server that drains finishes open requests and closes idle connections
     When a server drains with an open request and an idle connection
     Then the open request is answered, the idle connection ends and no new one is made
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -4,14 +4,8 @@
 
 import asyncio
 import itertools
-import os
-import signal
-import subprocess
-import sys
-import tempfile
 import time
 from contextlib import AsyncExitStack
-from pathlib import Path
 from typing import Any
 from unittest.mock import patch
 
@@ -24,7 +18,6 @@
 from cicadatraild.scheduling.messages import AskHolder, CountQueued, HolderIs
 from cicadatraild.scheduling.peers import PeerClient, PeerUnreachableError
 from features.support.crash_world import CrashWorld
-from features.support.daemon_process import SOURCES
 from features.support.faulty_proxy import HOST
 from features.support.job_world import definition
 from features.support.open_caller import CallOutcome, OpenCaller, open_caller
@@ -43,7 +36,6 @@
 SERVED_SHARE = 0.75
 LATE_CALLERS_COUNT = 5
 BLOCKED_S = 0.35
-SIGNAL_TRIES_COUNT = 12
 JOB_NUMBERS = itertools.count(0xC000)
 
 
@@ -409,51 +401,6 @@
     assert context.reply == HolderIs(0, ""), context.reply
 
 
-@when("{daemon} gets {name} while it reads its settings")
-def step_signal_in_start(context: Any, daemon: str, name: str) -> None:
-    with tempfile.TemporaryDirectory() as folder:
-        settings = Path(folder) / "settings.toml"
-        os.mkfifo(settings)
-        options = ["--platform"] if daemon == "a platform instance" else []
-        with subprocess.Popen(
-            [sys.executable, "-m", "cicadatraild.main", *options, str(settings)],
-            env={**os.environ, "PYTHONPATH": SOURCES},
-            stderr=subprocess.DEVNULL,
-        ) as process:
-            writer = _open_for_reader(settings)
-            # One that comes right before the read blocks is seen only at the next.
-            tries_count = SIGNAL_TRIES_COUNT if name == "SIGTERM" else 1
-            for _ in range(tries_count):
-                process.send_signal(signal.Signals[name])
-                try:
-                    context.exit_code = process.wait(timeout=0.5)
-                    break
-                except subprocess.TimeoutExpired:
-                    context.exit_code = None
-            process.kill()
-            os.close(writer)
-
-
-def _open_for_reader(pipe: Path) -> int:
-    """Open a named pipe once a process reads from it; return the descriptor."""
-    for _ in range(100):
-        try:
-            return os.open(pipe, os.O_WRONLY | os.O_NONBLOCK)
-        except OSError:
-            time.sleep(0.1)
-    raise TimeoutError("no process reads the settings")
-
-
-@then("it is still running")
-def step_still_running(context: Any) -> None:
-    assert context.exit_code is None, context.exit_code
-
-
-@then("it has ended with code {code:d}")
-def step_has_ended(context: Any, code: int) -> None:
-    assert context.exit_code == code, context.exit_code
-
-
 @when("a server drains with an open request and an idle connection")
 def step_server_drains(context: Any) -> None:
     async def answer(exchange: HttpExchange) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/main.py
+++ b/packages/cicadatrail-node/src/cicadatraild/main.py
@@ -5,9 +5,10 @@
 import argparse
 import signal
 import sys
+from collections.abc import Coroutine
 from pathlib import Path
 from types import FrameType
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 # Other modules are imported after the signals have been prepared, and to keep
 # --check fast.
@@ -17,6 +18,8 @@
 EXIT_BAD_SETTINGS = 2
 """Exit code for invalid settings; nothing has been started."""
 
+ENDING_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+
 
 def main() -> int:
     """Run the daemon; return its exit code."""
@@ -53,10 +56,24 @@
 
 
 def _exit(number: int, frame: FrameType | None) -> None:
-    # Nothing has been started that would have to be ended first.
+    # Nothing has been started that would have to be ended first. At its end the
+    # interpreter restores the default of handlers, but not of ignored signals.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     sys.exit(0)
 
 
+async def _serve_to_end(serving: Coroutine[Any, Any, int]) -> int:
+    """Return the exit code of ``serving``, and block signals from then on.
+
+    The closing event loop restores the default, with which a repeated SIGTERM would
+    end the process with an error.
+    """
+    try:
+        return await serving
+    finally:
+        signal.pthread_sigmask(signal.SIG_BLOCK, ENDING_SIGNALS)
+
+
 def _run(path: Path, only_check: bool) -> int:
     from returns.result import Failure, Success
 
@@ -96,7 +113,8 @@
     from cicadatraild.scheduling.instance import serve_on_platform
     from cicadatraild.utils.output import configure_output
 
-    return asyncio.run(serve_on_platform(settings, path, configure_output()))
+    serving = serve_on_platform(settings, path, configure_output())
+    return asyncio.run(_serve_to_end(serving))
 
 
 def _serve(settings: Settings) -> int:
@@ -106,7 +124,7 @@
     from cicadatraild.utils.logs import configure_logs
 
     configure_logs(settings.logging)
-    return asyncio.run(serve(settings))
+    return asyncio.run(_serve_to_end(serve(settings)))
 
 
 if __name__ == "__main__":
