--- a/features/steps/leader_lease_steps.py
+++ b/features/steps/leader_lease_steps.py
@@ -111,16 +111,17 @@
 
     async def renew(self) -> None:
         """Send one renewal, as the renewing task would, and read what is stored."""
-        renewing = self.leadership._renewing
-        if renewing is not None:
-            renewing.cancel()
+        self.leadership.renewals.stop()
         await self.send_renewal()
         await self.leadership._follow()
 
     async def send_renewal(self) -> None:
+        await self.leadership.renewals.append(self.record())
+
+    def record(self) -> LeaderRecord:
+        """Return the record that the instance renews while it leads."""
         epoch = self.leadership.held_epoch
-        record = LeaderRecord(epoch, "a", "h1", self.leadership._process_id)
-        await self.leadership._append(record, epoch)
+        return LeaderRecord(epoch, "a", "h1", self.leadership._process_id)
 
     def fall_silent(self) -> None:
         """Have the instance claim, as it has read no record for long."""
@@ -410,10 +411,9 @@
         for _ in range(seconds * 2):
             world.now_s += 0.5
             await world.send_renewal()
-        leadership = world.leadership
         with suppress(TimeoutError):
             async with asyncio.timeout(0.2):
-                await leadership._renew(leadership.held_epoch)
+                await world.leadership.renewals._renew(world.record())
 
     world.play(action)
 
--- a/features/support/leadership_world.py
+++ b/features/support/leadership_world.py
@@ -23,7 +23,12 @@
     SequenceError,
     StoreUnavailableError,
 )
-from cicadatraild.scheduling import leader_right, leadership, membership
+from cicadatraild.scheduling import (
+    leader_right,
+    leadership,
+    membership,
+    renewals,
+)
 from cicadatraild.scheduling.leader_record import (
     HOLDER_KEY,
     LeaderRecord,
@@ -43,20 +48,23 @@
 OLDEST_S = float(-OUTAGE_LIMIT_TICKS)
 """Stands for all earlier times: no right can rest on them any more."""
 
-PARTS = ("", "members", "right")
+PARTS = ("", "members", "right", "renewals")
 FIELDS = {
-    "": "_process_id _offset _sequence _has_read _promised_epoch _open_claim_offset "
+    "": "_process_id _offset _has_read _promised_epoch _open_claim_offset "
     "current held_epoch _left_epoch",
     "members": "_members _dropped _unread known_hosts settled_epoch claimed_epoch",
     "right": "acting former _has_record _read_s _ended_s _sending _stored "
     "_former_members _former_host _promised_s",
+    "renewals": "_sequence",
 }
 UNUSED = {
-    "": "_store _node _host _on_elected _on_step_down _claim_delay_s _seen_s _renewing "
-    "_changed _store_failed _registered members right claims_disabled is_closed "
+    "": "_store _node _host _on_elected _on_step_down _claim_delay_s _seen_s "
+    "_changed _store_failed members right renewals claims_disabled is_closed "
     "suspected_epoch store_answered_s claim_count",
     "members": "_own_host",
     "right": "_members _node _host",
+    "renewals": "_store _members _right _held_epoch _read_offset _on_end _renewing "
+    "_needed",
 }
 """Fields that are fixed here, or used only for the decision to claim and for logs."""
 
@@ -141,7 +149,7 @@
     """Set what has no effect any more to fixed values, for fewer states."""
     right = process.right
     if not process.held_epoch:
-        right._sending, process._sequence = (-1, OLDEST_S), 0
+        right._sending, process.renewals._sequence = (-1, OLDEST_S), 0
         right._stored.clear()
     if not process.held_epoch or right.is_settled:
         right.former = FormerRight(OLDEST_S)
@@ -239,7 +247,7 @@
         process = self._new_process(instance.host)
         process._has_read, process._offset = True, 0
         process._process_id = ""
-        process._promised_epoch = instance.values[0][4]
+        process._promised_epoch = instance.values[0][3]
         process.members._members.add(instance.host)
         return self.save(Instance(instance.host, 1), process)
 
@@ -301,11 +309,11 @@
         epoch = process.held_epoch
         record = LeaderRecord(epoch, host, host, process._process_id)
         try:
-            _run(process._append(record, epoch))
+            _run(process.renewals.append(record))
         except FencedError as error:
             process.step_down(str(error))
         except SequenceError as error:
-            process._sequence = error.expected
+            process.renewals._sequence = error.expected
 
     def answer_claim(self, instance: Instance, topic: Topic) -> Instance:
         """Answer the claim that was carried out while the instance waited."""
@@ -385,11 +393,12 @@
             patch(acting_right, "LEASE_S", LEASE_TICKS)
             patch(acting_right, "CONFIRMATION_S", CONFIRMATION_TICKS)
             patch(acting_right, "OUTAGE_LIMIT_S", OUTAGE_LIMIT_TICKS)
-            for module in (leadership, leader_right, membership):
+            for module in (leadership, leader_right, membership, renewals):
                 patch(module, "logger", silent)
             patch(leader_right, "OUTAGE_LIMIT_S", OUTAGE_LIMIT_TICKS)
             for module in (leadership, leader_right):
                 patch(module, "boot_now_s", lambda: 0.0)
                 patch(module, "loop_now_s", lambda: 0.0)
-            patch(leadership, "asyncio", fake_asyncio)
+            for module in (leadership, renewals):
+                patch(module, "asyncio", fake_asyncio)
             yield self
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -15,18 +15,14 @@
 import random
 import uuid
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import asdict
 
 from cicadatrail_core.leadership.acting_right import LEASE_S
 from cicadatraild.platform.store import (
     LEADER_TOPIC,
-    FencedError,
     KeyedRecord,
     PositionError,
-    Producer,
     RecordsDroppedError,
-    SequenceError,
     StoreClient,
     StoreUnavailableError,
 )
@@ -39,12 +35,10 @@
 )
 from cicadatraild.scheduling.leader_right import ConfirmationRound, LeaderRight
 from cicadatraild.scheduling.membership import Membership
+from cicadatraild.scheduling.renewals import RETRY_S, Renewals
 
 logger = logging.getLogger("cicadatrail.leadership")
 
-RENEWAL_S = 0.3
-"""Interval between renewals; four fit into the silence limit."""
-
 SILENCE_LIMIT_S = 1.3
 """Time without a renewal after which other instances claim leadership; covers a
 store that is 60 times slower than usual."""
@@ -59,18 +53,6 @@
 CLAIM_JITTER_S = 0.05
 """Upper bound of the random delay before a claim; makes collisions rare."""
 
-RETRY_S = 0.1
-"""Mean delay before another attempt after the store was unavailable."""
-
-PRODUCER = "holder"
-
-
-class UnreadError(Exception):
-    """Raised when a leader stores renewals and can't read them back."""
-
-    def __init__(self) -> None:
-        super().__init__("renewals can't be read back")
-
 
 class Leadership:
     """Track the current leader, and claim leadership when there is none.
@@ -102,17 +84,21 @@
         self._claim_delay_s = claim_delay_s
         self._offset: int | None = None
         self._seen_s = 0.0
-        self._sequence = 0
-        self._renewing: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
         self._store_failed = False
         self.members = Membership(host)
         self.right = LeaderRight(self.members, node, host)
+        self.renewals = Renewals(
+            store,
+            self.members,
+            self.right,
+            lambda: self.held_epoch,
+            lambda: self._offset or 0,
+            self.step_down,
+        )
         self._has_read = False
         # Newest epoch that this instance has promised a peer to follow.
         self._promised_epoch = 0
-        # Set when the leader has to acknowledge an instance.
-        self._registered = asyncio.Event()
         # Where the newest claim without an answer expected the topic's end.
         self._open_claim_offset: int | None = None
         self.current: LeaderRecord | None = None
@@ -218,15 +204,12 @@
         )
         self._left_epoch, self.held_epoch = self.held_epoch, 0
         self.right.end()
-        if self._renewing is not None:
-            self._renewing.cancel()
-            self._renewing = None
+        self.renewals.stop()
         self._on_step_down(reason)
 
     def close(self) -> None:
         """Stop renewing; others take over after the silence limit."""
-        if self._renewing is not None:
-            self._renewing.cancel()
+        self.renewals.stop()
 
     async def release(self, successor: str) -> None:
         """Step down and store it, so that another instance claims at once.
@@ -242,22 +225,7 @@
         record = LeaderRecord(
             epoch, self._node, self._host, self._process_id, True, successor
         )
-        # The store answers a repeat of a renewal's number, and does not store this.
-        is_used = self.right.has_sent(self._sequence)
-        for _ in range(3):
-            try:
-                await self._append(record, epoch)
-                if is_used:
-                    is_used = False
-                    continue
-                return
-            except (StoreUnavailableError, SequenceError) as error:
-                logger.warning(
-                    "leadership: failed to store the release.",
-                    extra={"reason": str(error)},
-                )
-            except FencedError:
-                return
+        await self.renewals.release(record)
 
     async def run(self) -> None:
         """Follow the leader's records and claim leadership, until cancelled."""
@@ -325,7 +293,7 @@
             self.step_down(f"epoch {self.members.claimed_epoch} was claimed")
         self.right.note_offset(self._offset)
         if self.members.needs_acknowledgement:
-            self._registered.set()
+            self.renewals.renew_soon()
 
     def _apply_record(self, record: KeyedRecord) -> None:
         self.right.note_record()
@@ -419,52 +387,12 @@
         if self.is_closed:
             await self.release("")
 
-    async def _append(self, record: LeaderRecord, epoch: int) -> None:
-        sequence = self._sequence
-        sent_s = self.right.note_sending(sequence)
-        records = [encode_leader(record), *self.members.collect_changes(sequence)]
-        if self.right.is_settled:
-            records += self.members.settlement(epoch)
-        producer = Producer(PRODUCER, epoch, sequence)
-        end = await self._store.append(LEADER_TOPIC, records, producer=producer)
-        self._sequence = sequence + 1
-        if self.held_epoch == epoch:
-            self.right.note_stored(sequence, sent_s, end)
-            self.right.note_offset(self._offset or 0)
-
     def _become_leader(self, epoch: int) -> None:
         self.right.begin(self.current)
         self.held_epoch = epoch
-        self._sequence = 0
         self._seen_s = loop_now_s()
-        self._renewing = asyncio.create_task(self._renew(epoch))
+        self.renewals.begin(
+            LeaderRecord(epoch, self._node, self._host, self._process_id)
+        )
         logger.info("leadership: elected.", extra={"epoch": epoch})
         self._on_elected(epoch)
-
-    async def _renew(self, epoch: int) -> None:
-        record = LeaderRecord(epoch, self._node, self._host, self._process_id)
-        while self.held_epoch == epoch:
-            began_s = loop_now_s()
-            try:
-                await self._append(record, epoch)
-                if self.right.has_lost_track():
-                    # Its renewals keep others from claiming, but give it no right.
-                    raise UnreadError
-            except (FencedError, UnreadError) as error:
-                self._renewing = None
-                self.step_down(str(error))
-                return
-            except SequenceError as error:
-                self._sequence = error.expected
-            except StoreUnavailableError as error:
-                logger.warning(
-                    "leadership: renewal failed; retrying.",
-                    extra={"reason": str(error)},
-                )
-                await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
-                continue
-            pause_s = began_s + RENEWAL_S - loop_now_s()
-            with suppress(TimeoutError):
-                async with asyncio.timeout(max(0.0, pause_s)):
-                    await self._registered.wait()
-            self._registered.clear()
