--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -12,19 +12,17 @@
 from contextlib import AsyncExitStack
 
 from cicadatrail_core.jobs.ejection import EJECTION_S, eject
-from cicadatrail_core.jobs.evacuation import evacuate, stop_stuck_runs
+from cicadatrail_core.jobs.evacuation import stop_stuck_runs
 from cicadatrail_core.jobs.hold import dispatch_or_hold
 from cicadatrail_core.jobs.models import FleetConfiguration, Wave
 from cicadatrail_core.jobs.records import decode_definition
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
 from cicadatraild.platform.advice import AdviceClient
-from cicadatraild.platform.documents import decode_worker
 from cicadatraild.platform.machines import MachineClient
 from cicadatraild.platform.settings import PlatformSettings
 from cicadatraild.platform.store import (
     JOBS_TOPIC,
-    WORKERS_TOPIC,
     FencedError,
     KeyedRecord,
     StoreClient,
@@ -33,7 +31,6 @@
 from cicadatraild.platform.workers import WorkerClient
 from cicadatraild.scheduling.adviser import Adviser
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
-from cicadatraild.scheduling.feeds import TopicFeed
 from cicadatraild.scheduling.former_leases import FormerLeases
 from cicadatraild.scheduling.journal import RECORD_LIMIT_BYTES, Journal
 from cicadatraild.scheduling.leader_records import LeaderRecords
@@ -56,6 +53,7 @@
 )
 from cicadatraild.scheduling.pool_balance import PoolBalancer
 from cicadatraild.scheduling.worker_links import WorkerLinks
+from cicadatraild.scheduling.worker_list import WorkerList
 from cicadatraild.scheduling.worker_orders import WorkerOrders
 
 logger = logging.getLogger("cicadatrail.holder")
@@ -70,22 +68,6 @@
 DISPATCH_PAUSE_S = 0.003
 """Delay after a scheduling pass, so that the next one batches changes."""
 
-LIST_GRACE_S = 2.5
-"""Time for which a worker may be missing from the list, as entries expire while the
-store is unavailable."""
-
-STORE_OUTAGE_WINDOW_S = 6.0
-"""Time after a failed read of the list in which entries may have expired."""
-
-WORKERS_PAUSE_S = 0.15
-"""Delay between reads of the list of workers, so that changes are batched."""
-
-LIST_AGE_LIMIT_S = 2.5
-"""Age of the list of workers from which nothing starts while the store answers.
-
-A capacity that has shrunk counts 3 s after its worker's entry could be read.
-"""
-
 RETRY_S = 0.1
 """Delay before the takeover is retried."""
 
@@ -153,15 +135,7 @@
             settings.machine_orders_per_s,
         )
         self._records.attach(self._inventory, self.waves)
-        self._feed = TopicFeed(
-            store,
-            WORKERS_TOPIC,
-            self._update_worker,
-            self._mark_missing,
-            WORKERS_PAUSE_S,
-        )
-        self._missing: dict[str, float] = {}
-        self._evacuating: dict[str, float] = {}
+        self._worker_list = WorkerList(store, self.scheduler)
 
     def configure(self, configuration: FleetConfiguration) -> None:
         """Apply a newer configuration."""
@@ -192,7 +166,7 @@
             self.ready.set()
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.journal.run())
-                group.create_task(self._feed.run())
+                group.create_task(self._worker_list.feed.run())
                 group.create_task(self._dispatch())
                 group.create_task(self._tick())
                 group.create_task(self._manage_machines())
@@ -224,7 +198,7 @@
             try:
                 async with asyncio.TaskGroup() as group:
                     reading = group.create_task(self._read_jobs())
-                    group.create_task(self._feed.load())
+                    group.create_task(self._worker_list.feed.load())
                 break
             except* StoreUnavailableError as errors:
                 logger.warning(
@@ -242,50 +216,6 @@
         records, _ = await self._store.read_newest(JOBS_TOPIC)
         return records
 
-    # The list of workers
-
-    def _update_worker(self, record: KeyedRecord) -> None:
-        now_s = loop_now_s()
-        if record.value is None:
-            if record.key in self.scheduler.workers:
-                failed_s = self._feed.failed_s
-                has_failed_recently = (
-                    failed_s is not None and now_s - failed_s < STORE_OUTAGE_WINDOW_S
-                )
-                grace_s = LIST_GRACE_S if has_failed_recently else 0.0
-                self._missing.setdefault(record.key, now_s + grace_s)
-            return
-        facts = decode_worker(record.key, record.value)
-        if facts is None:
-            return
-        self._missing.pop(record.key, None)
-        worker = self.scheduler.update_worker(facts, now_s)
-        if facts.draining:
-            self._evacuating.setdefault(worker.facts.worker_id, now_s)
-        else:
-            self._evacuating.pop(worker.facts.worker_id, None)
-
-    def _mark_missing(self, listed: set[str]) -> None:
-        """Schedule the removal of workers that are missing from the full list."""
-        now_s = loop_now_s()
-        for worker_id in self.scheduler.workers:
-            if worker_id not in listed:
-                self._missing.setdefault(worker_id, now_s + LIST_GRACE_S)
-
-    def _unlist_missing(self, now_s: float) -> None:
-        for worker_id, due_s in [*self._missing.items()]:
-            if now_s < due_s:
-                continue
-            del self._missing[worker_id]
-            worker = self.scheduler.workers.get(worker_id)
-            if worker is not None and worker.is_listed:
-                worker.is_listed = False
-                logger.info(
-                    "holder: worker is no longer listed.",
-                    extra={"worker_id": worker_id, "run_count": len(worker.runs)},
-                )
-                self.scheduler.on_change()
-
     def _may_start(self) -> bool:
         """Return whether subtasks may be started on the workers as they are known.
 
@@ -295,8 +225,7 @@
         """
         if not self._leadership.is_lease_valid():
             return self._leadership.may_start()
-        read_s = self._feed.read_s
-        return read_s is not None and loop_now_s() - read_s <= LIST_AGE_LIMIT_S
+        return self._worker_list.is_fresh
 
     # Loops
 
@@ -330,17 +259,12 @@
                 )
                 self._dirty.set()
             could_start = may_start
-            self._unlist_missing(now_s)
+            self._worker_list.unlist_missing(now_s)
             self._former_leases.update()
             self.scheduler.tick(now_s, unix_now_ms())
             for worker in stop_stuck_runs(self.scheduler, now_s):
                 eject(worker, now_s, EJECTION_S, self.scheduler.workers, "no progress")
-            for worker_id, since_s in [*self._evacuating.items()]:
-                draining = self.scheduler.workers.get(worker_id)
-                if draining is None:
-                    del self._evacuating[worker_id]
-                else:
-                    evacuate(self.scheduler, draining, since_s, now_s)
+            self._worker_list.evacuate_draining(now_s)
             self.orders.send()
             await asyncio.sleep(TICK_S)
 
