--- a/features/steps/jobs_occurrence_steps.py
+++ b/features/steps/jobs_occurrence_steps.py
@@ -10,6 +10,7 @@
 from cicadatrail_core.jobs.models import EndKind, JobDefinition, Step, SubtaskName
 from cicadatrail_core.jobs.records import apply_progress, encode_progress
 from cicadatrail_core.jobs.state import JobState
+from cicadatrail_core.jobs.takeover import inherit
 from cicadatrail_core.models.resources import Resources
 from features.support.job_world import LEASE_S, JobWorld
 
@@ -65,7 +66,7 @@
     world.scheduler = world.new_scheduler(2)
     for worker in world.scheduler.workers.values():
         worker.lease_expires_s = world.now_s + LEASE_S
-    world.scheduler.inherit([restored])
+    inherit(world.scheduler, [restored])
     world.scheduler.activate(restored, world.now_s, world.now_ms)
 
 
--- a/features/steps/jobs_restart_steps.py
+++ b/features/steps/jobs_restart_steps.py
@@ -10,6 +10,7 @@
 from cicadatrail_core.jobs.models import EndKind
 from cicadatrail_core.jobs.scheduler_settings import CLOCK_DRIFT
 from cicadatrail_core.jobs.state import Run, SubtaskPhase
+from cicadatrail_core.jobs.worker_leases import renew_lease
 from features.support.job_world import LEASE_S, JobWorld, definition
 
 JOB = "00000000000000a1"
@@ -23,7 +24,7 @@
     world.submit(JOB, definition(1))
     (run,) = world.dispatch()
     world.worker("w1").is_cordoned = False
-    world.scheduler.renew_lease(run.worker, world.now_s)
+    renew_lease(world.scheduler, run.worker, world.now_s)
     run.start_expires_s = run.worker.lease_expires_s
     return run
 
@@ -108,7 +109,7 @@
     world.tick(LEASE_S + 1)
     # The workers answer again, but have not yet listed how the runs ended.
     for worker in world.scheduler.workers.values():
-        world.scheduler.renew_lease(worker, world.now_s)
+        renew_lease(world.scheduler, worker, world.now_s)
 
 
 @then("the gang is not started again")
@@ -144,7 +145,7 @@
 def step_renewed(context: Any) -> None:
     world = context.world
     worker = world.worker("w0")
-    deadline_ms = world.scheduler.renew_lease(worker, world.now_s)
+    deadline_ms = renew_lease(world.scheduler, worker, world.now_s)
     assert deadline_ms is not None
     left_s = (deadline_ms - worker.clock_ms) / 1000 / (1 - CLOCK_DRIFT)
     context.ended_s = context.answered_s + left_s
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -33,6 +33,7 @@
     StepState,
     SubtaskPhase,
 )
+from cicadatrail_core.jobs.worker_leases import renew_lease
 from cicadatrail_core.models.resources import Resources
 from features.support.job_world import (
     LEASE_S,
@@ -172,7 +173,7 @@
     world = context.world
     world.submit(JOB, definition(1))
     (context.run,) = world.dispatch()
-    world.scheduler.renew_lease(context.run.worker, world.now_s)
+    renew_lease(world.scheduler, context.run.worker, world.now_s)
     context.run.start_expires_s = context.run.worker.lease_expires_s
     context.run.mark_unanswered(world.now_s)
     world.now_s += 0.01
@@ -246,7 +247,7 @@
     silent = context.world.worker(context.silent)
     if silent.is_suspect:
         # A retry of the call requests a new lease deadline to send.
-        context.world.scheduler.renew_lease(silent, context.world.now_s)
+        renew_lease(context.world.scheduler, silent, context.world.now_s)
     for name in context.world.sims:
         if name != context.silent:
             context.world.report(name)
--- a/features/steps/worker_capacity_steps.py
+++ b/features/steps/worker_capacity_steps.py
@@ -11,6 +11,7 @@
 
 from cicadatrail_core.jobs.models import EndKind, Step
 from cicadatrail_core.jobs.state import Run, SubtaskPhase
+from cicadatrail_core.jobs.worker_leases import renew_lease
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.documents import decode_worker
 from cicadatraild.scheduling.clocks import loop_now_s
@@ -192,7 +193,7 @@
     context.jobs = 1
     world.submit_steps(1, Step(1, Resources(cpu, memory, gpu), ESTIMATE_MS))
     (run,) = world.dispatch()
-    world.scheduler.renew_lease(run.worker, world.now_s)
+    renew_lease(world.scheduler, run.worker, world.now_s)
     run.start_expires_s = run.worker.lease_expires_s
     run.mark_unanswered(world.now_s + 0.5)
 
--- a/features/support/balance_world.py
+++ b/features/support/balance_world.py
@@ -22,6 +22,7 @@
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
 from cicadatrail_core.jobs.state import Run, RunPhase
+from cicadatrail_core.jobs.worker_leases import renew_lease
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
@@ -79,7 +80,7 @@
         worker = self.scheduler.update_worker(facts, self.now_s)
         report = WorkerReport(int(self.now_s * 1000), 1, (), ())
         apply_report(self.scheduler, worker, report, self.now_s, self.now_s)
-        self.scheduler.renew_lease(worker, self.now_s)
+        renew_lease(self.scheduler, worker, self.now_s)
 
     def set_kind(self, pool: str, kind: str) -> None:
         for name, machine in self.machines.items():
--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -31,6 +31,8 @@
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
 from cicadatrail_core.jobs.state import JobState, Run, RunPhase, WorkerState
+from cicadatrail_core.jobs.takeover import inherit
+from cicadatrail_core.jobs.worker_leases import renew_lease
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
@@ -152,7 +154,7 @@
         )
         apply_report(self.scheduler, worker, report, self.now_s, self.now_s + 0.001)
         worker.stored_end = worker.processed_end
-        deadline_ms = self.scheduler.renew_lease(worker, self.now_s)
+        deadline_ms = renew_lease(self.scheduler, worker, self.now_s)
         if deadline_ms is not None:
             sim.deadline_s = max(sim.deadline_s, deadline_ms / 1000)
         self.now_s += 0.002
@@ -186,7 +188,7 @@
         run.is_start_pending = False
         run.phase = RunPhase.RUNNING
         run.answered_s = self.now_s
-        self.scheduler.renew_lease(run.worker, self.now_s)
+        renew_lease(self.scheduler, run.worker, self.now_s)
         run.start_expires_s = run.worker.lease_expires_s
         sim.deadline_s = max(sim.deadline_s, self.now_s + LEASE_S)
 
@@ -211,7 +213,7 @@
         self.scheduler = self.new_scheduler(epoch)
         for worker in self.scheduler.workers.values():
             worker.lease_expires_s = self.now_s + LEASE_S / 0.98 + 0.6
-        self.scheduler.inherit(jobs)
+        inherit(self.scheduler, jobs)
         for job in jobs:
             self.scheduler.activate(job, self.now_s, self.now_ms)
 
@@ -280,7 +282,7 @@
         world = self.world
         sim = world.sims[run.worker.facts.worker_id]
         name = run.subtask.name
-        deadline_ms = world.scheduler.renew_lease(run.worker, world.now_s)
+        deadline_ms = renew_lease(world.scheduler, run.worker, world.now_s)
         assert deadline_ms is not None
         run.start_expires_s = run.worker.lease_expires_s
         if answered and run.worker.facts.worker_id not in self.silent:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -34,9 +34,11 @@
     is_suspect_step,
     ready_suspects,
 )
+from cicadatrail_core.jobs.takeover import is_queue_reconciled
 from cicadatrail_core.jobs.team_limits import unreconciled_by_team, within_limit
 from cicadatrail_core.jobs.urgency import start_order, teams_over_share
 from cicadatrail_core.jobs.worker_conditions import advised_workers, can_run
+from cicadatrail_core.jobs.worker_leases import has_expired_lease
 from cicadatrail_core.jobs.worker_scores import count_by_rack, placement_score
 from cicadatrail_core.models.resources import Resources
 
@@ -76,7 +78,7 @@
         reconciled = {
             name
             for name, queue in queues.items()
-            if scheduler.is_queue_reconciled(queue, now_s)
+            if is_queue_reconciled(scheduler, queue, now_s)
         }
         candidates.sort(key=lambda candidate: candidate.order)
         workers = _usable_workers(scheduler, pool, now_s)
@@ -129,7 +131,7 @@
         and not worker.is_cordoned
         and not worker.facts.draining
         and worker.clock_at_s is not None
-        and not scheduler.has_expired_lease(worker, now_s)
+        and not has_expired_lease(worker, now_s)
     ]
     healthy = [worker for worker in usable if worker.ejected_until_s <= now_s]
     return healthy or usable
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
@@ -9,6 +9,7 @@
 
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, RunPhase, StepState, WorkerState
+from cicadatrail_core.jobs.takeover import is_queue_reconciled
 from cicadatrail_core.jobs.worker_conditions import can_run
 
 CHECKPOINTED_WAIT_S = 1.5
@@ -45,7 +46,7 @@
     if not step.job.inherited:
         return True
     queue = scheduler.queues.get(step.job.definition.queue)
-    return queue is not None and scheduler.is_queue_reconciled(queue, now_s)
+    return queue is not None and is_queue_reconciled(scheduler, queue, now_s)
 
 
 def _has_other_worker(scheduler: Scheduler, run: Run, now_s: float) -> bool:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
@@ -6,6 +6,7 @@
 
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, StepState, SubtaskPhase
+from cicadatrail_core.jobs.takeover import is_queue_reconciled
 from cicadatrail_core.models.resources import NO_RESOURCES
 
 
@@ -119,7 +120,7 @@
         return "the queue is not in the configuration"
     if queue.name in scheduler.queue_pools.unstored:
         return "the new pool of the queue is not stored yet"
-    if job.inherited and not scheduler.is_queue_reconciled(queue, now_s):
+    if job.inherited and not is_queue_reconciled(scheduler, queue, now_s):
         return "a worker of the pool has not answered since the takeover"
     if scheduler.needs_advice(step) and now_s >= step.tickets_expire_s:
         return "no advice yet on the workers that may run it"
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/queue_pools.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/queue_pools.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from cicadatrail_core.jobs.models import Queue
+from cicadatrail_core.jobs.takeover import is_queue_reconciled
 
 if TYPE_CHECKING:
     from cicadatrail_core.jobs.scheduler import Scheduler
@@ -46,7 +47,7 @@
         """Drop former pools in which no job of their queue runs any more."""
         for name, former in [*self.former.items()]:
             queue = scheduler.queues[name]
-            if not scheduler.is_queue_reconciled(queue, now_s):
+            if not is_queue_reconciled(scheduler, queue, now_s):
                 continue
             used = {
                 worker.facts.pool
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -1,4 +1,4 @@
-"""Lifecycle of jobs: acceptance, runs, worker leases, timers and takeover.
+"""Lifecycle of jobs: acceptance, occurrences, runs, ends and timers.
 
 One leader at a time runs a scheduler. It keeps nothing that a successor can't
 rebuild from the records in the store and the lists that workers report.
@@ -9,15 +9,15 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from cicadatrail_core.jobs.crash_suspicion import (
     drop_ended_suspects,
     lose_runs,
-    restore_suspects,
     withdraw_start_notes,
 )
 from cicadatrail_core.jobs.durations import Durations
+from cicadatrail_core.jobs.log_fields import worker_fields
 from cicadatrail_core.jobs.models import (
     FleetConfiguration,
     JobDefinition,
@@ -28,8 +28,6 @@
 )
 from cicadatrail_core.jobs.queue_pools import QueuePools
 from cicadatrail_core.jobs.scheduler_settings import (
-    CLOCK_DRIFT,
-    LEASE_MARGIN_S,
     RUNS_PER_EPOCH,
     SchedulerSettings,
 )
@@ -42,6 +40,7 @@
     SubtaskPhase,
     WorkerState,
 )
+from cicadatrail_core.jobs.worker_leases import expire_leases
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 logger = logging.getLogger("cicadatrail.scheduler")
@@ -349,23 +348,6 @@
 
     # Timers
 
-    def renew_lease(self, worker: WorkerState, now_s: float) -> int | None:
-        """Extend a worker's lease from now; return its deadline in the worker's ms.
-
-        Returns None before the worker's clock is known and while the worker is
-        suspect: a call that gets no answer may still renew the lease, so that
-        the lease could never be known to have expired.
-        """
-        if worker.clock_at_s is None or worker.is_suspect:
-            return None
-        # A slow clock may have advanced by less than the time that has passed.
-        elapsed_s = (now_s - worker.clock_at_s) * (1 - CLOCK_DRIFT)
-        deadline = worker.clock_ms + int((elapsed_s + self.settings.lease_s) * 1000)
-        bound_s = (deadline - worker.clock_ms) / 1000 / (1 - CLOCK_DRIFT)
-        expires_s = worker.clock_at_s + bound_s + LEASE_MARGIN_S
-        worker.lease_expires_s = max(worker.lease_expires_s, expires_s)
-        return deadline
-
     def tick(self, now_s: float, now_unix_ms: int) -> None:
         """Open due occurrences, evict old jobs and release runs of expired leases."""
         for job in list(self.jobs.values()):
@@ -376,8 +358,7 @@
                 self._open_occurrences(job, now_s, now_unix_ms)
                 if len(job.occurrences) > before:
                     self.on_change()
-        for worker in list(self.workers.values()):
-            self._expire(worker, now_s)
+        expire_leases(self, now_s)
         self.queue_pools.drop_unused(self, now_s)
         drop_ended_suspects(self)
         if self.suspects or self.reserved_since_s:
@@ -389,66 +370,3 @@
         if job.stored_phase is job.phase and now_s - job.ended_s > kept_s:
             del self.jobs[job.job_id]
             self.evicted_job_ids.append(job.job_id)
-
-    def _expire(self, worker: WorkerState, now_s: float) -> None:
-        if now_s <= worker.lease_expires_s:
-            return
-        if not worker.is_reconciled and not worker.is_listed:
-            self.remove_worker(worker.facts.worker_id, now_s, "lease expired")
-            return
-        if worker.runs:
-            logger.warning(
-                "scheduler: worker lease expired; releasing its runs.",
-                extra={
-                    **worker_fields(worker),
-                    "run_count": len(worker.runs),
-                    "answer_age_s": round(now_s - (worker.answered_s or 0), 3),
-                },
-            )
-        for run in worker.runs.values():
-            if run.phase is not RunPhase.SENT or run.unanswered_s is not None:
-                run.subtask.expired_runs.add(run.number)
-                worker.unreported_runs.append(run)
-        lose_runs(self, worker, list(worker.runs.values()), "lease expired", now_s)
-        if not worker.is_listed:
-            self.remove_worker(worker.facts.worker_id, now_s, "no longer listed")
-
-    def has_expired_lease(self, worker: WorkerState, now_s: float) -> bool:
-        """Return whether every lease granted to a worker has expired."""
-        return now_s > worker.lease_expires_s
-
-    # Takeover
-
-    def inherit(self, jobs: Iterable[JobState]) -> None:
-        """Add jobs that an earlier leader stored.
-
-        Their subtasks start only once each worker of every pool that their queue
-        has had has reported, has been removed, or has no unexpired lease.
-        """
-        for job in jobs:
-            job.inherited = True
-            job.is_stored = True
-            self.jobs[job.job_id] = job
-            restore_suspects(self, job)
-
-    def is_queue_reconciled(self, queue: Queue, now_s: float) -> bool:
-        """Return whether every worker is known on which a queue's jobs may run."""
-        pools = self.queue_pools.of(queue)
-        return all(
-            worker.is_reconciled or self.has_expired_lease(worker, now_s)
-            for worker in self.workers.values()
-            if worker.facts.pool in pools
-        )
-
-    def unreconciled_capacity(self, now_s: float) -> Resources:
-        """Return the total capacity of the workers whose runs are unknown."""
-        total = NO_RESOURCES
-        for worker in self.workers.values():
-            if not worker.is_reconciled and not self.has_expired_lease(worker, now_s):
-                total = total + worker.facts.capacity
-        return total
-
-
-def worker_fields(worker: WorkerState) -> dict[str, object]:
-    """Return the log fields that identify a worker."""
-    return {"worker_id": worker.facts.worker_id, "pool": worker.facts.pool}
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/team_limits.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/team_limits.py
@@ -4,12 +4,13 @@
 
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import StepState, SubtaskPhase
+from cicadatrail_core.jobs.takeover import unreconciled_capacity
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 
 def unreconciled_by_team(scheduler: Scheduler, now_s: float) -> dict[str, Resources]:
     """Return what each team may be running on workers that have not reported yet."""
-    capacity = scheduler.unreconciled_capacity(now_s)
+    capacity = unreconciled_capacity(scheduler, now_s)
     if capacity == NO_RESOURCES:
         return {}
     totals: dict[str, Resources] = {}
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
@@ -0,0 +1,69 @@
+"""Leases of workers, after whose end a worker is known to run nothing more."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from cicadatrail_core.jobs.crash_suspicion import lose_runs
+from cicadatrail_core.jobs.log_fields import worker_fields
+from cicadatrail_core.jobs.scheduler_settings import CLOCK_DRIFT, LEASE_MARGIN_S
+from cicadatrail_core.jobs.state import RunPhase, WorkerState
+
+if TYPE_CHECKING:
+    from cicadatrail_core.jobs.scheduler import Scheduler
+
+logger = logging.getLogger("cicadatrail.scheduler")
+
+
+def renew_lease(scheduler: Scheduler, worker: WorkerState, now_s: float) -> int | None:
+    """Extend a worker's lease from now; return its deadline in the worker's ms.
+
+    Returns None before the worker's clock is known and while the worker is suspect: a
+    call that gets no answer may still renew the lease, so that the lease could never
+    be known to have expired.
+    """
+    if worker.clock_at_s is None or worker.is_suspect:
+        return None
+    # A slow clock may have advanced by less than the time that has passed.
+    elapsed_s = (now_s - worker.clock_at_s) * (1 - CLOCK_DRIFT)
+    lease_s = scheduler.settings.lease_s
+    deadline = worker.clock_ms + int((elapsed_s + lease_s) * 1000)
+    bound_s = (deadline - worker.clock_ms) / 1000 / (1 - CLOCK_DRIFT)
+    expires_s = worker.clock_at_s + bound_s + LEASE_MARGIN_S
+    worker.lease_expires_s = max(worker.lease_expires_s, expires_s)
+    return deadline
+
+
+def has_expired_lease(worker: WorkerState, now_s: float) -> bool:
+    """Return whether every lease granted to a worker has expired."""
+    return now_s > worker.lease_expires_s
+
+
+def expire_leases(scheduler: Scheduler, now_s: float) -> None:
+    """Release the runs of workers whose lease has expired."""
+    for worker in list(scheduler.workers.values()):
+        if has_expired_lease(worker, now_s):
+            _expire(scheduler, worker, now_s)
+
+
+def _expire(scheduler: Scheduler, worker: WorkerState, now_s: float) -> None:
+    if not worker.is_reconciled and not worker.is_listed:
+        scheduler.remove_worker(worker.facts.worker_id, now_s, "lease expired")
+        return
+    if worker.runs:
+        logger.warning(
+            "scheduler: worker lease expired; releasing its runs.",
+            extra={
+                **worker_fields(worker),
+                "run_count": len(worker.runs),
+                "answer_age_s": round(now_s - (worker.answered_s or 0), 3),
+            },
+        )
+    for run in worker.runs.values():
+        if run.phase is not RunPhase.SENT or run.unanswered_s is not None:
+            run.subtask.expired_runs.add(run.number)
+            worker.unreported_runs.append(run)
+    lose_runs(scheduler, worker, list(worker.runs.values()), "lease expired", now_s)
+    if not worker.is_listed:
+        scheduler.remove_worker(worker.facts.worker_id, now_s, "no longer listed")
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -17,6 +17,7 @@
     withdraw_crashes,
 )
 from cicadatrail_core.jobs.ejection import record_outcome
+from cicadatrail_core.jobs.log_fields import worker_fields
 from cicadatrail_core.jobs.models import (
     EndKind,
     EndRow,
@@ -25,7 +26,7 @@
     SubtaskName,
     WorkerReport,
 )
-from cicadatrail_core.jobs.scheduler import Scheduler, worker_fields
+from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import (
     JobState,
     Run,
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -15,6 +15,7 @@
 )
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import JobState, WorkerState
+from cicadatrail_core.jobs.takeover import inherit
 from cicadatraild.platform.store import KeyedRecord
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
 from cicadatraild.scheduling.fleet_record import (
@@ -153,7 +154,7 @@
             if key.startswith(WAVE_PREFIX):
                 self._restore_wave(key, value)
         jobs = self._restore_jobs(values, now_s)
-        self._scheduler.inherit(jobs)
+        inherit(self._scheduler, jobs)
         self._queues.restore(values)
         if not has_fleet:
             # A subtask may run on a worker that only the list named.
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -14,6 +14,7 @@
 from cicadatrail_core.jobs.report_rollback import ReportRollback
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import WorkerState
+from cicadatrail_core.jobs.worker_leases import renew_lease
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatraild.platform.store import FencedError
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
@@ -186,7 +187,7 @@
         """
         if not self._leadership.may_start():
             return None
-        return self._scheduler.renew_lease(worker, now_s)
+        return renew_lease(self._scheduler, worker, now_s)
 
     def _apply(self, worker: WorkerState, report: WorkerReport, sent_s: float) -> None:
         rollback = ReportRollback(worker)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -9,6 +9,7 @@
 from cicadatrail_core.jobs.ejection import eject
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, RunPhase, WorkerState
+from cicadatrail_core.jobs.worker_leases import renew_lease
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
 from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
 from cicadatraild.scheduling.leadership import Leadership
@@ -146,7 +147,7 @@
         scheduler = self._scheduler
         worker = run.worker
         now_s = loop_now_s()
-        deadline_ms = scheduler.renew_lease(worker, now_s)
+        deadline_ms = renew_lease(scheduler, worker, now_s)
         if deadline_ms is None:
             run.is_start_pending = False
             scheduler.release_refused(run, now_s, "no-clock")
