Forget at an election which instances an earlier term wanted to drop

Cause: a leader that stepped down before the renewal that drops an instance kept the wish. When it was elected again, the claim's acknowledgement left that instance out, though it was registered and may have answered since, and the first renewal dropped it: without the store the leader then needed one confirmation less than its successor may ask for. The scenario failed before.

--- a/features/leader_lease.feature
+++ b/features/leader_lease.feature
@@ -55,6 +55,12 @@
       | if its clock is exact        | 0.9   | 0.3    |
       | if its clock runs 2 % slow   | 1.02  | 0.1    |
 
+  # Guards against a right that rests on fewer instances than a successor asks.
+  Scenario: A new term keeps the instances that an earlier term was about to drop
+    Given a leader that drops an instance and steps down before its next renewal
+    When it is elected again and renews
+    Then the instance is still registered, and known to the leader
+
   # Guards against LOST: it kept others from claiming, and could start nothing itself.
   Scenario: A leader that stores renewals and can't read them steps down
     Given a leader whose reads of the topic fail
--- a/features/steps/leader_lease_steps.py
+++ b/features/steps/leader_lease_steps.py
@@ -25,6 +25,7 @@
 )
 from cicadatraild.scheduling.leader_right import ConfirmationRound
 from cicadatraild.scheduling.leadership import SILENCE_LIMIT_S, Leadership
+from cicadatraild.scheduling.membership import Membership
 
 MODULES = ("leadership", "leader_right")
 
@@ -391,6 +392,41 @@
     assert context.seen == [False, True], context.seen
 
 
+@given("a leader that drops an instance and steps down before its next renewal")
+def step_drops(context: Any) -> None:
+    world = context.world = LeaseWorld()
+
+    async def action() -> None:
+        world.topic.records.append(Membership("h2").registration())
+        await world.leadership._follow()
+        await world.claim()
+        await world.renew()
+        world.leadership.members.drop("h2")
+        world.leadership.step_down("a newer leader")
+
+    context.action = action
+
+
+@when("it is elected again and renews")
+def step_elected_and_renews(context: Any) -> None:
+    world = context.world
+
+    async def action() -> None:
+        await context.action()
+        world.fall_silent()
+        await world.claim()
+        await world.renew()
+
+    world.play(action)
+
+
+@then("the instance is still registered, and known to the leader")
+def step_still_registered(context: Any) -> None:
+    members = context.world.leadership.members
+    assert "h2" in members.hosts, members.hosts
+    assert "h2" in members.known_hosts, members.known_hosts
+
+
 @given("a leader whose reads of the topic fail")
 def step_reads_fail(context: Any) -> None:
     world = context.world = LeaseWorld()
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/membership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/membership.py
@@ -77,6 +77,7 @@
     def begin_term(self, epoch: int) -> list[KeyedRecord]:
         """Return the records that are stored with a claim."""
         self._unread.clear()
+        self._dropped.clear()
         claimed = KeyedRecord(CLAIMED_KEY, msgpack.packb(epoch))
         return [self._acknowledge(CLAIM_SEQUENCE), claimed]
 
