--- a/features/support/faulty_proxy.py
+++ b/features/support/faulty_proxy.py
@@ -69,10 +69,13 @@
 
     def _bind(self) -> socket.socket:
         bound = socket.socket()
+        if not self._address[1]:
+            # With the option the system could draw a port that another proxy has bound.
+            bound.bind(self._address)
+        # Also needed by the first socket, or a later one can't take its port.
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if self._address[1]:
-            # With port 0 the system could draw a port that another proxy has bound so.
-            bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bound.bind(self._address)
+            bound.bind(self._address)
         return bound
 
     def _close(self) -> None:
