--- a/features/support/outer_names.py
+++ b/features/support/outer_names.py
@@ -12,7 +12,7 @@
 import sys
 import zlib
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import asdict, astuple, dataclass, fields, is_dataclass
+from dataclasses import asdict, astuple, dataclass, fields, is_dataclass, replace
 from enum import Enum
 from pathlib import Path
 from types import NoneType, UnionType
@@ -29,6 +29,7 @@
 from cicadatrail_core.fold.snapshots import dump_state, load_state
 from cicadatrail_core.jobs import models, records
 from cicadatrail_core.jobs.balance import PoolNeed
+from cicadatrail_core.jobs.ended_lives import MOVED
 from cicadatrail_core.jobs.job_report import JobReport
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
@@ -50,6 +51,7 @@
 from cicadatraild.platform.callers import CallerInterface, CallKind
 from cicadatraild.platform.store import StoreClient
 from cicadatraild.scheduling import leader_record, leadership, messages
+from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.leader import Leader
 from cicadatraild.scheduling.leader_records import LeaderRecords
 from cicadatraild.scheduling.machine_inventory import MachineInventory
@@ -334,6 +336,9 @@
     waves = WaveRunner(inventory, MagicMock(), scheduler, list, lambda: None)
     leader_records.attach(inventory, waves)
     scheduler.update_worker(sample(models.WorkerFacts), 0.0)
+    moved = replace(sample(models.WorkerFacts), worker_id="moved")
+    scheduler.update_worker(moved, 0.0)
+    scheduler.remove_worker("moved", loop_now_s(), MOVED)
     await inventory.announce(["machine-1"])
     started = {"machine-2", "machine-1"}
     waves._progress[7] = WaveProgress(
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -17,6 +17,7 @@
     withdraw_start_notes,
 )
 from cicadatrail_core.jobs.durations import Durations
+from cicadatrail_core.jobs.ended_lives import ENDED_BEFORE, ORDER_REASONS, EndedLives
 from cicadatrail_core.jobs.log_fields import worker_fields
 from cicadatrail_core.jobs.models import (
     FleetConfiguration,
@@ -63,6 +64,7 @@
         self.queue_pools = QueuePools()
         self.jobs: dict[str, JobState] = {}
         self.workers: dict[str, WorkerState] = {}
+        self.ended_lives = EndedLives()
         self.team_used: dict[str, Resources] = {}
         # Subtasks that may have crashed a worker.
         self.suspects: dict[SubtaskName, Subtask] = {}
@@ -102,6 +104,7 @@
         if worker is None:
             worker = WorkerState(facts)
             self.workers[facts.worker_id] = worker
+            self.ended_lives.discard(facts.worker_id)
             self.on_change()
         if facts.born_unix_ms > worker.born_unix_ms > 0:
             # The worker has restarted: its next report shows which runs belong
@@ -130,6 +133,8 @@
         worker = self.workers.pop(worker_id, None)
         if worker is None:
             return
+        if reason in ORDER_REASONS:
+            self.ended_lives.add(worker, now_s, reason == ENDED_BEFORE)
         worker.clear_unreported_runs()
         fields = worker_fields(worker)
         logger.info(
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import logging
+from typing import Any
+
+import msgpack
 
 from cicadatrail_core.jobs.crash_suspicion import collect_unstored, mark_stored
+from cicadatrail_core.jobs.ended_lives import ENDED_BEFORE, is_ended
 from cicadatrail_core.jobs.models import JobDefinition, JobPhase
 from cicadatrail_core.jobs.record_checks import check_definition, check_progress
 from cicadatrail_core.jobs.records import (
@@ -35,6 +39,7 @@
 JOB_PREFIX = "j/"
 PROGRESS_PREFIX = "p/"
 WAVE_PREFIX = "w/"
+ENDED_KEY = "ended"
 ORDERS_KEY = "orders"
 
 
@@ -43,13 +48,16 @@
 
     There are records of each job's definition and its progress, of the queues of jobs,
     of the machines that a wave has started on, of the workers that may run subtasks,
-    and of the machines that may recently have got an order.
+    of those whose machine has got an order and that may still be listed, and of the
+    machines that may recently have got an order.
     """
 
     def __init__(self, scheduler: Scheduler, former_leases: FormerLeases) -> None:
         self._scheduler = scheduler
         self._former_leases = former_leases
         self._fleet: tuple[str, ...] | None = None
+        # As stored; None if that record was not read, so that it is replaced.
+        self._ended: dict[str, int] | None = {}
         self._changed_waves = False
         self._queues = QueueRecords(scheduler)
         self._inventory: MachineInventory
@@ -90,6 +98,7 @@
         if self._has_fleet_changes():
             self._fleet = tuple(scheduler.workers)
             records += encode_fleet(scheduler.workers.values())
+            records += self._collect_ended()
         if self._inventory.has_unstored_announcements:
             records.append(KeyedRecord(ORDERS_KEY, self._inventory.encode()))
         if self._changed_waves:
@@ -136,6 +145,17 @@
 
         return records, on_stored
 
+    def _collect_ended(self) -> list[KeyedRecord]:
+        """Return the record of ended lives if it has changed.
+
+        One begins when its worker leaves the fleet and ends when it is known again.
+        """
+        ended = self._scheduler.ended_lives.recent(loop_now_s())
+        if ended == self._ended:
+            return []
+        self._ended = ended
+        return [KeyedRecord(ENDED_KEY, msgpack.packb([*ended.items()]))]
+
     def restore(self, records: list[KeyedRecord]) -> float:
         """Restore the state that an earlier leader stored.
 
@@ -148,6 +168,10 @@
         now_s = loop_now_s()
         values = {record.key: record.value or b"" for record in records}
         has_fleet = self._restore_fleet(values.get(FLEET_KEY), values.get(MACHINES_KEY))
+        if has_fleet:
+            self._restore_ended(values.get(ENDED_KEY), now_s)
+        else:
+            self._ended = None
         if ORDERS_KEY in values:
             self._inventory.restore(values[ORDERS_KEY])
         self._former_leases.await_workers()
@@ -246,3 +270,39 @@
             self._scheduler.workers[facts.worker_id] = WorkerState(facts)
             self._scheduler.workers[facts.worker_id].is_listed = False
         return True
+
+    def _restore_ended(self, value: bytes | None, now_s: float) -> None:
+        """Remove listed workers whose life an order of an earlier leader has ended.
+
+        A worker in the stored list may run something since, whatever the record says.
+        """
+        if value is None:
+            return
+        try:
+            self._ended = ended = _decode_ended(msgpack.unpackb(value))
+        except (ValueError, TypeError) as error:
+            self._ended = None
+            logger.error(
+                "holder: ignoring an invalid record.",
+                extra={"key": ENDED_KEY, "reason": repr(error)},
+            )
+            return
+        for worker_id, born_unix_ms in ended.items():
+            worker = self._scheduler.workers.get(worker_id)
+            if worker is None or worker_id in self.stored_worker_ids:
+                continue
+            if is_ended(worker.facts, born_unix_ms):
+                self._scheduler.remove_worker(worker_id, now_s, ENDED_BEFORE)
+
+
+def _decode_ended(rows: list[Any]) -> dict[str, int]:
+    """Return ended lives from their record; raise ValueError or TypeError if invalid.
+
+    Each has a worker id and a time of birth in Unix milliseconds.
+    """
+    ended = {}
+    for worker_id, born_unix_ms in rows:
+        if not isinstance(worker_id, str) or type(born_unix_ms) is not int:
+            raise ValueError(f"ended life can't be {(worker_id, born_unix_ms)!r}")
+        ended[worker_id] = born_unix_ms
+    return ended
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
@@ -9,6 +9,7 @@
 
 import msgpack
 
+from cicadatrail_core.jobs.ended_lives import MAINTENANCE
 from cicadatrail_core.jobs.evacuation import evacuate
 from cicadatrail_core.jobs.models import MachineState, Wave
 from cicadatrail_core.jobs.scheduler import Scheduler
@@ -240,8 +241,10 @@
         return worker.is_reconciled and not worker.runs
 
     async def _maintain(self, progress: WaveProgress, name: str) -> None:
+        # The order ends the life that is known now, not one that begins after it.
+        worker = self._scheduler.worker_on(name)
         outcome = await self._inventory.maintain(name, progress.wave.number)
-        self._apply_outcome(progress, name, self._scheduler.worker_on(name), outcome)
+        self._apply_outcome(progress, name, worker, outcome)
 
     def _apply_outcome(
         self,
@@ -258,7 +261,7 @@
                 progress.in_maintenance[name] = now_s
                 if worker is not None:
                     self._scheduler.remove_worker(
-                        worker.facts.worker_id, now_s, "maintenance"
+                        worker.facts.worker_id, now_s, MAINTENANCE
                     )
                 self._on_progress()
                 return
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
@@ -15,6 +15,7 @@
     pool_needs,
 )
 from cicadatrail_core.jobs.demand import Demand
+from cicadatrail_core.jobs.ended_lives import MOVED
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import WorkerState
 from cicadatraild.platform.machines import MachineOutcome
@@ -149,7 +150,7 @@
             self.move_count += 1
             if worker is not None:
                 worker_id = worker.facts.worker_id
-                self._scheduler.remove_worker(worker_id, loop_now_s(), "moved")
+                self._scheduler.remove_worker(worker_id, loop_now_s(), MOVED)
             return
         self._retry_s[move.machine] = now_s + RETRY_S
         if worker is None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_list.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_list.py
@@ -65,7 +65,7 @@
                 self._missing.setdefault(record.key, now_s + grace_s)
             return
         facts = decode_worker(record.key, record.value)
-        if facts is None:
+        if facts is None or self._scheduler.ended_lives.ignores(facts, now_s):
             return
         self._missing.pop(record.key, None)
         worker = self._scheduler.update_worker(facts, now_s)
