Count presumed runs for their team without the lease

Callers would see QUOTA: a leader confirmed by a majority, without the store, starts other subtasks of a team over its limit, while the team's runs on a worker that it has lost go on there, as its successor has renewed their lease.

Cause: has what is only presumed to be over wait for the lease before it is repeated. But its runs were detached from their team at the same time, so that the room that they left went to other subtasks, for which nothing had to wait.

They are kept by worker, so that a scheduling pass walks over nothing while nothing is presumed; team_limits adds them to what may run on workers that have not reported.

Ruled out: counting the subtasks that are marked as presumed over. One listed run clears the mark of a subtask, also while another run of it is presumed; finding them takes a walk over all jobs; and runs of cancelled jobs, which go on until they are stopped, would not count.

--- a/features/presumed_ends.feature
+++ b/features/presumed_ends.feature
@@ -49,3 +49,32 @@
     Given a subtask runs on one of 2 workers as the leader changes
     When the new leader has no lease, and that worker answers after 10 s
     Then a subtask that waited for its answer starts, and the other runs on
+  # Guards against QUOTA: the successor may have the runs of the lost worker go on.
+  Scenario Outline: Runs that are presumed to be over count for their team
+    Given a scheduler with 2 workers of 8 cores
+    And 2 subtasks of 4 cores run
+    And the team may have 10 cores running
+    When the leader has no lease, and <event>
+    Then no other 4 cores of the team run before the leader has its lease again
+
+    Examples: events
+      | event                                                |
+      | their worker is silent until its lease has expired   |
+      | their worker's address belongs to another worker     |
+      | their worker leaves the list and then says no more   |
+
+  Scenario: Runs that were presumed to be over and go on count once for their team
+    Given a scheduler with 2 workers of 8 cores
+    And 2 subtasks of 4 cores run
+    And the team may have 10 cores running
+    When the leader has no lease, and their worker is silent until its lease has expired
+    And the worker still has them when it answers again
+    Then 2 more cores of the team run, and no more
+
+  Scenario: Runs that a worker no longer has don't count for their team
+    Given a scheduler with 2 workers of 8 cores
+    And 2 subtasks of 4 cores run
+    And the team may have 10 cores running
+    When the leader has no lease, and their worker is silent until its lease has expired
+    And the worker has restarted when it answers again
+    Then other 4 cores of the team run
--- a/features/steps/presumed_ends_steps.py
+++ b/features/steps/presumed_ends_steps.py
@@ -7,7 +7,9 @@
 from behave import then, when
 
 from cicadatrail_core.jobs.models import EndKind
-from features.support.job_world import LEASE_S
+from features.support.job_world import LEASE_S, definition
+
+OTHER = "00000000000000b2"
 
 
 def _lose_worker(context: Any) -> None:
@@ -27,14 +29,18 @@
     _lose_worker(context)
 
 
+def _restart_worker(context: Any) -> None:
+    sim = context.world.sims[context.runs[0].worker.facts.worker_id]
+    sim.running.clear()
+    sim.ends.clear()
+    sim.started_ms += 1000
+
+
 @when("the leader has no lease, and their worker restarts")
 def step_restarts(context: Any) -> None:
     world = context.world
     world.scheduler.is_lease_valid = lambda: False
-    sim = world.sims[context.runs[0].worker.facts.worker_id]
-    sim.running.clear()
-    sim.ends.clear()
-    sim.started_ms += 1000
+    _restart_worker(context)
     world.now_s += 1.0
     world.report_all()
     world.report_all()
@@ -85,3 +91,65 @@
 def step_not_sent(context: Any) -> None:
     scheduler = context.world.scheduler
     assert not any(scheduler.may_repeat(run.subtask) for run in context.starts)
+
+
+@when("the leader has no lease, and their worker's address belongs to another worker")
+def step_replaced(context: Any) -> None:
+    world = context.world
+    world.scheduler.is_lease_valid = lambda: False
+    worker_id = context.runs[0].worker.facts.worker_id
+    world.scheduler.remove_worker(worker_id, world.now_s, "replaced")
+
+
+@when("the leader has no lease, and their worker leaves the list and then says no more")
+def step_unlisted(context: Any) -> None:
+    world = context.world
+    world.scheduler.is_lease_valid = lambda: False
+    context.runs[0].worker.is_listed = False
+    _lose_worker(context)
+    assert context.runs[0].worker.facts.worker_id not in world.scheduler.workers
+
+
+def _submit_other(context: Any, cores: int) -> int:
+    """Submit a subtask of the team; return the count of starts."""
+    context.world.submit(OTHER, definition(1, cores))
+    return len(context.world.run_all())
+
+
+@then("no other 4 cores of the team run before the leader has its lease again")
+def step_team_waits(context: Any) -> None:
+    world = context.world
+    assert _submit_other(context, 4) == 0
+    world.scheduler.is_lease_valid = lambda: True
+    world.tick(0.1)
+    assert len(world.run_all()) == 2
+
+
+@when("the worker still has them when it answers again")
+def step_still_has(context: Any) -> None:
+    world = context.world
+    worker_id = context.runs[0].worker.facts.worker_id
+    sim = world.sims[worker_id]
+    # The leader's successor has renewed the worker's lease.
+    sim.ends.clear()
+    sim.running = {run.subtask.name: run.number for run in context.runs}
+    world.report(worker_id)
+
+
+@then("2 more cores of the team run, and no more")
+def step_two_more(context: Any) -> None:
+    world = context.world
+    assert _submit_other(context, 2) == 1
+    world.submit("00000000000000c3", definition(1, 1))
+    assert world.run_all() == []
+
+
+@when("the worker has restarted when it answers again")
+def step_restarted(context: Any) -> None:
+    _restart_worker(context)
+    context.world.report(context.runs[0].worker.facts.worker_id)
+
+
+@then("other 4 cores of the team run")
+def step_other_runs(context: Any) -> None:
+    assert _submit_other(context, 4) == 1
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
@@ -112,7 +112,8 @@
 ) -> None:
     """Release the runs lost with a worker and count the crash.
 
-    ``kept`` holds runs that may be the cause of the crash, but may not be over.
+    Without the lease they count for their teams until the worker answers. ``kept``
+    holds runs that may be the cause of the crash, but may not be over.
     """
     blamed = [run for run in (*lost, *kept) if is_recent(run)]
     _log_loss(worker, len(lost), blamed, reason, now_s)
@@ -122,6 +123,9 @@
         _count_crash(scheduler, run)
     for run in lost:
         scheduler.release(run, now_s, reason)
+    if lost and not scheduler.is_lease_valid():
+        presumed = scheduler.presumed_runs.setdefault(worker.facts.worker_id, [])
+        presumed.extend(lost)
     prompt = [run for run in blamed if _is_prompt(run, now_s)]
     is_alone = len({run.subtask.step.job.job_id for run in prompt}) == 1
     for run in blamed:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -35,7 +35,7 @@
     ready_suspects,
 )
 from cicadatrail_core.jobs.takeover import is_queue_reconciled
-from cicadatrail_core.jobs.team_limits import unreconciled_by_team, within_limit
+from cicadatrail_core.jobs.team_limits import unseen_by_team, within_limit
 from cicadatrail_core.jobs.urgency import start_order, teams_over_share
 from cicadatrail_core.jobs.worker_conditions import advised_workers, can_run
 from cicadatrail_core.jobs.worker_leases import has_expired_lease
@@ -71,7 +71,7 @@
             raise PlacementError(step.job) from error
         pools.setdefault(queue.pool, []).append(_Candidate(order, step, queue))
     forget_reservations(scheduler, pools)
-    unreconciled = unreconciled_by_team(scheduler, now_s)
+    unseen = unseen_by_team(scheduler, now_s)
     suspects = ready_suspects(scheduler) if scheduler.suspects else []
     for pool, candidates in pools.items():
         queues = {candidate.queue.name: candidate.queue for candidate in candidates}
@@ -89,14 +89,14 @@
                 suspects,
                 workers,
                 reconciled,
-                unreconciled,
+                unseen,
                 now_s,
             )
         cursor = Cursor(candidates)
         reservation = Reservation(scheduler, pool, workers, now_s)
         try:
             _place_candidates(
-                scheduler, cursor, workers, reservation, reconciled, unreconciled, now_s
+                scheduler, cursor, workers, reservation, reconciled, unseen, now_s
             )
         except Exception as error:
             if cursor.last is None:
@@ -143,7 +143,7 @@
     workers: list[WorkerState],
     reservation: Reservation,
     reconciled: set[str],
-    unreconciled: dict[str, Resources],
+    unseen: dict[str, Resources],
     now_s: float,
 ) -> None:
     for candidate in candidates:
@@ -153,11 +153,11 @@
         if step.spec.gang:
             if not is_suspect_step(step):
                 reserved = reservation.closed_to(step.subtasks[0])
-                _place_gang(scheduler, step, workers, reserved, unreconciled, now_s)
+                _place_gang(scheduler, step, workers, reserved, unseen, now_s)
             continue
         blocked = False
         for subtask in list(step.ready.values()):
-            if not within_limit(scheduler, step, 1, unreconciled):
+            if not within_limit(scheduler, step, 1, unseen):
                 break
             if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
                 continue
@@ -190,7 +190,7 @@
     suspects: list[Subtask],
     workers: list[WorkerState],
     reconciled: set[str],
-    unreconciled: dict[str, Resources],
+    unseen: dict[str, Resources],
     now_s: float,
 ) -> list[WorkerState]:
     """Start the suspects among the candidates; return the workers left for others."""
@@ -200,9 +200,7 @@
         if subtask.step not in in_pool:
             continue
         try:
-            _place_suspect(
-                scheduler, subtask, placement, reconciled, unreconciled, now_s
-            )
+            _place_suspect(scheduler, subtask, placement, reconciled, unseen, now_s)
         except Exception as error:
             raise PlacementError(subtask.step.job) from error
     return placement.open_workers
@@ -213,7 +211,7 @@
     subtask: Subtask,
     placement: SuspectPlacement,
     reconciled: set[str],
-    unreconciled: dict[str, Resources],
+    unseen: dict[str, Resources],
     now_s: float,
 ) -> None:
     """Start a suspect, or the gang that it belongs to, apart from other runs."""
@@ -223,13 +221,13 @@
     if give_up_inherited(scheduler, subtask, now_s):
         return
     count = step.spec.count if step.spec.gang else 1
-    if not within_limit(scheduler, step, count, unreconciled):
+    if not within_limit(scheduler, step, count, unseen):
         return
     if not step.spec.gang and not _has_attempt(scheduler, subtask):
         return
     if not step.spec.gang and not scheduler.may_repeat(subtask):
         return
-    choose = partial(_choose_for_suspect, scheduler, subtask, unreconciled, now_s)
+    choose = partial(_choose_for_suspect, scheduler, subtask, unseen, now_s)
     chosen = choose(placement.candidates(subtask))
     if chosen is None:
         if choose([placement.soon_free()]) is not None:
@@ -253,7 +251,7 @@
 def _choose_for_suspect(
     scheduler: Scheduler,
     subtask: Subtask,
-    unreconciled: dict[str, Resources],
+    unseen: dict[str, Resources],
     now_s: float,
     groups: list[list[WorkerState]],
 ) -> list[WorkerState] | None:
@@ -265,7 +263,7 @@
     for workers in groups:
         if step.spec.gang:
             chosen = _choose_gang_workers(
-                scheduler, step, workers, set(), unreconciled, now_s
+                scheduler, step, workers, set(), unseen, now_s
             )
             if chosen is not None:
                 return chosen
@@ -308,13 +306,11 @@
     step: StepState,
     workers: list[WorkerState],
     reserved: Set[str],
-    unreconciled: dict[str, Resources],
+    unseen: dict[str, Resources],
     now_s: float,
 ) -> None:
     """Start all subtasks of a gang, or none of them."""
-    chosen = _choose_gang_workers(
-        scheduler, step, workers, reserved, unreconciled, now_s
-    )
+    chosen = _choose_gang_workers(scheduler, step, workers, reserved, unseen, now_s)
     if chosen is not None:
         _start_gang(scheduler, step, chosen, now_s)
 
@@ -324,7 +320,7 @@
     step: StepState,
     workers: list[WorkerState],
     reserved: Set[str],
-    unreconciled: dict[str, Resources],
+    unseen: dict[str, Resources],
     now_s: float,
 ) -> list[WorkerState] | None:
     """Return a worker for each subtask of a gang that may start now, or None."""
@@ -341,7 +337,7 @@
     advised = advised_workers(scheduler, step, now_s)
     if advised is not None:
         workers = [w for w in workers if w.facts.worker_id in advised]
-    if not within_limit(scheduler, step, len(members), unreconciled):
+    if not within_limit(scheduler, step, len(members), unseen):
         return None
     groups = [workers]
     if step.spec.same_rack:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -66,6 +66,9 @@
         self.workers: dict[str, WorkerState] = {}
         self.ended_lives = EndedLives()
         self.team_used: dict[str, Resources] = {}
+        # Runs of lost workers, by worker, that may go on there: they count for their
+        # team until the worker answers or no other leader can have been elected.
+        self.presumed_runs: dict[str, list[Run]] = {}
         # Subtasks that may have crashed a worker.
         self.suspects: dict[SubtaskName, Subtask] = {}
         # Since when each pool has had a worker reserved.
@@ -363,6 +366,9 @@
                 self._open_occurrences(job, now_s, now_unix_ms)
                 if len(job.occurrences) > before:
                     self.on_change()
+        if self.presumed_runs and self.is_lease_valid():
+            self.presumed_runs.clear()
+            self.on_change()
         expire_leases(self, now_s)
         self.queue_pools.drop_unused(self, now_s)
         drop_ended_suspects(self)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/team_limits.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/team_limits.py
@@ -8,7 +8,24 @@
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 
-def unreconciled_by_team(scheduler: Scheduler, now_s: float) -> dict[str, Resources]:
+def unseen_by_team(scheduler: Scheduler, now_s: float) -> dict[str, Resources]:
+    """Return what each team may be running beside the runs that are known.
+
+    That is on workers that have not reported yet, and on lost ones whose runs are only
+    presumed to be over.
+    """
+    totals = _unreconciled_by_team(scheduler, now_s)
+    if not scheduler.presumed_runs or scheduler.is_lease_valid():
+        return totals
+    for runs in scheduler.presumed_runs.values():
+        for run in runs:
+            step = run.subtask.step
+            team = step.job.definition.team
+            totals[team] = totals.get(team, NO_RESOURCES) + step.spec.need
+    return totals
+
+
+def _unreconciled_by_team(scheduler: Scheduler, now_s: float) -> dict[str, Resources]:
     """Return what each team may be running on workers that have not reported yet."""
     capacity = unreconciled_capacity(scheduler, now_s)
     if capacity == NO_RESOURCES:
@@ -31,14 +48,14 @@
     scheduler: Scheduler,
     step: StepState,
     count: int,
-    unreconciled: dict[str, Resources],
+    unseen: dict[str, Resources],
 ) -> bool:
     """Return whether ``count`` more subtasks stay within the team's limit."""
     team = scheduler.configuration.teams.get(step.job.definition.team)
     if team is None:
         return True
     used = scheduler.team_used.get(team.name, NO_RESOURCES)
-    used = used + unreconciled.get(team.name, NO_RESOURCES)
+    used = used + unseen.get(team.name, NO_RESOURCES)
     for _ in range(count):
         used = used + step.spec.need
     limit = team.limit
