Repeat what a lost worker lists as ended without the lease

Callers see a subtask wait for the store: a leader without the store loses a worker, whose runs count as presumed to be over; the worker comes back and lists how they ended (lapsed, stopped, failed), and they still wait until the store answers.

Cause: the mark was taken back only together with a run that was still known. The runs of a worker whose lease has expired are no longer known when their ends are listed.

A subtask now holds the number of the run that is presumed to be over (presumed_run instead of is_presumed_over). A worker that lists this run or a later one, as running or as ended, takes the mark back, whether the run is still known or not. The end of an earlier run does not: the later one may go on on another worker. That also makes the rule for known runs stricter. A start that was not sent keeps the number, as it kept the mark.

Ruled out: comparing with last_run. A repeat that was never sent has raised it, so that the subtask would wait for the lease again. Ends of the kind "done" need no exception: they end the subtask, and those of a lasting step are over like any other. A successor can't have read the end before: its calls fence the worker, which then refuses this leader's.

--- a/features/presumed_ends.feature
+++ b/features/presumed_ends.feature
@@ -21,6 +21,34 @@
     When the leader has no lease, and their worker lists one as failed
     Then one subtask starts again
 
+  Scenario Outline: What a worker that was lost lists as ended is repeated without the lease
+    Given a scheduler with 2 workers of 8 cores
+    And 2 subtasks of 4 cores run
+    When the leader has no lease, and their worker is silent until its lease has expired
+    And the worker lists both as <end> when it answers again
+    Then both subtasks start again
+
+    Examples: ends
+      | end     |
+      | lapsed  |
+      | stopped |
+      | failed  |
+
+  Scenario: The end of a run says nothing about a later one that was lost
+    Given a scheduler with 2 workers of 8 cores
+    And 2 subtasks of 4 cores run
+    When both are repeated elsewhere and lost with that worker without the lease
+    And the first worker lists both as lapsed when it answers again
+    Then nothing is repeated before the leader has its lease again
+
+  Scenario: The end of a run that was lost counts after a start that was not sent
+    Given a scheduler with 2 workers of 8 cores
+    And 2 subtasks of 4 cores run
+    When their worker is lost without the lease, which ends again after the dispatch
+    And the starts are not sent
+    And the worker lists both as lapsed when it answers again
+    Then both subtasks start again
+
   Scenario: A start that was queued is not sent without the lease
     Given a scheduler with 2 workers of 8 cores
     And 2 subtasks of 4 cores run
--- a/features/steps/presumed_ends_steps.py
+++ b/features/steps/presumed_ends_steps.py
@@ -12,14 +12,14 @@
 OTHER = "00000000000000b2"
 
 
-def _lose_worker(context: Any) -> None:
-    """Let the lease of the worker with the runs expire, while others answer."""
+def _lose_worker(context: Any, *others: str) -> None:
+    """Let the leases of the worker with the runs and of some others expire."""
     world = context.world
-    silent = context.runs[0].worker.facts.worker_id
+    silent = (context.runs[0].worker.facts.worker_id, *others)
     for _ in range(int(LEASE_S) + 2):
         world.tick(1.0)
         for name in world.sims:
-            if name != silent:
+            if name not in silent:
                 world.report(name)
 
 
@@ -76,6 +76,49 @@
     assert [run.subtask for run in runs] == [context.runs[0].subtask]
 
 
+def _list_ends(context: Any, kind: str) -> None:
+    """Have the first worker answer again and list how the runs ended."""
+    world = context.world
+    worker_id = context.runs[0].worker.facts.worker_id
+    sim = world.sims[worker_id]
+    sim.ends.clear()
+    for run in context.runs:
+        sim.running[run.subtask.name] = run.number
+        sim.end(run.subtask.name, EndKind(kind))
+    world.report(worker_id)
+
+
+@when("the worker lists both as {kind} when it answers again")
+def step_lists_ends(context: Any, kind: str) -> None:
+    _list_ends(context, kind)
+
+
+@when("both are repeated elsewhere and lost with that worker without the lease")
+def step_lost_again(context: Any) -> None:
+    world = context.world
+    world.scheduler.is_lease_valid = lambda: False
+    _lose_worker(context)
+    world.scheduler.is_lease_valid = lambda: True
+    repeats = world.run_all()
+    assert {run.subtask for run in repeats} == {run.subtask for run in context.runs}
+    (other,) = {run.worker.facts.worker_id for run in repeats}
+    world.scheduler.is_lease_valid = lambda: False
+    _lose_worker(context, other)
+
+
+@when("the first worker lists both as lapsed when it answers again")
+def step_first_lists_ends(context: Any) -> None:
+    _list_ends(context, "lapsed")
+
+
+@when("the starts are not sent")
+def step_refuse_starts(context: Any) -> None:
+    scheduler = context.world.scheduler
+    for run in context.starts:
+        run.is_start_pending = False
+        scheduler.release_refused(run, context.world.now_s, "not-sent")
+
+
 @when("their worker is lost without the lease, which ends again after the dispatch")
 def step_queued(context: Any) -> None:
     world = context.world
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -276,9 +276,9 @@
         if run.subtask.name in {name for name, _ in run.worker.runs}:
             # The subtask has waited since then all the same.
             subtask = run.subtask
-            ready_s, is_presumed_over = subtask.ready_s, subtask.is_presumed_over
+            ready_s, presumed_run = subtask.ready_s, subtask.presumed_run
             self.release(run, now_s, reason)
-            subtask.ready_s, subtask.is_presumed_over = ready_s, is_presumed_over
+            subtask.ready_s, subtask.presumed_run = ready_s, presumed_run
 
     def detach(self, run: Run, reason: str) -> None:
         """Remove a run that is over from its worker, subtask and team."""
@@ -300,7 +300,10 @@
         """
         self.detach(run, reason)
         subtask = run.subtask
-        subtask.is_presumed_over = not self.is_lease_valid()
+        if self.is_lease_valid():
+            subtask.presumed_run = 0
+        else:
+            subtask.presumed_run = max(subtask.presumed_run, run.number)
         job = subtask.step.job
         if job.is_final and not job.has_runs:
             self.changed_jobs[job.job_id] = None
@@ -313,7 +316,7 @@
 
     def may_repeat(self, subtask: Subtask) -> bool:
         """Return whether an earlier run of a subtask is known to be over."""
-        return not subtask.is_presumed_over or self.is_lease_valid()
+        return not subtask.presumed_run or self.is_lease_valid()
 
     def needs_advice(self, step: StepState) -> bool:
         """Return whether only workers with a ticket may run a step."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -109,10 +109,10 @@
         "expired_runs",
         "failed_runs",
         "index",
-        "is_presumed_over",
         "last_run",
         "live_runs",
         "phase",
+        "presumed_run",
         "previous_end",
         "ready_s",
         "start_noted_s",
@@ -123,9 +123,9 @@
     def __init__(self, step: StepState, index: int) -> None:
         self.step = step
         self.index = index
-        # True while its newest run counts as over though another leader may have been
-        # elected, which may know better.
-        self.is_presumed_over = False
+        # The newest run that counts as over though another leader may have been
+        # elected, which may know better; 0 if there is none.
+        self.presumed_run = 0
         # How the newest run that is over ended, for the log of the next start.
         self.previous_end = ""
         self.phase = SubtaskPhase.WAITING
@@ -149,6 +149,11 @@
         """Return the number of runs that failed or may have failed unreported."""
         return len(self.failed_runs | self.expired_runs)
 
+    def record_listed(self, run_number: int) -> None:
+        """Record that a worker tells of a run, before which earlier ones were over."""
+        if run_number >= self.presumed_run:
+            self.presumed_run = 0
+
     @property
     def name(self) -> SubtaskName:
         """Return the subtask's name."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -101,7 +101,7 @@
         run.percent = row.percent
         run.progress_s = now_s
     run.measurement = row.measurement
-    run.subtask.is_presumed_over = False
+    run.subtask.record_listed(row.run)
     check_survival(scheduler, run, now_s)
     if row.checkpoint and row.checkpoint != run.subtask.checkpoint:
         run.subtask.checkpoint = row.checkpoint
@@ -192,7 +192,8 @@
     if run is not None:
         subtask = run.subtask
         scheduler.detach(run, row.kind.value)
-        subtask.is_presumed_over = False
+    if subtask is not None:
+        subtask.record_listed(row.run)
     if job is None or subtask is None:
         return
     if row.checkpoint:
@@ -346,5 +347,5 @@
     lose_runs(scheduler, worker, lost, "restarted", now_s, kept)
     for run in lost:
         # The worker itself says so, as it does of ends.
-        run.subtask.is_presumed_over = False
+        run.subtask.record_listed(run.number)
     worker.draining_until_s = None
