Evict no long-running subtask without the lease

Callers would see AVAIL: a leader without the store, whose successor has been elected, stops a long-running subtask on a worker that is drained or maintained, while its successor does the same with another of the step, so that two are away at once.

Cause: evacuation asked whether enough others are at work, but not whether this leader alone may be stopping them. What the successor stops on workers that this leader doesn't reach still looks at work to it for a moment, and the other way round.

Evacuation is the only place that stops long-running subtasks to move them: runs that make no progress are looked for among the others only, and no caller preempts. So the check stands in one function there, _may_evict, for draining workers and for waves. What runs on a worker that leaves within 1 s is still stopped: it ends anyway, and an end that the worker lists may be repeated without the lease.

Ruled out: refusing in Scheduler.stop, which also stops the runs of cancelled jobs and second runs of a subtask.

Costs: while the store is down for all, draining workers keep their long-running subtasks until it is back, or until 1 s before they leave.

Evidence: takeover_evictions.feature, "A leader that may have a successor evicts no subtask", both events failed before and pass; the scenario of the worker that is about to leave passed before and after. takeover_evictions (7), presumed_ends (14), jobs (38) and crashing_subtasks (31) pass.

--- a/features/steps/takeover_evictions_steps.py
+++ b/features/steps/takeover_evictions_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 from behave import given, then, when
@@ -155,3 +156,49 @@
     (run,) = world.run_all()
     assert run.subtask is stopped.subtask
     assert run.worker.facts.worker_id == "w3"
+
+
+@when("the leader has no lease, and a worker is to be maintained")
+def step_no_lease(context: Any) -> None:
+    context.world.scheduler.is_lease_valid = lambda: False
+    context.world.worker("w1").is_cordoned = True
+
+
+def _drain(world: JobWorld, remaining_ms: int) -> None:
+    world.scheduler.is_lease_valid = lambda: False
+    facts = world.facts(world.sims["w1"], draining=True)
+    facts = replace(facts, remaining_ms=remaining_ms)
+    world.scheduler.update_worker(facts, world.now_s)
+
+
+@when("the leader has no lease, and a worker is draining and has time left")
+def step_draining(context: Any) -> None:
+    _drain(context.world, 20_000)
+
+
+@when("the leader has no lease, and a worker is draining and has no time left")
+def step_leaving(context: Any) -> None:
+    _drain(context.world, 500)
+
+
+def _evacuate(world: JobWorld) -> list[Run]:
+    evacuate(world.scheduler, world.worker("w1"), world.now_s, world.now_s)
+    return world.stops()
+
+
+@then("it evicts no subtask before it has its lease again")
+def step_none_without_lease(context: Any) -> None:
+    world = context.world
+    for _ in range(20):
+        assert _evacuate(world) == [], world.now_s
+        world.tick(0.1)
+        world.report_all()
+    world.scheduler.is_lease_valid = lambda: True
+    (stopped,) = _evacuate(world)
+    assert stopped.worker.facts.worker_id == "w1"
+
+
+@then("its subtask is stopped")
+def step_is_stopped(context: Any) -> None:
+    (stopped,) = _evacuate(context.world)
+    assert stopped.worker.facts.worker_id == "w1"
--- a/features/takeover_evictions.feature
+++ b/features/takeover_evictions.feature
@@ -29,3 +29,21 @@
     When a new leader takes over while a worker without runs is silent
     Then it evicts no subtask before the silent worker's lease is over
     And a subtask that it evicts after that starts elsewhere at once
+
+  # Guards against AVAIL: the successor may be evicting another subtask of the step.
+  Scenario Outline: A leader that may have a successor evicts no subtask
+    Given a scheduler with 5 workers of 8 cores
+    And a long-running step on 3 of them that may miss 1 is at work
+    When the leader has no lease, and a worker <event>
+    Then it evicts no subtask before it has its lease again
+
+    Examples: events
+      | event                         |
+      | is to be maintained           |
+      | is draining and has time left |
+
+  Scenario: A worker that is about to leave is emptied without the lease
+    Given a scheduler with 5 workers of 8 cores
+    And a long-running step on 3 of them that may miss 1 is at work
+    When the leader has no lease, and a worker is draining and has no time left
+    Then its subtask is stopped
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
@@ -1,8 +1,8 @@
 """Evacuation of workers that are about to leave or be maintained.
 
-A long-running subtask is stopped only while enough other subtasks of its step are
-available, it may start again, and another worker can run it. Other subtasks get some
-time to finish.
+A long-running subtask is stopped only while the leader has its lease, enough other
+subtasks of its step are available, it may start again, and another worker can run it.
+Other subtasks get some time to finish. All stop shortly before the worker leaves.
 """
 
 from __future__ import annotations
@@ -66,6 +66,20 @@
     )
 
 
+def _may_evict(scheduler: Scheduler, run: Run, now_s: float) -> bool:
+    """Return whether a long-running subtask may be stopped to start elsewhere.
+
+    Without the lease a newer leader may be stopping another subtask of the step.
+    """
+    step = run.subtask.step
+    return (
+        scheduler.is_lease_valid()
+        and may_stop(step, run)
+        and _may_start_again(scheduler, step, now_s)
+        and _has_other_worker(scheduler, run, now_s)
+    )
+
+
 def evacuate(
     scheduler: Scheduler, worker: WorkerState, since_s: float, now_s: float
 ) -> None:
@@ -83,11 +97,7 @@
             scheduler.stop(run)
         elif step.spec.lasting:
             # Checked again for each run, as each stop makes a subtask unavailable.
-            if (
-                may_stop(step, run)
-                and _may_start_again(scheduler, step, now_s)
-                and _has_other_worker(scheduler, run, now_s)
-            ):
+            if _may_evict(scheduler, run, now_s):
                 scheduler.stop(run)
         elif now_s - since_s > _wait_limit_s(run):
             scheduler.stop(run)
