--- a/features/presumed_ends.feature
+++ b/features/presumed_ends.feature
@@ -77,6 +77,7 @@
     Given a subtask runs on one of 2 workers as the leader changes
     When the new leader has no lease, and that worker answers after 10 s
     Then a subtask that waited for its answer starts, and the other runs on
+
   # Guards against QUOTA: the successor may have the runs of the lost worker go on.
   Scenario Outline: Runs that are presumed to be over count for their team
     Given a scheduler with 2 workers of 8 cores
--- a/features/steps/ended_lives_steps.py
+++ b/features/steps/ended_lives_steps.py
@@ -225,7 +225,7 @@
 
 
 async def _know_again(is_successor: bool) -> tuple[list[bool], list[bool]]:
-    """Return whether the store had the worker at each call, without and with a store."""
+    """Return whether each call found the worker stored, without and with a store."""
     store: Any = StoppedStore()
     office = Leadership(store, "node", "host", lambda epoch: None, lambda reason: None)
     facts = replace(sample(WorkerFacts), worker_id=ENDED)
