--- a/features/steps/ended_lives_steps.py
+++ b/features/steps/ended_lives_steps.py
@@ -238,7 +238,7 @@
 
     async def begin(epoch: int) -> Leader:
         leader = Leader(sample(PlatformSettings), store, office, epoch, list)
-        leader._client.read_lists = read_lists  # type: ignore[method-assign]
+        leader._client.read_lists = read_lists  # type: ignore[assignment, method-assign]
         leader.scheduler.update_worker(facts, loop_now_s())
         stored = [KeyedRecord(key, value) for key, value in store.stored.items()]
         leader._records.restore(stored)
