Split components, listeners, gauges and state updates off app.py

Instance runs one incarnation, Components builds and connects its parts, StateUpdates passes new states, records and instance lists to them, and listeners.py and gauges.py read the parts. The features that patched or read Instance now do the same at these places; the mutant that ignores leaving workers patches StateUpdates.note_leaving, and matrix_broken still finds its violation.

--- a/features/support/matrix_cells.py
+++ b/features/support/matrix_cells.py
@@ -339,7 +339,9 @@
 
 
 async def waiting(cell: Cell) -> None:
-    await _reach_when(cell, lambda instance: instance._dispatch_queue.waiting_count > 2)
+    await _reach_when(
+        cell, lambda instance: instance.components.dispatch_queue.waiting_count > 2
+    )
 
 
 async def sent(cell: Cell) -> None:
@@ -352,13 +354,14 @@
 
 async def forwarded(cell: Cell) -> None:
     before = {
-        e.name: e.instance._attempt_runner.forwarded_count for e in cell.world.live()
+        e.name: e.instance.components.attempt_runner.forwarded_count
+        for e in cell.world.live()
     }
     await _reach_when(
         cell,
         lambda i: (
-            i._attempt_runner.forwarded_count
-            > before.get(i._settings.instance.instance_id, 0)
+            i.components.attempt_runner.forwarded_count
+            > before.get(i.components.settings.instance.instance_id, 0)
         ),
     )
 
@@ -386,7 +389,7 @@
 async def patch_folded(cell: Cell) -> None:
     version = cell.world.log.truth.version
     cell.world.loop.create_task(_put_team(cell, 2.0))
-    await _reach_when(cell, lambda i: i._replica.state.version > version)
+    await _reach_when(cell, lambda i: i.components.replica.state.version > version)
 
 
 async def _put_team(cell: Cell, weight: float) -> None:
@@ -446,7 +449,7 @@
 
 
 async def lending_slots(cell: Cell) -> None:
-    await _reach_when(cell, lambda i: i._loans.lent_count() > 0)
+    await _reach_when(cell, lambda i: i.components.loans.lent_count() > 0)
 
 
 def _start_leaving(cell: Cell) -> None:
--- a/features/support/matrix_checks.py
+++ b/features/support/matrix_checks.py
@@ -157,7 +157,7 @@
             self.report(f"{request_id} got an answer without an outcome")
 
     def _check_entry(self, entry: Entry) -> None:
-        state: State = entry.instance._replica.state
+        state: State = entry.instance.components.replica.state
         key = id(entry.instance)
         if state.version < self._versions.get(key, 0):
             self.report(f"{entry.name} went back to version {state.version}")
@@ -244,7 +244,7 @@
     """Return the names of instances that lack the newest configuration."""
     outdated: list[Any] = []
     for entry in entries:
-        state = entry.instance._replica.state
+        state = entry.instance.components.replica.state
         same = (state.version, state.pool_of) == (truth.version, truth.pool_of)
         if not same:
             outdated.append(entry.name)
--- a/features/support/matrix_mutants.py
+++ b/features/support/matrix_mutants.py
@@ -10,7 +10,6 @@
 from cicadatrail_core.admission.request_ids import PartitionMemory
 from cicadatrail_core.fold import maintenance_records, move_operations
 from cicadatrail_core.models.state import State
-from cicadatraild.app import Instance
 from cicadatraild.network.http_server import HttpServer
 from cicadatraild.serving import id_partitions
 from cicadatraild.serving.placed_tasks import GivenUpTasks
@@ -18,6 +17,7 @@
 from cicadatraild.sharing.replica import Replica
 from cicadatraild.sharing.rights_manager import RightsManager
 from cicadatraild.sharing.worker_watch import WorkerWatch
+from cicadatraild.state_updates import StateUpdates
 from cicadatraild.utils.in_flight_work import InFlightWork
 
 
@@ -75,7 +75,7 @@
 
 
 def _ignore_leaving_workers(stack: ExitStack) -> None:
-    stack.enter_context(patch.object(Instance, "_note_leaving", lambda *_: None))
+    stack.enter_context(patch.object(StateUpdates, "note_leaving", lambda *_: None))
     stack.enter_context(patch.object(WorkerWatch, "_take_report", lambda *_: None))
 
 
--- a/features/support/outer_names.py
+++ b/features/support/outer_names.py
@@ -43,7 +43,7 @@
 from cicadatrail_core.models.usage import UsageReport
 from cicadatrail_core.utils import codec
 from cicadatrail_core.utils.findings import Findings
-from cicadatraild.app import Instance
+from cicadatraild.gauges import read_gauges
 from cicadatraild.interfaces.maintenance_client import JobStatus
 from cicadatraild.interfaces.worker_client import WorkerReport
 from cicadatraild.network.client_exchange import Address
@@ -416,7 +416,7 @@
 
 def list_fleet_metrics() -> dict[str, Any]:
     # Only the names of its gauges count, so that any parts do.
-    gauges = Instance._gauges(MagicMock())
+    gauges = read_gauges(MagicMock())
     outcomes = {outcome.value: 1 for outcome in Outcome}
     collector = InstanceCollector(lambda: gauges, lambda: outcomes)
     return _list_metrics(Metrics(collector).expose())
--- a/features/support/paused_cluster.py
+++ b/features/support/paused_cluster.py
@@ -40,7 +40,7 @@
 from cicadatrail_core.models.state import State
 from cicadatrail_core.utils import codec
 from cicadatrail_core.utils.keys import IssuedKey, new_key
-from cicadatraild import app, process
+from cicadatraild import app, components, process
 from cicadatraild.network.http_client import Address, ConnectionPool
 from cicadatraild.network.http_server import (
     Handler,
@@ -379,9 +379,9 @@
         return entry.instance
 
     for target, name, value in (
-        (app, "time", clock),
-        (app, "secrets", clock),
-        (app, "random", SimpleNamespace(Random=Seeded)),
+        (components, "time", clock),
+        (components, "secrets", clock),
+        (components, "random", SimpleNamespace(Random=Seeded)),
         (identifiers, "time", clock),
         (identifiers, "secrets", clock),
         (frames, "secrets", clock),
