--- a/features/steps/leader_containment_steps.py
+++ b/features/steps/leader_containment_steps.py
@@ -29,7 +29,7 @@
 from cicadatraild.network.client_exchange import Address
 from cicadatraild.network.http_server import HttpExchange, HttpLimits, HttpServer
 from cicadatraild.platform.advice import AdviceClient
-from cicadatraild.platform.documents import decode_job
+from cicadatraild.platform.job_submissions import decode_job
 from cicadatraild.platform.machines import MachineClient, MachineOutcome
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
 from cicadatraild.scheduling import leader as leader_module
--- a/features/steps/platform_edges_steps.py
+++ b/features/steps/platform_edges_steps.py
@@ -18,9 +18,14 @@
 from returns.result import Failure
 
 from cicadatrail_core.models.resources import Resources
-from cicadatraild.platform import documents
 from cicadatraild.platform.callers import Answer, Call, CallKind, check_call
+from cicadatraild.platform.configuration import decode_configuration
+from cicadatraild.platform.job_submissions import decode_job
+from cicadatraild.platform.machine_lists import decode_machines
 from cicadatraild.platform.settings import parse_platform_settings
+from cicadatraild.platform.waves import decode_wave
+from cicadatraild.platform.worker_entries import decode_worker
+from cicadatraild.platform.worker_reports import decode_report
 from cicadatraild.utils.output import LINES_LIMIT_PER_S, OutputHandler
 from features.support.platform_cluster import (
     KEY,
@@ -94,12 +99,12 @@
 def step_random(context: Any) -> None:
     @any_of(st.binary(max_size=60) | _VALUES.map(lambda v: json.dumps(v).encode()))
     def harmless(data: bytes) -> None:
-        documents.decode_worker("i-1", data)
-        documents.decode_configuration(data)
-        documents.decode_wave(data)
-        documents.decode_machines(data)
-        documents.decode_report(data)
-        documents.decode_job(data, "q", "t", 0)
+        decode_worker("i-1", data)
+        decode_configuration(data)
+        decode_wave(data)
+        decode_machines(data)
+        decode_report(data)
+        decode_job(data, "q", "t", 0)
 
     harmless()
 
@@ -117,14 +122,14 @@
         "labels": ["a", "r1-3"],
         "machine": "m-1",
     }
-    facts = documents.decode_worker("i-1", json.dumps(entry).encode())
+    facts = decode_worker("i-1", json.dumps(entry).encode())
     assert facts is not None
     assert facts.draining and facts.remaining_ms == 900
     assert facts.capacity == Resources(8000, 64, 1)
     assert (facts.pool, facts.rack, facts.machine) == ("pool", "r1-3", "m-1")
-    assert documents.decode_worker("i-1", b'{"service":"pool"}') is None
+    assert decode_worker("i-1", b'{"service":"pool"}') is None
     strange = json.dumps(entry | {"state": "asleep"}).encode()
-    assert documents.decode_worker("i-1", strange) is None
+    assert decode_worker("i-1", strange) is None
 
 
 @then("the queue with the longest prefix takes a call and bad calls get their status")
@@ -132,7 +137,7 @@
     queue = configuration()["routes"][0]
     longer = queue | {"name": "longer", "path-prefix": "/q/deep/", "public": True}
     table = configuration(routes=[queue, longer])
-    known = documents.decode_configuration(json.dumps(table).encode())
+    known = decode_configuration(json.dumps(table).encode())
     job_id = "0123456789abcdef"
 
     def check(method: str, path: str, key: str = KEY, host: str = QUEUE_HOST) -> Any:
--- a/features/steps/platform_malformed_steps.py
+++ b/features/steps/platform_malformed_steps.py
@@ -14,7 +14,12 @@
 from cicadatraild.network.client_exchange import Address, ClientFault
 from cicadatraild.network.frames import FrameStream
 from cicadatraild.network.http_client import ConnectionPool
-from cicadatraild.platform import documents
+from cicadatraild.platform.configuration import decode_configuration
+from cicadatraild.platform.job_submissions import decode_job
+from cicadatraild.platform.machine_lists import decode_machines
+from cicadatraild.platform.waves import decode_wave
+from cicadatraild.platform.worker_entries import decode_worker
+from cicadatraild.platform.worker_reports import decode_report
 from cicadatraild.scheduling.messages import (
     AskHolder,
     AskPhase,
@@ -85,25 +90,25 @@
 def step_rejected(context: Any) -> None:
     for change in BAD_CONFIGURATIONS:
         data = _encode(configuration() | change)
-        assert documents.decode_configuration(data) is None, change
+        assert decode_configuration(data) is None, change
     for change in ({"labels": 5}, {"capacity": {"cpu": -1}}, {"zone": LONE_SURROGATE}):
-        assert documents.decode_worker("w", _encode(WORKER | change)) is None, change
+        assert decode_worker("w", _encode(WORKER | change)) is None, change
     for change in ({"machines": 5}, {"duration-s": float("inf")}, {"cap": "two"}):
-        assert documents.decode_wave(_encode({"wave": 1} | change)) is None, change
+        assert decode_wave(_encode({"wave": 1} | change)) is None, change
     for row in (MACHINE | {"labels": 5}, MACHINE | {"labels": [5]}, 5):
-        assert documents.decode_machines(_encode({"machines": [row]})) is None, row
-    assert documents.decode_machines(b'{"machines": 5}') is None
-    assert documents.decode_machines(b'{"machines": [], "next-token": {}}') is None
+        assert decode_machines(_encode({"machines": [row]})) is None, row
+    assert decode_machines(b'{"machines": 5}') is None
+    assert decode_machines(b'{"machines": [], "next-token": {}}') is None
     for change in BAD_REPORTS:
-        assert documents.decode_report(_encode(REPORT | change)) is None, change
+        assert decode_report(_encode(REPORT | change)) is None, change
     for change in BAD_JOBS:
-        decoded = documents.decode_job(_encode(job() | change), "q", "t", 0)
+        decoded = decode_job(_encode(job() | change), "q", "t", 0)
         assert isinstance(decoded, Failure), change
     # The documents themselves are valid.
-    assert documents.decode_configuration(_encode(configuration())) is not None
-    assert documents.decode_worker("w", _encode(WORKER)) is not None
-    assert documents.decode_machines(_encode({"machines": [MACHINE]})) is not None
-    assert documents.decode_report(_encode(REPORT)) is not None
+    assert decode_configuration(_encode(configuration())) is not None
+    assert decode_worker("w", _encode(WORKER)) is not None
+    assert decode_machines(_encode({"machines": [MACHINE]})) is not None
+    assert decode_report(_encode(REPORT)) is not None
 
 
 @when("a permission expires while a connection is opened")
--- a/features/steps/worker_capacity_steps.py
+++ b/features/steps/worker_capacity_steps.py
@@ -13,7 +13,7 @@
 from cicadatrail_core.jobs.state import Run, SubtaskPhase
 from cicadatrail_core.jobs.worker_leases import renew_lease
 from cicadatrail_core.models.resources import Resources
-from cicadatraild.platform.documents import decode_worker
+from cicadatraild.platform.worker_entries import decode_worker
 from cicadatraild.scheduling.clocks import loop_now_s
 from features.support.balance_world import CORES, BalanceWorld
 from features.support.capacity_world import CapacityHistory, CapacityWorld, send_after
--- a/packages/cicadatrail-node/src/cicadatraild/platform/callers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/callers.py
@@ -20,7 +20,7 @@
     BodyTooLargeError,
     HttpExchange,
 )
-from cicadatraild.platform.documents import decode_job
+from cicadatraild.platform.job_submissions import decode_job
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
 from cicadatraild.scheduling.entry import Entry
 from cicadatraild.scheduling.messages import (
--- a/packages/cicadatrail-node/src/cicadatraild/platform/machines.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/machines.py
@@ -13,7 +13,7 @@
 from cicadatrail_core.jobs.models import Machine
 from cicadatraild.network.client_exchange import Address, ClientFault, WholeResponse
 from cicadatraild.network.http_client import ConnectionPool
-from cicadatraild.platform.documents import decode_machines
+from cicadatraild.platform.machine_lists import decode_machines
 from cicadatraild.platform.refusals import decode_reason
 
 logger = logging.getLogger("cicadatrail.machines")
--- a/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
@@ -13,8 +13,8 @@
 from cicadatrail_core.jobs.models import WorkerFacts, WorkerReport
 from cicadatraild.network.client_exchange import Address, ClientFault, WholeResponse
 from cicadatraild.network.http_client import ConnectionPool
-from cicadatraild.platform.documents import decode_report
 from cicadatraild.platform.refusals import decode_reason
+from cicadatraild.platform.worker_reports import decode_report
 
 CONNECT_TIMEOUT_S = 0.5
 """Time to open a connection to a worker; the network latency is about 1 ms."""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -21,7 +21,7 @@
 from cicadatraild.network.http_server import HttpServer
 from cicadatraild.network.server_exchange import HttpExchange, HttpLimits
 from cicadatraild.platform.callers import CallerInterface
-from cicadatraild.platform.documents import decode_configuration, decode_wave
+from cicadatraild.platform.configuration import decode_configuration
 from cicadatraild.platform.settings import PlatformSettings, read_platform_settings
 from cicadatraild.platform.store import (
     CONFIGURATION_KEY,
@@ -30,6 +30,7 @@
     KeyedRecord,
     StoreClient,
 )
+from cicadatraild.platform.waves import decode_wave
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.entry import Entry
 from cicadatraild.scheduling.feeds import TopicFeed
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
@@ -14,7 +14,6 @@
 from cicadatrail_core.jobs.models import MachineState, Wave
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import WorkerState
-from cicadatraild.platform.documents import encode_wave_state
 from cicadatraild.platform.machines import MachineOutcome
 from cicadatraild.platform.store import (
     STATUS_TOPIC,
@@ -23,6 +22,7 @@
     StoreClient,
     StoreUnavailableError,
 )
+from cicadatraild.platform.waves import encode_wave_state
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.machine_inventory import MachineInventory
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_list.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_list.py
@@ -6,8 +6,8 @@
 
 from cicadatrail_core.jobs.evacuation import evacuate
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatraild.platform.documents import decode_worker
 from cicadatraild.platform.store import WORKERS_TOPIC, KeyedRecord, StoreClient
+from cicadatraild.platform.worker_entries import decode_worker
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.feeds import TopicFeed
 
