--- a/features/support/leadership_world.py
+++ b/features/support/leadership_world.py
@@ -23,12 +23,7 @@
     SequenceError,
     StoreUnavailableError,
 )
-from cicadatraild.scheduling import (
-    leader_right,
-    leadership,
-    membership,
-    renewals,
-)
+from cicadatraild.scheduling import leader_right, leadership, membership, renewals
 from cicadatraild.scheduling.leader_record import (
     HOLDER_KEY,
     LeaderRecord,
