Split preemption and retry budget off the admission steps

The loop and the sizes that two files use stand in features/support/admission_load.py. The syntax trees of all 53 definitions are unchanged. admission (without @long): 36 scenarios passed before and after, with the same output.

--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -15,9 +15,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from cicadatrail_core.admission.fair_queue import Ageing, FairQueue
-from cicadatrail_core.admission.preemption import PreemptionStep
-from cicadatrail_core.admission.retry_budget import RetryBudget, RetrySettings
-from cicadatrail_core.models.fleet import DrainPolicy, Urgency
+from cicadatrail_core.models.fleet import Urgency
 from cicadatrail_core.models.resources import Resources
 from cicadatrail_core.placement.dispatcher import (
     Dispatcher,
@@ -28,13 +26,16 @@
 from cicadatrail_core.placement.placer import Placer
 from features.support.admission_faults import FAULTS
 from features.support.admission_fleet import fleet, request
-from features.support.admission_load import ClosedLoop
+from features.support.admission_load import (
+    BOUND_TURNS,
+    CAPACITY,
+    SMALL,
+    ClosedLoop,
+    make_loop,
+)
 from features.support.admission_machine import DispatcherMachine
 
-CAPACITY = Resources(8000, 8000)
 WHOLE = Resources(8000, 8000)
-SMALL = Resources(1000, 1000)
-BOUND_TURNS = Ageing(limit_s=5.0, turn_count=8)
 
 
 def run_machine(examples: int, **more: Any) -> None:
@@ -110,14 +111,6 @@
     context.ids = count()
 
 
-def make_loop(workers: int, weights: list[float], **more: Any) -> ClosedLoop:
-    state = fleet([workers], weights, CAPACITY, **more)
-    dispatcher = Dispatcher(DispatcherSettings(ageing=BOUND_TURNS))
-    slots = dict.fromkeys(state.teams, 10_000)
-    dispatcher.configure(state, list(state.workers), slots, 0.0)
-    return ClosedLoop(state, dispatcher, run_s=lambda request: 1.0)
-
-
 def feed(context: Any, team: int, size: Resources) -> None:
     name = f"{team}/{next(context.ids)}"
     assert context.loop.submit(request(name, team=team, size=size))
@@ -360,112 +353,3 @@
 def step_not_logarithmic(context: Any, few: int) -> None:
     cost = cost_among(context, few)
     assert context.cost > 2 * cost, (context.cost, cost)
-
-
-@given("a worker full of {policy} tasks that are {kind} and repeatable is {repeatable}")
-def step_full_worker(context: Any, policy: str, kind: str, repeatable: str) -> None:
-    loop = make_loop(1, [1.0, 1.0], policy=DrainPolicy(policy))
-    loop.run_s = lambda request: 1e6
-    for number in range(8):
-        one = request(
-            f"tenant-{number}",
-            size=SMALL,
-            urgency=Urgency(kind),
-            repeatable=repeatable == "yes",
-        )
-        assert loop.submit(one)
-    context.loop = loop
-
-
-def run_preemption(
-    loop: ClosedLoop, until_s: float, ends: bool
-) -> dict[str, list[str]]:
-    steps: dict[str, list[str]] = {}
-    while loop.now_s < until_s:
-        loop.run_until(loop.now_s + 0.1, lambda placed: None)
-        for order in loop.dispatcher.next_preemptions(loop.now_s):
-            steps.setdefault(order.request_id, []).append(order.step.value)
-            if ends and order.step is PreemptionStep.STOP:
-                loop.end(order.request_id, TaskEnd.CANCELLED, lambda placed: None)
-    return steps
-
-
-@when("an urgent request waits and preemption runs for {span:f} s")
-def step_follow(context: Any, span: float) -> None:
-    urgent = request("urgent", team=1, size=SMALL, urgency=Urgency.URGENT)
-    context.loop.submit(urgent)
-    context.steps = run_preemption(context.loop, span, ends=False)
-
-
-@then("the preemption steps for a task are {steps}")
-def step_steps(context: Any, steps: str) -> None:
-    wanted = [] if steps == "none" else [steps.split(",")]
-    assert list(context.steps.values()) == wanted, context.steps
-
-
-@when("an urgent request waits and is cancelled once a task is throttled")
-def step_cancel_claim(context: Any) -> None:
-    loop = context.loop
-    loop.submit(request("urgent", team=1, size=SMALL, urgency=Urgency.URGENT))
-    context.steps = run_preemption(loop, 0.8, ends=False)
-    assert loop.dispatcher.cancel("urgent", loop.now_s)
-    for name, steps in run_preemption(loop, 5.0, ends=False).items():
-        context.steps[name] += steps
-
-
-@when("an urgent request waits and stopped tasks end")
-def step_follow_and_end(context: Any) -> None:
-    urgent = request("urgent", team=1, size=SMALL, urgency=Urgency.URGENT)
-    context.loop.submit(urgent)
-    run_preemption(context.loop, 10.0, ends=True)
-    context.started_s = context.loop.started_s.get("urgent", float("inf"))
-
-
-@given("a worker filled by one team while another of the same weight waits")
-def step_one_above(context: Any) -> None:
-    loop = make_loop(1, [1.0, 1.0])
-    loop.run_s = lambda request: 1e6
-    for number in range(8):
-        loop.submit(request(f"first-{number}", size=SMALL))
-    for number in range(8):
-        loop.submit(request(f"second-{number}", team=1, size=SMALL))
-    context.loop = loop
-
-
-@when("preemption runs until it takes no further step")
-def step_follow_to_end(context: Any) -> None:
-    run_preemption(context.loop, 120.0, ends=True)
-
-
-@then("the two teams have equal shares")
-def step_equal(context: Any) -> None:
-    counts = context.loop.dispatcher.running_counts
-    assert counts == {"team-0": 4, "team-1": 4}, counts
-
-
-@when("first attempts and retries arrive at random")
-def step_retries(context: Any) -> None:
-    context.random = Random(5)
-    context.budget = RetryBudget(RetrySettings())
-
-
-@then("retries never exceed a tenth of the first attempts")
-def step_tenth(context: Any) -> None:
-    first = retries = 0
-    for _ in range(20_000):
-        if context.random.random() < 0.5:
-            first += 1
-            context.budget.count_first_attempt()
-        else:
-            retries += context.budget.try_acquire()
-        assert retries <= first / 10, (retries, first)
-    assert retries >= first / 10 - 1, "the retry budget is not used up"
-
-
-@then("the delays before retries are spread up to the documented limits")
-def step_delays(context: Any) -> None:
-    limits = {1: 0.05, 2: 0.1, 3: 0.2, 9: 2.0, 1000: 2.0}
-    for number, limit_s in limits.items():
-        delays = [context.budget.delay_s(number, context.random) for _ in range(1000)]
-        assert 0 <= min(delays) < 0.1 * limit_s
-        assert 0.9 * limit_s < max(delays) <= limit_s
--- a/features/support/admission_load.py
+++ b/features/support/admission_load.py
@@ -5,11 +5,24 @@
 import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
+from cicadatrail_core.admission.fair_queue import Ageing
 from cicadatrail_core.models.requests import TaskRequest
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 from cicadatrail_core.models.state import State
-from cicadatrail_core.placement.dispatcher import Dispatcher, Placed, TaskEnd, Waiting
+from cicadatrail_core.placement.dispatcher import (
+    Dispatcher,
+    DispatcherSettings,
+    Placed,
+    TaskEnd,
+    Waiting,
+)
+from features.support.admission_fleet import fleet
+
+CAPACITY = Resources(8000, 8000)
+SMALL = Resources(1000, 1000)
+BOUND_TURNS = Ageing(limit_s=5.0, turn_count=8)
 
 
 @dataclass
@@ -92,3 +105,11 @@
         heapq.heappush(
             self.ends, (self.now_s + self.run_s(request), request.request_id)
         )
+
+
+def make_loop(workers: int, weights: list[float], **more: Any) -> ClosedLoop:
+    state = fleet([workers], weights, CAPACITY, **more)
+    dispatcher = Dispatcher(DispatcherSettings(ageing=BOUND_TURNS))
+    slots = dict.fromkeys(state.teams, 10_000)
+    dispatcher.configure(state, list(state.workers), slots, 0.0)
+    return ClosedLoop(state, dispatcher, run_s=lambda request: 1.0)
