--- a/features/steps/ended_lives_steps.py
+++ b/features/steps/ended_lives_steps.py
@@ -22,7 +22,7 @@
 from cicadatraild.scheduling.worker_list import WorkerList
 from features.support.crash_world import CrashWorld
 from features.support.job_world import LEASE_S, START_MS, SimulatedWorker, definition
-from features.support.outer_names import sample
+from features.support.sampled_values import sample
 
 JOB = "00000000000000e1"
 ENDED = "w2"
--- a/features/support/outer_names.py
+++ b/features/support/outer_names.py
@@ -8,27 +8,23 @@
 
 import asyncio
 import json
-import os
 import sys
 import zlib
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import asdict, astuple, dataclass, fields, is_dataclass, replace
+from dataclasses import asdict, astuple, dataclass, replace
 from enum import Enum
 from pathlib import Path
-from types import NoneType, UnionType
-from typing import Any, NewType, Union, get_args, get_origin, get_type_hints
+from typing import Any, get_args
 from unittest.mock import MagicMock
 
 import msgpack
 from cleo.io.inputs.definition import Definition
-from prometheus_client.parser import text_string_to_metric_families
 
 from cicadatrail.main import COMMANDS, OperatorApplication
 from cicadatrail.utils.exit_codes import ExitCode
 from cicadatrail.utils.patch_file import PatchFile
 from cicadatrail_core.fold.snapshots import dump_state, load_state
 from cicadatrail_core.jobs import models, records
-from cicadatrail_core.jobs.balance import PoolNeed
 from cicadatrail_core.jobs.ended_lives import MOVED
 from cicadatrail_core.jobs.job_report import JobReport
 from cicadatrail_core.jobs.scheduler import Scheduler
@@ -43,24 +39,19 @@
 from cicadatrail_core.models.usage import UsageReport
 from cicadatrail_core.utils import codec
 from cicadatrail_core.utils.findings import Findings
-from cicadatraild.gauges import read_gauges
 from cicadatraild.interfaces.maintenance_client import JobStatus
 from cicadatraild.interfaces.worker_client import WorkerReport
-from cicadatraild.network.client_exchange import Address
 from cicadatraild.platform import settings
-from cicadatraild.platform.callers import CallerInterface, CallKind
-from cicadatraild.platform.store import StoreClient
-from cicadatraild.scheduling import leader_record, leadership, messages
+from cicadatraild.platform.callers import CallKind
+from cicadatraild.scheduling import leader_record, messages
 from cicadatraild.scheduling.clocks import loop_now_s
-from cicadatraild.scheduling.leader import Leader
 from cicadatraild.scheduling.leader_records import LeaderRecords
 from cicadatraild.scheduling.machine_inventory import MachineInventory
 from cicadatraild.scheduling.maintenance import WaveProgress, WaveRunner
-from cicadatraild.scheduling.metrics import InstanceMetrics
 from cicadatraild.serving.outcomes import Reason
 from cicadatraild.serving.request_ids import RecordedReply
-from cicadatraild.utils.metrics import InstanceCollector, Metrics
-from cicadatraild.utils.output import OutputHandler
+from features.support.outer_metrics import list_fleet_metrics, list_platform_metrics
+from features.support.sampled_values import Sampler, sample
 from features.support.settings_files import default_text, settings_keys
 
 COMMITTED = Path(__file__).with_suffix(".json")
@@ -114,56 +105,6 @@
 }
 
 
-class Sampler:
-    """Makes values of any type from its hints, the same ones each time.
-
-    Every field gets a value of its own, and never None. ``enums`` holds the
-    values of the enums that were met, by their place.
-    """
-
-    def __init__(self, place: str = "") -> None:
-        self._place = place
-        self._count = 0
-        self.enums: dict[str, list[Any]] = {}
-
-    def make(self, hint: Any, place: str = "") -> Any:
-        place = place or self._place
-        if isinstance(hint, NewType):
-            return self.make(hint.__supertype__, place)
-        origin, arguments = get_origin(hint), get_args(hint)
-        if origin in (Union, UnionType):
-            members = [member for member in arguments if member is not NoneType]
-            return self.make(members[0], place)
-        if origin is tuple:
-            members = [member for member in arguments if member is not Ellipsis]
-            return tuple(self.make(member, f"{place}[]") for member in members)
-        if origin is not None and issubclass(origin, Mapping):
-            key, value = arguments
-            return {self.make(key, place): self.make(value, f"{place}[]")}
-        if is_dataclass(hint):
-            types = get_type_hints(hint)
-            made = {
-                item.name: self.make(types[item.name], f"{place}.{item.name}")
-                for item in fields(hint)
-            }
-            return hint(**made)  # type: ignore[operator]
-        if issubclass(hint, Enum):
-            self.enums[place] = [member.value for member in hint]
-            return next(iter(hint))
-        return self._make_plain(hint)
-
-    def _make_plain(self, as_type: type) -> Any:
-        self._count += 1
-        plain: dict[type, Any] = {
-            bool: True,
-            int: self._count,
-            float: self._count + 0.5,
-            str: f"text-{self._count}",
-            bytes: bytes([self._count]),
-        }
-        return plain[as_type]
-
-
 @dataclass(frozen=True, slots=True)
 class Coded:
     """Hold a value, its bytes, and what reads them; it returns ``value``."""
@@ -173,10 +114,6 @@
     decode: Callable[[bytes], Any]
 
 
-def sample(hint: Any) -> Any:
-    return Sampler().make(hint)
-
-
 def show(value: Any) -> Any:
     """Return a value as JSON holds it; bytes as hexadecimal digits."""
     match value:
@@ -379,49 +316,6 @@
     return listed
 
 
-def _list_metrics(text: bytes) -> dict[str, Any]:
-    listed = {}
-    for family in text_string_to_metric_families(text.decode()):
-        samples = set()
-        for entry in family.samples:
-            labels = sorted(entry.labels.items())
-            # The bounds of a histogram are no names.
-            shown = (f"{key}={value}" for key, value in labels if key != "le")
-            samples.add(f"{entry.name}({', '.join(shown)})")
-        listed[family.name] = {"type": family.type, "samples": sorted(samples)}
-    return listed
-
-
-async def _expose_platform_metrics(output: OutputHandler) -> bytes:
-    store = StoreClient(Address("10.0.0.1", 9000))
-    office = leadership.Leadership(
-        store, "node", "host", lambda epoch: None, lambda reason: None
-    )
-    holder = Leader(sample(settings.PlatformSettings), store, office, 3, list)
-    holder.scheduler.counts["end"] = 1
-    holder.scheduler.team_used["team"] = Resources(1, 2, 3)
-    holder.balance.needs["pool"] = PoolNeed(1, 2)
-    callers = CallerInterface(MagicMock(), lambda: None, lambda: False)
-    callers.answers[("submit", 200)] = 1
-    metrics = InstanceMetrics(store, office, lambda: holder, callers, output)
-    callers.on_duration("submit", 0.1)
-    return metrics.expose()
-
-
-def list_platform_metrics() -> dict[str, Any]:
-    with open(os.devnull, "w") as sink:
-        output = OutputHandler(sink.fileno())
-        return _list_metrics(asyncio.run(_expose_platform_metrics(output)))
-
-
-def list_fleet_metrics() -> dict[str, Any]:
-    # Only the names of its gauges count, so that any parts do.
-    gauges = read_gauges(MagicMock())
-    outcomes = {outcome.value: 1 for outcome in Outcome}
-    collector = InstanceCollector(lambda: gauges, lambda: outcomes)
-    return _list_metrics(Metrics(collector).expose())
-
-
 def list_platform_settings() -> dict[str, Any]:
     read = settings.parse_platform_settings(PLATFORM_FILE, "file")
     missing = settings.parse_platform_settings({}, "file").failure()
