Count the lease of a restarted worker's present life

What callers see (TWICE, one epoch or two): a subtask runs on a worker that has restarted under its id, and is started on another one as well.

Cause: the report that shows a restart set the end of the worker's lease to now. That ends the leases of the earlier life. But the present one may hold a lease already: from a call of this leader that it answered before its lists were read (a deadline on the old clock counts up to the limit), or from the predecessor, when this leader had never read its lists and only knew the birth in the stored list. Until the next poll renewed it, a tick of the leader took the lease for expired, released what the worker had just listed, and started it elsewhere.

Changed: for a worker whose lists this leader had not read, the bound of the former leases stands; and what the present life runs holds a lease of the limit's length. A report that fails midway leaves the longer lease as well.

Ruled out: the stored list, whose births are old by design: nothing rewrites it at a restart.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/report_rollback.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/report_rollback.py
@@ -19,12 +19,14 @@
         self._runs: tuple[Run, ...] = tuple(worker.runs.values())
         self._born_unix_ms = worker.born_unix_ms
         self._processed_end = worker.processed_end
+        self._lease_expires_s = worker.lease_expires_s
 
     def undo(self, scheduler: Scheduler) -> None:
         """Account for all earlier runs again, and leave ends and a restart unread."""
         worker = self._worker
         worker.born_unix_ms = self._born_unix_ms
         worker.processed_end = self._processed_end
+        worker.lease_expires_s = max(worker.lease_expires_s, self._lease_expires_s)
         for run in self._runs:
             subtask = run.subtask
             if run in subtask.live_runs:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -321,7 +321,13 @@
     worker.born_unix_ms = born_unix_ms
     worker.processed_end = 0
     worker.stored_end = 0
-    worker.lease_expires_s = now_s
+    if worker.is_reconciled:
+        # Only this leader's leases were known, and they ended with the earlier life.
+        worker.lease_expires_s = now_s
+    if report.running or not report.is_complete:
+        # Calls that this life has answered gave it a lease up to the limit.
+        limit_s = now_s + scheduler.settings.longest_lease_s
+        worker.lease_expires_s = max(worker.lease_expires_s, limit_s)
     worker.clock_at_s = None
     worker.end_outcomes.clear()
     listed = {(row.name, row.run) for row in report.running}
@@ -334,7 +340,8 @@
             # The order's deadlines were on the clock of the previous incarnation, so
             # the new one may accept it late and shortens its lease only to the limit.
             run.start_expires_s = float("inf")
-            worker.lease_expires_s = now_s + scheduler.settings.longest_lease_s
+            limit_s = now_s + scheduler.settings.longest_lease_s
+            worker.lease_expires_s = max(worker.lease_expires_s, limit_s)
         if key in listed:
             if run.inherited_clock_ms is not None:
                 # The clock of the new incarnation starts anew.
