Read all ends of a worker that left the list, and read one that comes back

Two faults of the links to workers, found by the same review:

A subtask whose end as done stood on the next page was started elsewhere at once. A link is opened anew for a worker's new state.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -13,3 +13,12 @@
     And 2 subtasks of 4 cores run
     When their worker restarts, answers another start, and is then read as restarted
     Then that start still counts before the lease is renewed
+
+  Scenario: A worker that is removed and known again at once is read
+    When a worker is removed and known again before the next scheduling pass
+    Then the leader reads its lists again
+
+  # Guards against TWICE: the ends that are not read yet may have a subtask as done.
+  Scenario: A worker that left the list is not taken for empty before its ends are read
+    When a worker leaves the list before all of its ends were read
+    Then the leader still waits for them
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
 from behave import then, when
 
-from cicadatrail_core.jobs.models import RunningRow, WorkerReport
+from cicadatrail_core.jobs.models import RunningRow, WorkerFacts, WorkerReport
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatrail_core.models.resources import Resources
+from cicadatraild.platform.settings import PlatformSettings
+from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.leader import Leader
+from cicadatraild.scheduling.leadership import Leadership
+from features.steps.ended_lives_steps import StoppedStore
 from features.support.job_world import definition
+from features.support.sampled_values import sample
 
 OTHER = "00000000000000b9"
+WORKER = "w0"
+PAUSE_S = 0.2
 
 
 def _take_over(context: Any) -> RunningRow:
@@ -68,3 +78,78 @@
 def step_start_counts(context: Any) -> None:
     context.world.tick(0.03)
     assert context.run in context.run.subtask.live_runs
+
+
+class ReadingLeader:
+    """A leader whose worker runs nothing, and each read of its lists.
+
+    With ``has_more_ends`` its ends don't fit into one answer.
+    """
+
+    def __init__(self, has_more_ends: bool) -> None:
+        self.read_count = 0
+        self._has_more_ends = has_more_ends
+        store: Any = StoppedStore()
+        office = Leadership(store, "node", "host", lambda _: None, lambda _: None)
+        self.leader = Leader(sample(PlatformSettings), store, office, 3, list)
+        self.leader._client.read_lists = self._read  # type: ignore[assignment, method-assign]
+        self._facts = replace(sample(WorkerFacts), worker_id=WORKER)
+        self.know_worker()
+
+    def know_worker(self) -> None:
+        self.leader.scheduler.update_worker(self._facts, loop_now_s())
+
+    async def _read(self, facts: WorkerFacts, *arguments: object) -> WorkerReport:
+        self.read_count += 1
+        await asyncio.sleep(PAUSE_S / 10)
+        now_ms = int(loop_now_s() * 1000)
+        is_complete = not self._has_more_ends
+        return WorkerReport(now_ms, facts.born_unix_ms, (), (), is_complete)
+
+    async def play(self, change: Callable[[], None]) -> None:
+        """Read the worker for a while, before and after a change."""
+        journal = asyncio.create_task(self.leader.journal.run())
+        self.leader.links.follow_scheduler()
+        await asyncio.sleep(PAUSE_S)
+        change()
+        self.leader.links.follow_scheduler()
+        await asyncio.sleep(PAUSE_S)
+        self.read_count = 0
+        await asyncio.sleep(PAUSE_S)
+        self.leader.links.close()
+        journal.cancel()
+
+
+@when("a worker is removed and known again before the next scheduling pass")
+def step_know_again(context: Any) -> None:
+    async def scenario() -> None:
+        context.reading = reading = ReadingLeader(has_more_ends=False)
+
+        def change() -> None:
+            reading.leader.scheduler.remove_worker(WORKER, loop_now_s(), "moved")
+            reading.know_worker()
+
+        await reading.play(change)
+
+    asyncio.run(scenario())
+
+
+@then("the leader reads its lists again")
+def step_reads_again(context: Any) -> None:
+    assert context.reading.read_count
+
+
+@when("a worker leaves the list before all of its ends were read")
+def step_leaves(context: Any) -> None:
+    async def scenario() -> None:
+        context.reading = reading = ReadingLeader(has_more_ends=True)
+        (worker,) = reading.leader.scheduler.workers.values()
+        await reading.play(lambda: setattr(worker, "is_listed", False))
+
+    asyncio.run(scenario())
+
+
+@then("the leader still waits for them")
+def step_waits(context: Any) -> None:
+    assert WORKER in context.reading.leader.scheduler.workers
+    assert context.reading.read_count
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -67,7 +67,7 @@
         self._orders = orders
         self._leadership = leadership
         self._step_down = leadership.step_down
-        self._links: dict[str, asyncio.Task[None]] = {}
+        self._links: dict[str, tuple[WorkerState, asyncio.Task[None]]] = {}
         # Workers that the store listed when this leader took over; used once each.
         self.stored_ids: set[str] = set()
         # Workers whose last answer could not be handled, so that it is logged once.
@@ -76,20 +76,23 @@
 
     def follow_scheduler(self) -> None:
         """Open links to new workers and close those of removed workers."""
-        for worker_id, worker in self._scheduler.workers.items():
+        workers = self._scheduler.workers
+        for worker_id, (linked, link) in [*self._links.items()]:
+            # A worker that was removed and is known again has another state.
+            if workers.get(worker_id) is not linked:
+                del self._links[worker_id]
+                link.cancel()
+                self._orders.forget(worker_id)
+                self._failing_ids.discard(worker_id)
+        for worker_id, worker in workers.items():
             if worker_id not in self._links:
                 link = asyncio.create_task(self._run(worker))
                 link.add_done_callback(self._orders.check_outcome)
-                self._links[worker_id] = link
-        for worker_id in [*self._links]:
-            if worker_id not in self._scheduler.workers:
-                self._links.pop(worker_id).cancel()
-                self._orders.forget(worker_id)
-                self._failing_ids.discard(worker_id)
+                self._links[worker_id] = (worker, link)
 
     def close(self) -> None:
         """Cancel all links and orders."""
-        for link in self._links.values():
+        for _, link in self._links.values():
             link.cancel()
         self._links.clear()
 
@@ -172,7 +175,7 @@
         for run, percent in plan_pace(worker, loop_now_s()):
             self._orders.pace(run, percent)
         await self._store_ends(worker)
-        if not worker.is_listed and not worker.runs:
+        if not worker.is_listed and not worker.runs and worker.is_reconciled:
             scheduler.remove_worker(
                 worker.facts.worker_id, loop_now_s(), "left the list"
             )
