Repeat without the lease what was over with it, or lost by a restart

What callers see: subtasks wait for the store in its second outage, though they were known to be over before it; and those of a worker that was lost and answers as restarted, though platform.md says that a restart is enough.

Cause: the numbers of presumed runs were taken back only by a row that lists the run, or a later one. The runs that are kept by worker for their team's use end with the lease or with the worker's complete lists; their subtasks' numbers end with them now. Found by review.

Two scenarios of presumed_ends.feature failed before and pass. "Runs that a worker no longer has don't count for their team" now asks for both subtasks to start again in place of others: with 10 cores for the team and 8 presumed, neither could while they count, as before.

--- a/features/presumed_ends.feature
+++ b/features/presumed_ends.feature
@@ -49,6 +49,20 @@
     And the worker lists both as lapsed when it answers again
     Then both subtasks start again
 
+  Scenario: What a worker that was lost has lost by a restart is repeated without the lease
+    Given a scheduler with 2 workers of 8 cores
+    And 2 subtasks of 4 cores run
+    When the leader has no lease, and their worker is silent until its lease has expired
+    And the worker has restarted when it answers again
+    Then both subtasks start again
+
+  Scenario: Runs that were over with the lease may be repeated without it
+    Given a scheduler with 2 workers of 8 cores
+    And 2 subtasks of 4 cores run
+    When the leader has no lease, and their worker is silent until its lease has expired
+    And the leader has its lease for a moment, in which it starts nothing
+    Then both subtasks start again
+
   Scenario: A start that was queued is not sent without the lease
     Given a scheduler with 2 workers of 8 cores
     And 2 subtasks of 4 cores run
@@ -106,4 +120,4 @@
     And the team may have 10 cores running
     When the leader has no lease, and their worker is silent until its lease has expired
     And the worker has restarted when it answers again
-    Then other 4 cores of the team run
+    Then both subtasks start again
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -318,6 +318,14 @@
         """Return whether an earlier run of a subtask is known to be over."""
         return not subtask.presumed_run or self.is_lease_valid()
 
+    def settle_presumed_runs(self, worker_id: str) -> None:
+        """Count the presumed runs of a worker as over, unless it has listed them."""
+        runs = self.presumed_runs.pop(worker_id, ())
+        for run in runs:
+            run.subtask.record_listed(run.number)
+        if runs:
+            self.on_change()
+
     def needs_advice(self, step: StepState) -> bool:
         """Return whether only workers with a ticket may run a step."""
         queue = self.queues.get(step.job.definition.queue)
@@ -370,8 +378,8 @@
                 if len(job.occurrences) > before:
                     self.on_change()
         if self.presumed_runs and self.is_lease_valid():
-            self.presumed_runs.clear()
-            self.on_change()
+            for worker_id in [*self.presumed_runs]:
+                self.settle_presumed_runs(worker_id)
         expire_leases(self, now_s)
         self.queue_pools.drop_unused(self, now_s)
         drop_ended_suspects(self)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -75,8 +75,7 @@
         _apply_running(scheduler, worker, running, now_s)
     if report.is_complete:
         worker.clear_unreported_runs()
-        if scheduler.presumed_runs.pop(worker.facts.worker_id, None):
-            scheduler.on_change()
+        scheduler.settle_presumed_runs(worker.facts.worker_id)
         _reconcile_missing_runs(scheduler, worker, listed, sent_s, now_s)
         if not worker.is_reconciled:
             worker.is_reconciled = True
