Take over ended lives of workers that aren't listed at the takeover

Cause: a successor took over only the ended lives of workers that were listed as it began. Found by review. One of three new rows failed before.

--- a/features/ended_lives.feature
+++ b/features/ended_lives.feature
@@ -75,6 +75,19 @@
       | a later life                 | 0.1     | known   |
       | a life without time of birth | 0.1     | known   |
 
+  Scenario Outline: A successor leaves out late writes though the worker wasn't listed
+    Given 3 workers, of which one is removed and still listed, as it was moved
+    And its entry has expired
+    And a new leader takes over
+    When an entry of <life> is read <seconds> seconds later
+    Then that leader takes the worker for <state>
+
+    Examples: entries
+      | life          | seconds | state   |
+      | the same life | 0.1     | unknown |
+      | the same life | 11      | known   |
+      | a later life  | 0.1     | known   |
+
   Scenario Outline: The leader that got the order's answer goes on reading the list
     Given 3 workers, of which one is removed and still listed, as it was <reason>
     When an entry of the same life is read <seconds> seconds later
--- a/features/steps/ended_lives_steps.py
+++ b/features/steps/ended_lives_steps.py
@@ -115,6 +115,11 @@
     """Leave everything as it is."""
 
 
+@step("its entry has expired")
+def step_entry_expired(context: Any) -> None:
+    del context.world.sims[ENDED]
+
+
 @step("a new leader takes over")
 def step_one_takes_over(context: Any) -> None:
     context.world.fail_over(context.world.epoch + 1)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/ended_lives.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/ended_lives.py
@@ -13,7 +13,7 @@
 MOVED = "moved"
 MAINTENANCE = "maintenance"
 ENDED_BEFORE = "ended by an order of an earlier leader"
-ORDER_REASONS = (MOVED, MAINTENANCE, ENDED_BEFORE)
+ORDER_REASONS = (MOVED, MAINTENANCE)
 """Reasons for which a worker is removed once an order for its machine was answered."""
 
 KEPT_S = 60.0
@@ -44,12 +44,16 @@
     def __init__(self) -> None:
         self._lives: dict[str, EndedLife] = {}
 
-    def add(self, worker: WorkerState, now_s: float, is_inherited: bool) -> None:
-        """Note that a worker's life, and whatever ran in it, has ended."""
+    def add(self, worker: WorkerState, now_s: float) -> None:
+        """Note that an order of this leader has ended a worker's life."""
         born_unix_ms = max(worker.born_unix_ms, worker.facts.born_unix_ms)
-        life = EndedLife(born_unix_ms, now_s, is_inherited)
+        life = EndedLife(born_unix_ms, now_s, is_inherited=False)
         self._lives[worker.facts.worker_id] = life
 
+    def inherit(self, worker_id: str, born_unix_ms: int, now_s: float) -> None:
+        """Note a life that an earlier leader's order has ended."""
+        self._lives[worker_id] = EndedLife(born_unix_ms, now_s, is_inherited=True)
+
     def discard(self, worker_id: str) -> None:
         """Forget the life of a worker that is known again."""
         self._lives.pop(worker_id, None)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -17,7 +17,7 @@
     withdraw_start_notes,
 )
 from cicadatrail_core.jobs.durations import Durations
-from cicadatrail_core.jobs.ended_lives import ENDED_BEFORE, ORDER_REASONS, EndedLives
+from cicadatrail_core.jobs.ended_lives import ORDER_REASONS, EndedLives
 from cicadatrail_core.jobs.log_fields import worker_fields
 from cicadatrail_core.jobs.models import (
     FleetConfiguration,
@@ -137,7 +137,7 @@
         if worker is None:
             return
         if reason in ORDER_REASONS:
-            self.ended_lives.add(worker, now_s, reason == ENDED_BEFORE)
+            self.ended_lives.add(worker, now_s)
         worker.clear_unreported_runs()
         fields = worker_fields(worker)
         logger.info(
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -272,9 +272,10 @@
         return True
 
     def _restore_ended(self, value: bytes | None, now_s: float) -> None:
-        """Remove listed workers whose life an order of an earlier leader has ended.
+        """Take over the lives that orders of earlier leaders have ended.
 
-        A worker in the stored list may run something since, whatever the record says.
+        Workers that are still listed with them are removed. A worker in the stored list
+        may run something since, whatever the record says.
         """
         if value is None:
             return
@@ -288,11 +289,13 @@
             )
             return
         for worker_id, born_unix_ms in ended.items():
+            if worker_id in self.stored_worker_ids:
+                continue
             worker = self._scheduler.workers.get(worker_id)
-            if worker is None or worker_id in self.stored_worker_ids:
+            if worker is not None and not is_ended(worker.facts, born_unix_ms):
                 continue
-            if is_ended(worker.facts, born_unix_ms):
-                self._scheduler.remove_worker(worker_id, now_s, ENDED_BEFORE)
+            self._scheduler.remove_worker(worker_id, now_s, ENDED_BEFORE)
+            self._scheduler.ended_lives.inherit(worker_id, born_unix_ms, now_s)
 
 
 def _decode_ended(rows: list[Any]) -> dict[str, int]:
