Tell the two leases apart by name, and call unproven what no worker has told of

Proposed by the reviewer as what stops a newcomer most: LEASE_S was 1.0 s in one module and 3.5 s in another, and presumed_run, presumed_runs and _presumed() were three things. No change in behaviour.

--- a/features/steps/leader_containment_steps.py
+++ b/features/steps/leader_containment_steps.py
@@ -13,7 +13,7 @@
 from cicadatrail_core.jobs import ejection, worker_conditions, worker_reports
 from cicadatrail_core.jobs.models import JobDefinition, Step, WorkerReport
 from cicadatrail_core.jobs.state import StepState, WorkerState
-from cicadatrail_core.leadership.acting_right import LEASE_S as LEADERSHIP_LEASE_S
+from cicadatrail_core.leadership.acting_right import LEADERSHIP_LEASE_S
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.workers import OrderOutcome, WorkerClient
 from cicadatraild.scheduling import leader as leader_module
--- a/features/steps/registry_steps.py
+++ b/features/steps/registry_steps.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-from cicadatrail_core.leadership.acting_right import CONFIRMATION_S, LEASE_S
+from cicadatrail_core.leadership.acting_right import CONFIRMATION_S, LEADERSHIP_LEASE_S
 from cicadatraild.platform.store import KeyedRecord, StoreUnavailableError
 from cicadatraild.scheduling.leader_record import LeaderRecord, encode_leader
 from cicadatraild.scheduling.leadership import Leadership
@@ -17,7 +17,7 @@
 from features.support.platform_actions import run_on_cluster, start_instances
 from features.support.platform_cluster import PlatformCluster
 
-LEASE_OVER_S = LEASE_S + CONFIRMATION_S + 0.3
+LEASE_OVER_S = LEADERSHIP_LEASE_S + CONFIRMATION_S + 0.3
 
 
 @when("the store is down and one of three instances does not confirm the leader")
--- a/features/support/leadership_world.py
+++ b/features/support/leadership_world.py
@@ -384,7 +384,7 @@
                 stack.enter_context(mock.patch.object(owner, name, value))
 
             patch(acting_right, "CLOCK_DRIFT", 0.0)
-            patch(acting_right, "LEASE_S", LEASE_TICKS)
+            patch(acting_right, "LEADERSHIP_LEASE_S", LEASE_TICKS)
             patch(acting_right, "CONFIRMATION_S", CONFIRMATION_TICKS)
             patch(acting_right, "OUTAGE_LIMIT_S", OUTAGE_LIMIT_TICKS)
             for module in (leadership, leader_right, membership, renewals):
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
@@ -124,7 +124,7 @@
     for run in lost:
         scheduler.release(run, now_s, reason)
     if lost and not scheduler.is_lease_valid():
-        presumed = scheduler.presumed_runs.setdefault(worker.facts.worker_id, [])
+        presumed = scheduler.unproven_runs.setdefault(worker.facts.worker_id, [])
         presumed.extend(lost)
     prompt = [run for run in blamed if _is_prompt(run, now_s)]
     is_alone = len({run.subtask.step.job.job_id for run in prompt}) == 1
@@ -241,7 +241,7 @@
     """Take back the crash of a run that a worker has reported."""
     _discard_crash(scheduler, subtask, run_number)
     if run_number < scheduler.settings.epoch * RUNS_PER_EPOCH:
-        _discard_crash(scheduler, subtask, _presumed(scheduler))
+        _discard_crash(scheduler, subtask, _unseen_run_number(scheduler))
 
 
 def clear_crashes(scheduler: Scheduler, subtask: Subtask) -> None:
@@ -322,10 +322,10 @@
                 scheduler.suspects[subtask.name] = subtask
                 if subtask.start_noted_s is not None:
                     subtask.start_noted_s = None
-                    _add_crash(scheduler, subtask, _presumed(scheduler), "")
+                    _add_crash(scheduler, subtask, _unseen_run_number(scheduler), "")
 
 
-def _presumed(scheduler: Scheduler) -> int:
+def _unseen_run_number(scheduler: Scheduler) -> int:
     """Return what stands for the number of a run that an earlier leader started."""
     return -scheduler.settings.epoch
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -68,7 +68,7 @@
         self.team_used: dict[str, Resources] = {}
         # Runs of lost workers, by worker, that may go on there: they count for their
         # team until the worker answers or no other leader can have been elected.
-        self.presumed_runs: dict[str, list[Run]] = {}
+        self.unproven_runs: dict[str, list[Run]] = {}
         # Subtasks that may have crashed a worker.
         self.suspects: dict[SubtaskName, Subtask] = {}
         # Since when each pool has had a worker reserved.
@@ -276,9 +276,9 @@
         if run.subtask.name in {name for name, _ in run.worker.runs}:
             # The subtask has waited since then all the same.
             subtask = run.subtask
-            ready_s, presumed_run = subtask.ready_s, subtask.presumed_run
+            ready_s, unproven_run = subtask.ready_s, subtask.unproven_run
             self.release(run, now_s, reason)
-            subtask.ready_s, subtask.presumed_run = ready_s, presumed_run
+            subtask.ready_s, subtask.unproven_run = ready_s, unproven_run
 
     def detach(self, run: Run, reason: str) -> None:
         """Remove a run that is over from its worker, subtask and team."""
@@ -301,9 +301,9 @@
         self.detach(run, reason)
         subtask = run.subtask
         if self.is_lease_valid():
-            subtask.presumed_run = 0
+            subtask.unproven_run = 0
         else:
-            subtask.presumed_run = max(subtask.presumed_run, run.number)
+            subtask.unproven_run = max(subtask.unproven_run, run.number)
         job = subtask.step.job
         if job.is_final and not job.has_runs:
             self.changed_jobs[job.job_id] = None
@@ -316,13 +316,13 @@
 
     def may_repeat(self, subtask: Subtask) -> bool:
         """Return whether an earlier run of a subtask is known to be over."""
-        return not subtask.presumed_run or self.is_lease_valid()
+        return not subtask.unproven_run or self.is_lease_valid()
 
-    def settle_presumed_runs(self, worker_id: str) -> None:
-        """Count the presumed runs of a worker as over, unless it has listed them."""
-        runs = self.presumed_runs.pop(worker_id, ())
+    def confirm_unproven_runs(self, worker_id: str) -> None:
+        """Count the unproven runs of a worker as over, unless it has listed them."""
+        runs = self.unproven_runs.pop(worker_id, ())
         for run in runs:
-            run.subtask.record_listed(run.number)
+            run.subtask.confirm_ends_up_to(run.number)
         if runs:
             self.on_change()
 
@@ -377,9 +377,9 @@
                 self._open_occurrences(job, now_s, now_unix_ms)
                 if len(job.occurrences) > before:
                     self.on_change()
-        if self.presumed_runs and self.is_lease_valid():
-            for worker_id in [*self.presumed_runs]:
-                self.settle_presumed_runs(worker_id)
+        if self.unproven_runs and self.is_lease_valid():
+            for worker_id in [*self.unproven_runs]:
+                self.confirm_unproven_runs(worker_id)
         expire_leases(self, now_s)
         self.queue_pools.drop_unused(self, now_s)
         drop_ended_suspects(self)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -112,7 +112,7 @@
         "last_run",
         "live_runs",
         "phase",
-        "presumed_run",
+        "unproven_run",
         "previous_end",
         "ready_s",
         "start_noted_s",
@@ -125,7 +125,7 @@
         self.index = index
         # The newest run that counts as over though another leader may have been
         # elected, which may know better; 0 if there is none.
-        self.presumed_run = 0
+        self.unproven_run = 0
         # How the newest run that is over ended, for the log of the next start.
         self.previous_end = ""
         self.phase = SubtaskPhase.WAITING
@@ -149,10 +149,10 @@
         """Return the number of runs that failed or may have failed unreported."""
         return len(self.failed_runs | self.expired_runs)
 
-    def record_listed(self, run_number: int) -> None:
-        """Record that a worker tells of a run, before which earlier ones were over."""
-        if run_number >= self.presumed_run:
-            self.presumed_run = 0
+    def confirm_ends_up_to(self, run_number: int) -> None:
+        """Count runs up to this one as over or known: a worker has told of it."""
+        if run_number >= self.unproven_run:
+            self.unproven_run = 0
 
     @property
     def name(self) -> SubtaskName:
@@ -278,7 +278,7 @@
         "end_outcomes",
         "facts",
         "failed_s",
-        "holds_former_lease",
+        "may_hold_former_lease",
         "is_cordoned",
         "is_listed",
         "is_reconciled",
@@ -303,7 +303,7 @@
         self.clock_at_s: float | None = None
         self.lease_expires_s = 0.0
         # True while its lists are unread and another leader may have given it a lease.
-        self.holds_former_lease = False
+        self.may_hold_former_lease = False
         # True once the worker's complete lists have been applied.
         self.is_reconciled = False
         # A call has failed since the last report: the worker may have restarted.
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/team_limits.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/team_limits.py
@@ -15,9 +15,9 @@
     presumed to be over.
     """
     totals = _unreconciled_by_team(scheduler, now_s)
-    if not scheduler.presumed_runs or scheduler.is_lease_valid():
+    if not scheduler.unproven_runs or scheduler.is_lease_valid():
         return totals
-    for runs in scheduler.presumed_runs.values():
+    for runs in scheduler.unproven_runs.values():
         for run in runs:
             step = run.subtask.step
             team = step.job.definition.team
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
@@ -37,7 +37,7 @@
 
 def has_expired_lease(worker: WorkerState, now_s: float) -> bool:
     """Return whether every lease granted to a worker has expired."""
-    return now_s > worker.lease_expires_s and not worker.holds_former_lease
+    return now_s > worker.lease_expires_s and not worker.may_hold_former_lease
 
 
 def expire_leases(scheduler: Scheduler, now_s: float) -> None:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -75,11 +75,11 @@
         _apply_running(scheduler, worker, running, now_s)
     if report.is_complete:
         worker.clear_unreported_runs()
-        scheduler.settle_presumed_runs(worker.facts.worker_id)
+        scheduler.confirm_unproven_runs(worker.facts.worker_id)
         _reconcile_missing_runs(scheduler, worker, listed, sent_s, now_s)
         if not worker.is_reconciled:
             worker.is_reconciled = True
-            worker.holds_former_lease = False
+            worker.may_hold_former_lease = False
             scheduler.on_change()
     return has_ends
 
@@ -100,7 +100,7 @@
         run.percent = row.percent
         run.progress_s = now_s
     run.measurement = row.measurement
-    run.subtask.record_listed(row.run)
+    run.subtask.confirm_ends_up_to(row.run)
     check_survival(scheduler, run, now_s)
     if row.checkpoint and row.checkpoint != run.subtask.checkpoint:
         run.subtask.checkpoint = row.checkpoint
@@ -192,7 +192,7 @@
         subtask = run.subtask
         scheduler.detach(run, row.kind.value)
     if subtask is not None:
-        subtask.record_listed(row.run)
+        subtask.confirm_ends_up_to(row.run)
     if job is None or subtask is None:
         return
     if row.checkpoint:
@@ -353,5 +353,5 @@
     lose_runs(scheduler, worker, lost, "restarted", now_s, kept)
     for run in lost:
         # The worker itself says so, as it does of ends.
-        run.subtask.record_listed(run.number)
+        run.subtask.confirm_ends_up_to(run.number)
     worker.draining_until_s = None
--- a/packages/cicadatrail-core/src/cicadatrail_core/leadership/acting_right.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/leadership/acting_right.py
@@ -16,7 +16,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, replace
 
-LEASE_S = 1.0
+LEADERSHIP_LEASE_S = 1.0
 """Time for which a leader may act after it sent a renewal that was stored before any
 other claim. Shorter than the silence after which others claim leadership."""
 
@@ -50,7 +50,7 @@
     @property
     def lease_until_s(self) -> float:
         """Return until when no other instance can have been elected."""
-        return self.renewed_s + LEASE_S
+        return self.renewed_s + LEADERSHIP_LEASE_S
 
     @property
     def until_s(self) -> float:
@@ -84,7 +84,7 @@
     @property
     def until_s(self) -> float:
         """Return until when an earlier leader may act."""
-        lease_until_s = self.seen_s + _longest_s(LEASE_S)
+        lease_until_s = self.seen_s + _longest_s(LEADERSHIP_LEASE_S)
         confirmed_until_s = self.promised_s + _longest_s(CONFIRMATION_S)
         promise_until_s = max(lease_until_s, confirmed_until_s)
         return min(self._limit_s, promise_until_s, self.ended_s)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
@@ -37,7 +37,7 @@
         """Count all workers that are known now as under the lease of a predecessor."""
         self._awaited = dict(self._scheduler.workers)
         for worker in self._awaited.values():
-            worker.holds_former_lease = True
+            worker.may_hold_former_lease = True
         self.update()
 
     def hold_jobs(self, jobs: Iterable[JobState]) -> None:
@@ -66,7 +66,7 @@
                 worker.lease_expires_s = end_s
             if is_lease_valid and now_s > worker.lease_expires_s:
                 del self._awaited[worker_id]
-                worker.holds_former_lease = False
+                worker.may_hold_former_lease = False
                 self._log_end(worker)
                 self._scheduler.on_change()
         if self._held_jobs and is_lease_valid and now_s > end_s:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -58,7 +58,7 @@
 
 logger = logging.getLogger("cicadatrail.holder")
 
-LEASE_S = 3.5
+WORKER_LEASE_S = 3.5
 """Lease given to workers: long enough for a takeover after the silence limit, and
 short enough to expire soon after."""
 
@@ -89,7 +89,7 @@
         self.epoch = epoch
         self.ready = asyncio.Event()
         self._has_ended = False
-        lease_s = min(LEASE_S, settings.lease_limit_s)
+        lease_s = min(WORKER_LEASE_S, settings.lease_limit_s)
         self.scheduler = Scheduler(
             SchedulerSettings(
                 epoch,
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leadership.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 from dataclasses import asdict
 
-from cicadatrail_core.leadership.acting_right import LEASE_S
+from cicadatrail_core.leadership.acting_right import LEADERSHIP_LEASE_S
 from cicadatraild.platform.store import (
     LEADER_TOPIC,
     KeyedRecord,
@@ -43,7 +43,7 @@
 """Time without a renewal after which other instances claim leadership; covers a
 store that is 60 times slower than usual."""
 
-SUSPECTED_LIMIT_S = LEASE_S + 0.1
+SUSPECTED_LIMIT_S = LEADERSHIP_LEASE_S + 0.1
 """The same for a leader whose machine refuses connections; its lease has ended."""
 
 FOLLOW_WAIT_MS = 500
