Take note of ends only once no former leader is confirmed by a later round

Its successor may have read an end from the former incarnation before the restart, acknowledged it and stored it. The subtask then starts after it was done (TWICE).

What callers see: nothing in an ordinary takeover. A former leader without its lease repeats what a restarted worker has lost after its next confirmed round of questions, which it asks each 0.1 s.

Changed: - A leader without its lease repeats what a worker has lost as it restarted once a round that began after it saw the restart has confirmed it (restart_seen_s, is_confirmed_since). The dispatcher looks again each tick while there is no lease. - A successor withholds the ends of earlier leaders' runs that it reads from polls sent while a later round may still confirm one of them (FormerRight.last_round_s): until the blocking promises are in, or the former leader has released its term or answered, or 6 s are over. Withheld ends are not acknowledged. No run of that worker counts as missing meanwhile, and a worker that isn't reconciled yet stays so, so that nothing inherited starts in its pools. - The successor's own runs have numbers from its epoch on; their ends are noted at once, up to the first withheld one, as ends are acknowledged by number. It starts inherited subtasks only once every worker of the pools has answered it, and so refuses the former leader, or has no lease of it; a restarted worker gets no start without the lease.

Why both: a round that began after the restart and the blocking promises have an instance in common, which confirmed the round before it promised. So the poll whose ends are noted was sent after the restart, and can't list an end from before it.

Ruled out: only waiting until the former right is over (is_settled): 0.5 s after the promises in each takeover with a killed leader. Only waiting for the promises: the last round from before them still allows the repetition for 0.5 s (second scenario). Adopting withheld ends as runs: it needs a second kind of run, for shorter pauses in rare cases.

Cost: a successor with two predecessors, or without a majority, notes ends 6 s after their last record was read.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/models.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/models.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
+from itertools import takewhile
 
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
@@ -159,7 +160,7 @@
 
     ``born_unix_ms`` is the start time of the worker and identifies its
     incarnation. ``is_complete`` is false if more ends may follow
-    on another page.
+    on another page. ``withheld_ends`` have been listed and are not to be noted yet.
     """
 
     clock_ms: int
@@ -167,6 +168,16 @@
     running: tuple[RunningRow, ...]
     ends: tuple[EndRow, ...]
     is_complete: bool = True
+    withheld_ends: tuple[EndRow, ...] = ()
+
+    def withhold_ends(self, first_run: int) -> WorkerReport:
+        """Return the report with its ends withheld from the first of an older run on.
+
+        ``first_run`` is the lowest run number whose ends are noted. As ends are
+        acknowledged by their number, none after a withheld one is noted.
+        """
+        noted = tuple(takewhile(lambda end: end.run >= first_run, self.ends))
+        return replace(self, ends=noted, withheld_ends=self.ends[len(noted) :])
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -77,6 +77,8 @@
         self.on_change: Callable[[], None] = lambda: None
         # Whether no other leader can have been elected.
         self.is_lease_valid: Callable[[], bool] = lambda: True
+        # Whether others have confirmed this leader, asked at that time or later.
+        self.is_confirmed_since: Callable[[float], bool] = lambda _: True
         self.counts: dict[str, int] = {}
 
     # Configuration and workers
@@ -304,8 +306,15 @@
     # Ends
 
     def may_repeat(self, subtask: Subtask) -> bool:
-        """Return whether an earlier run of a subtask is known to be over."""
-        return not subtask.is_presumed_over or self.is_lease_valid()
+        """Return whether an earlier run of a subtask is known to be over.
+
+        A newer leader may have read that it was done before its worker restarted, but
+        not if this one was confirmed after it had seen the restart.
+        """
+        if self.is_lease_valid():
+            return True
+        is_over = not subtask.is_presumed_over
+        return is_over and self.is_confirmed_since(subtask.restart_seen_s)
 
     def needs_advice(self, step: StepState) -> bool:
         """Return whether only workers with a ticket may run a step."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -115,6 +115,7 @@
         "phase",
         "previous_end",
         "ready_s",
+        "restart_seen_s",
         "start_noted_s",
         "step",
         "unstored_crashes",
@@ -126,6 +127,8 @@
         # True while its newest run counts as over though another leader may have been
         # elected, which may know better.
         self.is_presumed_over = False
+        # When a worker was last seen to have lost a run of it as it restarted.
+        self.restart_seen_s = float("-inf")
         # How the newest run that is over ended, for the log of the next start.
         self.previous_end = ""
         self.phase = SubtaskPhase.WAITING
@@ -273,6 +276,7 @@
         "end_outcomes",
         "facts",
         "failed_s",
+        "has_withheld_ends",
         "is_cordoned",
         "is_listed",
         "is_reconciled",
@@ -307,6 +311,8 @@
         self.end_outcomes: list[bool] = []
         self.processed_end = 0
         self.stored_end = 0
+        # Whether its last report listed ends that may not be noted yet.
+        self.has_withheld_ends = False
         self.draining_until_s: float | None = None
         self.below_target_since_s: float | None = None
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -50,7 +50,8 @@
     """Apply a worker's report; return whether it lists ends that must be stored.
 
     ``sent_s`` is when the request for the report was sent. A report of an
-    earlier incarnation of the worker is ignored.
+    earlier incarnation of the worker is ignored. While ends are withheld, no run
+    counts as missing, and the worker's lists don't count as complete.
     """
     if report.born_unix_ms < worker.born_unix_ms:
         return False
@@ -69,11 +70,12 @@
             worker.processed_end = row.number
             _apply_end(scheduler, worker, row, now_s)
             has_ends = True
+    worker.has_withheld_ends = bool(report.withheld_ends)
     listed = set()
     for running in report.running:
         listed.add((running.name, running.run))
         _apply_running(scheduler, worker, running, now_s)
-    if report.is_complete:
+    if report.is_complete and not report.withheld_ends:
         worker.clear_unreported_runs()
         _reconcile_missing_runs(scheduler, worker, listed, sent_s, now_s)
         if not worker.is_reconciled:
@@ -321,7 +323,8 @@
     worker.clock_at_s = None
     worker.end_outcomes.clear()
     listed = {(row.name, row.run) for row in report.running}
-    listed |= {(end.name, end.run) for end in report.ends}
+    ends = (*report.ends, *report.withheld_ends)
+    listed |= {(end.name, end.run) for end in ends}
     lost: list[Run] = []
     kept: list[Run] = []
     for key, run in worker.runs.items():
@@ -344,4 +347,5 @@
     for run in lost:
         # The worker itself says so, as it does of ends.
         run.subtask.is_presumed_over = False
+        run.subtask.restart_seen_s = now_s
     worker.draining_until_s = None
--- a/packages/cicadatrail-core/src/cicadatrail_core/leadership/acting_right.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/leadership/acting_right.py
@@ -89,6 +89,16 @@
         promise_until_s = max(lease_until_s, confirmed_until_s)
         return min(self._limit_s, promise_until_s, self.ended_s)
 
+    @property
+    def last_round_s(self) -> float:
+        """Return until when an earlier leader may begin a round that confirms it.
+
+        It may have its lease until then as well, and acts on the last round after it.
+        """
+        lease_until_s = self.seen_s + _longest_s(LEASE_S)
+        promise_until_s = max(lease_until_s, self.promised_s)
+        return min(self._limit_s, promise_until_s, self.ended_s)
+
     @property
     def _limit_s(self) -> float:
         return self.seen_s + _longest_s(OUTAGE_LIMIT_S)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -105,6 +105,7 @@
         self._dirty = asyncio.Event()
         self.scheduler.on_change = self._dirty.set
         self.scheduler.is_lease_valid = leadership.is_lease_valid
+        self.scheduler.is_confirmed_since = leadership.right.is_confirmed_since
         self._former_leases = FormerLeases(self.scheduler, leadership.right)
         self._records = LeaderRecords(self.scheduler, self._former_leases)
         self.journal = Journal(
@@ -259,6 +260,9 @@
                 )
                 self._dirty.set()
             could_start = may_start
+            if not self._leadership.is_lease_valid():
+                # A newer confirmation may allow to repeat what a worker has lost.
+                self._dirty.set()
             self._worker_list.unlist_missing(now_s)
             self._former_leases.update()
             self.scheduler.tick(now_s, unix_now_ms())
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
@@ -104,6 +104,24 @@
         """Return whether no earlier leader can act any more."""
         return boot_now_s() >= self.former.until_s
 
+    @property
+    def may_note_ends(self) -> bool:
+        """Return whether no earlier leader can be confirmed by a later round.
+
+        An earlier leader repeats what a restarted worker has lost, once a round that
+        began after it saw the restart has confirmed it. An end that is read from now on
+        is therefore one that it does not repeat.
+        """
+        return boot_now_s() >= self.former.last_round_s
+
+    def is_confirmed_since(self, loop_s: float) -> bool:
+        """Return whether a round that began at ``loop_s`` or later confirmed this leader.
+
+        ``loop_s`` is on the event loop's clock, which doesn't count suspended time.
+        """
+        since_s = loop_s + boot_now_s() - loop_now_s()
+        return self.acting.confirmed_s >= since_s
+
     @property
     def former_until_loop_s(self) -> float:
         """Return until when an earlier leader may act, on the event loop's clock."""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -13,6 +13,7 @@
 from cicadatrail_core.jobs.pacing import has_serving_and_best_effort, plan_pace
 from cicadatrail_core.jobs.report_rollback import ReportRollback
 from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.scheduler_settings import RUNS_PER_EPOCH
 from cicadatrail_core.jobs.state import WorkerState
 from cicadatrail_core.jobs.worker_leases import renew_lease
 from cicadatrail_core.jobs.worker_reports import apply_report
@@ -137,6 +138,9 @@
         scheduler = self._scheduler
         sent_s = loop_now_s()
         is_behind = worker.processed_end > worker.stored_end
+        is_behind = is_behind or worker.has_withheld_ends
+        # Checked before the poll is sent, whose answer has the ends as of then.
+        may_note_ends = self._leadership.right.may_note_ends
         is_known = worker.is_reconciled and worker.clock_at_s is not None
         has_unanswered_run = any(
             run.unanswered_s is not None for run in worker.runs.values()
@@ -159,6 +163,9 @@
             return
         was_resolved = worker.is_reconciled
         self._orders.record_answer(worker, result.born_unix_ms)
+        if not may_note_ends:
+            epoch = scheduler.settings.epoch
+            result = result.withhold_ends(epoch * RUNS_PER_EPOCH)
         self._apply(worker, result, sent_s)
         if worker.is_reconciled and not was_resolved:
             logger.info(
