Let a refusal say when its caller should come back

Refused has an optional time, and the callers' answer sends it as Retry-After in whole seconds, at least 1. Instances of the former version accept exactly one field, and close the stream on another: on the wire the time is the end of the reason, and a refusal without a time keeps its bytes.

New checks, seen failing once: with the plain field on the wire the former version raises TypeError; with the constant the header stays at 1.

--- a/features/support/outer_names.py
+++ b/features/support/outer_names.py
@@ -179,9 +179,14 @@
 
 def code_messages() -> dict[str, Coded]:
     classes = get_args(messages.Request) + get_args(messages.Reply)
-    samples = [sample(cls) for cls in classes]
+    refused = messages.Refused("text-1", retry_after_s=1.5)
+    samples = [
+        messages.Refused(refused.reason) if cls is messages.Refused else sample(cls)
+        for cls in classes
+    ]
     # Two fields of one type: their order shows only if their values differ.
     samples.append(messages.CandidateIs(is_able=True, is_strong=False, age_s=1.5))
+    samples.append(refused)
     coded = {}
     for number, message in enumerate(samples):
         content = messages.encode_message(message)
--- a/packages/cicadatrail-node/src/cicadatraild/platform/callers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import math
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -40,7 +41,7 @@
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 
 RETRY_AFTER_S = 1
-"""Value of Retry-After with a refusal; a change of leader takes about this long."""
+"""Least value of Retry-After; a change of leader takes about this long."""
 
 ANSWER_MARGIN_S = 0.15
 """Part of the caller's deadline reserved for sending the response."""
@@ -70,11 +71,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """HTTP status and body of a response; ``reason`` goes to the log only."""
+    """HTTP status and body of a response; ``reason`` goes to the log only.
+
+    ``retry_after_s`` is sent with 429 and 503, in whole seconds and at least 1.
+    """
 
     status: int
     body: dict[str, object] | None = None
     reason: str = ""
+    retry_after_s: float = 0.0
 
 
 def find_queue(configuration: FleetConfiguration, host: str, path: str) -> Queue | None:
@@ -239,7 +244,8 @@
             body = json.dumps(answer.body).encode()
             headers.append((b"Content-Type", b"application/json"))
         if answer.status in (429, 503):
-            headers.append((b"Retry-After", str(RETRY_AFTER_S).encode()))
+            after_s = max(RETRY_AFTER_S, math.ceil(answer.retry_after_s))
+            headers.append((b"Retry-After", str(after_s).encode()))
         if self._is_closing():
             headers.append((b"Connection", b"close"))
         await exchange.respond(answer.status, body, tuple(headers))
@@ -286,8 +292,8 @@
             return Answer(200, {"state": phase})
         case QueuedCount(count=count):
             return Answer(200, {"queued-jobs": count})
-        case Refused(reason=reason):
-            return Answer(503, reason=reason)
+        case Refused(reason=reason, retry_after_s=retry_after_s):
+            return Answer(503, reason=reason, retry_after_s=retry_after_s)
     # The outcome is unknown: the request may still be carried out, so it must not
     # be reported as refused.
     return Answer(504, reason=getattr(reply, "reason", ""))
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/messages.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/messages.py
@@ -5,9 +5,13 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import astuple, dataclass
 from typing import Any
 
+RETRY_SUFFIX = re.compile(r"(.*); retry after (\d+\.\d+) s", re.DOTALL)
+"""Reason of an encoded refusal that has a time; its other parts are the fields."""
+
 
 @dataclass(frozen=True, slots=True)
 class Submit:
@@ -67,9 +71,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """Report that the request was not and will not be carried out."""
+    """Report that the request was not and will not be carried out.
+
+    ``retry_after_s`` is when the caller should send it again; 0 leaves it open.
+    """
 
     reason: str
+    retry_after_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +160,10 @@
 
 def encode_message(message: Request | Reply) -> list[Any]:
     """Return a message as a list that msgpack can encode."""
+    if isinstance(message, Refused):
+        # Instances of the former version accept no second field.
+        suffix = f"; retry after {message.retry_after_s:.3f} s"
+        return ["Refused", message.reason + (suffix if message.retry_after_s else "")]
     return [type(message).__name__, *astuple(message)]
 
 
@@ -163,6 +175,14 @@
     if not isinstance(value, list) or not value or value[0] not in _TYPES:
         raise ValueError(f"no message: {value!r}")
     try:
-        return _TYPES[value[0]](*value[1:])
+        message = _TYPES[value[0]](*value[1:])
     except TypeError as error:
         raise ValueError(str(error)) from error
+    if isinstance(message, Refused) and isinstance(message.reason, str):
+        return _split_retry(message)
+    return message
+
+
+def _split_retry(message: Refused) -> Refused:
+    found = RETRY_SUFFIX.fullmatch(message.reason)
+    return Refused(found[1], float(found[2])) if found else message
