Start nothing in an evacuated data centre

Cause: the operators' records that evacuate a data centre were ignored, so that work went on starting there.

The records are followed with the configuration on every instance; the leader passes the names to the scheduler. No start is decided there, and one that waits to be sent is not sent. Its machines neither count as present nor move, long-running work is not moved to it, and its workers get no advice. What runs there goes on. A record that is gone after a full read ends its evacuation.

--- a/features/standins/platform_fleet.py
+++ b/features/standins/platform_fleet.py
@@ -84,6 +84,7 @@
         self.down_until_s = 0.0
         self.late_starts_s = 0.0
         self.is_on_standby = False
+        self.data_centre = "z1"
         self.started_ms = int(time.time() * 1000)
         self.token = 0
         self.runs: dict[str, WorkerRun] = {}
@@ -123,7 +124,7 @@
         return {
             "service": self.pool,
             "address": self.address,
-            "zone": "z1",
+            "zone": self.data_centre,
             "version": "v1",
             "slots": 8,
             "state": self.state,
@@ -355,7 +356,7 @@
                     "machine": name,
                     "pool": worker.pool,
                     "state": self._state(name),
-                    "zone": "z1",
+                    "zone": worker.data_centre,
                     "labels": ["a", "r1"],
                     "capacity": worker.room.current,
                     "id": worker.worker_id,
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
@@ -111,6 +111,7 @@
             if machine.pool == name
             and machine.state in PRESENT_STATES
             and machine.name not in leaving
+            and machine.data_centre not in scheduler.evacuated_data_centres
         )
         needs[name] = _pool_need(
             scheduler,
@@ -236,7 +237,9 @@
     free = [
         machine
         for machine in machines.values()
-        if machine.name not in pinned and machine.state is MachineState.UP
+        if machine.name not in pinned
+        and machine.state is MachineState.UP
+        and machine.data_centre not in scheduler.evacuated_data_centres
     ]
     surplus: list[Machine] = []
     unneeded: set[str] = set()
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -17,6 +17,7 @@
     note_start,
     withdraw_start_notes,
 )
+from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.models import Queue
 from cicadatrail_core.jobs.placement_error import Cursor, PlacementError
 from cicadatrail_core.jobs.reservations import (
@@ -130,6 +131,7 @@
         and not worker.is_suspect
         and not worker.is_cordoned
         and not worker.facts.draining
+        and not is_evacuated(scheduler, worker)
         and worker.clock_at_s is not None
         and not has_expired_lease(worker, now_s)
     ]
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, RunPhase, StepState, WorkerState
 from cicadatrail_core.jobs.takeover import is_queue_reconciled
@@ -60,6 +61,7 @@
         and not worker.is_suspect
         and not worker.is_cordoned
         and not worker.facts.draining
+        and not is_evacuated(scheduler, worker)
         and worker.ejected_until_s <= now_s
         and can_run(run.subtask.step, worker)
         for worker in scheduler.workers.values()
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/models.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/models.py
@@ -270,3 +270,4 @@
     state: MachineState
     worker_id: str
     kind: str = ""
+    data_centre: str = ""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -79,6 +79,7 @@
         self.starts: list[Run] = []
         self.stops: list[Run] = []
         self.next_maintenance_machines: frozenset[str] = frozenset()
+        self.evacuated_data_centres: frozenset[str] = frozenset()
         self.on_change: Callable[[], None] = lambda: None
         # Whether no other leader can have been elected.
         self.is_lease_valid: Callable[[], bool] = lambda: True
--- a/packages/cicadatrail-node/src/cicadatraild/platform/machine_lists.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/machine_lists.py
@@ -44,6 +44,7 @@
                     worker_id=read_text(row, "id", ""),
                     # The first label is the kind of machine, the second its rack.
                     kind=check_text("labels", labels[0]) if labels else "",
+                    data_centre=read_text(row, "zone", ""),
                 )
             )
         token = table.get("next-token")
--- a/packages/cicadatrail-node/src/cicadatraild/platform/store.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/store.py
@@ -39,6 +39,7 @@
 
 CONFIGURATION_KEY = "config"
 WAVE_KEY_PREFIX = "wave/"
+EVACUATION_KEY_PREFIX = "evacuate/"
 JOBS_TOPIC = "keyed.jobs"
 LEADER_TOPIC = "keyed.holder"
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/adviser.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/adviser.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 
+from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import StepState
 from cicadatraild.platform.advice import AdviceClient
@@ -66,6 +67,7 @@
             if worker.facts.pool == queue.pool
             and worker.is_listed
             and not worker.facts.draining
+            and not is_evacuated(self._scheduler, worker)
         ]
         # Workers with a ticket come first, then those with the most free capacity.
         workers.sort(
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -17,7 +17,7 @@
 from returns.result import Failure, Success
 
 from cicadatrail_core.jobs.job_report import report_job
-from cicadatrail_core.jobs.models import FleetConfiguration, Wave
+from cicadatrail_core.jobs.models import FleetConfiguration
 from cicadatraild.network.http_server import HttpServer
 from cicadatraild.network.server_exchange import HttpExchange, HttpLimits
 from cicadatraild.platform.callers import CallerInterface
@@ -26,11 +26,9 @@
 from cicadatraild.platform.store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
-    WAVE_KEY_PREFIX,
     KeyedRecord,
     StoreClient,
 )
-from cicadatraild.platform.waves import decode_wave
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.entry import Entry
 from cicadatraild.scheduling.feeds import TopicFeed
@@ -39,6 +37,7 @@
 from cicadatraild.scheduling.leadership import Leadership
 from cicadatraild.scheduling.messages import CandidateIs
 from cicadatraild.scheduling.metrics import InstanceMetrics
+from cicadatraild.scheduling.operator_requests import OperatorRequests
 from cicadatraild.scheduling.peers import PeerClient, PeerServer
 from cicadatraild.utils.output import OutputHandler
 
@@ -105,7 +104,7 @@
         self._path = path
         self._store = StoreClient(settings.store)
         self._configuration: FleetConfiguration | None = None
-        self._waves: dict[str, Wave] = {}
+        self._requests = OperatorRequests(self._evacuate)
         self._leader: Leader | None = None
         self._leader_task: asyncio.Task[None] | None = None
         self._leadership = Leadership(
@@ -229,19 +228,20 @@
     # Configuration
 
     async def _follow_configuration(self) -> None:
-        feed = TopicFeed(self._store, CONFIGURATION_TOPIC, self._apply_record)
+        feed = TopicFeed(
+            self._store, CONFIGURATION_TOPIC, self._apply_record, self._requests.keep
+        )
         await feed.run()
 
     def _apply_record(self, record: KeyedRecord) -> None:
-        if record.value is None:
-            return
-        if record.key == CONFIGURATION_KEY:
+        if record.key != CONFIGURATION_KEY:
+            self._requests.apply(record)
+        elif record.value is not None:
             self._apply_configuration(record.value)
-        elif record.key.startswith(WAVE_KEY_PREFIX):
-            wave = decode_wave(record.value)
-            if wave is not None:
-                logger.info("instance: wave received.", extra={"wave": wave.number})
-                self._waves[record.key] = wave
+
+    def _evacuate(self) -> None:
+        if self._leader is not None:
+            self._leader.evacuate(self._requests.evacuated_data_centres)
 
     def _apply_configuration(self, value: bytes) -> None:
         configuration = decode_configuration(value)
@@ -280,10 +280,11 @@
             self._store,
             self._leadership,
             epoch,
-            lambda: list(self._waves.values()),
+            self._requests.waves,
         )
         if self._configuration is not None:
             leader.configure(self._configuration)
+        leader.evacuate(self._requests.evacuated_data_centres)
         self._leader = leader
         self._leader_task = asyncio.create_task(self._lead(leader))
         self._elected.set()
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 
+from cicadatrail_core.jobs.data_centre_evacuation import evacuate_data_centres
 from cicadatrail_core.jobs.ejection import EJECTION_S, eject
 from cicadatrail_core.jobs.evacuation import stop_stuck_runs
 from cicadatrail_core.jobs.hold import dispatch_or_hold
@@ -141,6 +142,10 @@
         """Apply a newer configuration."""
         self.scheduler.configure(configuration)
 
+    def evacuate(self, data_centres: frozenset[str]) -> None:
+        """Let nothing more start in these data centres, and again in all others."""
+        evacuate_data_centres(self.scheduler, data_centres)
+
     async def run(self) -> None:
         """Take over, then run the fleet until cancelled."""
         began_s = loop_now_s()
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
@@ -9,6 +9,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from cicadatrail_core.jobs.data_centre_evacuation import evacuated_worker_count
 from cicadatrail_core.jobs.state import RunPhase
 from cicadatraild.platform.store import StoreClient
 from cicadatraild.scheduling.leadership import Leadership
@@ -128,6 +129,8 @@
             "worker_lists": leader.links.list_count,
             "starts": leader.orders.start_count,
             "machine_moves": leader.balance.move_count,
+            "evacuated_data_centres": len(scheduler.evacuated_data_centres),
+            "evacuated_workers": evacuated_worker_count(scheduler),
             "may_start": self._leadership.may_start(),
         }
         return gauges
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -6,6 +6,7 @@
 import logging
 import random
 
+from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.ejection import eject
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, RunPhase, WorkerState
@@ -167,6 +168,7 @@
             deadline_ms,
             lambda: (
                 _is_wanted(run)
+                and not is_evacuated(scheduler, worker)
                 and self._is_fenced_for(worker)
                 and scheduler.may_repeat(subtask)
             ),
