Don't repeat what a worker lost by a restart that another leader may have preceded

A subtask could start after it was done: a leader without its lease, confirmed by a majority, repeated what a restarted worker had lost, while its successor had read and noted the end from the worker's earlier life.

A worker's clock starts with its life and isn't fast, so that the life is at least as old as the clock says. If no other leader had been elected at that time, which a renewal that was read back proves, nobody else can have read an end from an earlier life, and what it lost is repeated as before. Otherwise it is only presumed to be over, as after an expired lease: it counts for its team, and is repeated once the leader has its lease. Presumed runs are kept by life, so that a later life of a worker that was removed and is known again confirms nothing either.

What a worker loses by a restart in an outage of the store now waits for the store.

That what was lost under the lease is still repeated is a scenario of its own. The worker's clock in takeover_pair.py starts with its life, as the platform states.

Seen failing: with earlier lives always confirmed, the two former scenarios and 'A worker that is known again allows no repetition' ('starts after it was done'); with them never confirmed, 'What a worker lost while the leader had its lease is repeated without it'. takeover_ends, presumed_ends, restarted_workers, leader_lease, ended_lives (74 scenarios), platform, partitions and leadership_model (60): all passed.

--- a/features/steps/takeover_ends_steps.py
+++ b/features/steps/takeover_ends_steps.py
@@ -17,6 +17,13 @@
     pair.ask(pair.former, ["c"])
 
 
+@given("a leader whose worker has restarted, and its successor")
+def step_restarted(context: Any) -> None:
+    pair = context.pair = TakeoverPair()
+    pair.restart_worker()
+    pair.take_over()
+
+
 @given("a leader that has released its term, and its successor")
 def step_released(context: Any) -> None:
     pair = context.pair = TakeoverPair()
@@ -50,6 +57,16 @@
     pair.poll(pair.former_links)
 
 
+@when("the former leader reads that a worker has restarted")
+def step_read_restart(context: Any) -> None:
+    context.pair.poll(context.pair.former_links)
+
+
+@when("the former leader's worker is replaced, restarts and is known again")
+def step_known_again(context: Any) -> None:
+    context.pair.know_worker_again()
+
+
 @when("the third instance confirms the former leader again")
 def step_confirm(context: Any) -> None:
     context.pair.ask(context.pair.former, ["c"])
@@ -62,17 +79,17 @@
         assert not context.pair.former.is_lease_valid()
 
 
-@then("the former leader repeats what the worker has lost, which isn't done")
+@then("the former leader repeats what the worker has lost")
 def step_repeats(context: Any) -> None:
     pair = context.pair
     assert pair.repeated() == [pair.run.subtask.name]
-    assert not context.was_noted, "starts after it was done"
+    assert not pair.is_noted
 
 
 @then("the former leader repeats nothing, as it may be done")
 def step_no_repeat(context: Any) -> None:
     assert context.was_noted
-    assert context.pair.repeated() == []
+    assert context.pair.repeated() == [], "starts after it was done"
 
 
 @then("it is done at once")
--- a/features/support/takeover_pair.py
+++ b/features/support/takeover_pair.py
@@ -54,7 +54,7 @@
         sim = self._sims[facts.worker_id]
         sim.ends = [end for end in sim.ends if end.number > acknowledged_end]
         running = (RunningRow(n, r, "", 0) for n, r in sim.running.items())
-        clock_ms = int(self._world.now_s * 1000)
+        clock_ms = int((self._world.now_s - self._world.born_s) * 1000)
         return WorkerReport(clock_ms, sim.started_ms, (*running,), (*sim.ends,))
 
 
@@ -74,6 +74,7 @@
 
     def __init__(self) -> None:
         self.jobs = JobWorld(2)
+        self.born_s = 0.0
         self.jobs.report_all()
         self.jobs.worker("w1").is_cordoned = True
         self.jobs.submit(JOB, definition(1))
@@ -116,6 +117,7 @@
         client: Any = _Client(self.jobs.sims, self)
         journal: Any = _Journal()
         scheduler.is_lease_valid = leadership.is_lease_valid
+        scheduler.held_lease_ago = leadership.right.held_lease_ago
         orders = WorkerOrders(scheduler, client, leadership)
         return WorkerLinks(scheduler, client, journal, leadership, orders)
 
@@ -158,8 +160,18 @@
         self.sim.ends.clear()
         self.sim.last_end_number = 0
         self.sim.started_ms += 1000
+        self.born_s = self.now_s
         self.jobs.now_s += 0.002
 
+    def know_worker_again(self) -> None:
+        """Restart the worker, which the former leader has removed and then reads."""
+        with self.patched():
+            self.former_scheduler.remove_worker(WORKER, self.now_s, "replaced")
+            self.restart_worker()
+            facts = self.jobs.facts(self.sim)
+            self.former_scheduler.update_worker(facts, self.now_s)
+        self.poll(self.former_links)
+
     def dispatch(self) -> list[Run]:
         """Return what the successor would start now."""
         with self.patched():
--- a/features/takeover_ends.feature
+++ b/features/takeover_ends.feature
@@ -1,7 +1,7 @@
 Feature: Ends that a successor reads while its predecessor may still act
-  A former leader that a majority confirms repeats what a restarted worker has lost. It
-  can't know of an end that its successor has read, so the successor takes note of ends
-  only once no later round of questions can confirm the former leader.
+  A former leader that a majority confirms can't know of an end that its successor has
+  read from a worker's earlier life. So it repeats what a restarted worker has lost only if
+  that life was over while it had its lease, and the successor takes note of ends at once.
 
   # Guards against TWICE: a subtask starts after it was done.
   Scenario: A former leader that a majority confirms repeats nothing that is done
@@ -9,7 +9,21 @@
     When the successor reads that the leader's run is done
     And the worker restarts, and the former leader reads that
     And the third instance confirms the former leader again
-    Then the former leader repeats what the worker has lost, which isn't done
+    Then the former leader repeats nothing, as it may be done
+
+  Scenario: What a worker lost while the leader had its lease is repeated without it
+    Given a leader whose worker has restarted, and its successor
+    When the former leader reads that a worker has restarted
+    And the third instance confirms the former leader again
+    Then the former leader repeats what the worker has lost
+
+  # Guards against TWICE: a later life says nothing of ends that another leader has read.
+  Scenario: A worker that is known again allows no repetition
+    Given a leader that a majority confirms, and its successor
+    When the successor reads that the leader's run is done
+    And the former leader's worker is replaced, restarts and is known again
+    And the third instance confirms the former leader again
+    Then the former leader repeats nothing, as it may be done
 
   Scenario: A round from before a worker's restart allows no repetition
     Given a leader that a majority confirms, and its successor
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
@@ -124,8 +124,7 @@
     for run in lost:
         scheduler.release(run, now_s, reason)
     if lost and not scheduler.is_lease_valid():
-        presumed = scheduler.unproven_runs.setdefault(worker.facts.worker_id, [])
-        presumed.extend(lost)
+        scheduler.unproven_runs.add(worker, lost)
     prompt = [run for run in blamed if _is_prompt(run, now_s)]
     is_alone = len({run.subtask.step.job.job_id for run in prompt}) == 1
     for run in blamed:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -41,6 +41,7 @@
     SubtaskPhase,
     WorkerState,
 )
+from cicadatrail_core.jobs.unproven_runs import UnprovenRuns
 from cicadatrail_core.jobs.worker_leases import expire_leases
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
@@ -66,9 +67,8 @@
         self.workers: dict[str, WorkerState] = {}
         self.ended_lives = EndedLives()
         self.team_used: dict[str, Resources] = {}
-        # Runs of lost workers, by worker, that may go on there: they count for their
-        # team until the worker answers or no other leader can have been elected.
-        self.unproven_runs: dict[str, list[Run]] = {}
+        # They count for their team until their end is certain.
+        self.unproven_runs = UnprovenRuns()
         # Subtasks that may have crashed a worker.
         self.suspects: dict[SubtaskName, Subtask] = {}
         # Since when each pool has had a worker reserved.
@@ -83,6 +83,8 @@
         self.on_change: Callable[[], None] = lambda: None
         # Whether no other leader can have been elected.
         self.is_lease_valid: Callable[[], bool] = lambda: True
+        # Whether none had been elected a number of seconds ago.
+        self.held_lease_ago: Callable[[float], bool] = lambda _age_s: True
         self.counts: dict[str, int] = {}
 
     # Configuration and workers
@@ -319,12 +321,13 @@
         """Return whether an earlier run of a subtask is known to be over."""
         return not subtask.unproven_run or self.is_lease_valid()
 
-    def confirm_unproven_runs(self, worker_id: str) -> None:
-        """Count the unproven runs of a worker as over, unless it has listed them."""
-        runs = self.unproven_runs.pop(worker_id, ())
-        for run in runs:
-            run.subtask.confirm_ends_up_to(run.number)
-        if runs:
+    def confirm_unproven_runs(self, worker: WorkerState, age_s: float) -> None:
+        """Count the unproven runs of a worker as over, unless it has listed them.
+
+        ``age_s`` is for how long the worker has run at least. If another leader had
+        been elected before that, it may have read ends from an earlier life.
+        """
+        if self.unproven_runs.confirm(worker, self.held_lease_ago(age_s)):
             self.on_change()
 
     def needs_advice(self, step: StepState) -> bool:
@@ -379,8 +382,8 @@
                 if len(job.occurrences) > before:
                     self.on_change()
         if self.unproven_runs and self.is_lease_valid():
-            for worker_id in [*self.unproven_runs]:
-                self.confirm_unproven_runs(worker_id)
+            self.unproven_runs.confirm_all()
+            self.on_change()
         expire_leases(self, now_s)
         self.queue_pools.drop_unused(self, now_s)
         drop_ended_suspects(self)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/team_limits.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/team_limits.py
@@ -17,11 +17,10 @@
     totals = _unreconciled_by_team(scheduler, now_s)
     if not scheduler.unproven_runs or scheduler.is_lease_valid():
         return totals
-    for runs in scheduler.unproven_runs.values():
-        for run in runs:
-            step = run.subtask.step
-            team = step.job.definition.team
-            totals[team] = totals.get(team, NO_RESOURCES) + step.spec.need
+    for run in scheduler.unproven_runs:
+        step = run.subtask.step
+        team = step.job.definition.team
+        totals[team] = totals.get(team, NO_RESOURCES) + step.spec.need
     return totals
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -75,7 +75,7 @@
         _apply_running(scheduler, worker, running, now_s)
     if report.is_complete:
         worker.clear_unreported_runs()
-        scheduler.confirm_unproven_runs(worker.facts.worker_id)
+        scheduler.confirm_unproven_runs(worker, report.clock_ms / 1000)
         _reconcile_missing_runs(scheduler, worker, listed, sent_s, now_s)
         if not worker.is_reconciled:
             worker.is_reconciled = True
@@ -317,7 +317,6 @@
         extra={**worker_fields(worker), "born_unix_ms": born_unix_ms},
     )
     worker.clear_unreported_runs()
-    worker.born_unix_ms = born_unix_ms
     worker.processed_end = 0
     worker.stored_end = 0
     if worker.is_reconciled:
@@ -351,7 +350,7 @@
         elif run.answered_s is None:
             kept.append(run)
     lose_runs(scheduler, worker, lost, "restarted", now_s, kept)
-    for run in lost:
-        # The worker itself says so, as it does of ends.
-        run.subtask.confirm_ends_up_to(run.number)
+    worker.born_unix_ms = born_unix_ms
+    # Its clock began with this life, and runs slow if at all.
+    scheduler.confirm_unproven_runs(worker, report.clock_ms / 1000)
     worker.draining_until_s = None
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -106,6 +106,7 @@
         self._dirty = asyncio.Event()
         self.scheduler.on_change = self._dirty.set
         self.scheduler.is_lease_valid = leadership.is_lease_valid
+        self.scheduler.held_lease_ago = leadership.right.held_lease_ago
         self._former_leases = FormerLeases(self.scheduler, leadership.right)
         self._records = LeaderRecords(self.scheduler, self._former_leases)
         self.journal = Journal(
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_right.py
@@ -99,6 +99,13 @@
         self.acting = ActingRight()
         self._stored.clear()
 
+    def held_lease_ago(self, age_s: float) -> bool:
+        """Return whether no other instance had been elected ``age_s`` ago.
+
+        A renewal that was read back in this term proves that for all times before it.
+        """
+        return boot_now_s() - age_s < self.acting.lease_until_s
+
     @property
     def is_settled(self) -> bool:
         """Return whether no earlier leader can act any more."""
