--- a/features/support/platform_cluster.py
+++ b/features/support/platform_cluster.py
@@ -127,6 +127,7 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.machines: PlatformMachines | None = None
         self.cores: dict[str, float] = {}
+        self.limits: dict[str, int] = {}
         self.proxies: dict[str, FaultyProxy] = {}
         self._proxy_ports: dict[str, int] = {}
         hosts = [self.host(f"edge-{number}") for number in range(1, HOST_COUNT + 1)]
@@ -208,7 +209,8 @@
                 "node": name,
                 "ip": host,
                 "internal-ports": [peer, metrics],
-                "limits": {"cpu-share": self.cores.get(name, 1.0), "cores": 1},
+                "limits": {"cpu-share": self.cores.get(name, 1.0), "cores": 1}
+                | self.limits,
                 "listen": {
                     "front": f"{host}:{front}",
                     "readiness": f"{host}:{ready}",
--- a/features/support/run_tests.py
+++ b/features/support/run_tests.py
@@ -1,8 +1,9 @@
 """Run the formatter, linter, type checker and all features, and print a summary.
 
-Each feature runs in a process of its own, several at a time. A failed scenario
-that KNOWN-RED.txt lists is printed but doesn't fail the run. A listed scenario
-that passes fails a full run, so that the list stays current.
+Each feature runs in a process of its own, several at a time, and those with the tag
+@alone one at a time after all others. A failed scenario that KNOWN-RED.txt lists is
+printed but doesn't fail the run. A listed scenario that passes fails a full run, so
+that the list stays current.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 FEATURE_TIMEOUT_S = 600
 ERROR_LINES_COUNT = 60
+ALONE_TAG = "@alone"
 CHECKS = (
     ("formatter", ("ruff", "format", "--check", ".")),
     ("linter", ("ruff", "check", ".")),
@@ -70,6 +72,12 @@
     return results
 
 
+def runs_alone(feature: Path) -> bool:
+    """Return whether the feature's tags keep it apart from other load."""
+    tags = feature.read_text().partition("Feature:")[0].split()
+    return ALONE_TAG in tags
+
+
 def _read_report(name: str, report: Path, output: str) -> list[CheckResult]:
     if not report.exists():
         return []
@@ -131,9 +139,13 @@
         if not arguments.features
         for result in run_check(name, command)
     ]
+    alone = [path for path in features if runs_alone(path)]
+    together = [path for path in features if path not in alone]
     with ThreadPoolExecutor(arguments.processes) as executor:
-        for found in executor.map(run_feature, features):
+        for found in executor.map(run_feature, together):
             results += found
+    for feature in alone:
+        results += run_feature(feature)
     return report_results(results, whole_run=not arguments.features)
 
 
