Bound what clients hold of a machine's memory and descriptors

Cause: limits were checked per request and only after up to 256 KiB had been read, a body was held up to 16 MiB whatever the operators' configuration said, and neither the sum of bodies, nor refused connections, nor the submissions that a leader holds were bounded. Pipelined requests were served in one go, which held up the event loop.

- Server connections read 8 KiB at a time into a shared buffer and hold little.
- Bodies over the limit are refused on their announcement; the limits of the configuration take effect.
Bodies beyond 8 KiB wait for a common budget.
- Connections, lingering connections, bodies and peers' submissions have limits that follow from memory-mb and max-fds of the settings.
- A full server drops connections that have sent no head for 2 s.
- Metrics and a bounded log line name refusals by reason.

--- a/features/support/outer_metrics.py
+++ b/features/support/outer_metrics.py
@@ -18,8 +18,11 @@
 from cicadatraild.platform.callers import CallerInterface
 from cicadatraild.platform.store import StoreClient
 from cicadatraild.scheduling import leadership
+from cicadatraild.scheduling.caller_listener import CallerListener
+from cicadatraild.scheduling.client_limits import derive_client_limits
 from cicadatraild.scheduling.leader import Leader
 from cicadatraild.scheduling.metrics import InstanceMetrics
+from cicadatraild.scheduling.peers import PeerServer
 from cicadatraild.utils.metrics import InstanceCollector, Metrics
 from cicadatraild.utils.output import OutputHandler
 from features.support.sampled_values import sample
@@ -50,6 +53,8 @@
     callers = CallerInterface(MagicMock(), lambda: None, lambda: False)
     callers.answers[("submit", 200)] = 1
     metrics = InstanceMetrics(store, office, lambda: holder, callers, output)
+    front = CallerListener(callers.handle, derive_client_limits(512, 4096))
+    metrics.watch_clients(front, PeerServer(MagicMock(), MagicMock()))
     callers.on_duration("submit", 0.1)
     return metrics.expose()
 
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
@@ -11,17 +11,20 @@
 
 import h11
 
+from cicadatraild.network.body_budget import BodyBudget
 from cicadatraild.network.http_transport import (
     ConnectionEndedError,
     HttpTransport,
     lower_headers,
 )
+from cicadatraild.network.refusal_counts import RefusalCounts
 from cicadatraild.network.server_exchange import (
     BodyIncompleteError,
     BodyTooLargeError,
     HttpExchange,
     HttpLimits,
 )
+from cicadatraild.network.server_transport import READ_BYTES, ServerTransport
 
 __all__ = [
     "BodyIncompleteError",
@@ -46,6 +49,15 @@
 SLOW_PASS_S = 0.05
 """Duration of a pass of the loop in which more requests may have arrived."""
 
+FIRST_HEAD_KEPT_S = 2.0
+"""Time for the first head before a full server may drop the connection."""
+
+BACKLOG_LIMIT_COUNT = 100
+"""Largest number of connections that wait to be accepted."""
+
+FAULT_LIMIT_CHARACTERS = 200
+"""Longest finding about a malformed request, which may quote it."""
+
 REQUEST_TIMEOUT_STATUS = 408
 HEAD_TOO_LONG_STATUS = 431
 
@@ -60,23 +72,45 @@
 
 
 class HttpServer:
-    """Server on one address; while ``draining``, connections close after a request."""
+    """Server on one address; while ``draining``, connections close after a request.
+
+    ``limits`` may be replaced while it serves: open connections keep the limit of an
+    incomplete head, all others hold from the next request on. ``budget`` bounds the
+    bodies that handlers read as a whole; ``refusals`` counts clients over a limit.
+    """
 
     __slots__ = (
+        "_budget",
         "_connections",
         "_handler",
         "_idle",
         "_is_closing",
-        "_limits",
+        "_lingering_count",
         "_name",
+        "_new",
+        "_read_buffer",
         "_server",
         "draining",
+        "limits",
+        "refusals",
     )
 
-    def __init__(self, name: str, handler: Handler, limits: HttpLimits) -> None:
+    def __init__(
+        self,
+        name: str,
+        handler: Handler,
+        limits: HttpLimits,
+        budget: BodyBudget | None = None,
+    ) -> None:
         self._name = name
         self._handler = handler
-        self._limits = limits
+        self.limits = limits
+        self.refusals = RefusalCounts()
+        self._budget = budget
+        self._read_buffer = bytearray(READ_BYTES)
+        # Connections that wait for their first head, and since when.
+        self._new: dict[HttpTransport, float] = {}
+        self._lingering_count = 0
         self._connections: set[asyncio.Task[None]] = set()
         # Connections that wait for the head of a request.
         self._idle: dict[asyncio.Task[None], HttpTransport] = {}
@@ -87,7 +121,10 @@
     async def listen(self, stack: AsyncExitStack, host: str, port: int) -> int:
         """Listen until ``stack`` closes; return the port."""
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(self._new_transport, host, port)
+        backlog = min(BACKLOG_LIMIT_COUNT, self.limits.connection_limit_count // 4 + 1)
+        server = await loop.create_server(
+            self._new_transport, host, port, backlog=backlog
+        )
         self._server = server
         stack.push_async_callback(self._close, server)
         bound_port: int = server.sockets[0].getsockname()[1]
@@ -115,26 +152,70 @@
                 return
             await asyncio.wait(tuple(self._connections), timeout=left_s)
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections that are served."""
+        return len(self._connections)
+
     def _new_transport(self) -> HttpTransport:
-        return HttpTransport(
-            h11.SERVER, self._limits.header_limit_bytes, self._connection_made
+        return ServerTransport(
+            self.limits.header_limit_bytes, self._connection_made, self._read_buffer
         )
 
     def _connection_made(self, transport: HttpTransport) -> None:
-        if len(self._connections) >= self._limits.connection_limit_count:
-            transport.refuse(_TOO_MANY_CONNECTIONS, CLOSE_GRACE_S)
+        is_full = len(self._connections) >= self.limits.connection_limit_count
+        if is_full and not self._drop_new():
+            self._refuse("too-many-connections")
+            transport.write_raw(_TOO_MANY_CONNECTIONS)
+            self._linger(transport)
             return
-        task = asyncio.get_running_loop().create_task(self._serve(transport))
+        loop = asyncio.get_running_loop()
+        self._new[transport] = loop.time()
+        task = loop.create_task(self._serve(transport))
         self._connections.add(task)
         task.add_done_callback(self._connections.discard)
 
+    def _drop_new(self) -> bool:
+        """Drop the connection that has waited longest for its first head.
+
+        Return whether there was one that has waited for long enough.
+        """
+        transport, since_s = next(iter(self._new.items()), (None, 0.0))
+        now_s = asyncio.get_running_loop().time()
+        if transport is None or now_s - since_s < FIRST_HEAD_KEPT_S:
+            return False
+        self._refuse("no-head")
+        del self._new[transport]
+        transport.abort()
+        return True
+
+    def _linger(self, transport: HttpTransport) -> None:
+        """Close a connection whose caller may still send, if few such are open."""
+        if transport.lost:
+            return
+        if self._lingering_count >= self.limits.lingering_limit_count:
+            transport.close_at_once()
+            return
+        self._lingering_count += 1
+        transport.on_lost = self._end_lingering
+        transport.close_unread(CLOSE_GRACE_S)
+
+    def _end_lingering(self) -> None:
+        self._lingering_count -= 1
+
+    def _refuse(self, reason: str) -> None:
+        self.refusals.add(reason, asyncio.get_running_loop().time())
+
     async def _serve(self, transport: HttpTransport) -> None:
         """Serve the requests of one connection in turn."""
-        wait_s = self._limits.header_timeout_s
+        wait_s = self.limits.header_timeout_s
         try:
             while await self._serve_one(transport, wait_s):
-                wait_s = self._limits.idle_timeout_s
-            transport.close_unread(CLOSE_GRACE_S)
+                wait_s = self.limits.idle_timeout_s
+                if transport.has_unparsed:
+                    # Others are served between pipelined requests.
+                    await asyncio.sleep(0)
+            self._linger(transport)
             if self.draining:
                 # The process may end next, and would discard unsent bytes.
                 await transport.wait_lost(CLOSE_GRACE_S)
@@ -158,15 +239,17 @@
         try:
             request = await _read_head(transport, wait_s)
             if request is not None:
-                _check_head(request, self._limits)
+                _check_head(request, self.limits)
         except h11.RemoteProtocolError as error:
+            self._refuse("malformed-head")
             await _refuse_malformed(transport, error)
             return False
         finally:
             del self._idle[task]
+            self._new.pop(transport, None)
         if request is None:
             return False
-        exchange = HttpExchange(request, transport, self._limits)
+        exchange = HttpExchange(request, transport, self.limits, self._budget)
         await self._handle(exchange, transport)
         http = transport.http
         if http.our_state is not h11.DONE or not _skip_body(transport):
@@ -186,6 +269,9 @@
             await self._handler(exchange)
         finally:
             transport.on_end = None
+            exchange.release_body()
+            if exchange.refusal:
+                self._refuse(exchange.refusal)
 
     async def _close(self, server: asyncio.Server) -> None:
         server.close()
@@ -258,7 +344,7 @@
     """Answer a malformed request with a 4xx status and the finding."""
     if transport.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    finding = {"place": "request", "fault": str(error)}
+    finding = {"place": "request", "fault": str(error)[:FAULT_LIMIT_CHARACTERS]}
     body = json.dumps({"findings": [finding]}).encode()
     headers = [
         (b"Content-Type", b"application/json"),
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_transport.py
@@ -33,7 +33,8 @@
     """asyncio protocol that sends and receives h11 events.
 
     ``on_end`` is called once, when the peer stops sending or the connection is
-    lost, so that a server can cancel work whose caller no longer waits.
+    lost, so that a server can cancel work whose caller no longer waits. ``on_lost`` is
+    called once the connection is closed on both sides.
     """
 
     __slots__ = (
@@ -50,9 +51,13 @@
         "_write_waiter",
         "http",
         "on_end",
+        "on_lost",
         "on_made",
     )
 
+    read_ahead_bytes = READ_AHEAD_BYTES
+    write_buffer_bytes = WRITE_BUFFER_BYTES
+
     def __init__(
         self,
         role: type[h11.CLIENT] | type[h11.SERVER],
@@ -62,6 +67,7 @@
         self.http = h11.Connection(role, max_incomplete_event_size=header_limit_bytes)
         self.on_made = on_made
         self.on_end: Callable[[], None] | None = None
+        self.on_lost: Callable[[], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._chunks: deque[bytes] = deque()
         self._chunks_bytes = 0
@@ -79,10 +85,15 @@
         """Return whether the peer has stopped sending or the connection is lost."""
         return self._ended
 
+    @property
+    def lost(self) -> bool:
+        """Return whether the connection is lost, or was never made."""
+        return self._lost or self._transport is None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport; called by the event loop."""
         self._transport = cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._transport.set_write_buffer_limits(high=self.write_buffer_bytes)
         if self.on_made is not None:
             self.on_made(self)
 
@@ -92,7 +103,7 @@
             return
         self._chunks.append(data)
         self._chunks_bytes += len(data)
-        if self._chunks_bytes > READ_AHEAD_BYTES and not self._paused_reading:
+        if self._chunks_bytes > self.read_ahead_bytes and not self._paused_reading:
             self._paused_reading = True
             self._open_transport().pause_reading()
         self._wake_reader()
@@ -113,6 +124,8 @@
         if self._lost_waiter is not None and not self._lost_waiter.done():
             self._lost_waiter.set_result(None)
         self._end()
+        if self.on_lost is not None:
+            self.on_lost()
 
     def pause_writing(self) -> None:
         """Make writers wait; called by the event loop."""
@@ -186,10 +199,9 @@
         """Return whether the connection is open and has no unread bytes."""
         return not self._ended and not self.has_unparsed
 
-    def refuse(self, response: bytes, grace_s: float) -> None:
-        """Send an encoded response and close, without reading the request."""
+    def write_raw(self, response: bytes) -> None:
+        """Send an encoded response, without reading the request."""
         self._open_transport().write(response)
-        self.close_unread(grace_s)
 
     def close_unread(self, grace_s: float) -> None:
         """Close the connection while the peer may still be sending.
@@ -216,6 +228,15 @@
         self._lost_waiter = asyncio.get_running_loop().create_future()
         await asyncio.wait({self._lost_waiter}, timeout=timeout_s)
 
+    def close_at_once(self) -> None:
+        """Close without waiting for the peer, which may lose a response."""
+        if self._transport is None:
+            return
+        if self._transport.get_write_buffer_size():
+            self._transport.abort()
+        else:
+            self._transport.close()
+
     def close(self) -> None:
         """Close after all written bytes have been sent."""
         if self._transport is not None:
--- a/packages/cicadatrail-node/src/cicadatraild/network/server_exchange.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/server_exchange.py
@@ -5,9 +5,11 @@
 import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from typing import NoReturn
 
 import h11
 
+from cicadatraild.network.body_budget import SMALL_BYTES, BodyBudget
 from cicadatraild.network.http_transport import Headers, HttpTransport, lower_headers
 
 NO_CONTENT_STATUS = 204
@@ -16,11 +18,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
-    """Limits on the resources that callers may use."""
+    """Limits on the resources that callers may use.
+
+    ``lingering_limit_count`` limits the connections that are kept open after their
+    last response, for callers that still send.
+    """
 
     header_limit_bytes: int = 16 * 1024
     body_limit_bytes: int = 16 * 1024 * 1024
     connection_limit_count: int = 1000
+    lingering_limit_count: int = 100
     header_timeout_s: float = 10.0
     idle_timeout_s: float = 30.0
 
@@ -39,28 +46,39 @@
     The handler must call ``start`` and ``end``, or ``respond``. If it is cancelled or
     raises, the connection is dropped, so that a truncated response never looks
     complete. The connection is also dropped if the caller reads nothing for the idle
-    timeout: sending then raises TimeoutError.
+    timeout: sending then raises TimeoutError. ``refusal`` names the limit that the
+    body exceeded, or for which it waited in vain.
     """
 
     __slots__ = (
+        "_budget",
+        "_held_bytes",
         "_limits",
         "_received_bytes",
         "_transport",
         "headers",
+        "refusal",
         "request",
         "started",
     )
 
     def __init__(
-        self, request: h11.Request, transport: HttpTransport, limits: HttpLimits
+        self,
+        request: h11.Request,
+        transport: HttpTransport,
+        limits: HttpLimits,
+        budget: BodyBudget | None = None,
     ) -> None:
         self.request = request
         # Copied because iterating over h11's own header sequence is slow.
         self.headers: Headers = lower_headers(request)
         self.started = False
+        self.refusal = ""
         self._transport = transport
         self._limits = limits
         self._received_bytes = 0
+        self._budget = budget
+        self._held_bytes = 0
 
     @property
     def method(self) -> str:
@@ -81,21 +99,66 @@
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the body as it is received.
 
-        Raises BodyTooLargeError over the limit, and BodyIncompleteError when the
-        caller closes the connection or sends nothing for the idle timeout.
+        Raises BodyTooLargeError over the limit, before reading if the length is
+        announced, and BodyIncompleteError when the caller closes the connection or
+        sends nothing for the idle timeout.
         """
+        limit_bytes = self._limits.body_limit_bytes
+        if (self._announced_bytes or 0) > limit_bytes:
+            self._raise_too_large()
         while True:
             event = await self._next_body_event()
             if isinstance(event, h11.EndOfMessage):
                 return
             self._received_bytes += len(event.data)
-            if self._received_bytes > self._limits.body_limit_bytes:
-                raise BodyTooLargeError
+            if self._received_bytes > limit_bytes:
+                self._raise_too_large()
             yield bytes(event.data)
 
     async def read_body(self) -> bytes:
-        """Return the complete body; raises the same errors as ``body``."""
-        return b"".join([chunk async for chunk in self.body()])
+        """Return the complete body; raises the same errors as ``body``.
+
+        Beyond its first bytes the body waits until the budget admits all of it, and
+        holds its part of the budget until ``release_body``.
+        """
+        chunks: list[bytes] = []
+        async for chunk in self.body():
+            chunks.append(chunk)
+            if self._received_bytes > SMALL_BYTES and not self._held_bytes:
+                await self._hold_body()
+        body = b"".join(chunks)
+        self._release(self._held_bytes - len(body))
+        return body
+
+    def release_body(self) -> None:
+        """Return the body's part of the budget."""
+        self._release(self._held_bytes)
+
+    async def _hold_body(self) -> None:
+        if self._budget is None:
+            return
+        size_bytes = self._announced_bytes or self._limits.body_limit_bytes
+        try:
+            await self._budget.take(size_bytes)
+        except asyncio.CancelledError:
+            self.refusal = "body-budget"
+            raise
+        self._held_bytes = size_bytes
+
+    def _raise_too_large(self) -> NoReturn:
+        self.refusal = "body-too-large"
+        raise BodyTooLargeError
+
+    def _release(self, size_bytes: int) -> None:
+        if self._budget is not None and size_bytes > 0:
+            self._held_bytes -= size_bytes
+            self._budget.give_back(size_bytes)
+
+    @property
+    def _announced_bytes(self) -> int | None:
+        """Return the announced length of the body, or None for a body in chunks."""
+        values = self.header_values(b"content-length")
+        return int(values[0]) if values else None
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of the response."""
--- a/packages/cicadatrail-node/src/cicadatraild/platform/callers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/callers.py
@@ -50,6 +50,13 @@
 """Deadline of a request that states none; the platform's clients wait that long."""
 
 
+LOGGED_ID_CHARACTERS = 256
+"""Longest part of a caller's request id in a log line."""
+
+SHOWN_FINDINGS_COUNT = 50
+"""Largest number of findings in a response."""
+
+
 class CallKind(Enum):
     """Operation that a caller requests."""
 
@@ -234,8 +241,9 @@
                 return _refuse_malformed(findings)
             case Success(definition):
                 request = Submit(call.job_id, encode_definition(definition))
-                return _answer(await self._entry.ask(request, deadline_s))
-        raise AssertionError("a result is a success or a failure")
+        # Only the encoded job is held while it is stored.
+        del body, definition
+        return _answer(await self._entry.ask(request, deadline_s))
 
     async def _respond(self, exchange: HttpExchange, answer: Answer) -> None:
         headers: list[tuple[bytes, bytes]] = []
@@ -253,7 +261,9 @@
 
 def _log_fields(exchange: HttpExchange, call: Call | Answer) -> dict[str, object]:
     """Return the log fields that identify a request."""
-    fields: dict[str, object] = {"request_id": _header(exchange, b"request-id")}
+    fields: dict[str, object] = {
+        "request_id": _header(exchange, b"request-id")[:LOGGED_ID_CHARACTERS]
+    }
     match call:
         case Call(kind=kind, queue=queue, team=team, job_id=job_id):
             known = (job_id, kind.value, queue.name, team)
@@ -278,7 +288,8 @@
 
 
 def _refuse_malformed(findings: Findings) -> Answer:
-    listed = [{"place": f.place, "fault": f.fault} for f in findings]
+    shown = findings[:SHOWN_FINDINGS_COUNT]
+    listed = [{"place": f.place, "fault": f.fault} for f in shown]
     return Answer(400, {"findings": listed}, "the job is malformed")
 
 
--- a/packages/cicadatrail-node/src/cicadatraild/platform/job_submissions.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/job_submissions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import reprlib
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -80,7 +81,7 @@
 def _step(table: dict[str, Any], position: int) -> Step:
     after = [check_integer("after", k) for k in read_entries(table, "after")]
     if not all(0 <= k < position for k in after):
-        raise DecodeError(f"after can't be {after!r}")
+        raise DecodeError(f"after can't be {reprlib.repr(after)}")
     count = read_count(table, "count")
     if count < 1:
         raise DecodeError("count must be at least 1")
--- a/packages/cicadatrail-node/src/cicadatraild/platform/json_values.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/json_values.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import reprlib
 from typing import Any
 
 from cicadatrail_core.models.resources import Resources
@@ -22,7 +23,7 @@
 def check_table(value: Any) -> dict[str, Any]:
     """Return a value that must be a table."""
     if not isinstance(value, dict):
-        raise DecodeError(f"{value!r} is no table")
+        raise DecodeError(f"{reprlib.repr(value)} is no table")
     return value
 
 
@@ -32,21 +33,21 @@
     if value is None:
         return []
     if not isinstance(value, list):
-        raise DecodeError(f"{name} can't be {value!r}")
+        raise DecodeError(f"{name} can't be {reprlib.repr(value)}")
     return value
 
 
 def check_row(value: Any, least_count: int) -> list[Any]:
     """Return a value that must be a list of at least that many entries."""
     if not isinstance(value, list) or len(value) < least_count:
-        raise DecodeError(f"{value!r} is no row of {least_count} entries")
+        raise DecodeError(f"{reprlib.repr(value)} is no row of {least_count} entries")
     return value
 
 
 def check_text(name: str, value: Any) -> str:
     """Return a value that must be text, in valid Unicode."""
     if not isinstance(value, str):
-        raise DecodeError(f"{name} can't be {value!r}")
+        raise DecodeError(f"{name} can't be {reprlib.repr(value)}")
     try:
         value.encode()
     except UnicodeEncodeError as error:
@@ -63,7 +64,7 @@
     """Return a value that must be an integer within the limit."""
     is_integer = isinstance(value, int) and not isinstance(value, bool)
     if not is_integer or abs(value) > INTEGER_LIMIT:
-        raise DecodeError(f"{name} can't be {value!r}")
+        raise DecodeError(f"{name} can't be {reprlib.repr(value)}")
     return int(value)
 
 
@@ -76,7 +77,7 @@
     """Return the integer of that name, which can't be negative."""
     value = read_integer(table, name, default)
     if value < 0:
-        raise DecodeError(f"{name} can't be {value!r}")
+        raise DecodeError(f"{name} can't be {reprlib.repr(value)}")
     return value
 
 
@@ -84,9 +85,9 @@
     """Return a finite number that isn't negative."""
     value = table.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise DecodeError(f"{name} can't be {value!r}")
+        raise DecodeError(f"{name} can't be {reprlib.repr(value)}")
     if not 0 <= value <= INTEGER_LIMIT:
-        raise DecodeError(f"{name} can't be {value!r}")
+        raise DecodeError(f"{name} can't be {reprlib.repr(value)}")
     return float(value)
 
 
--- a/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/settings.py
@@ -21,6 +21,12 @@
 DEFAULT_ORDERS_PER_S = 20.0
 """Rate of machine orders where the settings state none."""
 
+DEFAULT_MEMORY_MIB = 512
+"""Memory of the machine where the settings state none."""
+
+DEFAULT_DESCRIPTORS_COUNT = 4096
+"""File descriptors of the process where the settings state none."""
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
@@ -50,6 +56,8 @@
     cores: float
     machine_orders_per_s: float
     stop_limit_s: float
+    memory_mib: int = DEFAULT_MEMORY_MIB
+    descriptor_count: int = DEFAULT_DESCRIPTORS_COUNT
 
 
 def _find(table: dict[str, Any], path: str) -> Any:
@@ -179,6 +187,10 @@
             table, "bounds.stop-timeout-ms", 0, DEFAULT_STOP_LIMIT_S * 1000
         )
         / 1000,
+        memory_mib=int(reader.number(table, "limits.memory-mb", 1, DEFAULT_MEMORY_MIB)),
+        descriptor_count=int(
+            reader.number(table, "limits.max-fds", 1, DEFAULT_DESCRIPTORS_COUNT)
+        ),
     )
     if reader.findings:
         return Failure(tuple(reader.findings))
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -6,18 +6,16 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import signal
 from contextlib import AsyncExitStack, suppress
-from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
 from returns.result import Failure, Success
 
-from cicadatrail_core.jobs.job_report import report_job
 from cicadatrail_core.jobs.models import FleetConfiguration
+from cicadatraild.network.body_budget import BodyBudget
 from cicadatraild.network.http_server import HttpServer
 from cicadatraild.network.server_exchange import HttpExchange, HttpLimits
 from cicadatraild.platform.callers import CallerInterface
@@ -29,6 +27,8 @@
     KeyedRecord,
     StoreClient,
 )
+from cicadatraild.scheduling.caller_listener import CallerListener
+from cicadatraild.scheduling.client_limits import derive_client_limits
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.entry import Entry
 from cicadatraild.scheduling.feeds import TopicFeed
@@ -37,6 +37,7 @@
 from cicadatraild.scheduling.leadership import Leadership
 from cicadatraild.scheduling.messages import CandidateIs
 from cicadatraild.scheduling.metrics import InstanceMetrics
+from cicadatraild.scheduling.operator_interface import OperatorInterface
 from cicadatraild.scheduling.operator_requests import OperatorRequests
 from cicadatraild.scheduling.peers import PeerClient, PeerServer
 from cicadatraild.utils.output import OutputHandler
@@ -55,12 +56,6 @@
 RELEASE_TIMEOUT_S = 0.5
 """Time for storing the release of leadership; half of the stop margin."""
 
-METRICS_PATH = "/metrics"
-JOBS_PATH = "/jobs/"
-
-CONNECTION_LIMIT_COUNT = 2500
-"""Limit of callers' connections; the platform allows about 4,000 descriptors."""
-
 STRONG_CORES = 1.0
 """Cores that make an instance a strong candidate for leader: the leader of 150
 workers used up to 0.6 cores (docs/MEASUREMENTS.md)."""
@@ -128,12 +123,22 @@
         self._callers = CallerInterface(
             self._entry, lambda: self._configuration, lambda: self._stop.is_set()
         )
+        self._limits = derive_client_limits(
+            settings.memory_mib, settings.descriptor_count
+        )
+        self._front = CallerListener(self._callers.handle, self._limits)
+        self._peer_server = PeerServer(
+            self._entry.answer_peer,
+            self._entry.add_peer,
+            BodyBudget(self._limits.peer_bytes, self._limits.peer_reserve_bytes),
+        )
         self._stop = asyncio.Event()
         self._elected = asyncio.Event()
         self._began_s = loop_now_s()
         self.metrics = InstanceMetrics(
             self._store, self._leadership, lambda: self._leader, self._callers, output
         )
+        self.metrics.watch_clients(self._front, self._peer_server)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then hand over and finish open requests."""
@@ -149,9 +154,8 @@
         async with AsyncExitStack() as stack:
             await self._store.pool.open(stack)
             await self._peers.open(stack)
-            peers = PeerServer(self._entry.answer_peer, self._entry.add_peer)
-            await peers.listen(stack, settings.host, settings.peer_port)
-            front = await self._listen(stack)
+            await self._peer_server.listen(stack, settings.host, settings.peer_port)
+            await self._listen(stack)
             tasks: list[asyncio.Task[Any]] = [
                 asyncio.create_task(self._follow_configuration()),
                 asyncio.create_task(self._leadership.run()),
@@ -168,51 +172,28 @@
             for task in done:
                 if task is not stopping:
                     task.result()
-            await self._shut_down(front)
+            await self._shut_down(self._front.server)
 
     def stop(self) -> None:
         """Start the shutdown, as SIGTERM does."""
         self._stop.set()
 
-    async def _listen(self, stack: AsyncExitStack) -> HttpServer:
-        """Start the HTTP listeners; return the callers' one."""
+    async def _listen(self, stack: AsyncExitStack) -> None:
+        """Start the HTTP listeners."""
         settings = self._settings
-        limits = HttpLimits(connection_limit_count=CONNECTION_LIMIT_COUNT)
-        front = HttpServer("callers", self._callers.handle, limits)
-        await front.listen(stack, settings.front.host, settings.front.port)
-        ready = HttpServer("readiness", self._answer_ready, HttpLimits())
+        await self._front.server.listen(stack, settings.front.host, settings.front.port)
+        limits = HttpLimits(
+            connection_limit_count=self._limits.internal_connection_count
+        )
+        ready = HttpServer("readiness", self._answer_ready, limits)
         await ready.listen(stack, settings.readiness.host, settings.readiness.port)
-        metrics = HttpServer("operators", self._answer_operator, HttpLimits())
+        operators = OperatorInterface(self.metrics.expose, lambda: self._leader)
+        metrics = HttpServer("operators", operators.handle, limits)
         await metrics.listen(stack, settings.host, settings.metrics_port)
-        return front
 
     async def _answer_ready(self, exchange: HttpExchange) -> None:
         await exchange.respond(200 if self.is_ready else 503)
 
-    async def _answer_operator(self, exchange: HttpExchange) -> None:
-        """Answer a request on the listener for metrics and operators."""
-        if exchange.target.startswith(JOBS_PATH):
-            await self._answer_job(exchange, exchange.target.removeprefix(JOBS_PATH))
-            return
-        if exchange.target != METRICS_PATH:
-            await exchange.respond(404)
-            return
-        headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
-        await exchange.respond(200, self.metrics.expose(), headers)
-
-    async def _answer_job(self, exchange: HttpExchange, job_id: str) -> None:
-        """Answer with the state of a job, or 503 unless this instance is the leader."""
-        leader = self._leader
-        if leader is None or not leader.ready.is_set():
-            await exchange.respond(503)
-            return
-        report = report_job(leader.scheduler, job_id, loop_now_s())
-        if report is None:
-            await exchange.respond(404)
-            return
-        headers = ((b"Content-Type", b"application/json"),)
-        await exchange.respond(200, json.dumps(asdict(report)).encode(), headers)
-
     @property
     def is_ready(self) -> bool:
         """Return whether callers can be served."""
@@ -249,6 +230,7 @@
         if configuration is None or configuration.version <= present:
             return
         self._configuration = configuration
+        self._front.configure(configuration)
         logger.info(
             "instance: configuration applied.",
             extra={
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
@@ -17,7 +17,9 @@
 
 if TYPE_CHECKING:
     from cicadatraild.platform.callers import CallerInterface
+    from cicadatraild.scheduling.caller_listener import CallerListener
     from cicadatraild.scheduling.leader import Leader
+    from cicadatraild.scheduling.peers import PeerServer
 
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 """Histogram buckets, up to the longest deadline of callers."""
@@ -53,9 +55,16 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._front: CallerListener | None = None
+        self._peer_server: PeerServer | None = None
         self._registry.register(self)
         callers.on_duration = self._observe_duration
 
+    def watch_clients(self, front: CallerListener, peer_server: PeerServer) -> None:
+        """Collect what the listeners for callers and peers hold and refuse."""
+        self._front = front
+        self._peer_server = peer_server
+
     def expose(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
@@ -82,6 +91,7 @@
             yield GaugeMetricFamily(
                 f"cicadatrail_{name}", name.replace("_", " "), value=value
             )
+        yield from self._client_metrics()
         leader = self._leader()
         if leader is None:
             return
@@ -107,6 +117,29 @@
             machines.add_metric([pool, "needed"], need.needed_count)
         yield machines
 
+    def _client_metrics(self) -> Iterator[Metric]:
+        if self._front is None or self._peer_server is None:
+            return
+        server, budget = self._front.server, self._front.budget
+        refused = CounterMetricFamily(
+            "cicadatrail_refused_clients", "Clients over a limit", labels=["reason"]
+        )
+        refusals = server.refusals.counts | {
+            "peer-budget": self._peer_server.refused_count
+        }
+        for reason, count in sorted(refusals.items()):
+            refused.add_metric([reason], count)
+        yield refused
+        held = {
+            "caller_connections": server.connection_count,
+            "held_body_bytes": budget.used_bytes,
+            "waiting_bodies": budget.waiting_count,
+        }
+        for name, value in held.items():
+            yield GaugeMetricFamily(
+                f"cicadatrail_{name}", name.replace("_", " "), value=value
+            )
+
     def _gauges(self) -> dict[str, float]:
         gauges: dict[str, float] = {
             "store_calls": self._store.call_count,
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
@@ -9,10 +9,13 @@
 from contextlib import AsyncExitStack, suppress
 from typing import Any
 
+from cicadatraild.network.body_budget import BodyBudget
 from cicadatraild.network.frames import FrameError, FrameStream
 from cicadatraild.scheduling.messages import (
+    Refused,
     Reply,
     Request,
+    Submit,
     Unsettled,
     decode_message,
     encode_message,
@@ -58,14 +61,19 @@
 class PeerServer:
     """Serve the requests of peers.
 
-    ``on_peer`` is called with the host of each peer that connects.
+    ``on_peer`` is called with the host of each peer that connects. ``budget`` bounds
+    the submissions that wait for their reply; what exceeds it is refused, and counted
+    in ``refused_count``. Without one they are not bounded.
     """
 
     def __init__(
         self,
         answer: Callable[[Request], Awaitable[Reply]],
         on_peer: Callable[[str], None],
+        budget: BodyBudget | None = None,
     ) -> None:
+        self._budget = budget
+        self.refused_count = 0
         self._answer = answer
         self._on_peer = on_peer
         self._tasks: set[asyncio.Task[None]] = set()
@@ -104,7 +112,7 @@
 
     async def _reply(self, stream: FrameStream, number: int, request: Any) -> None:
         try:
-            reply = await self._answer(request)
+            reply = await self._answer_within_budget(request)
         except Exception as error:
             # One request that can't be handled must not leave its caller waiting.
             logger.exception("peer: request failed.")
@@ -113,6 +121,18 @@
             stream.write([number, encode_message(reply)])
             await stream.drain()
 
+    async def _answer_within_budget(self, request: Any) -> Reply:
+        if self._budget is None or not isinstance(request, Submit):
+            return await self._answer(request)
+        size_bytes = len(request.definition)
+        if not self._budget.try_take(size_bytes):
+            self.refused_count += 1
+            return Refused("too many large requests are waiting")
+        try:
+            return await self._answer(request)
+        finally:
+            self._budget.give_back(size_bytes)
+
     async def _close(self, server: asyncio.Server) -> None:
         server.close()
         for task in tuple(self._tasks):
