Bound the subtasks of all open jobs

Cause: a body of 100 bytes may ask for 100,000 subtasks, each of which takes about 1 KB in the leader and in every successor that restores it. Small bodies could therefore end one leader after the other.

The leader refuses a job as not run when the subtasks of all open jobs would exceed 120,000.

--- a/features/body_budget.feature
+++ b/features/body_budget.feature
@@ -41,3 +41,9 @@
       | 200    | 4100        | 1066        |
       | 300    | 4100        | 1600        |
       | 552    | 8192        | 2500        |
+
+  Scenario: The subtasks of all open jobs are bounded, and room comes back
+    Given a leader whose open jobs have 70000 subtasks
+    Then a job of 40000 subtasks is taken on, and none of 20000 after it
+    And small jobs are taken on
+    And a job of 100000 subtasks is taken on once the others have ended
--- a/features/clients_over_limits.feature
+++ b/features/clients_over_limits.feature
@@ -31,6 +31,14 @@
     And its open descriptors stayed within the machine's
     And an ordinary submission is accepted and its job completed
 
+  Scenario: A leader survives small bodies that ask for very many subtasks
+    Given an instance on a machine of 200 MB
+    When clients submit jobs of 60000 subtasks each, and cancel them
+    Then each process still runs
+    And its peak memory stayed within the machine's
+    And its open descriptors stayed within the machine's
+    And an ordinary submission is accepted and its job completed
+
   Scenario: A body of exactly the configured limit is accepted, and no longer one
     Given an instance on a small machine
     When bodies and heads of the configured limits are sent in calm, and longer ones
--- a/features/steps/body_budget_steps.py
+++ b/features/steps/body_budget_steps.py
@@ -8,6 +8,10 @@
 
 from behave import given, then, when
 
+from cicadatrail_core.jobs.models import JobDefinition, JobPhase, Step
+from cicadatrail_core.jobs.open_subtasks import OpenSubtasks
+from cicadatrail_core.jobs.state import JobState
+from cicadatrail_core.models.resources import Resources
 from cicadatraild.network.body_budget import BodyBudget
 from cicadatraild.network.http_server import (
     FIRST_HEAD_KEPT_S,
@@ -198,3 +202,35 @@
 @then("a body of 256 KiB is admitted in calm")
 def step_calm(context: Any) -> None:
     assert BodyBudget(context.limits.body_bytes).try_take(256 * KIB)
+
+
+@given("a leader whose open jobs have {count:d} subtasks")
+def step_open_jobs(context: Any, count: int) -> None:
+    context.jobs = {"a" * 16: JobState("a" * 16, _definition(count), 0.0)}
+    context.open_subtasks = OpenSubtasks(context.jobs)
+
+
+def _definition(count: int) -> JobDefinition:
+    step = Step(count, Resources(1000, 100, 0))
+    return JobDefinition("q", "florists", "ms=50", (step,))
+
+
+@then("a job of {count:d} subtasks is taken on, and none of {more:d} after it")
+def step_taken_on(context: Any, count: int, more: int) -> None:
+    definition = _definition(count)
+    assert context.open_subtasks.admits(definition, 1.0)
+    context.jobs["b" * 16] = JobState("b" * 16, definition, 1.0)
+    assert not context.open_subtasks.admits(_definition(more), 1.0)
+    assert not context.open_subtasks.admits(_definition(more), 5.0)
+
+
+@then("small jobs are taken on")
+def step_small_jobs(context: Any) -> None:
+    assert context.open_subtasks.admits(_definition(100), 5.0)
+
+
+@then("a job of {count:d} subtasks is taken on once the others have ended")
+def step_room(context: Any, count: int) -> None:
+    for job in context.jobs.values():
+        job.phase = JobPhase.COMPLETED
+    assert context.open_subtasks.admits(_definition(count), 6.0)
--- a/features/steps/clients_over_limits_steps.py
+++ b/features/steps/clients_over_limits_steps.py
@@ -22,6 +22,7 @@
     serve_ordinary,
     small_machine,
     status_of,
+    submit_many_subtasks,
 )
 from features.support.platform_cluster import configuration
 
@@ -36,9 +37,14 @@
 
 @given("an instance on a small machine")
 def step_start(context: Any) -> None:
+    step_start_with(context, MEMORY_MIB)
+
+
+@given("an instance on a machine of {memory_mib:d} MB")
+def step_start_with(context: Any, memory_mib: int) -> None:
     folder = context.stack.enter_context(tempfile.TemporaryDirectory())
     runner = context.stack.enter_context(asyncio.Runner())
-    opened = small_machine(Path(folder))
+    opened = small_machine(Path(folder), memory_mib)
     context.runner = runner
     context.machine = runner.run(opened.__aenter__())
     context.stack.callback(lambda: runner.run(opened.__aexit__(None, None, None)))
@@ -54,6 +60,11 @@
     context.runner.run(pass_on_large_bodies(_use(context)))
 
 
+@when("clients submit jobs of {count:d} subtasks each, and cancel them")
+def step_subtasks(context: Any, count: int) -> None:
+    context.runner.run(submit_many_subtasks(_use(context), count))
+
+
 @then("each process still runs")
 def step_runs(context: Any) -> None:
     machine = _use(context)
@@ -63,8 +74,9 @@
 
 @then("its peak memory stayed within the machine's")
 def step_memory(context: Any) -> None:
-    peak_mib = _use(context).peak_bytes / 2**20
-    assert peak_mib < MEMORY_MIB, f"{peak_mib:.0f} MiB of {MEMORY_MIB}"
+    machine = _use(context)
+    peak_mib = machine.peak_bytes / 2**20
+    assert peak_mib < machine.memory_mib, f"{peak_mib:.0f} of {machine.memory_mib} MiB"
 
 
 @then("its open descriptors stayed within the machine's")
--- a/features/support/client_crowd.py
+++ b/features/support/client_crowd.py
@@ -36,6 +36,7 @@
 FRAMES_COUNT = 400
 FRAME_BYTES = 261_000
 PEERS_COUNT = 20
+MANY_SUBTASKS_JOBS_COUNT = 5
 PIPELINED_COUNT = 20_000
 CHUNK = b" " * 65_536
 
@@ -46,6 +47,7 @@
 
     cluster: PlatformCluster
     daemon: Daemon
+    memory_mib: int
     pid: int = 0
     descriptors_count: int = 0
     peak_bytes: int = 0
@@ -82,11 +84,13 @@
 
 
 @asynccontextmanager
-async def small_machine(folder: Path) -> AsyncIterator[SmallMachine]:
+async def small_machine(
+    folder: Path, memory_mib: int = MEMORY_MIB
+) -> AsyncIterator[SmallMachine]:
     """Run the stand-ins and one process, until it has answered a submission."""
     async with AsyncExitStack() as stack:
         cluster = PlatformCluster()
-        cluster.limits = {"memory-mb": MEMORY_MIB, "max-fds": DESCRIPTORS_COUNT}
+        cluster.limits = {"memory-mb": memory_mib, "max-fds": DESCRIPTORS_COUNT}
         stack.push_async_callback(cluster.close)
         await cluster.open()
         proxy = FaultyProxy(cluster.store_port)
@@ -98,7 +102,7 @@
         assert daemon.process is not None
         stack.callback(lambda: daemon.process.wait() if daemon.process else None)
         stack.callback(daemon.send, signal.SIGKILL)
-        machine = SmallMachine(cluster, daemon, daemon.process.pid)
+        machine = SmallMachine(cluster, daemon, memory_mib, daemon.process.pid)
         await serve_ordinary(machine, 0xA0)
         watching = asyncio.create_task(machine.watch())
         stack.callback(watching.cancel)
@@ -265,6 +269,16 @@
             await asyncio.sleep(0.1)
 
 
+async def submit_many_subtasks(machine: SmallMachine, count: int) -> None:
+    """Submit jobs of so many subtasks, until each is answered; then cancel them."""
+    cluster, name = machine.cluster, machine.daemon.name
+    paths = [f"/q/{0xE000 + number:016x}" for number in range(MANY_SUBTASKS_JOBS_COUNT)]
+    for method in ("POST", "DELETE"):
+        for path in paths:
+            body = job(count=count) if method == "POST" else None
+            await cluster.call(name, method, path, body, timeout_s=SERVED_LIMIT_S)
+
+
 def padded_job(length_bytes: int) -> bytes:
     return json.dumps(job()).encode().ljust(length_bytes)
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -16,6 +16,7 @@
 from cicadatrail_core.jobs.evacuation import stop_stuck_runs
 from cicadatrail_core.jobs.hold import dispatch_or_hold
 from cicadatrail_core.jobs.models import FleetConfiguration, Wave
+from cicadatrail_core.jobs.open_subtasks import OpenSubtasks
 from cicadatrail_core.jobs.records import decode_definition
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
@@ -100,6 +101,7 @@
                 settings.stop_limit_s,
             )
         )
+        self._open_subtasks = OpenSubtasks(self.scheduler.jobs)
         self._settings = settings
         self._store = store
         self._leadership = leadership
@@ -312,6 +314,8 @@
             if len(request.definition) > RECORD_LIMIT_BYTES:
                 return Refused("the job is too large to store")
             definition = decode_definition(request.definition)
+            if not self._open_subtasks.admits(definition, loop_now_s()):
+                return Refused("too many subtasks are open")
             job = self.scheduler.accept(request.job_id, definition, loop_now_s())
             self.scheduler.changed_jobs[request.job_id] = None
         # An unanswered append may have been carried out, so a retried request waits
