--- a/features/clients_over_limits.feature
+++ b/features/clients_over_limits.feature
@@ -44,3 +44,9 @@
     When bodies and heads of the configured limits are sent in calm, and longer ones
     Then the longer ones get 413 and 431, and the others 200
     And a newer configuration's limits take effect
+
+  Scenario: The product's own daemon holds little of each connection
+    Given the product's daemon as a process
+    When 600 connections each send a head of 300000 bytes that has no end
+    Then the daemon still runs
+    And its peak memory grew by less than 64 KiB for each connection
--- a/features/steps/clients_over_limits_steps.py
+++ b/features/steps/clients_over_limits_steps.py
@@ -18,12 +18,16 @@
     head,
     padded_job,
     pass_on_large_bodies,
+    read_peak_bytes,
     run_crowd,
+    send_long_heads,
     serve_ordinary,
     small_machine,
     status_of,
     submit_many_subtasks,
 )
+from features.support.cluster import Cluster, loopback_host
+from features.support.demo import worker_names
 from features.support.platform_cluster import configuration
 
 BODY_LIMIT_BYTES = 100_000
@@ -152,3 +156,31 @@
     async with asyncio.timeout(10):
         while await status_of(machine, request) != status:  # noqa: ASYNC110
             await asyncio.sleep(0.1)
+
+
+@given("the product's daemon as a process")
+def step_daemon(context: Any) -> None:
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    cluster = Cluster(Path(folder), context.stack, worker_names())
+    cluster.start_platform()
+    context.instance = cluster.start_instance("entry-a", "a", loopback_host(2))
+    cluster.wait_until_served()
+    context.start_bytes = read_peak_bytes(context.instance.process.pid)
+
+
+@when("{count:d} connections each send a head of {length:d} bytes that has no end")
+def step_long_heads(context: Any, count: int, length: int) -> None:
+    context.connection_count = count
+    asyncio.run(send_long_heads(context.instance.caller, count, length))
+
+
+@then("the daemon still runs")
+def step_daemon_runs(context: Any) -> None:
+    assert context.instance.process.poll() is None, "the daemon has ended"
+
+
+@then("its peak memory grew by less than {limit:d} KiB for each connection")
+def step_growth(context: Any, limit: int) -> None:
+    grown_bytes = read_peak_bytes(context.instance.process.pid) - context.start_bytes
+    grown_kib = grown_bytes / 1024 / context.connection_count
+    assert grown_kib < limit, f"{grown_kib:.0f} KiB for each connection"
--- a/features/support/client_crowd.py
+++ b/features/support/client_crowd.py
@@ -15,6 +15,7 @@
 from cicadatrail_core.jobs.models import JobDefinition, Step
 from cicadatrail_core.jobs.records import encode_definition
 from cicadatrail_core.models.resources import Resources
+from cicadatraild.network.client_exchange import Address
 from cicadatraild.platform.store import JOBS_TOPIC
 from cicadatraild.scheduling.messages import AskHolder, HolderIs, Submit
 from cicadatraild.scheduling.peers import PeerClient, PeerUnreachableError
@@ -73,9 +74,7 @@
         with suppress(OSError, ValueError):
             count = len(os.listdir(f"/proc/{self.pid}/fd"))
             self.descriptors_count = max(self.descriptors_count, count)
-            for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
-                if line.startswith("VmHWM:"):
-                    self.peak_bytes = int(line.split()[1]) * 1024
+            self.peak_bytes = read_peak_bytes(self.pid)
 
     async def watch(self) -> None:
         while True:
@@ -83,6 +82,14 @@
             await asyncio.sleep(SAMPLE_S)
 
 
+def read_peak_bytes(pid: int) -> int:
+    """Return the peak of a process's resident memory."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) * 1024
+    raise ValueError(f"process {pid} has no memory")
+
+
 @asynccontextmanager
 async def small_machine(
     folder: Path, memory_mib: int = MEMORY_MIB
@@ -214,13 +221,24 @@
 async def run_crowd(machine: SmallMachine, behaviour: str) -> None:
     """Have all clients of a crowd send at once, and hold their connections."""
     count, sender = CROWDS[behaviour]
+    await _hold_connections(machine.host, machine.cluster.front_port, count, sender)
+
+
+async def send_long_heads(address: Address, count: int, length_bytes: int) -> None:
+    """Have a crowd send heads that have no end, and hold its connections."""
+
+    async def send_head(number: int, writer: asyncio.StreamWriter) -> None:
+        writer.write(head(number, "X-Long: " + "x" * length_bytes)[:-2])
+        await writer.drain()
+
+    await _hold_connections(address.host, address.port, count, send_head)
+
 
+async def _hold_connections(host: str, port: int, count: int, sender: Sender) -> None:
     async def run_client(number: int) -> None:
         with suppress(OSError, TimeoutError):
             async with asyncio.timeout(HELD_S):
-                _, writer = await asyncio.open_connection(
-                    machine.host, machine.cluster.front_port, limit=1
-                )
+                _, writer = await asyncio.open_connection(host, port, limit=1)
                 try:
                     await sender(number, writer)
                     await asyncio.sleep(HELD_S)
