Refuse what was never sent to a silent store, and leave a leader that is replaced

Callers got 504 at their deadline, 2.9 s late, for requests that had reached no worker: - a submission that came in the first 0.4 s of a silent store waited for an append that didn't hold it. It is asked again there at once, without a round of questions to peers before. - a leader that can't read the store kept requests without bound. It now tells after 0.5 s that it leads nothing yet, and the entry's own limit of 2.2 s refuses them.

Seen failing on the former leader.py and entry.py: 'A job that is in no append is refused once the store is silent', 'A request to a leader that is silent is sent to its successor', 'A request is not kept by a leader that can't take over'. With every job taken for unsent and any known leader for a newer one: 'A job whose append is under way is not refused', 'A reply of the leader that was asked is not lost to an older record'. With 0.6 s for a takeover: the table's fourth row.

--- /dev/null
+++ b/features/recovery.feature
@@ -0,0 +1,41 @@
+Feature: Requests while the fleet recovers
+  What is known not to be carried out is refused early, what may be carried out never is.
+
+  Scenario Outline: Each state of a request has one rule
+    Then a request with <state> waits <wait> s and is then <verdict>
+
+    Examples: states
+      | state         | wait | verdict     |
+      | no leader     | 2.2  | refused     |
+      | asked         | inf  | unknown     |
+      | replaced      | 0.0  | asked again |
+      | taking over   | 0.5  | asked again |
+      | unsent        | 0.4  | refused     |
+      | appending     | inf  | unknown     |
+
+  # Guards against 504 for what was never sent to the store.
+  Scenario: A job that is in no append is refused once the store is silent
+    Given a leader whose store does not answer
+    When two jobs are submitted, one while the append of the other is under way
+    Then the second is refused after 0.4 s, and the first is not
+    And the second is accepted once it is sent again to the store that answers
+
+  Scenario: A job whose append is under way is not refused
+    Given a leader whose store does not answer
+    When a job is submitted again while its append is under way
+    Then neither is refused, and both are answered once the store answers
+
+  # Guards against requests that wait for a dead leader until their deadline.
+  Scenario: A request to a leader that is silent is sent to its successor
+    Given an instance whose leader answers nothing
+    When a request is sent, and a successor is elected 1 s later
+    Then the successor answers the request at once
+
+  Scenario: A reply of the leader that was asked is not lost to an older record
+    Given an instance whose leader answers after 1 s
+    When a request is sent, and the leader's record is read again meanwhile
+    Then the leader that was asked answers it, and is asked once
+
+  Scenario: A request is not kept by a leader that can't take over
+    Given a leader that can't read the store
+    Then it tells after 0.5 s that it leads nothing yet
--- /dev/null
+++ b/features/steps/recovery_steps.py
@@ -0,0 +1,140 @@
+"""Steps about requests that have no reply while the fleet recovers."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+from behave import given, then, when
+
+from cicadatrail_core.leadership.request_rules import RULES, RequestState, Verdict
+from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.leader import Leader
+from cicadatraild.scheduling.messages import HolderIs, QueuedCount, Refused, Stored
+from features.support.recovery_world import (
+    FakeStore,
+    RoutedEntry,
+    new_leader,
+    submission,
+)
+
+# ruff: noqa: SLF001
+
+VERDICTS = {
+    "refused": Verdict.REFUSE,
+    "asked again": Verdict.ASK_AGAIN,
+    "unknown": Verdict.UNKNOWN,
+}
+
+
+@then("a request with {state} waits {wait} s and is then {verdict}")
+def step_rule(context: Any, state: str, wait: str, verdict: str) -> None:
+    rule = RULES[RequestState[state.replace(" ", "_").upper()]]
+    assert (rule.wait_s, rule.verdict) == (float(wait), VERDICTS[verdict])
+
+
+@given("a leader whose store does not answer")
+def step_silent_store(context: Any) -> None:
+    context.store = FakeStore()
+
+
+def _submit(context: Any, names: tuple[str, str]) -> None:
+    """Submit one job and, 0.1 s later, another; then let the store answer."""
+
+    async def scenario() -> None:
+        context.leader = leader = new_leader(context.store)
+        running = asyncio.create_task(leader.journal.run())
+        first, second = (submission(name) for name in names)
+        began_s = loop_now_s()
+        calls = [asyncio.create_task(leader._submit(first))]
+        await asyncio.sleep(0.1)
+        calls.append(asyncio.create_task(leader._submit(second)))
+        await asyncio.wait({calls[1]}, timeout=0.6)
+        context.early = [call.result() if call.done() else None for call in calls]
+        context.early_s = loop_now_s() - began_s
+        context.store.answers.set()
+        context.late = await asyncio.gather(*calls)
+        context.retried = await leader._submit(second)
+        running.cancel()
+
+    asyncio.run(scenario())
+
+
+@when("two jobs are submitted, one while the append of the other is under way")
+def step_two(context: Any) -> None:
+    _submit(context, ("a", "b"))
+
+
+@when("a job is submitted again while its append is under way")
+def step_again(context: Any) -> None:
+    _submit(context, ("a", "a"))
+
+
+@then("the second is refused after 0.4 s, and the first is not")
+def step_second_refused(context: Any) -> None:
+    assert context.early[0] is None
+    assert isinstance(context.early[1], Refused), context.early
+    assert context.early_s < 0.6
+    assert isinstance(context.late[0], Stored)
+
+
+@then("the second is accepted once it is sent again to the store that answers")
+def step_retried(context: Any) -> None:
+    assert isinstance(context.retried, Stored)
+    assert context.store.keys == ["j/a", "j/b"], context.store.keys
+
+
+@then("neither is refused, and both are answered once the store answers")
+def step_neither_refused(context: Any) -> None:
+    assert context.early == [None, None], context.early
+    assert context.late == [Stored(), Stored()]
+    assert context.store.keys == ["j/a"]
+
+
+@given("an instance whose leader answers nothing")
+def step_silent_leader(context: Any) -> None:
+    context.entry = RoutedEntry(answers_after_s=None)
+
+
+@given("an instance whose leader answers after 1 s")
+def step_slow_leader(context: Any) -> None:
+    context.entry = RoutedEntry(answers_after_s=1.0)
+
+
+@when("a request is sent, and a successor is elected 1 s later")
+def step_successor(context: Any) -> None:
+    context.reply, context.took_s = context.entry.ask(then_epoch=2)
+
+
+@when("a request is sent, and the leader's record is read again meanwhile")
+def step_same_leader(context: Any) -> None:
+    context.reply, context.took_s = context.entry.ask(then_epoch=1)
+
+
+@then("the successor answers the request at once")
+def step_successor_answers(context: Any) -> None:
+    assert context.reply == QueuedCount(2), context.reply
+    assert context.took_s < 1.2, context.took_s
+
+
+@then("the leader that was asked answers it, and is asked once")
+def step_asked_once(context: Any) -> None:
+    assert context.reply == QueuedCount(1), context.reply
+    assert context.entry.asked == ["host-1"]
+
+
+@given("a leader that can't read the store")
+def step_not_ready(context: Any) -> None:
+    context.leader = SimpleNamespace(_has_ended=False)
+
+
+@then("it tells after 0.5 s that it leads nothing yet")
+def step_not_kept(context: Any) -> None:
+    async def scenario() -> None:
+        context.leader.ready = asyncio.Event()
+        async with asyncio.timeout(1.0):
+            reply = await Leader.answer(context.leader, submission("a"))
+        assert reply == HolderIs(0, "")
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/features/support/recovery_world.py
@@ -0,0 +1,120 @@
+"""A leader with a store that may be silent, and an entry with leaders that may be."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+from cicadatrail_core.jobs.records import encode_definition
+from cicadatraild.scheduling.clocks import loop_now_s
+from cicadatraild.scheduling.entry import Entry
+from cicadatraild.scheduling.journal import Journal
+from cicadatraild.scheduling.leader import Leader
+from cicadatraild.scheduling.leader_record import LeaderRecord
+from cicadatraild.scheduling.leader_records import JOB_PREFIX
+from cicadatraild.scheduling.messages import (
+    CandidateIs,
+    CountQueued,
+    QueuedCount,
+    Reply,
+    Request,
+    Submit,
+)
+from cicadatraild.scheduling.peers import PeerUnreachableError
+from features.support.job_world import JobWorld, definition
+
+# ruff: noqa: SLF001
+
+
+class FakeStore:
+    """A store that answers appends once ``answers`` is set; it keeps their keys."""
+
+    def __init__(self) -> None:
+        self.answers = asyncio.Event()
+        self.keys: list[str] = []
+
+    async def append(self, topic: str, records: Any, **_: Any) -> None:
+        await self.answers.wait()
+        self.keys += [record.key for record in records]
+
+
+def submission(job_id: str) -> Submit:
+    return Submit(job_id, encode_definition(definition(1)))
+
+
+def new_leader(store: Any) -> Any:
+    """Return the parts of a leader that submissions need."""
+    scheduler = JobWorld(1).scheduler
+
+    def collect() -> Any:
+        changed, scheduler.changed_jobs = scheduler.changed_jobs, {}
+        jobs = [scheduler.jobs[job_id] for job_id in changed]
+
+        def on_stored() -> None:
+            for job in jobs:
+                job.is_stored = True
+
+        return [
+            SimpleNamespace(key=JOB_PREFIX + job.job_id, value=b"") for job in jobs
+        ], on_stored
+
+    leader = SimpleNamespace(
+        scheduler=scheduler,
+        journal=Journal(store, 1, collect, lambda _: None),
+        _records=SimpleNamespace(unreadable_job_ids=set()),
+    )
+    for name in ("_submit", "_store_submission"):
+        setattr(leader, name, getattr(Leader, name).__get__(leader))
+    return leader
+
+
+class _Leadership:
+    """The leader that an instance knows."""
+
+    def __init__(self) -> None:
+        self._changed = asyncio.Event()
+        self.know(1)
+
+    def know(self, epoch: int) -> None:
+        self.current = LeaderRecord(epoch, "", f"host-{epoch}", "")
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def changed(self, timeout_s: float) -> None:
+        await asyncio.wait(
+            {asyncio.ensure_future(self._changed.wait())}, timeout=timeout_s
+        )
+
+
+class RoutedEntry:
+    """An entry that routes to host-1, the leader, and then to host-2."""
+
+    def __init__(self, answers_after_s: float | None) -> None:
+        self._answers_after_s = answers_after_s
+        self.asked: list[str] = []
+
+    async def call(self, host: str, request: Request, timeout_s: float) -> Reply:
+        """Return a peer's reply."""
+        self.asked.append(host)
+        if host == "host-2":
+            return QueuedCount(2)
+        await asyncio.sleep(min(timeout_s, self._answers_after_s or timeout_s))
+        if self._answers_after_s is None:
+            raise PeerUnreachableError("no reply", True, False)
+        return QueuedCount(1)
+
+    def ask(self, then_epoch: int) -> tuple[Reply, float]:
+        """Ask, with a leader's record read after 1 s; return the reply and its time."""
+
+        async def scenario() -> tuple[Reply, float]:
+            leadership: Any = _Leadership()
+            peers: Any = self
+            candidate = CandidateIs(False, False, 0.0)
+            entry = Entry(leadership, peers, "own", (), lambda: None, lambda: candidate)
+            asyncio.get_running_loop().call_later(0.9, leadership.know, then_epoch)
+            began_s = loop_now_s()
+            reply = await entry.ask(CountQueued("q"), began_s + 2.85)
+            return reply, loop_now_s() - began_s
+
+        return asyncio.run(scenario())
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -5,9 +5,16 @@
 import asyncio
 import logging
 import random
+from asyncio import FIRST_COMPLETED
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from cicadatrail_core.leadership.request_rules import (
+    RULES,
+    RequestState,
+    Verdict,
+    state_of_call,
+)
 from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
 from cicadatraild.scheduling.leader import Leader
 from cicadatraild.scheduling.leader_record import LeaderRecord
@@ -30,9 +37,6 @@
 
 logger = logging.getLogger("cicadatrail.entry")
 
-LEADER_WAIT_S = 2.2
-"""Longest wait for a leader: a takeover after the silence limit, and a margin."""
-
 PEER_QUERY_INTERVAL_S = 0.5
 """Shortest interval between queries to peers about the leader."""
 
@@ -133,7 +137,9 @@
     async def _ask(
         self, request: Request, deadline_s: float, pending: _PendingRequest
     ) -> Reply:
-        wait_until_s = min(deadline_s, loop_now_s() + LEADER_WAIT_S)
+        wait_until_s = min(
+            deadline_s, loop_now_s() + RULES[RequestState.NO_LEADER].wait_s
+        )
         while True:
             now_s = loop_now_s()
             if now_s >= (deadline_s if pending.may_have_run else wait_until_s):
@@ -145,11 +151,15 @@
                 continue
             try:
                 pending.is_under_way = True
-                reply = await self._call(current, request, deadline_s - now_s)
+                reply = await self._call_until_replaced(
+                    current, request, deadline_s - now_s
+                )
             except PeerUnreachableError as error:
                 pending.note_failure(error, current.epoch)
                 if error.is_refused:
                     self._leadership.suspect(current.epoch)
+                if self._is_replaced(current):
+                    continue
                 await self._leadership.changed(RETRY_S)
                 await self._query_peers()
                 continue
@@ -190,6 +200,37 @@
             return HolderIs(current.epoch, current.host)
         return await leader.answer(request)
 
+    async def _call_until_replaced(
+        self, current: LeaderRecord, request: Request, left_s: float
+    ) -> Reply:
+        """Return a leader's reply, unless a newer leader is known before.
+
+        Requests may be repeated: the newer leader knows what the store has. Raises
+        PeerUnreachableError.
+        """
+        call = asyncio.ensure_future(self._call(current, request, left_s))
+        call.add_done_callback(_retrieve)
+        try:
+            while True:
+                change = asyncio.ensure_future(self._leadership.changed(left_s))
+                await asyncio.wait({call, change}, return_when=FIRST_COMPLETED)
+                change.cancel()
+                if call.done():
+                    return call.result()
+                if self._is_replaced(current):
+                    logger.info(
+                        "entry: leader replaced; asking its successor.",
+                        extra={"epoch": current.epoch},
+                    )
+                    raise PeerUnreachableError("it was replaced", True, False)
+        finally:
+            call.cancel()
+
+    def _is_replaced(self, asked: LeaderRecord) -> bool:
+        newest = self._leadership.current
+        state = state_of_call(asked.epoch, newest.epoch if newest else 0)
+        return RULES[state].verdict is Verdict.ASK_AGAIN
+
     async def _call(
         self, current: LeaderRecord, request: Request, left_s: float
     ) -> Reply:
@@ -325,3 +366,9 @@
         if isinstance(reply, HolderIs) and reply.epoch:
             self._leadership.learn_leader(reply.epoch, reply.host)
         return True
+
+
+def _retrieve(call: asyncio.Future[Reply]) -> None:
+    """Retrieve the error of a call that nobody waits for any more."""
+    if not call.cancelled():
+        call.exception()
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/journal.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/journal.py
@@ -5,8 +5,11 @@
 import asyncio
 import logging
 import random
+from asyncio import FIRST_COMPLETED
 from collections.abc import Callable
+from typing import Any
 
+from cicadatrail_core.leadership.request_rules import RULES, RequestState
 from cicadatraild.platform.store import (
     JOBS_TOPIC,
     FencedError,
@@ -31,9 +34,8 @@
 RETRY_S = 0.08
 """Mean delay before an append is retried; ten response times of the store."""
 
-STALLED_S = 0.4
-"""Time without an answer after which no new jobs are accepted; a healthy store
-answers in 8 ms."""
+STALLED_S = RULES[RequestState.UNSENT].wait_s
+"""Time without an answer after which no new jobs are accepted."""
 
 Batch = tuple[list[KeyedRecord], Callable[[], None]]
 
@@ -61,6 +63,7 @@
         self._wake = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
         self._sent_s: float | None = None
+        self._stalled = asyncio.Event()
         self._is_closed = False
         self.append_count = 0
         self.stored_bytes = 0
@@ -85,12 +88,28 @@
 
         Raises FencedError when the journal ends before.
         """
+        await self.start_flush()
+
+    def start_flush(self) -> asyncio.Future[None]:
+        """Return a future that ends once all changes so far are stored.
+
+        Raises FencedError, as the future does, when the journal ends before.
+        """
         if self._is_closed:
             raise FencedError("the journal is closed")
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters.append(future)
         self._wake.set()
-        await future
+        return future
+
+    async def wait_unless_stalled(self, flush: asyncio.Future[None]) -> None:
+        """Wait until a flush has ended, or an append is stalled."""
+        stalling = asyncio.ensure_future(self._stalled.wait())
+        waited: set[asyncio.Future[Any]] = {flush, stalling}
+        try:
+            await asyncio.wait(waited, return_when=FIRST_COMPLETED)
+        finally:
+            stalling.cancel()
 
     def flush_soon(self) -> None:
         """Schedule an append of all changes without waiting for it."""
@@ -130,6 +149,21 @@
         """
         producer = Producer(PRODUCER, self._epoch, self._sequence)
         self._sent_s = loop_now_s()
+        loop = asyncio.get_running_loop()
+        stalling = loop.call_later(STALLED_S, self._stalled.set)
+        try:
+            await self._append_until_stored(records, producer)
+        finally:
+            stalling.cancel()
+            self._stalled.clear()
+        self._sent_s = None
+        self._sequence += 1
+        self.append_count += 1
+        self.stored_bytes += sum(len(record.value or b"") for record in records)
+
+    async def _append_until_stored(
+        self, records: list[KeyedRecord], producer: Producer
+    ) -> None:
         attempts = 0
         while True:
             try:
@@ -151,10 +185,6 @@
                     extra={"attempt": attempts, "reason": str(error)},
                 )
                 await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
-        self._sent_s = None
-        self._sequence += 1
-        self.append_count += 1
-        self.stored_bytes += sum(len(record.value or b"") for record in records)
 
 
 def _split(records: list[KeyedRecord]) -> list[list[KeyedRecord]]:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 
 from cicadatrail_core.jobs.data_centre_evacuation import evacuate_data_centres
 from cicadatrail_core.jobs.ejection import EJECTION_S, eject
@@ -20,6 +20,12 @@
 from cicadatrail_core.jobs.records import decode_definition
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
+from cicadatrail_core.leadership.request_rules import (
+    RULES,
+    RequestState,
+    Verdict,
+    state_without_store,
+)
 from cicadatraild.platform.advice import AdviceClient
 from cicadatraild.platform.machines import MachineClient
 from cicadatraild.platform.settings import PlatformSettings
@@ -284,8 +290,12 @@
 
     async def answer(self, request: Request) -> Reply:
         """Return the reply to a request about jobs."""
-        await self.ready.wait()
-        if self._has_ended:
+        if not self.ready.is_set():
+            with suppress(TimeoutError):
+                async with asyncio.timeout(RULES[RequestState.TAKING_OVER].wait_s):
+                    await self.ready.wait()
+        if self._has_ended or not self.ready.is_set():
+            # Nothing of it was carried out.
             return HolderIs(0, "")
         try:
             match request:
@@ -318,9 +328,27 @@
                 return Refused("too many subtasks are open")
             job = self.scheduler.accept(request.job_id, definition, loop_now_s())
             self.scheduler.changed_jobs[request.job_id] = None
-        # An unanswered append may have been carried out, so a retried request waits
-        # for the same append.
-        await self.journal.flush()
+        return await self._store_submission(request.job_id)
+
+    async def _store_submission(self, job_id: str) -> Reply:
+        """Store an accepted job, or drop it if the store is silent before it is sent.
+
+        An unanswered append may have been carried out, so a retried request waits for
+        the same append.
+        """
+        flush = self.journal.start_flush()
+        await self.journal.wait_unless_stalled(flush)
+        if not flush.done():
+            jobs, changed = self.scheduler.jobs, self.scheduler.changed_jobs
+            state = state_without_store(job_id in jobs, job_id in changed)
+            if RULES[state].verdict is Verdict.REFUSE:
+                flush.cancel()
+                changed.pop(job_id, None)
+                self.scheduler.discard(job_id)
+                counts = self.scheduler.counts
+                counts["unsent-job"] = counts.get("unsent-job", 0) + 1
+                return Refused("the store does not answer; the job was not sent")
+        await flush
         return Stored()
 
     async def _cancel(self, request: Cancel) -> Reply:
