--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -14,17 +14,23 @@
       | appending     | inf  | unknown     |
 
   # Guards against 504 for what was never sent to the store.
-  Scenario: A job that is in no append is refused once the store is silent
-    Given a leader whose store does not answer
+  Scenario: A job that is in no append is refused once appends have failed for 0.4 s
+    Given a leader whose store fails
     When two jobs are submitted, one while the append of the other is under way
-    Then the second is refused after 0.4 s, and the first is not
+    Then the second is refused after 0.5 s, and the first is not
     And the second is accepted once it is sent again to the store that answers
 
   Scenario: A job whose append is under way is not refused
-    Given a leader whose store does not answer
+    Given a leader whose store fails
     When a job is submitted again while its append is under way
     Then neither is refused, and both are answered once the store answers
 
+  # Guards against refusals while each job is stored within two appends.
+  Scenario: Jobs are accepted while the store is only slow
+    Given a leader whose store takes 0.8 s
+    When a job is submitted each 0.3 s
+    Then all are accepted
+
   # Guards against requests that wait for a dead leader until their deadline.
   Scenario: A request to a leader that is silent is sent to its successor
     Given an instance whose leader answers nothing
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -34,11 +34,37 @@
     assert (rule.wait_s, rule.verdict) == (float(wait), VERDICTS[verdict])
 
 
-@given("a leader whose store does not answer")
-def step_silent_store(context: Any) -> None:
+@given("a leader whose store fails")
+def step_failing_store(context: Any) -> None:
     context.store = FakeStore()
 
 
+@given("a leader whose store takes 0.8 s")
+def step_slow_store(context: Any) -> None:
+    context.store = FakeStore(takes_s=0.8)
+    context.store.answers.set()
+
+
+@when("a job is submitted each 0.3 s")
+def step_submit_each(context: Any) -> None:
+    async def scenario() -> None:
+        leader = new_leader(context.store)
+        running = asyncio.create_task(leader.journal.run())
+        calls = []
+        for name in "abcd":
+            calls.append(asyncio.create_task(leader._submit(submission(name))))
+            await asyncio.sleep(0.3)
+        context.replies = await asyncio.gather(*calls)
+        running.cancel()
+
+    asyncio.run(scenario())
+
+
+@then("all are accepted")
+def step_all_accepted(context: Any) -> None:
+    assert context.replies == [Stored()] * 4, context.replies
+
+
 def _submit(context: Any, names: tuple[str, str]) -> None:
     """Submit one job and, 0.1 s later, another; then let the store answer."""
 
@@ -71,7 +97,7 @@
     _submit(context, ("a", "a"))
 
 
-@then("the second is refused after 0.4 s, and the first is not")
+@then("the second is refused after 0.5 s, and the first is not")
 def step_second_refused(context: Any) -> None:
     assert context.early[0] is None
     assert isinstance(context.early[1], Refused), context.early
--- a/packages/cicadatrail-core/src/cicadatrail_core/leadership/request_rules.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/leadership/request_rules.py
@@ -18,7 +18,7 @@
     ASKED = "the leader has been asked"
     REPLACED = "a newer leader is known than the one asked"
     TAKING_OVER = "the leader has not taken over yet"
-    UNSENT = "the change is in no append, and the store is silent"
+    UNSENT = "the change is in no append, and those before it fail"
     APPENDING = "the change is in an append without an answer"
 
 
@@ -54,7 +54,7 @@
 
 
 def state_without_store(is_known: bool, is_unsent: bool) -> RequestState:
-    """Return the state of a submission when the store has become silent.
+    """Return the state of a submission once appends have failed for too long.
 
     ``is_known`` is whether the leader still has the job, ``is_unsent`` whether it is in
     no append yet.
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/journal.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/journal.py
@@ -35,7 +35,7 @@
 """Mean delay before an append is retried; ten response times of the store."""
 
 STALLED_S = RULES[RequestState.UNSENT].wait_s
-"""Time without an answer after which no new jobs are accepted."""
+"""Time of failed attempts after which no new jobs are accepted."""
 
 Batch = tuple[list[KeyedRecord], Callable[[], None]]
 
@@ -62,7 +62,6 @@
         self._sequence = 1
         self._wake = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
-        self._sent_s: float | None = None
         self._stalled = asyncio.Event()
         self._is_closed = False
         self.append_count = 0
@@ -70,8 +69,11 @@
 
     @property
     def is_stalled(self) -> bool:
-        """Return whether an append has been unanswered for too long."""
-        return self._sent_s is not None and loop_now_s() - self._sent_s > STALLED_S
+        """Return whether attempts of an append have failed for too long.
+
+        A store that is only slow takes it within the time of one attempt.
+        """
+        return self._stalled.is_set()
 
     async def fence(self) -> None:
         """Make the store refuse all further appends of earlier epochs.
@@ -148,15 +150,10 @@
         Raises FencedError.
         """
         producer = Producer(PRODUCER, self._epoch, self._sequence)
-        self._sent_s = loop_now_s()
-        loop = asyncio.get_running_loop()
-        stalling = loop.call_later(STALLED_S, self._stalled.set)
         try:
             await self._append_until_stored(records, producer)
         finally:
-            stalling.cancel()
             self._stalled.clear()
-        self._sent_s = None
         self._sequence += 1
         self.append_count += 1
         self.stored_bytes += sum(len(record.value or b"") for record in records)
@@ -164,6 +161,7 @@
     async def _append_until_stored(
         self, records: list[KeyedRecord], producer: Producer
     ) -> None:
+        sent_s = loop_now_s()
         attempts = 0
         while True:
             try:
@@ -180,6 +178,8 @@
                 producer = Producer(PRODUCER, self._epoch, self._sequence)
             except StoreUnavailableError as error:
                 attempts += 1
+                if loop_now_s() - sent_s > STALLED_S:
+                    self._stalled.set()
                 logger.warning(
                     "journal: append failed; retrying.",
                     extra={"attempt": attempts, "reason": str(error)},
