Refuse jobs that would only come too late, and spread their callers' return

Every submission was accepted by its form alone: under lasting overload jobs waited although they could end only after three times their objective, and Retry-After was always 1. The leader now asks a pure decision (job_admission) for new ids, before anything is stored. It refuses only if an optimistic forecast says that the job comes too late, and tells a time from the forecast of the queue, in three groups and by a hash of the job's id. Queues without a target latency, jobs that last, have times or are best-effort, and leaders that can't foresee accept as before.

--- a/features/support/outer_metrics.py
+++ b/features/support/outer_metrics.py
@@ -49,6 +49,7 @@
     holder = Leader(sample(settings.PlatformSettings), store, office, 3, list)
     holder.scheduler.counts["end"] = 1
     holder.scheduler.team_used["team"] = Resources(1, 2, 3)
+    holder.admission.refused_counts["text"] = 1
     holder.balance.needs["pool"] = PoolNeed(1, 2)
     callers = CallerInterface(MagicMock(), lambda: None, lambda: False)
     callers.answers[("submit", 200)] = 1
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/urgency.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/urgency.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from cicadatrail_core.jobs.models import Queue
+from cicadatrail_core.jobs.models import JobDefinition, Queue
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import JobState, StepState
 
@@ -32,15 +32,20 @@
     return max(ends, default=0.0)
 
 
-def objective_s(scheduler: Scheduler, job: JobState, queue: Queue) -> float:
-    """Return the time in seconds within which a job should complete."""
+def critical_path_s(scheduler: Scheduler, definition: JobDefinition) -> float:
+    """Return the expected duration of the critical path of a whole occurrence."""
     ends_ms: list[float] = []
-    for step in job.definition.steps:
+    for step in definition.steps:
         before = max((ends_ms[k] for k in step.after), default=0.0)
-        own_ms = scheduler.durations.expected_ms(queue.name, step.estimate_ms)
+        own_ms = scheduler.durations.expected_ms(definition.queue, step.estimate_ms)
         ends_ms.append(before + own_ms)
-    path_ms = max(ends_ms, default=0.0)
-    return (queue.stretch * path_ms + queue.target_latency_ms) / 1000
+    return max(ends_ms, default=0.0) / 1000
+
+
+def objective_s(scheduler: Scheduler, job: JobState, queue: Queue) -> float:
+    """Return the time in seconds within which a job should complete."""
+    path_s = critical_path_s(scheduler, job.definition)
+    return queue.stretch * path_s + queue.target_latency_ms / 1000
 
 
 def start_order(
--- /dev/null
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/admission.py
@@ -0,0 +1,142 @@
+"""The leader's admission of new jobs: reads the load, decides, logs and counts."""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+
+from cicadatrail_core.jobs.admission_load import (
+    asks_for_admission,
+    describe_job,
+    is_forecast_blind,
+    read_load,
+)
+from cicadatrail_core.jobs.job_admission import (
+    ARRIVAL_WINDOW_S,
+    Admit,
+    FleetLoad,
+    NewJob,
+    Reject,
+    Work,
+    decide,
+)
+from cicadatrail_core.jobs.models import JobDefinition, Machine, Queue
+from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatraild.scheduling.messages import Refused
+
+logger = logging.getLogger("cicadatrail.admission")
+
+LOAD_AGE_S = 0.25
+"""Time for which a reading of the load is used; reading it visits every job."""
+
+RETURNING_LIMIT_COUNT = 1000
+"""Refused jobs that are remembered at most, the newest: each decision visits all."""
+
+
+class AdmissionControl:
+    """Decide on new jobs; remember the refused ones until they may come back.
+
+    ``machines`` returns the machine list. ``refused_counts`` counts refusals by reason,
+    ``retry_after_s`` is the newest time that a caller was told.
+    """
+
+    def __init__(
+        self, scheduler: Scheduler, machines: Callable[[], Mapping[str, Machine]]
+    ) -> None:
+        self._scheduler = scheduler
+        self._machines = machines
+        self._load = FleetLoad({}, {}, ())
+        self._read_s = float("-inf")
+        # Work of refused jobs and when they may come back, by job.
+        self._returning: dict[str, tuple[float, Work]] = {}
+        # Work that was accepted lately, and when.
+        self._recent: deque[tuple[float, Work]] = deque()
+        self.refused_counts: dict[str, int] = {}
+        self.retry_after_s = 0.0
+
+    def consider(
+        self, job_id: str, definition: JobDefinition, now_s: float
+    ) -> Refused | None:
+        """Return the refusal of a job that is not known yet, or None to accept it."""
+        queue = self._scheduler.queues.get(definition.queue)
+        if queue is None or not asks_for_admission(queue, definition):
+            return None
+        try:
+            return self._consider(job_id, definition, queue, now_s)
+        except Exception:
+            logger.exception(
+                "admission: decision failed; accepting the job.",
+                extra={"job_id": job_id},
+            )
+            return None
+
+    def _consider(
+        self, job_id: str, definition: JobDefinition, queue: Queue, now_s: float
+    ) -> Refused | None:
+        if not self._machines() or is_forecast_blind(self._scheduler, queue, now_s):
+            return None
+        self._refresh(now_s)
+        self._returning.pop(job_id, None)
+        job = describe_job(self._scheduler, job_id, definition, queue, now_s)
+        returning = tuple(work for _, work in self._returning.values())
+        while self._recent and self._recent[0][0] < now_s - ARRIVAL_WINDOW_S:
+            self._recent.popleft()
+        recent = tuple(work for _, work in self._recent)
+        load = replace(self._load, returning=returning, recent=recent)
+        match decide(load, job, now_s):
+            case Admit():
+                # Counts until the next reading finds it among the jobs.
+                waiting = (*self._load.waiting, job.work)
+                self._load = replace(self._load, waiting=waiting)
+                self._recent.append((now_s, job.work))
+                return None
+            case Reject() as decision:
+                return self._refuse(job, queue, decision, load, now_s)
+
+    def _refresh(self, now_s: float) -> None:
+        if now_s - self._read_s < LOAD_AGE_S:
+            return
+        self._load = read_load(self._scheduler, self._machines(), now_s)
+        self._read_s = now_s
+        self._returning = {
+            job_id: entry
+            for job_id, entry in self._returning.items()
+            if entry[0] > now_s
+        }
+
+    def _refuse(
+        self,
+        job: NewJob,
+        queue: Queue,
+        decision: Reject,
+        load: FleetLoad,
+        now_s: float,
+    ) -> Refused:
+        self._returning[job.job_id] = (now_s + decision.retry_after_s, job.work)
+        if len(self._returning) > RETURNING_LIMIT_COUNT:
+            del self._returning[next(iter(self._returning))]
+        counts = self.refused_counts
+        counts[decision.reason] = counts.get(decision.reason, 0) + 1
+        self.retry_after_s = decision.retry_after_s
+        pool = load.pools[job.work.pool]
+        logger.info(
+            "admission: job refused.",
+            extra={
+                "job_id": job.job_id,
+                "queue": queue.name,
+                "team": job.work.team,
+                "reason": decision.reason,
+                "wait_s": round(decision.wait_s, 3),
+                "limit_s": round(decision.limit_s, 3),
+                "retry_after_s": round(decision.retry_after_s, 3),
+                "path_s": round(job.path_s, 3),
+                "core_s": round(job.work.core_s, 3),
+                "pool_cores": round(pool.cores, 1),
+                "joining_cores": round(load.joining_cores, 1),
+                "waiting_core_s": round(sum(w.core_s for w in load.waiting), 1),
+                "returning_count": len(load.returning),
+            },
+        )
+        return Refused(decision.reason, decision.retry_after_s)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -37,6 +37,7 @@
     StoreUnavailableError,
 )
 from cicadatraild.platform.workers import WorkerClient
+from cicadatraild.scheduling.admission import AdmissionControl
 from cicadatraild.scheduling.adviser import Adviser
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
 from cicadatraild.scheduling.former_leases import FormerLeases
@@ -135,6 +136,9 @@
             settings.order_gap_s,
             self.journal.flush,
         )
+        self.admission = AdmissionControl(
+            self.scheduler, lambda: self._inventory.machines
+        )
         self.waves = WaveRunner(
             self._inventory, store, self.scheduler, waves, self._on_wave_progress
         )
@@ -324,9 +328,13 @@
             if len(request.definition) > RECORD_LIMIT_BYTES:
                 return Refused("the job is too large to store")
             definition = decode_definition(request.definition)
-            if not self._open_subtasks.admits(definition, loop_now_s()):
+            now_s = loop_now_s()
+            refusal = self.admission.consider(request.job_id, definition, now_s)
+            if refusal is not None:
+                return refusal
+            if not self._open_subtasks.admits(definition, now_s):
                 return Refused("too many subtasks are open")
-            job = self.scheduler.accept(request.job_id, definition, loop_now_s())
+            job = self.scheduler.accept(request.job_id, definition, now_s)
             self.scheduler.changed_jobs[request.job_id] = None
         return await self._store_submission(request.job_id)
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
@@ -101,6 +101,12 @@
         for name, count in sorted(leader.scheduler.counts.items()):
             events.add_metric([name], count)
         yield events
+        refused = CounterMetricFamily(
+            "cicadatrail_refused_jobs", "Jobs refused by admission", labels=["reason"]
+        )
+        for reason, count in sorted(leader.admission.refused_counts.items()):
+            refused.add_metric([reason], count)
+        yield refused
         used = GaugeMetricFamily(
             "cicadatrail_team_cpu_cores", "Processor time in use", labels=["team"]
         )
@@ -164,6 +170,7 @@
             "machine_moves": leader.balance.move_count,
             "evacuated_data_centres": len(scheduler.evacuated_data_centres),
             "evacuated_workers": evacuated_worker_count(scheduler),
+            "retry_after_seconds": leader.admission.retry_after_s,
             "may_start": self._leadership.may_start(),
         }
         return gauges
