Keep room for large steps where they are expected to start first

Cause: a large subtask that fits nowhere, though the gaps of the pool would hold it, waits while small ones take each gap that opens.

A step without a foreseen start has the reservation as before. The choice of workers moved out of dispatch.py into worker_choice.py. The line of a start tells the processors of its subtask.

--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -75,6 +75,7 @@
     deadline_s: float = 0.0
     token: int = 0
     percent: int = 50
+    percents: dict[SubtaskName, int] = field(default_factory=dict)
     unacknowledged_done: set[SubtaskName] = field(default_factory=set)
     # Due time, subtask, run number, epoch and lease deadline of each delayed start.
     late_starts: list[tuple[float, SubtaskName, int, int, float]] = field(
@@ -149,7 +150,10 @@
         report = WorkerReport(
             self.now_ms,
             sim.started_ms,
-            tuple(RunningRow(n, r, "", sim.percent) for n, r in sim.running.items()),
+            tuple(
+                RunningRow(n, r, "", sim.percents.get(n, sim.percent))
+                for n, r in sim.running.items()
+            ),
             tuple(sim.ends),
         )
         apply_report(self.scheduler, worker, report, self.now_s, self.now_s + 0.001)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterable, Iterator, Set
 from dataclasses import dataclass
 from functools import partial
 
+from cicadatrail_core.jobs.backfill import Backfill
 from cicadatrail_core.jobs.crash_suspicion import (
     give_up_inherited,
     is_start_note_new,
@@ -38,9 +38,12 @@
 from cicadatrail_core.jobs.takeover import is_queue_reconciled
 from cicadatrail_core.jobs.team_limits import unseen_by_team, within_limit
 from cicadatrail_core.jobs.urgency import start_order, teams_over_share
-from cicadatrail_core.jobs.worker_conditions import advised_workers, can_run
+from cicadatrail_core.jobs.worker_choice import (
+    best_worker,
+    choose_gang_workers,
+    may_start_gang,
+)
 from cicadatrail_core.jobs.worker_leases import has_expired_lease
-from cicadatrail_core.jobs.worker_scores import count_by_rack, placement_score
 from cicadatrail_core.models.resources import Resources
 
 
@@ -51,6 +54,34 @@
     queue: Queue
 
 
+@dataclass(frozen=True, slots=True)
+class _Room:
+    """What one pass over a pool keeps free of the less urgent work."""
+
+    reservation: Reservation
+    backfill: Backfill
+
+    def closed_to(self, subtask: Subtask) -> Set[str]:
+        """Return the ids of the workers on which a subtask may not start."""
+        closed = self.reservation.closed_to(subtask)
+        return closed | self.backfill.closed_to(subtask)
+
+    def keep(self, step: StepState, waiting: list[Subtask]) -> None:
+        """Keep room for subtasks that found none.
+
+        A worker is reserved for what has no start that is foreseen, unless others have.
+        """
+        closed = self.reservation.closed_to(waiting[0])
+        self.backfill.keep(step, waiting, closed)
+        if not self.backfill.is_active and not step.spec.gang:
+            self.reservation.consider(step)
+
+    def end(self) -> None:
+        """Note at the end of the pass what is kept."""
+        self.reservation.end()
+        self.backfill.end()
+
+
 def dispatch(scheduler: Scheduler, now_s: float) -> None:
     """Place ready subtasks on workers, the most urgent first.
 
@@ -59,6 +90,7 @@
     ready = list(_ready_steps(scheduler, now_s))
     if not ready:
         forget_reservations(scheduler, ())
+        scheduler.kept_starts.forget(set(), now_s)
         return
     over_share = teams_over_share(scheduler, ready)
     pools: dict[str, list[_Candidate]] = {}
@@ -72,6 +104,7 @@
             raise PlacementError(step.job) from error
         pools.setdefault(queue.pool, []).append(_Candidate(order, step, queue))
     forget_reservations(scheduler, pools)
+    scheduler.kept_starts.forget(set(pools), now_s)
     unseen = unseen_by_team(scheduler, now_s)
     suspects = ready_suspects(scheduler) if scheduler.suspects else []
     for pool, candidates in pools.items():
@@ -94,10 +127,13 @@
                 now_s,
             )
         cursor = Cursor(candidates)
-        reservation = Reservation(scheduler, pool, workers, now_s)
+        room = _Room(
+            Reservation(scheduler, pool, workers, now_s),
+            Backfill(scheduler, pool, workers, now_s),
+        )
         try:
             _place_candidates(
-                scheduler, cursor, workers, reservation, reconciled, unseen, now_s
+                scheduler, cursor, workers, room, reconciled, unseen, now_s
             )
         except Exception as error:
             if cursor.last is None:
@@ -143,7 +179,7 @@
     scheduler: Scheduler,
     candidates: Iterable[_Candidate],
     workers: list[WorkerState],
-    reservation: Reservation,
+    room: _Room,
     reconciled: set[str],
     unseen: dict[str, Resources],
     now_s: float,
@@ -154,26 +190,44 @@
             continue
         if step.spec.gang:
             if not is_suspect_step(step):
-                reserved = reservation.closed_to(step.subtasks[0])
-                _place_gang(scheduler, step, workers, reserved, unseen, now_s)
+                _place_gang(scheduler, step, workers, room, unseen, now_s)
             continue
-        blocked = False
-        for subtask in list(step.ready.values()):
+        ready = list(step.ready.values())
+        for position, subtask in enumerate(ready):
             if not within_limit(scheduler, step, 1, unseen):
                 break
-            if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
-                continue
-            if not scheduler.may_repeat(subtask):
+            if not _may_start(scheduler, subtask):
                 continue
-            reserved = reservation.closed_to(subtask)
-            worker = _best_worker(scheduler, subtask, workers, reserved, now_s)
+            closed = room.closed_to(subtask)
+            worker = best_worker(
+                scheduler, subtask, workers, closed, room.backfill, now_s
+            )
             if worker is None:
-                blocked = True
+                rest = [s for s in ready[position:] if _may_start(scheduler, s)]
+                room.keep(step, _within_limit(scheduler, step, rest, unseen))
                 break
             scheduler.place(subtask, worker, now_s)
-        if blocked:
-            reservation.consider(step)
-    reservation.end()
+    room.end()
+
+
+def _may_start(scheduler: Scheduler, subtask: Subtask) -> bool:
+    """Return whether a ready subtask may start beside others, its limits aside."""
+    if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
+        return False
+    return scheduler.may_repeat(subtask)
+
+
+def _within_limit(
+    scheduler: Scheduler,
+    step: StepState,
+    waiting: list[Subtask],
+    unseen: dict[str, Resources],
+) -> list[Subtask]:
+    """Return as many waiting subtasks, one at least, as may run at once."""
+    count = 1
+    while count < len(waiting) and within_limit(scheduler, step, count + 1, unseen):
+        count += 1
+    return waiting[:count]
 
 
 def _has_attempt(scheduler: Scheduler, subtask: Subtask) -> bool:
@@ -262,97 +316,37 @@
     ``groups`` has the workers to choose from, the preferred first.
     """
     step = subtask.step
+    if step.spec.gang and not may_start_gang(scheduler, step, unseen):
+        return None
     for workers in groups:
         if step.spec.gang:
-            chosen = _choose_gang_workers(
-                scheduler, step, workers, set(), unseen, now_s
-            )
+            chosen = choose_gang_workers(scheduler, step, workers, set(), now_s)
             if chosen is not None:
                 return chosen
             continue
-        worker = _best_worker(scheduler, subtask, workers, set(), now_s)
+        worker = best_worker(scheduler, subtask, workers, set(), None, now_s)
         if worker is not None:
             return [worker]
     return None
 
 
-def _best_worker(
-    scheduler: Scheduler,
-    subtask: Subtask,
-    workers: list[WorkerState],
-    reserved: Set[str],
-    now_s: float,
-) -> WorkerState | None:
-    """Return the allowed worker with the lowest score, or None."""
-    spec = subtask.step.spec
-    advised = advised_workers(scheduler, subtask.step, now_s)
-    # Only the scores of long-running and best-effort work depend on it.
-    on_racks = count_by_rack(subtask.step) if spec.lasting or spec.filler else Counter()
-    best: WorkerState | None = None
-    best_score = 0
-    for worker in workers:
-        if worker.facts.worker_id in reserved:
-            continue
-        if advised is not None and worker.facts.worker_id not in advised:
-            continue
-        if not can_run(subtask.step, worker):
-            continue
-        score = placement_score(scheduler, subtask, worker, on_racks)
-        if best is None or score < best_score:
-            best, best_score = worker, score
-    return best
-
-
 def _place_gang(
     scheduler: Scheduler,
     step: StepState,
     workers: list[WorkerState],
-    reserved: Set[str],
+    room: _Room,
     unseen: dict[str, Resources],
     now_s: float,
 ) -> None:
     """Start all subtasks of a gang, or none of them."""
-    chosen = _choose_gang_workers(scheduler, step, workers, reserved, unseen, now_s)
+    if not may_start_gang(scheduler, step, unseen):
+        return
+    closed = room.closed_to(step.subtasks[0])
+    chosen = choose_gang_workers(scheduler, step, workers, closed, now_s)
     if chosen is not None:
         _start_gang(scheduler, step, chosen, now_s)
-
-
-def _choose_gang_workers(
-    scheduler: Scheduler,
-    step: StepState,
-    workers: list[WorkerState],
-    reserved: Set[str],
-    unseen: dict[str, Resources],
-    now_s: float,
-) -> list[WorkerState] | None:
-    """Return a worker for each subtask of a gang that may start now, or None."""
-    members = step.subtasks
-    if len(step.ready) < len(members):
-        return None
-    if not all(scheduler.may_repeat(member) for member in members):
-        return None
-    # The members of a run share its number; one that ended unreported may have failed.
-    unreported = {number for member in members for number in member.expired_runs}
-    attempt_count = step.gang_failures + len(unreported)
-    if not step.spec.lasting and attempt_count >= scheduler.attempt_limit(step.job):
-        return None
-    advised = advised_workers(scheduler, step, now_s)
-    if advised is not None:
-        workers = [w for w in workers if w.facts.worker_id in advised]
-    if not within_limit(scheduler, step, len(members), unseen):
-        return None
-    groups = [workers]
-    if step.spec.same_rack:
-        racks: dict[str, list[WorkerState]] = {}
-        for worker in workers:
-            racks.setdefault(worker.facts.rack, []).append(worker)
-        # Spanning racks is slower, but better than not starting at all.
-        groups = [*racks.values(), workers]
-    for group in groups:
-        chosen = _fit_gang(step, group, reserved)
-        if chosen is not None:
-            return chosen
-    return None
+    else:
+        room.keep(step, step.subtasks)
 
 
 def _start_gang(
@@ -364,25 +358,3 @@
     for member, worker in zip(members, chosen, strict=True):
         member.last_run = number
         scheduler.place(member, worker, now_s)
-
-
-def _fit_gang(
-    step: StepState, workers: list[WorkerState], reserved: Set[str]
-) -> list[WorkerState] | None:
-    """Return a worker for each subtask of a gang, or None if not all fit."""
-    spec = step.spec
-    chosen: list[WorkerState] = []
-    for worker in sorted(workers, key=lambda w: -w.free_capacity.cpu_millicores):
-        if worker.facts.worker_id in reserved or not can_run(step, worker):
-            continue
-        free = worker.free_capacity
-        placed_count = 0
-        while len(chosen) < spec.count and spec.reserved.fits_in(free):
-            if spec.spread_limit_count and placed_count >= spec.spread_limit_count:
-                break
-            free = free - spec.reserved
-            placed_count += 1
-            chosen.append(worker)
-        if len(chosen) == spec.count:
-            return chosen
-    return None
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/durations.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/durations.py
@@ -13,6 +13,9 @@
 MIN_SAMPLE_COUNT = 10
 """Completed subtasks of a queue after which its estimates are corrected."""
 
+BOUND_DEVIATIONS = 1.28
+"""Standard deviations from the prediction to a bound; a tenth of the runs exceed it."""
+
 DECAY_SAMPLE_COUNT = 200
 """Number of samples over which the weight of old samples decays exponentially."""
 
@@ -20,18 +23,37 @@
 """Lower bound of the estimates, whose logarithms are taken."""
 
 
+@dataclass(frozen=True, slots=True)
+class RunTime:
+    """Predicted run time of a subtask; most runs end between the two bounds."""
+
+    early_s: float
+    expected_s: float
+    late_s: float
+
+
 @dataclass(slots=True)
 class _Regression:
-    """Least squares over decaying sums of log estimates (x) and log run times (y)."""
+    """Least squares over decaying sums of log estimates (x) and log run times (y).
+
+    The squares of the residuals are those of the predictions made before each sample
+    was added.
+    """
 
     count: float = 0.0
     sum_x: float = 0.0
     sum_y: float = 0.0
     sum_xx: float = 0.0
     sum_xy: float = 0.0
+    residual_count: float = 0.0
+    sum_squares: float = 0.0
 
     def add(self, x: float, y: float) -> None:
         decay = 1 - 1 / DECAY_SAMPLE_COUNT
+        if self.count >= MIN_SAMPLE_COUNT:
+            residual = y - self.predict(x)
+            self.residual_count = self.residual_count * decay + 1
+            self.sum_squares = self.sum_squares * decay + residual * residual
         self.count = self.count * decay + 1
         self.sum_x = self.sum_x * decay + x
         self.sum_y = self.sum_y * decay + y
@@ -70,3 +92,17 @@
             return float(estimate_ms)
         x = math.log(max(MIN_ESTIMATE_MS, estimate_ms))
         return math.exp(regression.predict(x))
+
+    def run_time(self, queue: str, estimate_ms: int) -> RunTime | None:
+        """Return the expected run time with its bounds.
+
+        Returns None until the queue has enough samples to know the spread.
+        """
+        regression = self._queues.get(queue)
+        if regression is None or regression.residual_count < MIN_SAMPLE_COUNT:
+            return None
+        x = math.log(max(MIN_ESTIMATE_MS, estimate_ms))
+        expected_s = math.exp(regression.predict(x)) / 1000
+        deviation = math.sqrt(regression.sum_squares / regression.residual_count)
+        factor = math.exp(BOUND_DEVIATIONS * deviation)
+        return RunTime(expected_s / factor, expected_s, expected_s * factor)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from cicadatrail_core.jobs.kept_starts import describe_kept_start
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, StepState, SubtaskPhase
 from cicadatrail_core.jobs.takeover import is_queue_reconciled
@@ -133,4 +134,7 @@
     workers = [w for w in scheduler.workers.values() if w.facts.pool == queue.pool]
     if not any(step.spec.reserved.fits_in(w.facts.capacity) for w in workers):
         return "no worker of the pool is large enough"
+    kept = scheduler.kept_starts.get(step)
+    if kept is not None:
+        return describe_kept_start(kept, now_s)
     return "no worker has room"
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/reservations.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/reservations.py
@@ -65,7 +65,7 @@
         if not self._reserved or subtask.step.spec.lasting:
             return frozenset()
         waited_s = self._now_s - subtask.ready_s
-        if waited_s > ROOM_WAIT_LIMIT_S and _has_much_room(self._scheduler, self._pool):
+        if waited_s > ROOM_WAIT_LIMIT_S and has_much_room(self._scheduler, self._pool):
             return frozenset()
         return self._reserved
 
@@ -81,7 +81,7 @@
         del scheduler.reserved_since_s[pool]
 
 
-def _has_much_room(scheduler: Scheduler, pool: str) -> bool:
+def has_much_room(scheduler: Scheduler, pool: str) -> bool:
     """Return whether under half of the processors of a pool are in use."""
     workers = [w for w in scheduler.workers.values() if w.facts.pool == pool]
     used = sum(worker.used.cpu_millicores for worker in workers)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -18,6 +18,7 @@
 )
 from cicadatrail_core.jobs.durations import Durations
 from cicadatrail_core.jobs.ended_lives import ORDER_REASONS, EndedLives
+from cicadatrail_core.jobs.kept_starts import KeptStarts
 from cicadatrail_core.jobs.log_fields import worker_fields
 from cicadatrail_core.jobs.models import (
     FleetConfiguration,
@@ -86,6 +87,7 @@
         # Whether none had been elected a number of seconds ago.
         self.held_lease_ago: Callable[[float], bool] = lambda _age_s: True
         self.counts: dict[str, int] = {}
+        self.kept_starts = KeptStarts(self.counts)
 
     # Configuration and workers
 
@@ -387,7 +389,7 @@
         expire_leases(self, now_s)
         self.queue_pools.drop_unused(self, now_s)
         drop_ended_suspects(self)
-        if self.suspects or self.reserved_since_s:
+        if self.suspects or self.reserved_since_s or self.kept_starts:
             # Workers that were kept for a suspect or reserved become free with time.
             self.on_change()
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -43,6 +43,7 @@
     __slots__ = (
         "answered_s",
         "apart_until_s",
+        "first_progress",
         "inherited_clock_ms",
         "is_start_pending",
         "measurement",
@@ -78,6 +79,8 @@
         self.start_expires_s = float("inf")
         self.percent = 0
         self.progress_s = sent_s
+        # When the run was first listed, and its progress in percent then.
+        self.first_progress: tuple[float, int] | None = None
         self.measurement = 0
         self.paced_percent = 100
         # Until then the worker starts nothing else, as the run may crash it.
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -96,6 +96,8 @@
         run.phase = RunPhase.RUNNING
         run.answered_s = run.answered_s or now_s
     _settle_inherited(scheduler, run)
+    if run.first_progress is None:
+        run.first_progress = (now_s, row.percent)
     if row.percent != run.percent:
         run.percent = row.percent
         run.progress_s = now_s
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_scores.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_scores.py
@@ -52,15 +52,22 @@
         score = _long_running_score(subtask, worker, on_racks)
         if worker.facts.machine in scheduler.next_maintenance_machines:
             score += FAR_PENALTY_MILLICORES
-    if spec.data_rack and spec.data_rack not in worker.facts.labels:
-        score += FAR_PENALTY_MILLICORES
-    if worker.facts.cold_ms > 0:
-        score += COLD_PENALTY_MILLICORES
+    score += penalty_millicores(subtask.step, worker)
     if subtask.avoided_worker == worker.facts.worker_id:
         score += 2 * FAR_PENALTY_MILLICORES
     return score
 
 
+def penalty_millicores(step: StepState, worker: WorkerState) -> int:
+    """Return the penalty for a worker that runs a step's subtasks more slowly."""
+    penalty = 0
+    if step.spec.data_rack and step.spec.data_rack not in worker.facts.labels:
+        penalty += FAR_PENALTY_MILLICORES
+    if worker.facts.cold_ms > 0:
+        penalty += COLD_PENALTY_MILLICORES
+    return penalty
+
+
 def _long_running_score(
     subtask: Subtask, worker: WorkerState, on_racks: Counter[str]
 ) -> int:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -184,6 +184,7 @@
                 "worker_id": worker.facts.worker_id,
                 "answer_age_s": age_s(worker.answered_s),
                 "waited_s": round(run.sent_s - subtask.ready_s, 3),
+                "cpu_millicores": subtask.step.spec.need.cpu_millicores,
                 "outcome": outcome.value,
             },
         )
