Compare a need with a worker's room without making objects

Cause: a pass over a pool that is full asks each waiting step on each worker, and made two amounts of resources for each.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/backfill.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/backfill.py
@@ -107,7 +107,7 @@
         return {
             worker_id
             for worker_id, rooms in self._rooms.items()
-            if need.fits_in(self._workers[worker_id].free_capacity)
+            if self._workers[worker_id].has_room(need)
             and not self._leaves_rooms(self._workers[worker_id], rooms, need, over_s)
         }
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -326,6 +326,20 @@
         """Return the capacity that no run takes."""
         return self.facts.capacity - self.used
 
+    def has_room(self, need: Resources) -> bool:
+        """Return whether a need fits in the free capacity.
+
+        Called for each waiting step and worker, so that it makes no object.
+        """
+        used = self.used
+        capacity = self.facts.capacity
+        return (
+            need.cpu_millicores + used.cpu_millicores <= capacity.cpu_millicores
+            and need.memory_mib + used.memory_mib <= capacity.memory_mib
+            and need.accelerator_count + used.accelerator_count
+            <= capacity.accelerator_count
+        )
+
     @property
     def is_over_capacity(self) -> bool:
         """Return whether the runs take more than the capacity, which may shrink."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_conditions.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_conditions.py
@@ -11,7 +11,7 @@
 
 def can_run(step: StepState, worker: WorkerState) -> bool:
     """Return whether capacity, label and spread limit let a worker run a subtask."""
-    if not step.spec.reserved.fits_in(worker.free_capacity):
+    if not worker.has_room(step.spec.reserved):
         return False
     return _is_allowed(step, worker)
 
