Let the limit of a reservation go on while a pool keeps room instead

Cause: a pass that keeps room for a large step makes no reservation, and forgot since when the pool had one. A pool that has them in turns would have had a reservation without its limit of 6 s.

The new scenario failed without the condition (the time was forgotten). Found by reading; not seen in a run.

--- a/features/lookahead.feature
+++ b/features/lookahead.feature
@@ -69,6 +69,12 @@
     When no run ends for 4 seconds
     Then no room is kept for it, and the kept start counts as not foreseen
 
+  Scenario: The limit of a reservation goes on while room is kept instead
+    Given a scheduler with 3 workers of 8 cores
+    And each worker runs a subtask of 3 cores and a subtask of 8 cores is blocked
+    When a pass keeps room and needs no reservation
+    Then the reservation's limit goes on, until a pass keeps nothing
+
   Scenario: The members of a gang have their rooms kept together
     Given a gang of 2 members of 7 cores that fits once w0 has emptied, and w1 after it
     Then both rooms are kept from the time when w1 has emptied
--- a/features/steps/lookahead_steps.py
+++ b/features/steps/lookahead_steps.py
@@ -13,6 +13,7 @@
 from cicadatrail_core.jobs.job_report import waiting_reason
 from cicadatrail_core.jobs.lookahead import Forecast
 from cicadatrail_core.jobs.models import EndKind, JobDefinition, Step
+from cicadatrail_core.jobs.reservations import Reservation
 from cicadatrail_core.jobs.state import JobState
 from cicadatrail_core.models.resources import Resources
 from features.support.job_world import JobWorld
@@ -283,6 +284,21 @@
     assert counts["start-kept-not-foreseen"] >= 1, counts
 
 
+@when("a pass keeps room and needs no reservation")
+def step_kept_instead(context: Any) -> None:
+    world = context.world
+    context.since_s = world.scheduler.reserved_since_s["pool"]
+    Reservation(world.scheduler, "pool", [], world.now_s).end(keeps_room=True)
+
+
+@then("the reservation's limit goes on, until a pass keeps nothing")
+def step_limit_goes_on(context: Any) -> None:
+    world = context.world
+    assert world.scheduler.reserved_since_s == {"pool": context.since_s}
+    Reservation(world.scheduler, "pool", [], world.now_s).end(keeps_room=False)
+    assert not world.scheduler.reserved_since_s
+
+
 @when("a load of {rate:d} small jobs a second is placed with and without look-ahead")
 def step_small_load(context: Any, rate: int) -> None:
     _play(context, rate, 0.0)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -78,7 +78,7 @@
 
     def end(self) -> None:
         """Note at the end of the pass what is kept."""
-        self.reservation.end()
+        self.reservation.end(self.backfill.is_active)
         self.backfill.end()
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/reservations.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/reservations.py
@@ -69,9 +69,13 @@
             return frozenset()
         return self._reserved
 
-    def end(self) -> None:
-        """Note at the end of the pass whether the pool still has a reservation."""
-        if not self._is_decided:
+    def end(self, keeps_room: bool) -> None:
+        """Note at the end of the pass whether the pool still has a reservation.
+
+        ``keeps_room`` is true if the pool has kept room for others instead: time goes
+        on then, or a reservation that comes and goes would have no limit.
+        """
+        if not self._is_decided and not keeps_room:
             self._scheduler.reserved_since_s.pop(self._pool, None)
 
 
