--- a/features/support/recovery_world.py
+++ b/features/support/recovery_world.py
@@ -67,6 +67,8 @@
         scheduler=scheduler,
         journal=Journal(store, 1, collect, lambda _: None),
         _records=SimpleNamespace(unreadable_job_ids=set()),
+        admission=SimpleNamespace(consider=lambda *_: None),
+        _open_subtasks=SimpleNamespace(admits=lambda *_: True),
     )
     for name in ("_submit", "_store_submission"):
         setattr(leader, name, getattr(Leader, name).__get__(leader))
