Keep room only if the pool's gaps would hold all that waits up to the step

Cause: in a pool of many workers the free capacity nearly always holds one large step, also when hundreds of others wait and the pool lacks capacity. Keeping room free makes that worse. Now the needs of what fits nowhere before the step count as well.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/backfill.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/backfill.py
@@ -61,6 +61,8 @@
         # The rooms on each worker, as their starts and needs, in order of the starts.
         self._rooms: dict[str, list[tuple[float, Resources]]] = {}
         self._kept_share = 0.0
+        # The needs of the subtasks so far that fit nowhere.
+        self._waiting = NO_RESOURCES
         self._planned_count = 0
 
     @property
@@ -74,6 +76,9 @@
         ``closed`` has the ids of workers that are kept free of the step. Long-running
         steps have no end by which a forecast could be kept; others reserve a worker.
         """
+        ahead = self._waiting
+        for _ in waiting:
+            self._waiting = self._waiting + step.spec.reserved
         if step.spec.lasting or not waiting or not self._is_large(step):
             return
         if not self._scheduler.kept_starts.may_keep(step, self._now_s):
@@ -82,8 +87,9 @@
         if not count:
             return
         previous = self._scheduler.kept_starts.get(step)
+        needed = self._waiting if step.spec.gang else ahead + step.spec.reserved
         kept = self._renewed(previous, count) or self._plan(
-            step, count, previous, closed
+            step, count, needed, previous, closed
         )
         if kept is None:
             return
@@ -185,10 +191,14 @@
         self,
         step: StepState,
         count: int,
+        needed: Resources,
         previous: KeptStart | None,
         closed: Set[str],
     ) -> KeptStart | None:
-        """Choose the rooms in which subtasks start first, or return None."""
+        """Choose the rooms in which subtasks start first, or return None.
+
+        ``needed`` is what waits up to this step, with its first subtask.
+        """
         if self._planned_count >= PLANNED_STEP_COUNT:
             return None
         self._planned_count += 1
@@ -202,7 +212,7 @@
         if not step.spec.gang and any(can_run(step, worker) for worker in workers):
             # It only waits for the room that is kept for others.
             return None
-        if not _lies_in_gaps(step, workers):
+        if not _lies_in_gaps(needed, workers):
             return None
         rooms = self._choose_rooms(step, workers, count, previous)
         if not rooms or rooms[-1].start_s <= self._now_s:
@@ -284,15 +294,11 @@
         return starts
 
 
-def _lies_in_gaps(step: StepState, workers: list[WorkerState]) -> bool:
-    """Return whether the free capacity of workers would do for a step in all.
+def _lies_in_gaps(needed: Resources, workers: list[WorkerState]) -> bool:
+    """Return whether the free capacity of workers would do for what waits, in all.
 
     Otherwise the pool lacks capacity, and keeping some free would make it worse.
     """
-    needed = step.spec.reserved
-    if step.spec.gang:
-        for _ in range(step.spec.count - 1):
-            needed = needed + step.spec.reserved
     free = NO_RESOURCES
     for worker in workers:
         free = free + worker.free_capacity
