--- a/features/lookahead.feature
+++ b/features/lookahead.feature
@@ -69,6 +69,11 @@
     When no run ends for 4 seconds
     Then no room is kept for it, and the kept start counts as not foreseen
 
+  Scenario: Nothing is kept while the gaps would not hold all that waits before
+    Given a large subtask that fits on none of 3 workers, of which w0 empties first
+    When 2 long-running subtasks of 6 cores fit nowhere either
+    Then no room is kept for it, and the kept start counts as not foreseen
+
   Scenario: The limit of a reservation goes on while room is kept instead
     Given a scheduler with 3 workers of 8 cores
     And each worker runs a subtask of 3 cores and a subtask of 8 cores is blocked
--- a/features/steps/lookahead_steps.py
+++ b/features/steps/lookahead_steps.py
@@ -266,6 +266,17 @@
     assert name in {"w1", "w2"}
 
 
+@when("{count:d} long-running subtasks of {cores:d} cores fit nowhere either")
+def step_lasting_waits(context: Any, count: int, cores: int) -> None:
+    world = context.world
+    assert _kept_workers(context) == ["w0"]
+    world.submit(OTHER, _plan(count, cores, lasting=True))
+    for _ in range(2):
+        world.tick(0.1)
+        world.report_all()
+        assert not world.run_all()
+
+
 @when("no run ends for {seconds:d} seconds")
 def step_overstay(context: Any, seconds: int) -> None:
     world = context.world
