Forecast the turns of pools from arrivals and from who followed whom

Cause: demand was a straight line through running and waiting cores, blind to pools that ask by turns: machines came late in a steep rise, too many were ordered at its top, and an idle pool kept a quarter of a share all the time.

Arrivals of work tell when a turn starts, passes its peak and ends; which pool followed which, and after how long, is learned; the next pool gets its machines before its start, a pool whose turn is over keeps half. A pool without turns is planned as before. The record goes along with the leader's others, and is optional for a reader.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
@@ -16,6 +16,8 @@
 from cicadatrail_core.jobs.models import Machine, MachineState
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import StepState, WorkerState
+from cicadatrail_core.jobs.turn_forecast import Outlook, TurnForecast
+from cicadatrail_core.jobs.turns import Arrival, arrivals_since
 from cicadatrail_core.models.resources import Resources
 
 USABLE_FRACTION = 0.85
@@ -33,6 +35,9 @@
 IDLE_POOL_FRACTION = 0.25
 """Fraction of an equal share of all machines that an idle pool keeps."""
 
+QUIET_FRACTION = 0.5
+"""Fraction of that which a pool keeps whose turn is over."""
+
 PRESENT_STATES = (MachineState.UP, MachineState.MOVING)
 
 
@@ -52,7 +57,7 @@
 
     ``lasting_count`` is the number of machines for long-running work. The cores
     are those of other work: running, expected soon in total, and waiting for
-    free capacity.
+    free capacity. ``is_falling`` says that its demand is past a peak.
     """
 
     present_count: int
@@ -61,6 +66,7 @@
     running_cores: float = 0.0
     expected_cores: float = 0.0
     waiting_cores: float = 0.0
+    is_falling: bool = False
 
 
 @dataclass(slots=True)
@@ -79,9 +85,17 @@
     demand: Demand,
     machines: Mapping[str, Machine],
     now_s: float,
+    turns: TurnForecast | None = None,
 ) -> dict[str, PoolNeed]:
-    """Return the need for machines of each pool that is not a standby pool."""
+    """Return the need for machines of each pool that is not a standby pool.
+
+    ``turns`` learns from each call; without it, no turns are forecast.
+    """
     work = _work_by_pool(scheduler)
+    arrivals: Mapping[str, Arrival] = {}
+    if turns is not None:
+        arrivals = arrivals_since(scheduler, turns.recorded_s)
+        turns.recorded_s = now_s
     # Machines that are being evacuated, or have no processor left, accept no work. A
     # worker that isn't listed may be an earlier one of its machine.
     leaving = {
@@ -122,6 +136,8 @@
             idle_machine_count,
             demand,
             now_s,
+            turns,
+            arrivals.get(name, Arrival()),
         )
     return needs
 
@@ -135,6 +151,8 @@
     idle_machine_count: int,
     demand: Demand,
     now_s: float,
+    turns: TurnForecast | None,
+    arrival: Arrival,
 ) -> PoolNeed:
     if not capacities:
         return PoolNeed(present_count, max(1, idle_machine_count))
@@ -152,10 +170,20 @@
         waiting += min(core_s / BACKLOG_S, startable)
     demand.record(pool, work.running_cores + waiting, now_s)
     expected_cores = demand.expected_cores(pool, work.largest_step_cores)
+    outlook = Outlook()
+    if turns is not None:
+        turns.record(pool, arrival, work.running_cores + waiting, now_s)
+        outlook = turns.outlook(pool, now_s)
+        if outlook.cores is not None:
+            present_cores = work.running_cores + waiting
+            least_cores = expected_cores if outlook.is_rising else present_cores
+            expected_cores = max(least_cores, outlook.cores)
     needed = max(
         math.ceil((work.long_running_cores + expected_cores) / cores),
         lasting_count,
-        idle_machine_count,
+        math.ceil(idle_machine_count * QUIET_FRACTION)
+        if outlook.is_quiet
+        else idle_machine_count,
     )
     return PoolNeed(
         present_count,
@@ -164,6 +192,7 @@
         round(work.running_cores, 1),
         round(expected_cores, 1),
         round(waiting, 1),
+        outlook.is_falling,
     )
 
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -148,7 +148,7 @@
             self.waves.pending_machines,
             settings.machine_orders_per_s,
         )
-        self._records.attach(self._inventory, self.waves)
+        self._records.attach(self._inventory, self.waves, self.balance.turns)
         self._worker_list = WorkerList(store, self.scheduler)
 
     def configure(self, configuration: FleetConfiguration) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -20,6 +20,7 @@
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import JobState, WorkerState
 from cicadatrail_core.jobs.takeover import inherit
+from cicadatrail_core.jobs.turn_forecast import TurnForecast
 from cicadatraild.platform.store import KeyedRecord
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
 from cicadatraild.scheduling.fleet_record import (
@@ -33,6 +34,7 @@
 from cicadatraild.scheduling.machine_inventory import MachineInventory
 from cicadatraild.scheduling.maintenance import WaveRunner
 from cicadatraild.scheduling.queue_records import QueueRecords
+from cicadatraild.scheduling.turn_record import TURNS_KEY, TurnRecords
 
 logger = logging.getLogger("cicadatrail.holder")
 
@@ -62,15 +64,22 @@
         self._queues = QueueRecords(scheduler)
         self._inventory: MachineInventory
         self._waves: WaveRunner
+        self._turns: TurnRecords | None = None
         # Workers that the store listed when this leader took over.
         self.stored_worker_ids: set[str] = set()
         # Stored jobs that can't be read: they exist, but none of their state is known.
         self.unreadable_job_ids: set[str] = set()
 
-    def attach(self, inventory: MachineInventory, waves: WaveRunner) -> None:
-        """Set the inventory and the waves whose state is stored as well."""
+    def attach(
+        self,
+        inventory: MachineInventory,
+        waves: WaveRunner,
+        turns: TurnForecast | None = None,
+    ) -> None:
+        """Set the inventory, waves and forecast whose state is stored as well."""
         self._inventory = inventory
         self._waves = waves
+        self._turns = TurnRecords(turns) if turns is not None else None
 
     def mark_waves_changed(self) -> None:
         """Include the progress of waves in the next batch."""
@@ -105,6 +114,8 @@
             self._changed_waves = False
             for number, value in self._waves.encode():
                 records.append(KeyedRecord(f"{WAVE_PREFIX}{number}", value))
+        if self._turns is not None:
+            records += self._turns.collect()
         changed, scheduler.changed_jobs = scheduler.changed_jobs, {}
         # Before the jobs, as an append may be split: a successor must know the queue.
         queue_records, on_queues_stored = self._queues.collect(changed)
@@ -174,6 +185,8 @@
             self._ended = None
         if ORDERS_KEY in values:
             self._inventory.restore(values[ORDERS_KEY])
+        if self._turns is not None and TURNS_KEY in values:
+            self._turns.restore(values[TURNS_KEY])
         self._former_leases.await_workers()
         for key, value in values.items():
             if key.startswith(WAVE_PREFIX):
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
@@ -122,6 +122,14 @@
             machines.add_metric([pool, "present"], need.present_count)
             machines.add_metric([pool, "needed"], need.needed_count)
         yield machines
+        turns = CounterMetricFamily(
+            "cicadatrail_turns",
+            "Turns of pools by what became of them",
+            labels=["kind"],
+        )
+        turns.add_metric(["begun"], leader.balance.turns.turn_count)
+        turns.add_metric(["missed"], leader.balance.turns.missed_count)
+        yield turns
 
     def _client_metrics(self) -> Iterator[Metric]:
         if self._front is None or self._peer_server is None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
@@ -18,6 +18,7 @@
 from cicadatrail_core.jobs.ended_lives import MOVED
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import WorkerState
+from cicadatrail_core.jobs.turn_forecast import TurnForecast
 from cicadatraild.platform.machines import MachineOutcome
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.machine_inventory import ORDER_LIMIT_S, MachineInventory
@@ -38,6 +39,9 @@
 """Window of the peak of a pool's need; two moves cost about as much as a machine
 costs in two seconds."""
 
+FALL_PEAK_WINDOW_S = 1.2
+"""The same for a pool whose demand is past a peak."""
+
 ORDER_RATE_FRACTION = 0.95
 """Fraction of the machine service's order rate that moves may use; the few orders of
 waves need the rest."""
@@ -64,6 +68,7 @@
             1, int(orders_per_s * ORDER_RATE_FRACTION * PLAN_INTERVAL_S)
         )
         self._demand = Demand()
+        self.turns = TurnForecast()
         self._recent_needs: dict[str, deque[tuple[float, int]]] = {}
         self._retry_s: dict[str, float] = {}
         self._cordoned: dict[str, WorkerState] = {}
@@ -95,7 +100,7 @@
     async def _balance(self, now_s: float) -> None:
         machines = self._inventory.machines
         self._uncordon(now_s)
-        needs = pool_needs(self._scheduler, self._demand, machines, now_s)
+        needs = pool_needs(self._scheduler, self._demand, machines, now_s, self.turns)
         self.needs = needs
         peaks = {
             name: self._recent_peak(name, need, now_s) for name, need in needs.items()
@@ -138,7 +143,8 @@
         """Return the most machines that a pool has needed within the peak window."""
         recent = self._recent_needs.setdefault(pool, deque())
         recent.append((now_s, need.needed_count))
-        while recent[0][0] < now_s - PEAK_WINDOW_S:
+        window_s = FALL_PEAK_WINDOW_S if need.is_falling else PEAK_WINDOW_S
+        while recent[0][0] < now_s - window_s:
             recent.popleft()
         return max(count for _, count in recent)
 
