--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/turn_forecast.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/turn_forecast.py
@@ -215,7 +215,7 @@
             return None
         current = self._active
         for _ in self._watches:
-            follower = self._follower(current)
+            follower = self._followers.get(current)
             if follower is None:
                 return None
             if follower == pool:
@@ -223,25 +223,6 @@
             current, start_s = follower, start_s + gap_s
         return None
 
-    def _follower(self, pool: str) -> str | None:
-        """Return the pool whose turn follows: the former one, or the longest idle.
-
-        The latter only once each other pool has followed another.
-        """
-        follower = self._followers.get(pool)
-        if follower is not None:
-            return follower
-        others = {
-            name: watch.newest
-            for name, watch in self._watches.items()
-            if name != pool and watch.newest is not None
-        }
-        if not others or len(others) < len(self._watches) - 1:
-            return None
-        oldest = min(others, key=lambda name: others[name].start_s)
-        rest = others.keys() - {oldest}
-        return oldest if rest and rest <= set(self._followers.values()) else None
-
     def _forget_follower(self) -> None:
         """Forget who follows the present pool: its turn has failed to come."""
         if self._followers.pop(self._active, None) is not None:
