Store the record of machine orders anew once parts of it are too old

The record of announced orders was written with the next announcement only. A leader that was lost after some quiet seconds left a record of orders up to 10 s old, and its successor left all these machines alone for its gap of 3.3 s: no move and no upkeep.

The tick drops old announcements and has the record stored; the times are as before.

Seen failing with the check taken out: 'Announcements are dropped though no other follows them'. takeover_machines and balance: 30 passed.

--- a/features/steps/takeover_machines_steps.py
+++ b/features/steps/takeover_machines_steps.py
@@ -245,3 +245,19 @@
 @then("a third leader sends no orders in its gap for the other machine only")
 def step_other_blocked(context: Any) -> None:
     assert _inventory(context.record).blocked() == {"m-2"}
+
+
+@when("it announces nothing for 5 s and its gap")
+def step_announces_nothing(context: Any) -> None:
+    assert not context.inventory.drop_old_announcements()
+    context.clock.now_s += GAP_S + 5.0
+    if context.inventory.drop_old_announcements():
+        context.record = context.inventory.encode()
+
+
+@then(
+    "its record is stored anew, and a successor sends orders for all machines at once"
+)
+def step_none_blocked(context: Any) -> None:
+    assert _inventory(context.record).blocked() == set()
+    assert not context.inventory.drop_old_announcements()
--- a/features/takeover_machines.feature
+++ b/features/takeover_machines.feature
@@ -39,3 +39,9 @@
     Given a leader has announced an order for a machine
     When the next leader announces one for another machine after its gap
     Then a third leader sends no orders in its gap for the other machine only
+
+  # Guards against moves and waves that wait for orders that were long over.
+  Scenario: Announcements are dropped though no other follows them
+    Given a leader has announced an order for a machine
+    When it announces nothing for 5 s and its gap
+    Then its record is stored anew, and a successor sends orders for all machines at once
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -283,6 +283,8 @@
             for worker in stop_stuck_runs(self.scheduler, now_s):
                 eject(worker, now_s, EJECTION_S, self.scheduler.workers, "no progress")
             self._worker_list.evacuate_draining(now_s)
+            if self._inventory.drop_old_announcements():
+                self.journal.flush_soon()
             self.orders.send()
             await asyncio.sleep(TICK_S)
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/machine_inventory.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/machine_inventory.py
@@ -68,15 +68,26 @@
         """
         self.has_unstored_announcements = False
         now_s = loop_now_s()
-        kept_s = self._gap_s + ORDER_LIMIT_S
-        for name, announced_s in list(self._announced.items()):
-            if now_s - announced_s > kept_s:
-                del self._announced[name]
-                self._stored_announcements.pop(name, None)
+        for name in self._old_announcements():
+            del self._announced[name]
+            self._stored_announcements.pop(name, None)
         inherited = [n for n, until_s in self._blocked.items() if until_s > now_s]
         value: bytes = msgpack.packb([*dict.fromkeys((*inherited, *self._announced))])
         return value
 
+    def drop_old_announcements(self) -> bool:
+        """Return whether the record has to be stored anew, as parts of it are too old.
+
+        A successor would leave machines alone whose orders are long over.
+        """
+        if any(self._old_announcements()):
+            self.has_unstored_announcements = True
+        return self.has_unstored_announcements
+
+    def _old_announcements(self) -> list[str]:
+        old_s = loop_now_s() - self._gap_s - ORDER_LIMIT_S
+        return [name for name, since_s in self._announced.items() if since_s < old_s]
+
     def restore(self, record: bytes) -> None:
         """Block the machines that an earlier leader announced until the gap is over.
 
