Show who is served under scarcity, and give late jobs their turn

Work that can still be in time comes before late jobs and may never cease, so that an accepted late job waited without a bound. Late jobs without a start for 20 s now take turns of 2 s by pool and priority. The share of each team's work that was done within its objective, over 10 s, is a metric.

Partial: the order of teams and queues is still judged by an instant.

--- a/features/support/outer_metrics.py
+++ b/features/support/outer_metrics.py
@@ -10,6 +10,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from cicadatrail_core.jobs.balance import PoolNeed
+from cicadatrail_core.jobs.scarcity import Standing
 from cicadatrail_core.models.requests import Outcome
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.gauges import read_gauges
@@ -50,6 +51,7 @@
     holder.scheduler.counts["end"] = 1
     holder.scheduler.team_used["team"] = Resources(1, 2, 3)
     holder.admission.refused_counts["text"] = 1
+    holder.scheduler.standing = Standing(team_shares={"team": 0.5})
     holder.balance.needs["pool"] = PoolNeed(1, 2)
     callers = CallerInterface(MagicMock(), lambda: None, lambda: False)
     callers.answers[("submit", 200)] = 1
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -25,6 +25,7 @@
     forget_reservations,
 )
 from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.service_window import read_standing_if_due
 from cicadatrail_core.jobs.state import (
     StepState,
     Subtask,
@@ -93,6 +94,7 @@
         scheduler.kept_starts.forget(set(), now_s)
         return
     over_share = teams_over_share(scheduler, ready)
+    read_standing_if_due(scheduler, now_s)
     pools: dict[str, list[_Candidate]] = {}
     for step, steps, queue in ready:
         # A job that has started is not held back, since sharing the team's
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -29,6 +29,7 @@
     WorkerFacts,
 )
 from cicadatrail_core.jobs.queue_pools import QueuePools
+from cicadatrail_core.jobs.scarcity import Standing
 from cicadatrail_core.jobs.scheduler_settings import (
     RUNS_PER_EPOCH,
     SchedulerSettings,
@@ -74,6 +75,9 @@
         self.suspects: dict[SubtaskName, Subtask] = {}
         # Since when each pool has had a worker reserved.
         self.reserved_since_s: dict[str, float] = {}
+        # How teams and queues were served lately, and when that was read.
+        self.standing = Standing()
+        self.standing_read_s = float("-inf")
         self.durations = Durations()
         self.changed_jobs: dict[str, None] = {}
         self.evicted_job_ids: list[str] = []
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/urgency.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/urgency.py
@@ -60,7 +60,7 @@
 
     ``is_over_share`` is true if the step's team uses more than its share. The step
     then follows those of teams that use less, but precedes jobs that are already
-    late.
+    late. A late job whose turn it is precedes all of its priority.
     """
     job = step.job
     if step.spec.lasting:
@@ -71,6 +71,8 @@
     lateness = 0
     if expected_s > limit_s:
         lateness = 1 if expected_s <= LATE_FACTOR * limit_s else 2
+    if job.job_id in scheduler.standing.aged:
+        lateness = -1
     urgency_s = path_s if lateness else job.accepted_s + limit_s
     return (1, queue.priority, lateness, is_over_share, urgency_s, job.accepted_s)
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
@@ -113,6 +113,14 @@
         for team, resources in sorted(leader.scheduler.team_used.items()):
             used.add_metric([team], resources.cpu_millicores / 1000)
         yield used
+        served = GaugeMetricFamily(
+            "cicadatrail_team_served_share",
+            "Share of recent work done within its objective",
+            labels=["team"],
+        )
+        for team, share in sorted(leader.scheduler.standing.team_shares.items()):
+            served.add_metric([team], share)
+        yield served
         machines = GaugeMetricFamily(
             "cicadatrail_pool_machines",
             "Machines that a pool has and needs",
