--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
@@ -77,6 +77,18 @@
     )
 
 
+def count_queued_jobs(scheduler: Scheduler, queue_name: str) -> int:
+    """Return the number of stored jobs of a queue that have not started."""
+    return sum(
+        1
+        for job in scheduler.jobs.values()
+        if job.definition.queue == queue_name
+        and job.is_stored
+        and not job.started
+        and not job.is_final
+    )
+
+
 def _report_step(scheduler: Scheduler, step: StepState, now_s: float) -> StepReport:
     return StepReport(
         occurrence=step.occurrence,
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -191,17 +191,6 @@
                     for run in subtask.live_runs:
                         self.stop(run)
 
-    def queued_count(self, queue_name: str) -> int:
-        """Return the number of stored jobs of a queue that have not started."""
-        return sum(
-            1
-            for job in self.jobs.values()
-            if job.definition.queue == queue_name
-            and job.is_stored
-            and not job.started
-            and not job.is_final
-        )
-
     def shown_phase(self, job: JobState) -> JobPhase:
         """Return the phase shown to callers; a final phase only once it is stored."""
         if job.stored_phase is not JobPhase.PENDING:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -15,6 +15,7 @@
 from cicadatrail_core.jobs.ejection import EJECTION_S, eject
 from cicadatrail_core.jobs.evacuation import stop_stuck_runs
 from cicadatrail_core.jobs.hold import dispatch_or_hold
+from cicadatrail_core.jobs.job_report import count_queued_jobs
 from cicadatrail_core.jobs.models import FleetConfiguration, Wave
 from cicadatrail_core.jobs.open_subtasks import OpenSubtasks
 from cicadatrail_core.jobs.records import decode_definition
@@ -312,7 +313,7 @@
                 case AskPhase():
                     return self._phase(request)
                 case CountQueued():
-                    return QueuedCount(self.scheduler.queued_count(request.queue))
+                    return QueuedCount(count_queued_jobs(self.scheduler, request.queue))
         except FencedError as error:
             return Unsettled(str(error))
         return Refused("not a request about jobs")
