--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/turns.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/turns.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -18,7 +19,7 @@
 LEAST_COUNT = 3
 """Jobs within the window from which a turn is recognised: one job is no rise."""
 
-FEW_JOBS_COUNT = 4.0
+FEW_JOBS_COUNT = 3.0
 """Jobs within the window that may be chance."""
 
 RISING_FACTOR = 1.25
@@ -156,10 +157,11 @@
             return None
         run_s = recent.weighted_run_s / recent.core_s
         rise = max(0.0, recent.core_s - earlier.core_s) / WINDOW_S / WINDOW_S
-        sure_fraction = max(0.0, 1.0 - FEW_JOBS_COUNT / recent.job_count)
+        sure_fraction = 1.0 - 1.0 / math.sqrt(recent.job_count)
         rate = self.rate_cores
         least_ahead_s = max(0.0, ahead_s + WINDOW_S / 2 - run_s / 2)
-        return sure_fraction * (rate + min(rate, rise * least_ahead_s))
+        coming = sure_fraction * min(rate, rise * least_ahead_s)
+        return rate * (1.0 - FEW_JOBS_COUNT / recent.job_count) + coming
 
     def resume(self, start_s: float) -> None:
         """Continue a turn that an earlier leader recognised."""
