Don't acknowledge the cancel of a job that was dropped unsent

A cancel of a job that isn't stored yet waited for the next append and then cancelled the object that it had found before. If the job was refused meanwhile, as the store failed before it was sent, the cancel was acknowledged though the same id could have been submitted again, whose subtasks then started after that ack. The job is now looked up again; a cancel of one that is gone tells that it is not known.

The new scenario of recovery.feature failed without the mend: the reply was Stored(). The fake's collect skips jobs that are gone, as LeaderRecords does.

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -25,6 +25,12 @@
     When a job is submitted again while its append is under way
     Then neither is refused, and both are answered once the store answers
 
+  # Guards against the ack of a cancel that does not reach the job sent in again.
+  Scenario: A cancel that waits for a job that is dropped is not acknowledged
+    Given a leader whose store fails
+    When a job is cancelled while it waits for the append of another
+    Then the job is refused, and its cancel tells that it is not known
+
   # Guards against refusals while each job is stored within two appends.
   Scenario: Jobs are accepted while the store is only slow
     Given a leader whose store takes 0.8 s
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -11,7 +11,14 @@
 from cicadatrail_core.leadership.request_rules import RULES, RequestState, Verdict
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.leader import Leader
-from cicadatraild.scheduling.messages import HolderIs, QueuedCount, Refused, Stored
+from cicadatraild.scheduling.messages import (
+    Cancel,
+    HolderIs,
+    PhaseIs,
+    QueuedCount,
+    Refused,
+    Stored,
+)
 from features.support.recovery_world import (
     FakeStore,
     RoutedEntry,
@@ -118,6 +125,31 @@
     assert context.store.keys == ["j/a"]
 
 
+@when("a job is cancelled while it waits for the append of another")
+def step_cancel(context: Any) -> None:
+    async def scenario() -> None:
+        leader = new_leader(context.store)
+        running = asyncio.create_task(leader.journal.run())
+        calls = [asyncio.create_task(leader._submit(submission("a")))]
+        await asyncio.sleep(0.1)
+        calls.append(asyncio.create_task(leader._submit(submission("b"))))
+        await asyncio.sleep(0)
+        cancelling = asyncio.create_task(leader._cancel(Cancel("b")))
+        await asyncio.wait({calls[1]}, timeout=1.0)
+        context.store.answers.set()
+        context.late = await asyncio.gather(*calls)
+        context.cancelled = await cancelling
+        running.cancel()
+
+    asyncio.run(scenario())
+
+
+@then("the job is refused, and its cancel tells that it is not known")
+def step_not_known(context: Any) -> None:
+    assert isinstance(context.late[1], Refused), context.late
+    assert context.cancelled == PhaseIs(""), context.cancelled
+
+
 @given("an instance whose leader answers nothing")
 def step_silent_leader(context: Any) -> None:
     context.entry = RoutedEntry(answers_after_s=None)
--- a/features/support/recovery_world.py
+++ b/features/support/recovery_world.py
@@ -53,7 +53,7 @@
 
     def collect() -> Any:
         changed, scheduler.changed_jobs = scheduler.changed_jobs, {}
-        jobs = [scheduler.jobs[job_id] for job_id in changed]
+        jobs = [scheduler.jobs[name] for name in changed if name in scheduler.jobs]
 
         def on_stored() -> None:
             for job in jobs:
@@ -69,8 +69,9 @@
         _records=SimpleNamespace(unreadable_job_ids=set()),
         admission=SimpleNamespace(consider=lambda *_: None),
         _open_subtasks=SimpleNamespace(admits=lambda *_: True),
+        _leadership=SimpleNamespace(is_lease_valid=lambda: True),
     )
-    for name in ("_submit", "_store_submission"):
+    for name in ("_submit", "_store_submission", "_cancel", "_missing_phase"):
         setattr(leader, name, getattr(Leader, name).__get__(leader))
     return leader
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -364,12 +364,14 @@
 
     async def _cancel(self, request: Cancel) -> Reply:
         job = self.scheduler.jobs.get(request.job_id)
+        while job is not None and not job.is_stored:
+            await self.journal.flush()
+            # It may have been dropped meanwhile, and submitted again.
+            job = self.scheduler.jobs.get(request.job_id)
         if job is None:
             return self._missing_phase(request.job_id)
         if job.is_final and job.stored_phase is job.phase:
             return Stored()
-        if not job.is_stored:
-            await self.journal.flush()
         self.scheduler.cancel(job, loop_now_s())
         await self.journal.flush()
         return Stored()
