Let a full server drop idle connections, also those served before

A full server dropped only connections that waited for their first head. Clients that send one small request each and keep their connections held all of them for the idle timeout of 30 s, and every other caller was refused with 503. Now the connection that has waited longest for a head, the first or a later one, is dropped once that took 2 s. Nothing changes while the server isn't full.

The new scenario of body_budget.feature failed before: the caller got 503.

--- a/features/body_budget.feature
+++ b/features/body_budget.feature
@@ -30,6 +30,11 @@
     When a server is full of connections that have sent nothing for some time
     Then a caller is served, and the oldest of them is dropped
 
+  # Guards against a crowd that is served once and keeps its connections.
+  Scenario: A full server drops a connection that is idle for a caller
+    When a server is full of connections that were served and are idle for some time
+    Then a caller is served, and the oldest of them is dropped
+
   # Guards against heads whose parts take many times the bytes that were sent.
   Scenario: A head of very many headers takes no more than a connection's memory
     When 20 connections wait for their answers to heads of 2000 headers
--- a/features/steps/body_budget_steps.py
+++ b/features/steps/body_budget_steps.py
@@ -16,7 +16,7 @@
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.network.body_budget import BodyBudget
 from cicadatraild.network.http_server import (
-    FIRST_HEAD_KEPT_S,
+    HEAD_KEPT_S,
     HttpExchange,
     HttpLimits,
     HttpServer,
@@ -161,7 +161,7 @@
             server = HttpServer("test", _answer, limits)
             port = await server.listen(stack, HOST, 0)
             clients = [await asyncio.open_connection(HOST, port) for _ in range(2)]
-            await asyncio.sleep(FIRST_HEAD_KEPT_S + 0.1)
+            await asyncio.sleep(HEAD_KEPT_S + 0.1)
             clients.append(await asyncio.open_connection(HOST, port))
             for _, writer in clients:
                 stack.callback(writer.transport.abort)
@@ -173,6 +173,30 @@
     context.answer, context.ended, context.counts = asyncio.run(run())
 
 
+@when("a server is full of connections that were served and are idle for some time")
+def step_idle(context: Any) -> None:
+    async def run() -> tuple[bytes, bytes, dict[str, int]]:
+        limits = HttpLimits(connection_limit_count=2)
+        async with AsyncExitStack() as stack:
+            server = HttpServer("test", _answer, limits)
+            port = await server.listen(stack, HOST, 0)
+            clients = [await asyncio.open_connection(HOST, port) for _ in range(2)]
+            for reader, writer in clients:
+                writer.write(REQUEST)
+                await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(HEAD_KEPT_S + 0.1)
+            clients.append(await asyncio.open_connection(HOST, port))
+            for _, writer in clients:
+                stack.callback(writer.transport.abort)
+            clients[2][1].write(REQUEST)
+            answer = await clients[2][0].readline()
+            async with asyncio.timeout(1.0):
+                ended = await clients[0][0].read() if b"204" in answer else b""
+            return answer, ended, server.refusals.counts
+
+    context.answer, context.ended, context.counts = asyncio.run(run())
+
+
 @when("{count:d} connections wait for their answers to heads of {headers:d} headers")
 def step_many_headers(context: Any, count: int, headers: int) -> None:
     fields = [b"%03x:%x" % (number, number % 16) for number in range(headers)]
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
@@ -49,8 +49,8 @@
 SLOW_PASS_S = 0.05
 """Duration of a pass of the loop in which more requests may have arrived."""
 
-FIRST_HEAD_KEPT_S = 2.0
-"""Time for the first head before a full server may drop the connection."""
+HEAD_KEPT_S = 2.0
+"""Time without a whole head after which a full server may drop a connection."""
 
 BACKLOG_LIMIT_COUNT = 100
 """Largest number of connections that wait to be accepted."""
@@ -87,9 +87,9 @@
         "_is_closing",
         "_lingering_count",
         "_name",
-        "_new",
         "_read_buffer",
         "_server",
+        "_waiting",
         "draining",
         "limits",
         "refusals",
@@ -108,8 +108,8 @@
         self.refusals = RefusalCounts()
         self._budget = budget
         self._read_buffer = bytearray(READ_BYTES)
-        # Connections that wait for their first head, and since when.
-        self._new: dict[HttpTransport, float] = {}
+        # Connections that wait for a head, the oldest first, and since when.
+        self._waiting: dict[HttpTransport, float] = {}
         self._lingering_count = 0
         self._connections: set[asyncio.Task[None]] = set()
         # Connections that wait for the head of a request.
@@ -164,28 +164,28 @@
 
     def _connection_made(self, transport: HttpTransport) -> None:
         is_full = len(self._connections) >= self.limits.connection_limit_count
-        if is_full and not self._drop_new():
+        if is_full and not self._drop_waiting():
             self._refuse("too-many-connections")
             transport.write_raw(_TOO_MANY_CONNECTIONS)
             self._linger(transport)
             return
         loop = asyncio.get_running_loop()
-        self._new[transport] = loop.time()
+        self._waiting[transport] = loop.time()
         task = loop.create_task(self._serve(transport))
         self._connections.add(task)
         task.add_done_callback(self._connections.discard)
 
-    def _drop_new(self) -> bool:
-        """Drop the connection that has waited longest for its first head.
+    def _drop_waiting(self) -> bool:
+        """Drop the connection that has waited longest for a head.
 
         Return whether there was one that has waited for long enough.
         """
-        transport, since_s = next(iter(self._new.items()), (None, 0.0))
+        transport, since_s = next(iter(self._waiting.items()), (None, 0.0))
         now_s = asyncio.get_running_loop().time()
-        if transport is None or now_s - since_s < FIRST_HEAD_KEPT_S:
+        if transport is None or now_s - since_s < HEAD_KEPT_S:
             return False
         self._refuse("no-head")
-        del self._new[transport]
+        del self._waiting[transport]
         transport.abort()
         return True
 
@@ -236,6 +236,7 @@
             wait_s = min(wait_s, DRAIN_HEAD_TIMEOUT_S)
         task = cast(asyncio.Task[None], asyncio.current_task())
         self._idle[task] = transport
+        self._waiting.setdefault(transport, asyncio.get_running_loop().time())
         try:
             request = await _read_head(transport, wait_s)
             if request is not None:
@@ -246,7 +247,7 @@
             return False
         finally:
             del self._idle[task]
-            self._new.pop(transport, None)
+            self._waiting.pop(transport, None)
         if request is None:
             return False
         exchange = HttpExchange(request, transport, self.limits, self._budget)
