Don't drop a stored job whose repeated submission waits for a later append

A repeat that came while the append of its job was under way waited for the append after that one. If that one failed for 0.4 s and the job, stored by then, had changed, it was taken for a job that was never sent: the leader forgot a job that it had acknowledged and that was running, and told the repeat that it had not been accepted. A job that is stored is now acknowledged at once.

The new scenario of recovery.feature failed before: the repeat got Refused ('the store does not answer; the job was not sent').

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -25,6 +25,12 @@
     When a job is submitted again while its append is under way
     Then neither is refused, and both are answered once the store answers
 
+  # Guards against the loss of an accepted job that has changed since.
+  Scenario: A stored job is not dropped when the store fails again
+    Given a leader whose store fails
+    When a job is submitted again, is stored, and changes while the next append fails
+    Then both submissions are acknowledged, and the leader still has the job
+
   # Guards against the ack of a cancel that does not reach the job sent in again.
   Scenario: A cancel that waits for a job that is dropped is not acknowledged
     Given a leader whose store fails
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -125,6 +125,34 @@
     assert context.store.keys == ["j/a"]
 
 
+@when("a job is submitted again, is stored, and changes while the next append fails")
+def step_stored_first(context: Any) -> None:
+    async def scenario() -> None:
+        context.leader = leader = new_leader(context.store)
+        running = asyncio.create_task(leader.journal.run())
+        calls = [asyncio.create_task(leader._submit(submission("a")))]
+        await asyncio.sleep(0.1)
+        for name in "ab":
+            calls.append(asyncio.create_task(leader._submit(submission(name))))
+        context.store.answers.set()
+        await calls[0]
+        context.store.answers.clear()
+        leader.scheduler.changed_jobs["a"] = None
+        await asyncio.wait({calls[1]}, timeout=1.0)
+        context.early = [call.result() if call.done() else None for call in calls]
+        context.store.answers.set()
+        await asyncio.gather(*calls)
+        running.cancel()
+
+    asyncio.run(scenario())
+
+
+@then("both submissions are acknowledged, and the leader still has the job")
+def step_kept(context: Any) -> None:
+    assert context.early == [Stored(), Stored(), None], context.early
+    assert "a" in context.leader.scheduler.jobs
+
+
 @when("a job is cancelled while it waits for the append of another")
 def step_cancel(context: Any) -> None:
     async def scenario() -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -351,6 +351,10 @@
         await self.journal.wait_unless_stalled(flush)
         if not flush.done():
             jobs, changed = self.scheduler.jobs, self.scheduler.changed_jobs
+            job = jobs.get(job_id)
+            if job is not None and job.is_stored:
+                # Only a later append is stalled, for which this request waited too.
+                return Stored()
             state = state_without_store(job_id in jobs, job_id in changed)
             if RULES[state].verdict is Verdict.REFUSE:
                 flush.cancel()
