Check the limits of a wide step that fits nowhere in few steps

A step that finds no worker had the number of its subtasks that its team's limit allows counted one by one, each time from the first: for n waiting subtasks n * n / 2 sums in each pass, also for a team without limits. 400 took 0.10 s and 1,600 took 1.62 s of processor time a pass; a job may have 100,000, so that one blocked the leader and each successor.

The scenario was seen failing without the mend (20 passed, 1 failed of lookahead.feature).

--- a/features/lookahead.feature
+++ b/features/lookahead.feature
@@ -80,6 +80,11 @@
     When a pass keeps room and needs no reservation
     Then the reservation's limit goes on, until a pass keeps nothing
 
+  Scenario: A wide step that fits nowhere costs a pass little
+    Given a scheduler with 1 worker of 8 cores
+    When a step of 1000 subtasks of a team without limits fits nowhere
+    Then the pass makes at most 30 checks of limits and 100 sums
+
   Scenario: The members of a gang have their rooms kept together
     Given a gang of 2 members of 7 cores that fits once w0 has emptied, and w1 after it
     Then both rooms are kept from the time when w1 has emptied
--- a/features/steps/lookahead_steps.py
+++ b/features/steps/lookahead_steps.py
@@ -6,9 +6,11 @@
 import random
 from dataclasses import replace
 from typing import Any
+from unittest.mock import patch
 
 from behave import given, step, then, when
 
+from cicadatrail_core.jobs import dispatch as dispatch_module
 from cicadatrail_core.jobs.durations import Durations
 from cicadatrail_core.jobs.job_report import waiting_reason
 from cicadatrail_core.jobs.lookahead import Forecast
@@ -380,3 +382,36 @@
     for size in ("small", "large"):
         ahead, without = getattr(context.ahead, size), getattr(context.without, size)
         assert at(ahead, 0.5) <= at(without, 0.5)
+
+
+@when("a step of {count:d} subtasks of a team without limits fits nowhere")
+def step_wide(context: Any, count: int) -> None:
+    world = context.world
+    _submit(world, RUNNING, _plan(1, 8, lasting=True), 1)
+    wide = replace(_plan(count, 3), team="team")
+    world.submit(OTHER, wide)
+    with (
+        patch.object(
+            dispatch_module, "within_limit", wraps=dispatch_module.within_limit
+        ) as checks,
+        patch.object(Resources, "__add__", _counted_add(context)),
+    ):
+        assert not world.run_all()
+    context.checked_count = checks.call_count
+
+
+def _counted_add(context: Any) -> Any:
+    add = Resources.__add__
+    context.add_count = 0
+
+    def counted(self: Resources, other: Resources) -> Resources:
+        context.add_count += 1
+        return add(self, other)
+
+    return counted
+
+
+@then("the pass makes at most {count:d} checks of limits and {adds:d} sums")
+def step_cheap(context: Any, count: int, adds: int) -> None:
+    assert context.checked_count <= count, context.checked_count
+    assert context.add_count <= adds, context.add_count
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/backfill.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/backfill.py
@@ -77,8 +77,7 @@
         steps have no end by which a forecast could be kept; others reserve a worker.
         """
         ahead = self._waiting
-        for _ in waiting:
-            self._waiting = self._waiting + step.spec.reserved
+        self._waiting = ahead + step.spec.reserved.times(len(waiting))
         if step.spec.lasting or not waiting or not self._is_large(step):
             return
         if not self._scheduler.kept_starts.may_keep(step, self._now_s):
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections.abc import Iterable, Iterator, Set
 from dataclasses import dataclass
 from functools import partial
@@ -226,10 +227,13 @@
     unseen: dict[str, Resources],
 ) -> list[Subtask]:
     """Return as many waiting subtasks, one at least, as may run at once."""
-    count = 1
-    while count < len(waiting) and within_limit(scheduler, step, count + 1, unseen):
-        count += 1
-    return waiting[:count]
+    # A step may have many thousand subtasks.
+    count = bisect_left(
+        range(1, len(waiting) + 1),
+        True,
+        key=lambda count: not within_limit(scheduler, step, count, unseen),
+    )
+    return waiting[: max(1, count)]
 
 
 def _has_attempt(scheduler: Scheduler, subtask: Subtask) -> bool:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/team_limits.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/team_limits.py
@@ -54,9 +54,7 @@
     if team is None:
         return True
     used = scheduler.team_used.get(team.name, NO_RESOURCES)
-    used = used + unseen.get(team.name, NO_RESOURCES)
-    for _ in range(count):
-        used = used + step.spec.need
+    used = used + unseen.get(team.name, NO_RESOURCES) + step.spec.need.times(count)
     limit = team.limit
     return (
         (not limit.cpu_millicores or used.cpu_millicores <= limit.cpu_millicores)
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/resources.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/resources.py
@@ -27,6 +27,14 @@
             self.accelerator_count - other.accelerator_count,
         )
 
+    def times(self, count: int) -> Resources:
+        """Return ``count`` times this amount."""
+        return Resources(
+            count * self.cpu_millicores,
+            count * self.memory_mib,
+            count * self.accelerator_count,
+        )
+
     def fits_in(self, capacity: Resources) -> bool:
         """Return whether this amount is at most ``capacity`` in every resource."""
         return (
