Take no turn from a record whose numbers aren't finite

A stored record of turns with an infinite or undefined number was taken over. The next plan of moves raised an OverflowError or ValueError in counting machines, which ends the leader's tasks; each successor would have read the same record.

The scenario about damaged records has such records now, and was seen failing without the mend (4 passed, 1 failed).

--- a/features/steps/turns_steps.py
+++ b/features/steps/turns_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 from unittest.mock import patch
 
@@ -170,6 +171,20 @@
         msgpack.packb({key: value for key, value in fields.items() if key != name})
         for name in fields
     ]
+    for number in (math.inf, math.nan):
+        damaged += [
+            msgpack.packb(fields | {"active_age_s": number}),
+            msgpack.packb(fields | {"gaps_s": [8.0, number]}),
+            *[
+                msgpack.packb(fields | {"turns": {"a": values}})
+                for values in (
+                    [number, 9.0, 80.0, 4.0],
+                    [1.0, number, 80.0, 4.0],
+                    [1.0, 9.0, number, 4.0],
+                    [1.0, 9.0, 80.0, number],
+                )
+            ],
+        ]
     context.restored = []
     for value in damaged:
         turns = TurnForecast()
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/turn_record.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/turn_record.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import Any
 
 import msgpack
@@ -65,14 +66,25 @@
     age_s = max(0.0, (unix_now_ms() - int(fields["stored_unix_ms"])) / 1000)
     turns = {
         str(pool): Turn(
-            float(start_s) + age_s, float(length_s), float(cores), float(ramp_s)
+            _finite(start_s) + age_s,
+            _finite(length_s),
+            _finite(cores),
+            _finite(ramp_s),
         )
         for pool, (start_s, length_s, cores, ramp_s) in fields["turns"].items()
     }
     return TurnRecord(
         str(fields["active"]),
-        float(fields["active_age_s"]) + age_s,
-        tuple(map(float, fields["gaps_s"])),
+        _finite(fields["active_age_s"]) + age_s,
+        tuple(map(_finite, fields["gaps_s"])),
         {str(a): str(b) for a, b in fields["followers"].items()},
         turns,
     )
+
+
+def _finite(value: Any) -> float:
+    """Return a number; raise ValueError for one that no plan can count with."""
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"not finite: {value!r}")
+    return number
