Forget the turns of a pool that the configuration no longer has

The turn of a pool that was removed in it never ended, since nothing more was recorded for it: the pool that follows was expected to begin at each moment and kept the machines of its former peak, and state of removed pools was kept and stored for good.

The new scenario was seen failing without the mend: b had 26 machines 6 s after its turn was due, 8 are allowed.

--- a/features/steps/turns_steps.py
+++ b/features/steps/turns_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 from typing import Any
 from unittest.mock import patch
 
@@ -207,3 +208,12 @@
         assert [len(records.collect()) for _ in range(2)] == [1, 0]
         world.turns.change_count += 1
         assert len(records.collect()) == 1
+
+
+@when("a is removed in its turn in the third round, and that of b fails to come")
+def step_removed(context: Any) -> None:
+    context.world = world = _world(frozenset({MISSING}))
+    world.play(NEXT_TURN_S - TURN_S / 2)
+    present = world.scheduler.configuration
+    pools = {name: pool for name, pool in present.pools.items() if name != "a"}
+    world.scheduler.configure(replace(present, version=2, pools=pools))
--- a/features/turns.feature
+++ b/features/turns.feature
@@ -27,3 +27,7 @@
     When the record of turns is damaged in every way
     Then nothing is forecast
     And the whole record is stored once for each start and end of a turn
+
+  Scenario: A pool that is removed in its turn leaves the next one no machines
+    When a is removed in its turn in the third round, and that of b fails to come
+    Then b has at most 8 machines 6 seconds after it was due
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
@@ -114,6 +114,8 @@
             capacities.setdefault(worker.facts.pool, []).append(worker.facts.capacity)
     pools = scheduler.configuration.pools
     names = [name for name, pool in pools.items() if not pool.standby]
+    if turns is not None:
+        turns.keep(names)
     idle_machine_count = math.ceil(
         IDLE_POOL_FRACTION * len(machines) / max(1, len(names))
     )
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/turn_forecast.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/turn_forecast.py
@@ -8,7 +8,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from dataclasses import dataclass, field
 from statistics import fmean, median
 
@@ -142,6 +142,18 @@
             for other in self._watches.values()
         )
 
+    def keep(self, pools: Container[str]) -> None:
+        """Forget all pools but those given: a removed one never ends its turn."""
+        for pool in [name for name in self._watches if name not in pools]:
+            del self._watches[pool]
+        if self._active and self._active not in pools:
+            self._active, self._active_end_s = "", None
+        self._followers = {
+            pool: follower
+            for pool, follower in self._followers.items()
+            if pool in pools and follower in pools
+        }
+
     def export(self, now_s: float) -> TurnRecord:
         """Return what a successor needs to go on."""
         turns = {
