Don't take the arrivals of a time without plans for a rise

Arrivals are counted over 0.8 s, as plans are made each 0.2 s. A plan waits for the machine list, for orders and 3 s after an announcement that failed; the next one counted all jobs since then as of one moment: a steady pool seemed to rise several times over, got machines, and began a turn that others were learned to follow. After a gap arrivals are now counted anew; the mean has all of them.

--- a/features/steps/turns_steps.py
+++ b/features/steps/turns_steps.py
@@ -8,9 +8,10 @@
 from unittest.mock import patch
 
 import msgpack
-from behave import then, when
+from behave import given, then, when
 
 from cicadatrail_core.jobs.turn_forecast import TurnForecast
+from cicadatrail_core.jobs.turns import Arrival, TurnWatch
 from cicadatraild.scheduling import turn_record
 from cicadatraild.scheduling.turn_record import TURNS_KEY, TurnRecords
 from features.support.turns_world import POOLS, QUIET_S, TURN_S, Figures, TurnsWorld
@@ -217,3 +218,31 @@
     present = world.scheduler.configuration
     pools = {name: pool for name, pool in present.pools.items() if name != "a"}
     world.scheduler.configure(replace(present, version=2, pools=pools))
+
+
+def _come(watch: TurnWatch, from_s: float, until_s: float) -> None:
+    """Let three jobs come in each 0.2 s."""
+    for number in range(round((until_s - from_s) / 0.2)):
+        watch.record(Arrival(3, 3.0, 3.0), 15.0, from_s + 0.2 * number)
+
+
+@given("a pool to which 15 jobs a second come")
+def step_steady(context: Any) -> None:
+    context.watch = TurnWatch(0.0)
+    _come(context.watch, 0.0, 10.0)
+    context.before = context.watch.expected_cores(1.8)
+
+
+@when("there is no plan for 3 seconds")
+def step_no_plan(context: Any) -> None:
+    context.watch.record(Arrival(45, 45.0, 45.0), 15.0, 13.0)
+
+
+@then("no more is expected than before, and no turn has begun")
+def step_no_rise(context: Any) -> None:
+    watch = context.watch
+    assert (watch.expected_cores(1.8) or 0.0) <= context.before
+    for second in range(13, 17):
+        assert not watch.is_on
+        _come(watch, second + 0.2, second + 1.2)
+        assert (watch.expected_cores(1.8) or 0.0) <= 1.5 * context.before
--- a/features/turns.feature
+++ b/features/turns.feature
@@ -31,3 +31,8 @@
   Scenario: A pool that is removed in its turn leaves the next one no machines
     When a is removed in its turn in the third round, and that of b fails to come
     Then b has at most 8 machines 6 seconds after it was due
+
+  Scenario: Arrivals of a time without plans are no rise
+    Given a pool to which 15 jobs a second come
+    When there is no plan for 3 seconds
+    Then no more is expected than before, and no turn has begun
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/turns.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/turns.py
@@ -108,6 +108,9 @@
         self.known_since_s = now_s
         self.start_s: float | None = None
         self.newest: Turn | None = None
+        # Since when and until when arrivals have been recorded without a gap.
+        self._recorded_since_s = now_s
+        self._recorded_s = now_s
         self._recent: deque[tuple[float, Arrival]] = deque()
         self._total_core_s = 0.0
         self._earlier: deque[tuple[float, Arrival]] = deque()
@@ -135,6 +138,8 @@
     @property
     def is_rising(self) -> bool:
         """Return whether the turn is on its way to its peak."""
+        if self._recorded_s - self._recorded_since_s < 2 * WINDOW_S:
+            return False
         recent, earlier = _sum(self._recent), _sum(self._earlier)
         if not self.is_on or recent.job_count < LEAST_TURN_COUNT:
             return False
@@ -144,6 +149,8 @@
     def is_falling(self) -> bool:
         """Return whether the turn is past its peak: little more than half is left."""
         least = PAST_PEAK_FRACTION * self._peak_rate_cores
+        if self._recorded_s - self._recorded_since_s < 2 * WINDOW_S:
+            return False
         return self.is_on and self._wide_rate_cores < least
 
     def expected_cores(self, ahead_s: float) -> float | None:
@@ -157,6 +164,8 @@
             return None
         run_s = recent.weighted_run_s / recent.core_s
         rise = max(0.0, recent.core_s - earlier.core_s) / WINDOW_S / WINDOW_S
+        if self._recorded_s - self._recorded_since_s < 2 * WINDOW_S:
+            rise = 0.0
         sure_fraction = 1.0 - 1.0 / math.sqrt(recent.job_count)
         rate = self.rate_cores
         least_ahead_s = max(0.0, ahead_s + WINDOW_S / 2 - run_s / 2)
@@ -174,12 +183,19 @@
         """
         mean = self._total_core_s / max(WINDOW_S, now_s - self.known_since_s)
         self._total_core_s += arrival.core_s
+        if now_s - self._recorded_s > WINDOW_S:
+            # When the work came is not known: at once, it would seem to be a rise.
+            self._recent.clear()
+            self._earlier.clear()
+            self._recorded_since_s, arrival = now_s, Arrival()
+        self._recorded_s = now_s
         self._recent.append((now_s, arrival))
         while self._recent[0][0] <= now_s - WINDOW_S:
             self._earlier.append(self._recent.popleft())
         while self._earlier and self._earlier[0][0] <= now_s - 2 * WINDOW_S:
             self._earlier.popleft()
-        if now_s - self.known_since_s < WINDOW_S:
+        known_s = now_s - self._recorded_since_s
+        if known_s < WINDOW_S:
             return None
         recent = _sum(self._recent)
         if self.start_s is None:
@@ -194,6 +210,8 @@
             return True
         self._turn += arrival
         self._peak_cores = max(self._peak_cores, cores)
+        if known_s < 2 * WINDOW_S:
+            return None
         if self._wide_rate_cores > self._peak_rate_cores:
             self._peak_rate_cores, self._peak_s = self._wide_rate_cores, now_s
         length_s = max(WINDOW_S, now_s - self.start_s)
