Let work beyond its team's limit leave cores in the forecast of admission

All waiting work of more urgent queues counted as if it could take the whole pool. What its team's limit holds back can't: with half of the cores free, a job of a less urgent queue was refused because of it, though it would have started at once.

--- a/features/job_admission.feature
+++ b/features/job_admission.feature
@@ -45,6 +45,10 @@
     Given a team whose limit leaves its accepted work a minute
     Then its next job is refused and another team's is accepted
 
+  Scenario: Urgent work beyond its team's limit leaves the rest to other teams
+    Given a team whose limit is half of the fleet and its urgent work of a minute
+    Then admission accepts a plain job
+
   Scenario: Half of the workers are lost after admission
     Given a load of callers with seed 14
     When half of the workers are lost in the surge
--- a/features/steps/job_admission_steps.py
+++ b/features/steps/job_admission_steps.py
@@ -245,6 +245,17 @@
     assert _consider(context.load, _plan(SMALL, "calm")) is None
 
 
+@given("a team whose limit is half of the fleet and its urgent work of a minute")
+def step_urgent_limit(context: Any) -> None:
+    world = context.load = OverloadWorld(1, 1.0, False)
+    cores = sum(sim.cores for sim in world.world.sims.values())
+    limited = replace(TEAMS["hot"], limit=Resources(cores * 500))
+    configuration = world.world.scheduler.configuration
+    teams = TEAMS | {"hot": limited}
+    world.world.scheduler.configure(replace(configuration, version=3, teams=teams))
+    _add_work(world, cores * 30 // 240, team="hot", queue="urgent")
+
+
 @given("a worker has not reported to this leader")
 def step_unreported(context: Any) -> None:
     context.load.world.worker("w0").is_reconciled = False
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_admission.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_admission.py
@@ -33,6 +33,9 @@
 WIDE_FRACTION = 0.25
 """Fraction of a pool that a job can use at once as far as its objective assumes."""
 
+LIMIT_STEP_COUNT = 8
+"""Steps to the time in which teams at their limits have left the cores for the rest."""
+
 RETURN_LEAST_S = 1.0
 RETURN_LIMIT_S = 30.0
 """Bounds of the time after which refused callers come back."""
@@ -158,28 +161,48 @@
 
     Work of the same priority delays a team only as far as its weighted share requires.
     """
-    more_urgent = 0.0
+    urgent: dict[str, float] = {}
     by_team = {own.team: 0.0}
     for work in ahead:
         if work.pool != own.pool:
             continue
         if work.priority < own.priority:
-            more_urgent += work.core_s
+            urgent[work.team] = urgent.get(work.team, 0.0) + work.core_s
         else:
             by_team[work.team] = by_team.get(work.team, 0.0) + work.core_s
     share = _weight(load, own.team) / sum(_weight(load, team) for team in by_team)
     equal = min(sum(by_team.values()), by_team[own.team] / share)
     pool = load.pools[own.pool]
-    alone_s = (more_urgent + equal + pool.running_core_s) / _left_cores(
-        load, own, pool.cores
-    )
+    left = _left_cores(load, own, pool.cores)
+    alone_s = _cleared_s(load, urgent, equal + pool.running_core_s, left)
     # Machines of other pools join once their runs have ended.
     running = sum(other.running_core_s for other in load.pools.values())
     cores = load.joining_cores + sum(other.cores for other in load.pools.values())
-    fleet_s = (more_urgent + equal + running) / _left_cores(load, own, cores)
+    left = _left_cores(load, own, cores)
+    fleet_s = _cleared_s(load, urgent, equal + running, left)
     return min(alone_s, fleet_s)
 
 
+def _cleared_s(
+    load: FleetLoad, urgent: Mapping[str, float], other_core_s: float, cores: float
+) -> float:
+    """Return the time until cores have finished work, or as much as limits allow.
+
+    ``urgent`` has more urgent work by team; what a team's limit holds back leaves
+    its cores to others.
+    """
+    cleared_s = (sum(urgent.values()) + other_core_s) / cores
+    for _ in range(LIMIT_STEP_COUNT):
+        core_s = other_core_s
+        for name, team_core_s in urgent.items():
+            team = load.teams.get(name)
+            if team is not None and team.limit_cores:
+                team_core_s = min(team_core_s, team.limit_cores * cleared_s)
+            core_s += team_core_s
+        cleared_s = core_s / cores
+    return cleared_s
+
+
 def _left_cores(load: FleetLoad, own: Work, cores: float) -> float:
     """Return the cores that more urgent work leaves, if it goes on arriving."""
     arrived = sum(
