Don't count work that was admitted but not taken on as accepted

Admission noted a job as accepted before the leader knew whether it could take it on: one refused for too many open subtasks, or dropped while the store was silent, counted for 0.25 s as waiting and, with each attempt anew, for 4 s as arriving. Less urgent jobs were refused for work that did not exist. Only jobs that the leader has count now, each once.

The new scenario was seen failing without the mend; job_admission.feature: 22 passed.

--- a/features/job_admission.feature
+++ b/features/job_admission.feature
@@ -49,6 +49,10 @@
     Given a team whose limit is half of the fleet and its urgent work of a minute
     Then admission accepts a plain job
 
+  Scenario: A job that was accepted but not stored doesn't count as work
+    Given an idle fleet and 400 urgent jobs that were accepted and then dropped
+    Then admission accepts a plain job
+
   Scenario: Half of the workers are lost after admission
     Given a load of callers with seed 14
     When half of the workers are lost in the surge
--- a/features/steps/job_admission_steps.py
+++ b/features/steps/job_admission_steps.py
@@ -256,6 +256,13 @@
     _add_work(world, cores * 30 // 240, team="hot", queue="urgent")
 
 
+@given("an idle fleet and {count:d} urgent jobs that were accepted and then dropped")
+def step_dropped(context: Any, count: int) -> None:
+    world = context.load = OverloadWorld(1, 1.0, False)
+    for number in range(count):
+        _consider(world, _plan(HUGE, queue="urgent"), f"{number:016x}")
+
+
 @given("a worker has not reported to this leader")
 def step_unreported(context: Any) -> None:
     context.load.world.worker("w0").is_reconciled = False
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/admission.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/admission.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 
@@ -51,8 +50,9 @@
         self._read_s = float("-inf")
         # Work of refused jobs and when they may come back, by job.
         self._returning: dict[str, tuple[float, Work]] = {}
-        # Work that was accepted lately, and when.
-        self._recent: deque[tuple[float, Work]] = deque()
+        # Work that was accepted lately, and when, by job; the newest last. Some may
+        # have been dropped since, as the leader could not take it on or store it.
+        self._recent: dict[str, tuple[float, Work]] = {}
         self.refused_counts: dict[str, int] = {}
         self.retry_after_s = 0.0
 
@@ -81,16 +81,25 @@
         self._returning.pop(job_id, None)
         job = describe_job(self._scheduler, job_id, definition, queue, now_s)
         returning = tuple(work for _, work in self._returning.values())
-        while self._recent and self._recent[0][0] < now_s - ARRIVAL_WINDOW_S:
-            self._recent.popleft()
-        recent = tuple(work for _, work in self._recent)
-        load = replace(self._load, returning=returning, recent=recent)
+        jobs = self._scheduler.jobs
+        since_s = now_s - ARRIVAL_WINDOW_S
+        recent = [
+            entry
+            for key, entry in self._recent.items()
+            if key in jobs and entry[0] >= since_s
+        ]
+        # The next reading finds it among the jobs.
+        unread = [work for accepted_s, work in recent if accepted_s >= self._read_s]
+        load = replace(
+            self._load,
+            waiting=(*self._load.waiting, *unread),
+            returning=returning,
+            recent=tuple(work for _, work in recent),
+        )
         match decide(load, job, now_s):
             case Admit():
-                # Counts until the next reading finds it among the jobs.
-                waiting = (*self._load.waiting, job.work)
-                self._load = replace(self._load, waiting=waiting)
-                self._recent.append((now_s, job.work))
+                self._recent.pop(job_id, None)
+                self._recent[job_id] = (now_s, job.work)
                 return None
             case Reject() as decision:
                 return self._refuse(job, queue, decision, load, now_s)
@@ -105,6 +114,12 @@
             for job_id, entry in self._returning.items()
             if entry[0] > now_s
         }
+        oldest_s = now_s - ARRIVAL_WINDOW_S
+        self._recent = {
+            job_id: entry
+            for job_id, entry in self._recent.items()
+            if entry[0] >= oldest_s
+        }
 
     def _refuse(
         self,
