--- a/features/steps/lookahead_steps.py
+++ b/features/steps/lookahead_steps.py
@@ -17,6 +17,7 @@
 from cicadatrail_core.jobs.models import EndKind, JobDefinition, Step
 from cicadatrail_core.jobs.reservations import Reservation
 from cicadatrail_core.jobs.state import JobState
+from cicadatrail_core.jobs.team_limits import within_limit
 from cicadatrail_core.models.resources import Resources
 from features.support.job_world import JobWorld
 from features.support.lookahead_load import (
@@ -391,9 +392,7 @@
     wide = replace(_plan(count, 3), team="team")
     world.submit(OTHER, wide)
     with (
-        patch.object(
-            dispatch_module, "within_limit", wraps=dispatch_module.within_limit
-        ) as checks,
+        patch.object(dispatch_module, "within_limit", wraps=within_limit) as checks,
         patch.object(Resources, "__add__", _counted_add(context)),
     ):
         assert not world.run_all()
