Read the load for admission without objectives of jobs that run as a whole

The reading, each 0.25 s, took 66 ms of processor time with 1,000 waiting and 2,600 running jobs on 350 workers, now 35 ms (by hand, one run each, on a shared machine). The result is the same.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/admission_load.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/admission_load.py
@@ -131,10 +131,19 @@
         queue = scheduler.queues.get(job.definition.queue)
         if job.is_final or queue is None:
             continue
-        limit_s = objective_s(scheduler, job, queue)
         if not job.is_stored:
             core_s = _definition_core_s(scheduler, job.definition)
         else:
+            core_s = sum(
+                _waiting_core_s(scheduler, step)
+                for steps in job.occurrences.values()
+                for step in steps
+            )
+        # Most jobs run as a whole; their objectives need not be known.
+        if not core_s:
+            continue
+        limit_s = objective_s(scheduler, job, queue)
+        if job.is_stored:
             path_s = max(
                 (
                     remaining_critical_path_s(scheduler, steps)
@@ -144,19 +153,13 @@
             )
             if now_s + path_s - job.accepted_s > LATE_FACTOR * limit_s:
                 continue
-            core_s = sum(
-                _waiting_core_s(scheduler, step)
-                for steps in job.occurrences.values()
-                for step in steps
-            )
-        if core_s:
-            yield Work(
-                queue.pool,
-                job.definition.team,
-                queue.priority,
-                job.accepted_s + limit_s,
-                core_s,
-            )
+        yield Work(
+            queue.pool,
+            job.definition.team,
+            queue.priority,
+            job.accepted_s + limit_s,
+            core_s,
+        )
 
 
 def _waiting_core_s(scheduler: Scheduler, step: StepState) -> float:
@@ -164,6 +167,8 @@
         return 0.0
     running_count = sum(1 for subtask in step.subtasks if subtask.live_runs)
     count = max(0, step.spec.count - step.done_count - running_count)
+    if not count:
+        return 0.0
     cores = step.spec.reserved.cpu_millicores / 1000
     return count * cores * _expected_s(scheduler, step)
 
