Forget the turns of late jobs in pools that have none

The newest turn of each pool and priority was kept for good, also of removed pools, and a late job whose queue had moved to another pool kept its turn there beside the one of the new pool.

--- a/features/scarcity.feature
+++ b/features/scarcity.feature
@@ -25,3 +25,8 @@
     Given a team with 1 of 4 jobs in time and one with all, of which 2 ended 11 s ago
     Then their shares are 0.25 and 1.0
     And a successor that has seen no job end gives none
+
+  Scenario: The turn of a queue that has moved to another pool is forgotten
+    Given a late job whose queue moves from one pool to another
+    When 3 seconds have passed
+    Then only the other pool has a turn
--- a/features/steps/scarcity_steps.py
+++ b/features/steps/scarcity_steps.py
@@ -9,6 +9,7 @@
 
 from cicadatrail_core.jobs import dispatch
 from cicadatrail_core.jobs.models import EndKind, JobDefinition, JobPhase, Step
+from cicadatrail_core.jobs.scarcity import LateJob, Standing, judge
 from cicadatrail_core.jobs.service_window import read_standing
 from cicadatrail_core.models.resources import Resources
 from features.support.overload_world import OverloadWorld
@@ -153,3 +154,19 @@
     for job in world.scheduler.jobs.values():
         job.ended_s = world.now_s
     assert not read_standing(world.scheduler, world.now_s).team_shares
+
+
+@given("a late job whose queue moves from one pool to another")
+def step_moves(context: Any) -> None:
+    context.standing = judge((), [LateJob("a", "one", 0, 0.0)], Standing(), 30.0)
+
+
+@when("{seconds:d} seconds have passed")
+def step_passed(context: Any, seconds: int) -> None:
+    late = [LateJob("a", "other", 0, 0.0)]
+    context.standing = judge((), late, context.standing, 30.0 + seconds)
+
+
+@then("only the other pool has a turn")
+def step_only_other(context: Any) -> None:
+    assert [*context.standing.turns] == [("other", 0)], context.standing
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scarcity.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scarcity.py
@@ -76,7 +76,11 @@
     for job in sorted(late, key=_age_order):
         if now_s - job.accepted_s > LATE_WAIT_LIMIT_S:
             waiting.setdefault((job.pool, job.priority), []).append(job)
-    turns = dict(previous.turns)
+    turns = {
+        key: turn
+        for key, turn in previous.turns.items()
+        if key in waiting or now_s - turn.since_s < LATE_TURN_S
+    }
     for key, jobs in waiting.items():
         turn = turns.get(key)
         if turn is None:
