Read all jobs less often where there are many

The age of a reading now grows with the number of jobs.

The new scenario fails without the factor for each job (0.25 in place of 10.0).

--- a/features/scarcity.feature
+++ b/features/scarcity.feature
@@ -30,3 +30,12 @@
     Given a late job whose queue moves from one pool to another
     When 3 seconds have passed
     Then only the other pool has a turn
+
+  Scenario Outline: A reading that visits many jobs is made less often
+    When there are <count> jobs
+    Then a reading of them is used for <age> s
+
+    Examples:
+      | count | age  |
+      | 500   | 0.25 |
+      | 20000 | 10.0 |
--- a/features/steps/job_admission_steps.py
+++ b/features/steps/job_admission_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 
 from cicadatrail_core.jobs.models import JobDefinition, Machine, MachineState, Step
+from cicadatrail_core.jobs.service_window import READING_AGE_S
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.scheduling import admission
 from cicadatraild.scheduling.messages import Refused
@@ -174,7 +175,7 @@
     assert _consider(context.load, PLANS[name]) is None
     for machine in [m for m in context.load.machines if m.startswith("s")]:
         del context.load.machines[machine]
-    context.load.world.now_s += admission.LOAD_AGE_S
+    context.load.world.now_s += READING_AGE_S
 
 
 @then("a plain job is refused")
--- a/features/steps/scarcity_steps.py
+++ b/features/steps/scarcity_steps.py
@@ -10,7 +10,7 @@
 from cicadatrail_core.jobs import dispatch
 from cicadatrail_core.jobs.models import EndKind, JobDefinition, JobPhase, Step
 from cicadatrail_core.jobs.scarcity import LateJob, Standing, judge
-from cicadatrail_core.jobs.service_window import read_standing
+from cicadatrail_core.jobs.service_window import read_standing, reading_age_s
 from cicadatrail_core.models.resources import Resources
 from features.support.overload_world import OverloadWorld
 
@@ -170,3 +170,13 @@
 @then("only the other pool has a turn")
 def step_only_other(context: Any) -> None:
     assert [*context.standing.turns] == [("other", 0)], context.standing
+
+
+@when("there are {count:d} jobs")
+def step_many_jobs(context: Any, count: int) -> None:
+    context.age_s = reading_age_s(count)
+
+
+@then("a reading of them is used for {age:f} s")
+def step_reading_age(context: Any, age: float) -> None:
+    assert context.age_s == age, context.age_s
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/service_window.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/service_window.py
@@ -12,12 +12,20 @@
 """Time over which service is judged; objectives are a few seconds."""
 
 READING_AGE_S = 0.25
-"""Time for which a reading is used; it visits every job."""
+"""Shortest time for which a reading that visits every job is used."""
+
+READING_AGE_PER_JOB_S = 0.0005
+"""The same for each job, so that readings take a small part of the processor."""
+
+
+def reading_age_s(job_count: int) -> float:
+    """Return for how many seconds a reading that visits all jobs is used."""
+    return max(READING_AGE_S, READING_AGE_PER_JOB_S * job_count)
 
 
 def read_standing_if_due(scheduler: Scheduler, now_s: float) -> None:
     """Update the scheduler's standing of teams and queues if it is old."""
-    if now_s - scheduler.standing_read_s >= READING_AGE_S:
+    if now_s - scheduler.standing_read_s >= reading_age_s(len(scheduler.jobs)):
         scheduler.standing = read_standing(scheduler, now_s)
         scheduler.standing_read_s = now_s
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/admission.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/admission.py
@@ -23,13 +23,11 @@
 )
 from cicadatrail_core.jobs.models import JobDefinition, Machine, Queue
 from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.service_window import reading_age_s
 from cicadatraild.scheduling.messages import Refused
 
 logger = logging.getLogger("cicadatrail.admission")
 
-LOAD_AGE_S = 0.25
-"""Time for which a reading of the load is used; reading it visits every job."""
-
 RETURNING_LIMIT_COUNT = 1000
 """Refused jobs that are remembered at most, the newest: each decision visits all."""
 
@@ -105,7 +103,7 @@
                 return self._refuse(job, queue, decision, load, now_s)
 
     def _refresh(self, now_s: float) -> None:
-        if now_s - self._read_s < LOAD_AGE_S:
+        if now_s - self._read_s < reading_age_s(len(self._scheduler.jobs)):
             return
         self._load = read_load(self._scheduler, self._machines(), now_s)
         self._read_s = now_s
