Keep the definition of an ended job until no unread worker can run it

Cause: a leader deletes the stored definition of an ended job once it knows of no run of it. Just after a takeover it knows of none, as no worker or only some have reported. A cancel that arrives during the takeover is carried out right after it, and so is the end of a job by the first reports. The leader itself adopts the runs and stops them. If another one follows before they have stopped, it has the job without its steps: it logs "worker reported a run of an unknown job; ignoring it." (count stray), neither counts the run's room nor stops it.

A second fault of the same record: when all runs of an ended job had ended by the time a successor read the workers, nothing deleted the definition. Once the job's state was forgotten (status_s), the next leader took the definition alone for a new job and ran it again.

Changed: LeaderRecords knows the ended jobs whose definition is stored, also those that it restores, and deletes the definition once the job has no runs and each worker has reported or can hold no lease any more. When the state is forgotten first, the definition goes before it. No record, message or log line has changed.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/takeover.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/takeover.py
@@ -38,6 +38,14 @@
     )
 
 
+def may_have_unknown_runs(scheduler: Scheduler, now_s: float) -> bool:
+    """Return whether a worker may run something that this leader doesn't know."""
+    return not all(
+        worker.is_reconciled or has_expired_lease(worker, now_s)
+        for worker in scheduler.workers.values()
+    )
+
+
 def unreconciled_capacity(scheduler: Scheduler, now_s: float) -> Resources:
     """Return the total capacity of the workers whose runs are unknown."""
     total = NO_RESOURCES
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -19,7 +19,7 @@
 )
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import JobState, WorkerState
-from cicadatrail_core.jobs.takeover import inherit
+from cicadatrail_core.jobs.takeover import inherit, may_have_unknown_runs
 from cicadatrail_core.jobs.turn_forecast import TurnForecast
 from cicadatraild.platform.store import KeyedRecord
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
@@ -67,6 +67,8 @@
         self._turns: TurnRecords | None = None
         # Workers that the store listed when this leader took over.
         self.stored_worker_ids: set[str] = set()
+        # Ended jobs whose definition is stored, as runs of them may go on.
+        self._ended_with_definition: dict[str, None] = {}
         # Stored jobs that can't be read: they exist, but none of their state is known.
         self.unreadable_job_ids: set[str] = set()
 
@@ -91,6 +93,7 @@
             self._scheduler.changed_jobs
             or self._has_fleet_changes()
             or self._queues.has_changes()
+            or self._unneeded_definitions()
         )
 
     def _has_fleet_changes(self) -> bool:
@@ -135,12 +138,15 @@
             records.append(KeyedRecord(PROGRESS_PREFIX + job_id, encode_progress(job)))
             if job.is_final and job.stored_phase is JobPhase.PENDING:
                 ended.append((job, job.phase))
-            if job.is_final and not job.has_runs:
-                # A successor must know of runs that go on, so the definition is
-                # deleted only when there are none.
-                records.append(KeyedRecord(JOB_PREFIX + job_id, None))
+            if job.is_final:
+                self._ended_with_definition[job_id] = None
+        records += self._collect_unneeded_definitions()
         forgotten, scheduler.evicted_job_ids = scheduler.evicted_job_ids, []
         for job_id in forgotten:
+            if job_id in self._ended_with_definition:
+                # Without its progress the job would begin anew.
+                del self._ended_with_definition[job_id]
+                records.append(KeyedRecord(JOB_PREFIX + job_id, None))
             records.append(KeyedRecord(PROGRESS_PREFIX + job_id, None))
 
         def on_stored() -> None:
@@ -156,6 +162,30 @@
 
         return records, on_stored
 
+    def _unneeded_definitions(self) -> list[str]:
+        """Return the ids of ended jobs whose stored definition no successor needs.
+
+        It must know of runs that go on. Workers that have not reported to this leader
+        may have some as well.
+        """
+        scheduler = self._scheduler
+        if not self._ended_with_definition:
+            return []
+        if may_have_unknown_runs(scheduler, loop_now_s()):
+            return []
+        return [
+            job_id
+            for job_id in self._ended_with_definition
+            if job_id in scheduler.jobs and not scheduler.jobs[job_id].has_runs
+        ]
+
+    def _collect_unneeded_definitions(self) -> list[KeyedRecord]:
+        """Return deletions of the definitions that no successor needs."""
+        over = self._unneeded_definitions()
+        for job_id in over:
+            del self._ended_with_definition[job_id]
+        return [KeyedRecord(JOB_PREFIX + job_id, None) for job_id in over]
+
     def _collect_ended(self) -> list[KeyedRecord]:
         """Return the record of ended lives if it has changed.
 
@@ -259,6 +289,8 @@
             apply_progress(job, progress)
             check_progress(job)
         job.started = bool(job.occurrences or job.done_occurrences)
+        if job.is_final and definition is not None:
+            self._ended_with_definition[job_id] = None
         return job
 
     def _restore_fleet(self, value: bytes | None, machines: bytes | None) -> bool:
