Patch the placement of one job where it is decided now

can_run is called in worker_choice.py since the choice of workers left dispatch.py, so that the scenario 'A job that can't be placed is held back alone' failed with an AttributeError before it checked anything. Its checks are as before.

--- a/features/steps/leader_containment_steps.py
+++ b/features/steps/leader_containment_steps.py
@@ -9,8 +9,12 @@
 
 from behave import then, when
 
-from cicadatrail_core.jobs import dispatch as dispatch_module
-from cicadatrail_core.jobs import ejection, worker_conditions, worker_reports
+from cicadatrail_core.jobs import (
+    ejection,
+    worker_choice,
+    worker_conditions,
+    worker_reports,
+)
 from cicadatrail_core.jobs.models import JobDefinition, Step, WorkerReport
 from cicadatrail_core.jobs.state import StepState, WorkerState
 from cicadatrail_core.leadership.acting_right import LEADERSHIP_LEASE_S
@@ -158,7 +162,7 @@
 
     async def scenario(cluster: PlatformCluster) -> None:
         leader = await start_instances(cluster, 3)
-        with patch.object(dispatch_module, "can_run", can_run):
+        with patch.object(worker_choice, "can_run", can_run):
             assert await submit(cluster, leader, JOB, job()) == 200
             await finish_jobs(cluster, leader)
             context.state = await cluster.state(leader, JOB)
