Split the decisions on jobs and workers so that they can be explained

An explanation must use the decisions' own parts. AdmissionControl foresees a decision without noting it, OpenSubtasks tells whether a job would fit without counting it, and the checks before a job is stored are a function. dispatch calls a given function at each step's turn. No decision changes.

recovery_world, a stand-in for the leader, follows the new name open_subtasks.

--- a/features/support/recovery_world.py
+++ b/features/support/recovery_world.py
@@ -68,7 +68,7 @@
         journal=Journal(store, 1, collect, lambda _: None),
         _records=SimpleNamespace(unreadable_job_ids=set()),
         admission=SimpleNamespace(consider=lambda *_: None),
-        _open_subtasks=SimpleNamespace(admits=lambda *_: True),
+        open_subtasks=SimpleNamespace(admits=lambda *_: True),
         _leadership=SimpleNamespace(is_lease_valid=lambda: True),
     )
     for name in ("_submit", "_store_submission", "_cancel", "_missing_phase"):
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from collections.abc import Iterable, Iterator, Set
+from collections.abc import Callable, Iterable, Iterator, Set
 from dataclasses import dataclass
 from functools import partial
 
@@ -18,7 +18,6 @@
     note_start,
     withdraw_start_notes,
 )
-from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.models import Queue
 from cicadatrail_core.jobs.placement_error import Cursor, PlacementError
 from cicadatrail_core.jobs.reservations import (
@@ -45,9 +44,13 @@
     choose_gang_workers,
     may_start_gang,
 )
-from cicadatrail_core.jobs.worker_leases import has_expired_lease
+from cicadatrail_core.jobs.worker_conditions import usable_workers
 from cicadatrail_core.models.resources import Resources
 
+OnTurn = Callable[[StepState, list[WorkerState], Callable[[Subtask], Set[str]]], None]
+"""Called with each step before it is placed, the workers that it may start on, and a
+function that returns the ids of those that are kept free of a subtask."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Candidate:
@@ -84,7 +87,7 @@
         self.backfill.end()
 
 
-def dispatch(scheduler: Scheduler, now_s: float) -> None:
+def dispatch(scheduler: Scheduler, now_s: float, on_turn: OnTurn | None = None) -> None:
     """Place ready subtasks on workers, the most urgent first.
 
     Raises PlacementError when one job fails; the other jobs' runs stay placed.
@@ -118,7 +121,7 @@
             if is_queue_reconciled(scheduler, queue, now_s)
         }
         candidates.sort(key=lambda candidate: candidate.order)
-        workers = _usable_workers(scheduler, pool, now_s)
+        workers = usable_workers(scheduler, pool, now_s)
         if scheduler.suspects:
             workers = _place_suspects(
                 scheduler,
@@ -136,7 +139,7 @@
         )
         try:
             _place_candidates(
-                scheduler, cursor, workers, room, reconciled, unseen, now_s
+                scheduler, cursor, workers, room, reconciled, unseen, now_s, on_turn
             )
         except Exception as error:
             if cursor.last is None:
@@ -160,24 +163,6 @@
                     yield step, steps, queue
 
 
-def _usable_workers(scheduler: Scheduler, pool: str, now_s: float) -> list[WorkerState]:
-    usable = [
-        worker
-        for worker in scheduler.workers.values()
-        if worker.facts.pool == pool
-        and worker.is_listed
-        and worker.is_known
-        and not worker.is_suspect
-        and not worker.is_cordoned
-        and not worker.facts.draining
-        and not is_evacuated(scheduler, worker)
-        and worker.clock_at_s is not None
-        and not has_expired_lease(worker, now_s)
-    ]
-    healthy = [worker for worker in usable if worker.ejected_until_s <= now_s]
-    return healthy or usable
-
-
 def _place_candidates(
     scheduler: Scheduler,
     candidates: Iterable[_Candidate],
@@ -186,9 +171,12 @@
     reconciled: set[str],
     unseen: dict[str, Resources],
     now_s: float,
+    on_turn: OnTurn | None,
 ) -> None:
     for candidate in candidates:
         step = candidate.step
+        if on_turn is not None:
+            on_turn(step, workers, room.closed_to)
         if step.job.inherited and candidate.queue.name not in reconciled:
             continue
         if step.spec.gang:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_admission.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_admission.py
@@ -119,6 +119,13 @@
     limit_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Unjudged:
+    """Decision that a job is accepted without a forecast, and why."""
+
+    reason: str
+
+
 FLEET_BUSY = "the work ahead takes too long"
 TEAM_BUSY = "the team's own work ahead takes too long"
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/kept_starts.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/kept_starts.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from cicadatrail_core.jobs.state import StepState
@@ -64,6 +65,16 @@
     def __bool__(self) -> bool:
         return bool(self._by_step)
 
+    def copied(self, copy_of: Callable[[StepState], StepState]) -> KeptStarts:
+        """Return a copy for other steps, with counts of its own."""
+        other = KeptStarts({})
+        other._by_step = {copy_of(s): kept for s, kept in self._by_step.items()}
+        other._logged = {copy_of(s) for s in self._logged}
+        other._resting_until_s = {
+            copy_of(s): until_s for s, until_s in self._resting_until_s.items()
+        }
+        return other
+
     def get(self, step: StepState) -> KeptStart | None:
         """Return the kept start of a step, or None."""
         return self._by_step.get(step)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/open_subtasks.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/open_subtasks.py
@@ -15,6 +15,8 @@
 """Subtasks of all open jobs; each takes about 1 KB. It is the same on all machines, as
 any of them may become the leader."""
 
+TOO_MANY = "too many subtasks are open"
+
 RECOUNT_PAUSE_S = 0.5
 """Shortest interval between two counts of all jobs."""
 
@@ -33,19 +35,30 @@
     def admits(self, definition: JobDefinition, now_s: float) -> bool:
         """Return whether a job fits, and count it if it does."""
         added_count = count_subtasks(definition)
-        if self._count is None or self._count + added_count > OPEN_SUBTASKS_LIMIT_COUNT:
-            self._recount(now_s)
+        if self._is_recount_due(added_count, now_s):
+            self._counted_s = now_s
+            self._count = self._count_open()
         total_count = (self._count or 0) + added_count
         if total_count > OPEN_SUBTASKS_LIMIT_COUNT:
             return False
         self._count = total_count
         return True
 
-    def _recount(self, now_s: float) -> None:
-        if now_s - self._counted_s < RECOUNT_PAUSE_S:
-            return
-        self._counted_s = now_s
-        self._count = sum(
+    def would_admit(self, definition: JobDefinition, now_s: float) -> bool:
+        """Return whether a job fits, without counting it."""
+        added_count = count_subtasks(definition)
+        is_due = self._is_recount_due(added_count, now_s)
+        open_count = self._count_open() if is_due else self._count or 0
+        return open_count + added_count <= OPEN_SUBTASKS_LIMIT_COUNT
+
+    def _is_recount_due(self, added_count: int, now_s: float) -> bool:
+        is_over = (
+            self._count is None or self._count + added_count > OPEN_SUBTASKS_LIMIT_COUNT
+        )
+        return is_over and now_s - self._counted_s >= RECOUNT_PAUSE_S
+
+    def _count_open(self) -> int:
+        return sum(
             count_subtasks(job.definition)
             for job in self._jobs.values()
             if not job.is_final
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/resources.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/resources.py
@@ -43,6 +43,18 @@
             and self.accelerator_count <= capacity.accelerator_count
         )
 
+    def exceeding(self, capacity: Resources) -> tuple[str, ...]:
+        """Return the names of the resources in which this amount is over another."""
+        return tuple(
+            name
+            for name, amount, limit in (
+                ("cpu", self.cpu_millicores, capacity.cpu_millicores),
+                ("memory", self.memory_mib, capacity.memory_mib),
+                ("accelerators", self.accelerator_count, capacity.accelerator_count),
+            )
+            if amount > limit
+        )
+
     def at_most(self, limit: Resources) -> Resources:
         """Return this amount, limited to ``limit`` in each resource."""
         return Resources(
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/admission.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/admission.py
@@ -18,6 +18,7 @@
     FleetLoad,
     NewJob,
     Reject,
+    Unjudged,
     Work,
     decide,
 )
@@ -73,12 +74,45 @@
     def _consider(
         self, job_id: str, definition: JobDefinition, queue: Queue, now_s: float
     ) -> Refused | None:
-        if not self._machines() or is_forecast_blind(self._scheduler, queue, now_s):
+        if self._is_blind(queue, now_s):
             return None
         self._refresh(now_s)
         self._returning.pop(job_id, None)
         job = describe_job(self._scheduler, job_id, definition, queue, now_s)
-        returning = tuple(work for _, work in self._returning.values())
+        load = self._load_ahead(self._load, self._returning, self._read_s, now_s)
+        match decide(load, job, now_s):
+            case Admit():
+                self._recent.pop(job_id, None)
+                self._recent[job_id] = (now_s, job.work)
+                return None
+            case Reject() as decision:
+                return self._refuse(job, queue, decision, load, now_s)
+
+    def foresee(
+        self, job_id: str, definition: JobDefinition, now_s: float
+    ) -> Admit | Reject | Unjudged:
+        """Return the decision on a new job, which is not made or noted by this."""
+        queue = self._scheduler.queues.get(definition.queue)
+        if queue is None or not asks_for_admission(queue, definition):
+            return Unjudged("neither the queue nor the job asks for a forecast")
+        if self._is_blind(queue, now_s):
+            return Unjudged("too little is known of the fleet for a forecast")
+        load, returning, read_s = self._reading(now_s)
+        others = {k: entry for k, entry in returning.items() if k != job_id}
+        job = describe_job(self._scheduler, job_id, definition, queue, now_s)
+        return decide(self._load_ahead(load, others, read_s, now_s), job, now_s)
+
+    def _is_blind(self, queue: Queue, now_s: float) -> bool:
+        return not self._machines() or is_forecast_blind(self._scheduler, queue, now_s)
+
+    def _load_ahead(
+        self,
+        load: FleetLoad,
+        returning: dict[str, tuple[float, Work]],
+        read_s: float,
+        now_s: float,
+    ) -> FleetLoad:
+        """Return a reading with what came since and what will come back."""
         jobs = self._scheduler.jobs
         since_s = now_s - ARRIVAL_WINDOW_S
         recent = [
@@ -87,31 +121,18 @@
             if key in jobs and entry[0] >= since_s
         ]
         # The next reading finds it among the jobs.
-        unread = [work for accepted_s, work in recent if accepted_s >= self._read_s]
-        load = replace(
-            self._load,
-            waiting=(*self._load.waiting, *unread),
-            returning=returning,
+        unread = [work for accepted_s, work in recent if accepted_s >= read_s]
+        return replace(
+            load,
+            waiting=(*load.waiting, *unread),
+            returning=tuple(work for _, work in returning.values()),
             recent=tuple(work for _, work in recent),
         )
-        match decide(load, job, now_s):
-            case Admit():
-                self._recent.pop(job_id, None)
-                self._recent[job_id] = (now_s, job.work)
-                return None
-            case Reject() as decision:
-                return self._refuse(job, queue, decision, load, now_s)
 
     def _refresh(self, now_s: float) -> None:
         if now_s - self._read_s < reading_age_s(len(self._scheduler.jobs)):
             return
-        self._load = read_load(self._scheduler, self._machines(), now_s)
-        self._read_s = now_s
-        self._returning = {
-            job_id: entry
-            for job_id, entry in self._returning.items()
-            if entry[0] > now_s
-        }
+        self._load, self._returning, self._read_s = self._reading(now_s)
         oldest_s = now_s - ARRIVAL_WINDOW_S
         self._recent = {
             job_id: entry
@@ -119,6 +140,20 @@
             if entry[0] >= oldest_s
         }
 
+    def _reading(
+        self, now_s: float
+    ) -> tuple[FleetLoad, dict[str, tuple[float, Work]], float]:
+        """Return the load and the returning work as of now, and when it was read."""
+        if now_s - self._read_s < LOAD_AGE_S:
+            return self._load, self._returning, self._read_s
+        load = read_load(self._scheduler, self._machines(), now_s)
+        returning = {
+            job_id: entry
+            for job_id, entry in self._returning.items()
+            if entry[0] > now_s
+        }
+        return load, returning, now_s
+
     def _refuse(
         self,
         job: NewJob,
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/journal.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/journal.py
@@ -206,3 +206,12 @@
             waiter.set_exception(FencedError("the journal is closed"))
             # Mark the error as retrieved, as the waiter may have been cancelled.
             waiter.exception()
+
+
+def refusal_to_store(journal: Journal, record_bytes: int) -> str:
+    """Return why a new job can't be stored now, or ""."""
+    if journal.is_stalled:
+        return "the store does not answer"
+    if record_bytes > RECORD_LIMIT_BYTES:
+        return "the job is too large to store"
+    return ""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -17,7 +17,7 @@
 from cicadatrail_core.jobs.hold import dispatch_or_hold
 from cicadatrail_core.jobs.job_report import count_queued_jobs
 from cicadatrail_core.jobs.models import FleetConfiguration, Wave
-from cicadatrail_core.jobs.open_subtasks import OpenSubtasks
+from cicadatrail_core.jobs.open_subtasks import TOO_MANY, OpenSubtasks
 from cicadatrail_core.jobs.records import decode_definition
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
@@ -42,7 +42,7 @@
 from cicadatraild.scheduling.adviser import Adviser
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
 from cicadatraild.scheduling.former_leases import FormerLeases
-from cicadatraild.scheduling.journal import RECORD_LIMIT_BYTES, Journal
+from cicadatraild.scheduling.journal import Journal, refusal_to_store
 from cicadatraild.scheduling.leader_records import LeaderRecords
 from cicadatraild.scheduling.leadership import Leadership
 from cicadatraild.scheduling.machine_inventory import MachineInventory
@@ -109,7 +109,7 @@
                 settings.stop_limit_s,
             )
         )
-        self._open_subtasks = OpenSubtasks(self.scheduler.jobs)
+        self.open_subtasks = OpenSubtasks(self.scheduler.jobs)
         self._settings = settings
         self._store = store
         self._leadership = leadership
@@ -122,7 +122,7 @@
         self.journal = Journal(
             store, epoch, self._records.collect, leadership.step_down
         )
-        self._client = WorkerClient(epoch, self._may_start)
+        self._client = WorkerClient(epoch, self.may_start)
         self.orders = WorkerOrders(self.scheduler, self._client, leadership)
         self.links = WorkerLinks(
             self.scheduler, self._client, self.journal, leadership, self.orders
@@ -235,7 +235,7 @@
         records, _ = await self._store.read_newest(JOBS_TOPIC)
         return records
 
-    def _may_start(self) -> bool:
+    def may_start(self) -> bool:
         """Return whether subtasks may be started on the workers as they are known.
 
         A leader whose renewals are stored may still fail to read the list, whose
@@ -253,7 +253,7 @@
             await self._dirty.wait()
             self._dirty.clear()
             self.links.follow_scheduler()
-            if self._may_start():
+            if self.may_start():
                 held_until_s = dispatch_or_hold(self.scheduler, loop_now_s())
                 if held_until_s is not None:
                     self._dispatch_at(held_until_s)
@@ -270,7 +270,7 @@
         could_start = True
         while True:
             now_s = loop_now_s()
-            may_start = self._may_start()
+            may_start = self.may_start()
             if may_start != could_start:
                 logger.info(
                     "holder: permission to start subtasks changed.",
@@ -326,17 +326,16 @@
             # It was accepted; accepting it anew could run its subtasks twice.
             return Stored()
         if job is None:
-            if self.journal.is_stalled:
-                return Refused("the store does not answer")
-            if len(request.definition) > RECORD_LIMIT_BYTES:
-                return Refused("the job is too large to store")
+            reason = refusal_to_store(self.journal, len(request.definition))
+            if reason:
+                return Refused(reason)
             definition = decode_definition(request.definition)
             now_s = loop_now_s()
             refusal = self.admission.consider(request.job_id, definition, now_s)
             if refusal is not None:
                 return refusal
-            if not self._open_subtasks.admits(definition, now_s):
-                return Refused("too many subtasks are open")
+            if not self.open_subtasks.admits(definition, now_s):
+                return Refused(TOO_MANY)
             job = self.scheduler.accept(request.job_id, definition, now_s)
             self.scheduler.changed_jobs[request.job_id] = None
         return await self._store_submission(request.job_id)
