--- a/packages/cicadatrail-cli/src/cicadatrail/main.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/main.py
@@ -49,6 +49,7 @@
     "wave watch",
     "status",
     "job show",
+    "job explain",
 )
 
 
--- a/packages/cicadatrail-cli/src/cicadatrail/network/admin.py
+++ b/packages/cicadatrail-cli/src/cicadatrail/network/admin.py
@@ -5,7 +5,7 @@
 import json
 from collections.abc import Sequence
 from typing import Any
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 from returns.result import Failure, Result, Success
 
@@ -18,6 +18,7 @@
     WrongToken,
 )
 from cicadatrail.utils.access import Access, Address
+from cicadatrail_core.jobs.explanation import Explanation
 from cicadatrail_core.jobs.job_report import JobReport
 from cicadatrail_core.models.patches import (
     Accepted,
@@ -39,6 +40,7 @@
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
 NOT_FOUND = 404
+TOO_LARGE = 413
 
 _Outcome = Verdict | WrongToken | BadInput | NoVerdict | NoResponse
 
@@ -75,6 +77,14 @@
         """Return the report on a job from the first instance that has it."""
         return await self._read(f"/jobs/{quote(job_id, safe='')}", JobReport)
 
+    async def explain_job(
+        self, body: bytes, queue: str, team: str
+    ) -> Result[Explanation, Problem]:
+        """Return where a job would go now, from the first instance that leads."""
+        target = f"/explanations?{urlencode({'queue': queue, 'team': team})}"
+        request = Request("POST", target, self._access.token, body)
+        return await self._exchange(request, Explanation, self.addresses)
+
     async def submit(self, patch: Patch) -> Result[Verdict, Problem]:
         """Submit a patch to the instances in turn until one decides on it.
 
@@ -118,10 +128,16 @@
 
     async def _read(
         self, target: str, as_type: Any, address: Address | None = None
+    ) -> Result[Any, Problem]:
+        request = Request("GET", target, self._access.token)
+        addresses = (address,) if address else self.addresses
+        return await self._exchange(request, as_type, addresses)
+
+    async def _exchange(
+        self, request: Request, as_type: Any, addresses: Sequence[Address]
     ) -> Result[Any, Problem]:
         findings: list[Finding] = []
-        for target_address in (address,) if address else self.addresses:
-            request = Request("GET", target, self._access.token)
+        for target_address in addresses:
             exchanged = await exchange(target_address, request, self._timeout_s)
             if isinstance(exchanged, Failure):
                 findings.append(_to_finding(exchanged.failure()))
@@ -129,6 +145,10 @@
             response = exchanged.unwrap()
             if response.status == UNAUTHORIZED:
                 return Failure(WrongToken(target_address))
+            if request.body and response.status == BAD_REQUEST:
+                return Failure(_read_bad_input(response, target_address))
+            if request.body and response.status == TOO_LARGE:
+                return Failure(BadInput((Finding("body", "is too large"),)))
             if response.status != OK:
                 findings.append(
                     Finding(str(target_address), f"answered {response.status}")
