Log the clocks that tell a worker's lives apart

An order's answer had only its status read. It also gives the worker's clock, which begins anew with each life.

--- a/features/steps/data_centre_evacuation_steps.py
+++ b/features/steps/data_centre_evacuation_steps.py
@@ -12,7 +12,7 @@
 from cicadatrail_core.jobs.data_centre_evacuation import evacuate_data_centres
 from cicadatrail_core.jobs.evacuation import evacuate
 from cicadatraild.platform.store import KeyedRecord
-from cicadatraild.platform.workers import OrderOutcome
+from cicadatraild.platform.workers import OrderAnswer, OrderOutcome
 from cicadatraild.scheduling.operator_requests import OperatorRequests
 from cicadatraild.scheduling.worker_orders import WorkerOrders
 from features.support.job_world import JobWorld, definition
@@ -135,8 +135,9 @@
     evacuate_data_centres(world.scheduler, EVACUATED)
     client = MagicMock()
 
-    async def start(*arguments: Any) -> OrderOutcome:
-        return OrderOutcome.DONE if arguments[-1]() else OrderOutcome.NOT_SENT
+    async def start(*arguments: Any) -> OrderAnswer:
+        outcome = OrderOutcome.DONE if arguments[-1]() else OrderOutcome.NOT_SENT
+        return OrderAnswer(outcome)
 
     client.start = AsyncMock(side_effect=start)
     leadership = MagicMock()
--- a/features/steps/leader_containment_steps.py
+++ b/features/steps/leader_containment_steps.py
@@ -19,7 +19,7 @@
 from cicadatrail_core.jobs.state import StepState, WorkerState
 from cicadatrail_core.leadership.acting_right import LEADERSHIP_LEASE_S
 from cicadatrail_core.models.resources import Resources
-from cicadatraild.platform.workers import OrderOutcome, WorkerClient
+from cicadatraild.platform.workers import OrderAnswer, OrderOutcome, WorkerClient
 from cicadatraild.scheduling import leader as leader_module
 from features.support.containment_runs import (
     LogLines,
@@ -108,7 +108,7 @@
     failures: list[str] = []
     right = WorkerClient.start
 
-    async def start(client: WorkerClient, *order: Any) -> OrderOutcome:
+    async def start(client: WorkerClient, *order: Any) -> OrderAnswer:
         outcome = await right(client, *order)
         if not failures:
             failures.append(order[1])
--- a/features/support/capacity_world.py
+++ b/features/support/capacity_world.py
@@ -10,7 +10,7 @@
 from cicadatrail_core.jobs.models import JobDefinition, Step, SubtaskName, WorkerFacts
 from cicadatrail_core.jobs.state import Run
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
-from cicadatraild.platform.workers import OrderOutcome
+from cicadatraild.platform.workers import OrderAnswer, OrderOutcome
 from cicadatraild.scheduling.worker_orders import WorkerOrders
 from features.support.job_world import JobWorld, RandomHistory, SimulatedWorker
 
@@ -68,9 +68,9 @@
         is_wanted = rest[-1]
         await self.released.wait()
         if not is_wanted():
-            return OrderOutcome.NOT_SENT
+            return OrderAnswer(OrderOutcome.NOT_SENT)
         self.sent.append(subtask)
-        return OrderOutcome.DONE
+        return OrderAnswer(OrderOutcome.DONE)
 
 
 class HeldLeadership:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -274,6 +274,7 @@
         "answered_s",
         "below_target_since_s",
         "born_unix_ms",
+        "clock_asked_s",
         "clock_at_s",
         "clock_ms",
         "draining_until_s",
@@ -306,6 +307,8 @@
         self.unknown_run_count = 0
         self.answered_s: float | None = None
         self.clock_ms = 0
+        # When the answer with that clock was asked for, and when it came.
+        self.clock_asked_s = 0.0
         self.clock_at_s: float | None = None
         self.lease_expires_s = 0.0
         # True while its lists are unread and another leader may have given it a lease.
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from cicadatrail_core.jobs.crash_suspicion import lose_runs
@@ -16,6 +17,35 @@
 logger = logging.getLogger("cicadatrail.scheduler")
 
 
+@dataclass(frozen=True, slots=True)
+class LifeClock:
+    """The clock of one life of a worker, as it was read last.
+
+    ``clock_ms`` was read after ``asked_s``, on the event loop's clock.
+    """
+
+    born_unix_ms: int
+    clock_ms: int
+    asked_s: float
+
+    def is_continued_by(self, clock_ms: int | None, now_s: float) -> bool:
+        """Return whether a clock that was read before now is of the same life.
+
+        The clock of a later life began after this one was asked for.
+        """
+        if clock_ms is None or clock_ms < self.clock_ms:
+            return False
+        longest_age_s = (now_s - self.asked_s) / (1 - CLOCK_DRIFT)
+        return clock_ms > longest_age_s * 1000
+
+
+def known_clock(worker: WorkerState) -> LifeClock | None:
+    """Return the clock on which a worker's deadlines are counted, or None."""
+    if worker.clock_at_s is None:
+        return None
+    return LifeClock(worker.born_unix_ms, worker.clock_ms, worker.clock_asked_s)
+
+
 def renew_lease(scheduler: Scheduler, worker: WorkerState, now_s: float) -> int | None:
     """Extend a worker's lease from now; return its deadline in the worker's ms.
 
@@ -57,6 +87,9 @@
             extra={
                 **worker_fields(worker),
                 "run_count": len(worker.runs),
+                "order_count": sum(
+                    run.answered_s is None for run in worker.runs.values()
+                ),
                 "answer_age_s": round(now_s - (worker.answered_s or 0), 3),
             },
         )
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -62,6 +62,7 @@
     worker.is_suspect = False
     worker.failed_s = None
     worker.clock_ms = report.clock_ms
+    worker.clock_asked_s = sent_s
     worker.clock_at_s = now_s
     has_ends = False
     for row in report.ends:
@@ -324,7 +325,14 @@
     born_unix_ms = report.born_unix_ms
     logger.info(
         "scheduler: worker restarted; releasing the runs it no longer lists.",
-        extra={**worker_fields(worker), "born_unix_ms": born_unix_ms},
+        extra={
+            **worker_fields(worker),
+            "born_unix_ms": born_unix_ms,
+            "clock_ms": report.clock_ms,
+            "former_clock_ms": worker.clock_ms,
+            "running_count": len(report.running),
+            "order_count": sum(run.answered_s is None for run in worker.runs.values()),
+        },
     )
     worker.clear_unreported_runs()
     worker.processed_end = 0
--- a/packages/cicadatrail-node/src/cicadatraild/platform/worker_reports.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/worker_reports.py
@@ -77,6 +77,14 @@
     )
 
 
+def decode_clock(data: bytes) -> int | None:
+    """Return the worker's clock in ms from any of its answers, or None without one."""
+    try:
+        return read_integer(check_table(parse_json(data)), "clock-ms")
+    except DecodeError:
+        return None
+
+
 def decode_report(data: bytes) -> WorkerReport | None:
     """Return a worker's report of running and ended runs, or None if invalid."""
     try:
--- a/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
@@ -14,7 +14,7 @@
 from cicadatraild.network.client_exchange import Address, ClientFault, WholeResponse
 from cicadatraild.network.http_client import ConnectionPool
 from cicadatraild.platform.refusals import decode_reason
-from cicadatraild.platform.worker_reports import decode_report
+from cicadatraild.platform.worker_reports import decode_clock, decode_report
 
 CONNECT_TIMEOUT_S = 0.5
 """Time to open a connection to a worker; the network latency is about 1 ms."""
@@ -63,6 +63,17 @@
     """No answer; the worker may carry out the order, even seconds later."""
 
 
+@dataclass(frozen=True, slots=True)
+class OrderAnswer:
+    """Outcome of an order, and the worker's clock if the answer gave it.
+
+    ``clock_ms`` tells which life of the worker has answered.
+    """
+
+    outcome: OrderOutcome
+    clock_ms: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ListFailure:
     """Reason why a worker's report could not be read."""
@@ -101,7 +112,7 @@
         ticket: str,
         deadline_ms: int,
         is_wanted: Callable[[], bool],
-    ) -> OrderOutcome:
+    ) -> OrderAnswer:
         """Start a run before ``deadline_ms`` on the worker's clock.
 
         The order is not sent if, right before its first byte would leave, this leader
@@ -125,7 +136,7 @@
     async def stop(self, worker: WorkerFacts, subtask: str, run: int) -> OrderOutcome:
         """Stop a run, or prevent it from starting."""
         body = {"task": subtask, "run": run, "fencing-token": self._epoch}
-        return await self._order(worker, "run-stop", body)
+        return (await self._order(worker, "run-stop", body)).outcome
 
     async def set_pace(
         self, worker: WorkerFacts, subtask: str, run: int, percent: int
@@ -137,7 +148,7 @@
             "percent": percent,
             "fencing-token": self._epoch,
         }
-        return await self._order(worker, "pace", body)
+        return (await self._order(worker, "pace", body)).outcome
 
     async def read_lists(
         self,
@@ -176,13 +187,15 @@
         call: str,
         body: dict[str, object],
         may_send: Callable[[], bool] = lambda: True,
-    ) -> OrderOutcome:
+    ) -> OrderAnswer:
         slots = self._order_slots.setdefault(
             worker.worker_id, asyncio.Semaphore(CONCURRENT_ORDER_LIMIT_COUNT)
         )
         async with slots:
             response = await self._call(worker, call, body, ORDER_TIMEOUT_S, may_send)
-        return response if isinstance(response, OrderOutcome) else _outcome(response)
+        if isinstance(response, OrderOutcome):
+            return OrderAnswer(response)
+        return OrderAnswer(_outcome(response), decode_clock(response.body))
 
     async def _call(
         self,
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -168,6 +168,8 @@
                 "worker: lists received.",
                 extra={
                     "worker_id": worker.facts.worker_id,
+                    "born_unix_ms": result.born_unix_ms,
+                    "clock_ms": result.clock_ms,
                     "running": len(result.running),
                     "ends": len(result.ends),
                 },
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -10,7 +10,7 @@
 from cicadatrail_core.jobs.ejection import eject
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, RunPhase, WorkerState
-from cicadatrail_core.jobs.worker_leases import renew_lease
+from cicadatrail_core.jobs.worker_leases import known_clock, renew_lease
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
 from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
 from cicadatraild.scheduling.leadership import Leadership
@@ -148,8 +148,9 @@
         scheduler = self._scheduler
         worker = run.worker
         now_s = loop_now_s()
+        clock = known_clock(worker)
         deadline_ms = renew_lease(scheduler, worker, now_s)
-        if deadline_ms is None:
+        if deadline_ms is None or clock is None:
             run.is_start_pending = False
             scheduler.release_refused(run, now_s, "no-clock")
             return
@@ -158,7 +159,7 @@
         self.start_count += 1
         if not self._leadership.is_lease_valid():
             await self._check_incarnation(worker)
-        outcome = await self._client.start(
+        answer = await self._client.start(
             worker.facts,
             str(subtask.name),
             run.number,
@@ -185,10 +186,13 @@
                 "answer_age_s": age_s(worker.answered_s),
                 "waited_s": round(run.sent_s - subtask.ready_s, 3),
                 "cpu_millicores": subtask.step.spec.need.cpu_millicores,
-                "outcome": outcome.value,
+                "outcome": answer.outcome.value,
+                "known_clock_ms": clock.clock_ms,
+                "clock_ms": answer.clock_ms,
+                "is_same_life": clock.is_continued_by(answer.clock_ms, now_s),
             },
         )
-        self._apply_start_outcome(run, outcome, now_s)
+        self._apply_start_outcome(run, answer.outcome, now_s)
 
     async def _check_incarnation(self, worker: WorkerState) -> None:
         """Ask a worker that has not answered lately whether it has restarted.
