--- a/features/steps/leader_containment_steps.py
+++ b/features/steps/leader_containment_steps.py
@@ -16,7 +16,8 @@
     worker_reports,
 )
 from cicadatrail_core.jobs.models import JobDefinition, Step, WorkerReport
-from cicadatrail_core.jobs.state import StepState, WorkerState
+from cicadatrail_core.jobs.state import StepState
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.leadership.acting_right import LEADERSHIP_LEASE_S
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.workers import OrderAnswer, OrderOutcome, WorkerClient
--- a/features/steps/takeover_machines_steps.py
+++ b/features/steps/takeover_machines_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 
 from cicadatrail_core.jobs.models import Machine, MachineState, Wave
-from cicadatrail_core.jobs.state import WorkerState
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatraild.platform.machines import MachineOutcome
 from cicadatraild.scheduling.machine_inventory import (
     ORDER_LIMIT_S,
--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -30,10 +30,11 @@
 )
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.scheduler_settings import SchedulerSettings
-from cicadatrail_core.jobs.state import JobState, Run, RunPhase, WorkerState
+from cicadatrail_core.jobs.state import JobState, Run, RunPhase
 from cicadatrail_core.jobs.takeover import inherit
 from cicadatrail_core.jobs.worker_leases import renew_lease
 from cicadatrail_core.jobs.worker_reports import apply_report
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 LEASE_S = 3.5
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/backfill.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/backfill.py
@@ -16,9 +16,10 @@
 from cicadatrail_core.jobs.lookahead import Forecast
 from cicadatrail_core.jobs.reservations import reservable_workers
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import StepState, Subtask, WorkerState
+from cicadatrail_core.jobs.state import StepState, Subtask
 from cicadatrail_core.jobs.worker_conditions import can_run
 from cicadatrail_core.jobs.worker_scores import penalty_millicores
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 KEPT_FRACTION = 0.25
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/balance.py
@@ -15,9 +15,10 @@
 from cicadatrail_core.jobs.demand import Demand
 from cicadatrail_core.jobs.models import Machine, MachineState
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import StepState, WorkerState
+from cicadatrail_core.jobs.state import StepState
 from cicadatrail_core.jobs.turn_forecast import Outlook, TurnForecast
 from cicadatrail_core.jobs.turns import Arrival, arrivals_since
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.models.resources import Resources
 
 USABLE_FRACTION = 0.85
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
@@ -14,13 +14,8 @@
 
 from cicadatrail_core.jobs.models import JobPhase
 from cicadatrail_core.jobs.scheduler_settings import RUNS_PER_EPOCH
-from cicadatrail_core.jobs.state import (
-    JobState,
-    Run,
-    Subtask,
-    SubtaskPhase,
-    WorkerState,
-)
+from cicadatrail_core.jobs.state import JobState, Run, Subtask, SubtaskPhase
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 if TYPE_CHECKING:
     from cicadatrail_core.jobs.scheduler import Scheduler
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/data_centre_evacuation.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/data_centre_evacuation.py
@@ -10,7 +10,7 @@
 import logging
 
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import WorkerState
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 logger = logging.getLogger("cicadatrail.scheduler")
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -26,11 +26,7 @@
 )
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.service_window import read_standing_if_due
-from cicadatrail_core.jobs.state import (
-    StepState,
-    Subtask,
-    WorkerState,
-)
+from cicadatrail_core.jobs.state import StepState, Subtask
 from cicadatrail_core.jobs.suspect_placement import (
     SuspectPlacement,
     is_suspect_step,
@@ -45,6 +41,7 @@
     may_start_gang,
 )
 from cicadatrail_core.jobs.worker_conditions import usable_workers
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.models.resources import Resources
 
 OnTurn = Callable[[StepState, list[WorkerState], Callable[[Subtask], Set[str]]], None]
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/drain_conflicts.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/drain_conflicts.py
@@ -11,7 +11,7 @@
 
 from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import StepState, Subtask, WorkerState
+from cicadatrail_core.jobs.state import StepState, Subtask
 from cicadatrail_core.jobs.takeover import is_queue_reconciled
 from cicadatrail_core.jobs.team_limits import unseen_by_team, within_limit
 from cicadatrail_core.jobs.worker_conditions import (
@@ -20,6 +20,7 @@
     usable_workers,
 )
 from cicadatrail_core.jobs.worker_leases import has_expired_lease
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 WAIT_LIMIT_S = 1.0
 """Wait of a long-running subtask from which a drain gives way to it."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/ejection.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/ejection.py
@@ -10,7 +10,7 @@
 import logging
 from collections.abc import Mapping
 
-from cicadatrail_core.jobs.state import WorkerState
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 logger = logging.getLogger("cicadatrail.ejection")
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/ended_lives.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/ended_lives.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from cicadatrail_core.jobs.models import WorkerFacts
-from cicadatrail_core.jobs.state import WorkerState
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 MOVED = "moved"
 MAINTENANCE = "maintenance"
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
@@ -10,9 +10,10 @@
 from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.ejection import EJECTION_S, eject
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import Run, RunPhase, StepState, WorkerState
+from cicadatrail_core.jobs.state import Run, RunPhase, StepState
 from cicadatrail_core.jobs.takeover import is_queue_reconciled
 from cicadatrail_core.jobs.worker_conditions import can_run
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 CHECKPOINTED_WAIT_S = 1.5
 """Time that a subtask with a checkpoint gets to finish before it is moved."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/explanation.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/explanation.py
@@ -21,13 +21,14 @@
 from cicadatrail_core.jobs.placement_error import PlacementError
 from cicadatrail_core.jobs.reservations import reservable_workers
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import JobState, StepState, Subtask, WorkerState
+from cicadatrail_core.jobs.state import JobState, StepState, Subtask
 from cicadatrail_core.jobs.team_limits import unseen_by_team, within_limit
 from cicadatrail_core.jobs.trial_copy import copy_for_trial
 from cicadatrail_core.jobs.worker_conditions import (
     turned_down_reason,
     usable_workers,
 )
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 NEW_JOB_ID = "new"
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/log_fields.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/log_fields.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cicadatrail_core.jobs.state import WorkerState
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 
 def worker_fields(worker: WorkerState) -> dict[str, object]:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/lookahead.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/lookahead.py
@@ -12,7 +12,8 @@
 
 from cicadatrail_core.jobs.durations import RunTime
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import Run, RunPhase, StepState, WorkerState
+from cicadatrail_core.jobs.state import Run, RunPhase, StepState
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.models.resources import Resources
 
 MIN_PROGRESS_PERCENT = 10
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/pacing.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/pacing.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from cicadatrail_core.jobs.state import Run, RunPhase, WorkerState
+from cicadatrail_core.jobs.state import Run, RunPhase
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 THROTTLED_PERCENT = 30
 """Speed of best-effort subtasks after the first report above the target."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/report_rollback.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/report_rollback.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import Run, SubtaskPhase, WorkerState
+from cicadatrail_core.jobs.state import Run, SubtaskPhase
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 
 class ReportRollback:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/reservations.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/reservations.py
@@ -5,11 +5,12 @@
 from collections.abc import Iterable, Set
 
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import StepState, Subtask, WorkerState
+from cicadatrail_core.jobs.state import StepState, Subtask
 from cicadatrail_core.jobs.worker_conditions import (
     advised_workers,
     lacks_only_capacity,
 )
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 RESERVE_AFTER_S = 1.5
 """Time after which a worker is reserved for a step that doesn't fit anywhere."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -41,10 +41,10 @@
     StepState,
     Subtask,
     SubtaskPhase,
-    WorkerState,
 )
 from cicadatrail_core.jobs.unproven_runs import UnprovenRuns
 from cicadatrail_core.jobs.worker_leases import expire_leases
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 logger = logging.getLogger("cicadatrail.scheduler")
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/suspect_placement.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/suspect_placement.py
@@ -21,8 +21,8 @@
     StepState,
     Subtask,
     SubtaskPhase,
-    WorkerState,
 )
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 IDLE_FROM_COUNT = 2
 """Crashes from which a suspect should get a worker that runs nothing else."""
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/takeover.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/takeover.py
@@ -7,8 +7,9 @@
 
 from cicadatrail_core.jobs.crash_suspicion import restore_suspects
 from cicadatrail_core.jobs.models import Queue
-from cicadatrail_core.jobs.state import JobState, WorkerState
+from cicadatrail_core.jobs.state import JobState
 from cicadatrail_core.jobs.worker_leases import has_expired_lease
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 if TYPE_CHECKING:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/unproven_runs.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/unproven_runs.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Iterable, Iterator
 
-from cicadatrail_core.jobs.state import Run, WorkerState
+from cicadatrail_core.jobs.state import Run
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 
 class UnprovenRuns:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_choice.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_choice.py
@@ -7,10 +7,11 @@
 
 from cicadatrail_core.jobs.backfill import NEAR_SCORE_MILLICORES, Backfill
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import StepState, Subtask, WorkerState
+from cicadatrail_core.jobs.state import StepState, Subtask
 from cicadatrail_core.jobs.team_limits import within_limit
 from cicadatrail_core.jobs.worker_conditions import advised_workers, can_run
 from cicadatrail_core.jobs.worker_scores import count_by_rack, placement_score
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.models.resources import Resources
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_conditions.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_conditions.py
@@ -7,8 +7,9 @@
 
 from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import RunPhase, StepState, WorkerState
+from cicadatrail_core.jobs.state import RunPhase, StepState
 from cicadatrail_core.jobs.worker_leases import has_expired_lease
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
@@ -9,7 +9,8 @@
 from cicadatrail_core.jobs.crash_suspicion import lose_runs
 from cicadatrail_core.jobs.log_fields import worker_fields
 from cicadatrail_core.jobs.scheduler_settings import CLOCK_DRIFT, LEASE_MARGIN_S
-from cicadatrail_core.jobs.state import RunPhase, WorkerState
+from cicadatrail_core.jobs.state import RunPhase
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 if TYPE_CHECKING:
     from cicadatrail_core.jobs.scheduler import Scheduler
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -34,8 +34,8 @@
     StepState,
     Subtask,
     SubtaskPhase,
-    WorkerState,
 )
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 logger = logging.getLogger("cicadatrail.scheduler")
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_scores.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_scores.py
@@ -5,7 +5,8 @@
 from collections import Counter
 
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import StepState, Subtask, WorkerState
+from cicadatrail_core.jobs.state import StepState, Subtask
+from cicadatrail_core.jobs.worker_state import WorkerState
 
 COLD_PENALTY_MILLICORES = 16_000
 """Penalty for a worker that is still warming up."""
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
@@ -0,0 +1,145 @@
+"""Mutable state of workers.
+
+Names ending in ``_s`` hold times on the event loop's clock, in seconds.
+"""
+
+from __future__ import annotations
+
+from cicadatrail_core.jobs.models import SubtaskName, WorkerFacts
+from cicadatrail_core.jobs.state import Run
+from cicadatrail_core.models.resources import NO_RESOURCES, Resources
+
+
+class WorkerState:
+    """A worker's last known state and the runs that it may have."""
+
+    __slots__ = (
+        "answered_s",
+        "below_target_since_s",
+        "born_unix_ms",
+        "clock_asked_s",
+        "clock_at_s",
+        "clock_ms",
+        "draining_until_s",
+        "ejected_until_s",
+        "end_outcomes",
+        "facts",
+        "failed_s",
+        "may_hold_former_lease",
+        "is_cordoned",
+        "is_listed",
+        "is_reconciled",
+        "is_suspect",
+        "lease_expires_s",
+        "processed_end",
+        "runs",
+        "stored_end",
+        "unknown_run_count",
+        "unreported_runs",
+        "used",
+    )
+
+    def __init__(self, facts: WorkerFacts) -> None:
+        self.facts = facts
+        self.born_unix_ms = facts.born_unix_ms
+        self.runs: dict[tuple[SubtaskName, int], Run] = {}
+        # Runs whose lease expired before the worker reported how they ended.
+        self.unreported_runs: list[Run] = []
+        self.used: Resources = NO_RESOURCES
+        # Runs of the last report that are of no known job, so that ``used`` lacks them.
+        self.unknown_run_count = 0
+        self.answered_s: float | None = None
+        self.clock_ms = 0
+        # When the answer with that clock was asked for, and when it came.
+        self.clock_asked_s = 0.0
+        self.clock_at_s: float | None = None
+        self.lease_expires_s = 0.0
+        # True while its lists are unread and another leader may have given it a lease.
+        self.may_hold_former_lease = False
+        # True once the worker's complete lists have been applied.
+        self.is_reconciled = False
+        # A call has failed since the last report: the worker may have restarted.
+        self.is_suspect = False
+        self.failed_s: float | None = None
+        self.is_listed = True
+        self.is_cordoned = False
+        self.ejected_until_s = 0.0
+        self.end_outcomes: list[bool] = []
+        self.processed_end = 0
+        self.stored_end = 0
+        self.draining_until_s: float | None = None
+        self.below_target_since_s: float | None = None
+
+    @property
+    def free_capacity(self) -> Resources:
+        """Return the capacity that no run takes."""
+        return self.facts.capacity - self.used
+
+    def has_room(self, need: Resources) -> bool:
+        """Return whether a need fits in the free capacity.
+
+        Called for each waiting step and worker, so that it makes no object.
+        """
+        used = self.used
+        capacity = self.facts.capacity
+        return (
+            need.cpu_millicores + used.cpu_millicores <= capacity.cpu_millicores
+            and need.memory_mib + used.memory_mib <= capacity.memory_mib
+            and need.accelerator_count + used.accelerator_count
+            <= capacity.accelerator_count
+        )
+
+    @property
+    def is_over_capacity(self) -> bool:
+        """Return whether the runs take more than the capacity, which may shrink."""
+        return not self.used.fits_in(self.facts.capacity)
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether lists and entry of the present incarnation have been read.
+
+        The entry of an earlier incarnation may give another capacity. An entry
+        without a time of birth counts for any.
+        """
+        entry_born_unix_ms = self.facts.born_unix_ms or self.born_unix_ms
+        return self.is_reconciled and entry_born_unix_ms >= self.born_unix_ms
+
+    def clear_unreported_runs(self) -> None:
+        """Drop the runs whose lease expired unreported.
+
+        Called once their ends have been reported or can't be any more.
+        """
+        for run in self.unreported_runs:
+            run.subtask.expired_runs.discard(run.number)
+        self.unreported_runs.clear()
+
+    def mark_failed(self, now_s: float) -> None:
+        """Record that a call got no answer, so the worker may have restarted."""
+        self.is_suspect = True
+        if self.failed_s is None:
+            self.failed_s = now_s
+
+    @property
+    def may_be_stopping_inherited_runs(self) -> bool:
+        """Return whether an earlier leader's stop may be under way here."""
+        return any(run.inherited_clock_ms is not None for run in self.runs.values())
+
+    @property
+    def acknowledged_end(self) -> int:
+        """Return the number of the last end that the worker may delete.
+
+        Returns 0 if the worker may have restarted: its end numbers then start
+        anew, and the number from its previous incarnation would make it delete
+        ends that were never reported.
+        """
+        return 0 if self.is_suspect else self.stored_end
+
+    def add(self, run: Run) -> None:
+        """Add a run and take its resources from the capacity."""
+        self.runs[run.subtask.name, run.number] = run
+        self.used = self.used + run.subtask.step.spec.reserved
+
+    def remove(self, run: Run) -> None:
+        """Remove a run and return its resources, if the worker has it."""
+        if self.runs.pop((run.subtask.name, run.number), None) is not None:
+            self.used = self.used - run.subtask.step.spec.reserved
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/fleet_record.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/fleet_record.py
@@ -14,7 +14,7 @@
 import msgpack
 
 from cicadatrail_core.jobs.models import WorkerFacts
-from cicadatrail_core.jobs.state import WorkerState
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.store import KeyedRecord
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
@@ -6,7 +6,8 @@
 from collections.abc import Iterable
 
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import JobState, WorkerState
+from cicadatrail_core.jobs.state import JobState
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.last_answers import LastAnswers
 from cicadatraild.scheduling.leader_right import LeaderRight
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -18,9 +18,10 @@
     encode_progress,
 )
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import JobState, WorkerState
+from cicadatrail_core.jobs.state import JobState
 from cicadatrail_core.jobs.takeover import inherit, may_have_unknown_runs
 from cicadatrail_core.jobs.turn_forecast import TurnForecast
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatraild.platform.store import KeyedRecord
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
 from cicadatraild.scheduling.fleet_record import (
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/maintenance.py
@@ -14,7 +14,7 @@
 from cicadatrail_core.jobs.evacuation import evacuate
 from cicadatrail_core.jobs.models import MachineState, Wave
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import WorkerState
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatraild.platform.machines import MachineOutcome
 from cicadatraild.platform.store import (
     STATUS_TOPIC,
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/pool_balance.py
@@ -17,8 +17,8 @@
 from cicadatrail_core.jobs.demand import Demand
 from cicadatrail_core.jobs.ended_lives import MOVED
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import WorkerState
 from cicadatrail_core.jobs.turn_forecast import TurnForecast
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatraild.platform.machines import MachineOutcome
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.machine_inventory import MachineInventory
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -13,9 +13,9 @@
 from cicadatrail_core.jobs.pacing import has_serving_and_best_effort, plan_pace
 from cicadatrail_core.jobs.report_rollback import ReportRollback
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import WorkerState
 from cicadatrail_core.jobs.worker_leases import renew_lease
 from cicadatrail_core.jobs.worker_reports import apply_report
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatraild.platform.store import FencedError
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
 from cicadatraild.scheduling.clocks import loop_now_s
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -9,8 +9,9 @@
 from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.ejection import eject
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.state import Run, RunPhase, WorkerState
+from cicadatrail_core.jobs.state import Run, RunPhase
 from cicadatrail_core.jobs.worker_leases import known_clock, renew_lease
+from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
 from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
 from cicadatraild.scheduling.leadership import Leadership
