Show that a start taken by a worker's next life is repeated

Stand-in workers have a clock that begins anew with each life, cut leases down to the limit, and can restart without a reset, so that calls of that time reach the next life. With it two workers run one subtask from 3.7 s after a start that the next life took, answered or not, if its lists are not read before it is cut off; also when the leader is killed soon after.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -22,3 +22,31 @@
   Scenario: A worker that left the list is not taken for empty before its ends are read
     When a worker leaves the list before all of its ends were read
     Then the leader still waits for them
+
+  # Guards against TWICE: the deadline was on the clock of the former life.
+  Scenario Outline: A start that a restarted worker took unnoticed is not repeated, <answer>
+    Given a worker that is back under its id before its leader has noticed
+    When it takes a start, <answer>, and is cut off
+    Then the subtask starts on another worker only when the lease is over
+
+    Examples: answers
+      | answer                 |
+      | which it answers       |
+      | whose answer gets lost |
+
+  # Guards against TWICE: the successor knew nothing of the lease of the later life.
+  Scenario Outline: A successor does not repeat a start that a restarted worker took, <answer>
+    Given a worker that is back under its id before its leader has noticed
+    When it takes a start, <answer>, its leader is killed <seconds> s later and it is cut off
+    Then the subtask starts on another worker only when the lease is over
+
+    Examples: answers
+      | answer                 | seconds |
+      | which it answers       | 0.2     |
+      | whose answer gets lost | 0.6     |
+
+  # Guards against TWICE: nobody knows of the start but the leader that is killed.
+  Scenario: A successor does not repeat a start whose outcome its predecessor never knew
+    Given a worker that is back under its id before its leader has noticed
+    When it takes a start, whose answer gets lost, its leader is killed 0.1 s later and it is cut off
+    Then the subtask starts on another worker only when the lease is over
--- a/features/standins/platform_fleet.py
+++ b/features/standins/platform_fleet.py
@@ -18,6 +18,7 @@
 from cicadatraild.network.http_server import HttpExchange, HttpLimits, HttpServer
 from features.standins.platform_store import PlatformStore
 from features.standins.worker_capacity import WorkerCapacity, WorkerRun, need_of
+from features.standins.worker_clock import WorkerClock
 
 HEARTBEAT_S = 0.5
 RESTART_S = 0.3
@@ -64,7 +65,8 @@
     """A worker with its HTTP server.
 
     ``unresponsive`` leaves every call unanswered while runs go on; ``late_starts_s``
-    leaves starts unanswered and carries them out that much later.
+    leaves starts unanswered and carries them out that much later, and
+    ``loses_start_answers`` carries them out at once. ``is_unlisted`` writes no entries.
     """
 
     def __init__(
@@ -81,7 +83,11 @@
         self.room = WorkerCapacity(cpu, memory, HEARTBEAT_S)
         self.machine = f"m-{worker_id}"
         self.unresponsive = False
+        self.is_unlisted = False
+        self.loses_start_answers = False
         self.down_until_s = 0.0
+        self.dark_until_s = 0.0
+        self.clock = WorkerClock()
         self.late_starts_s = 0.0
         self.is_on_standby = False
         self.data_centre = "z1"
@@ -110,13 +116,10 @@
         stack.callback(heartbeats.cancel)
         stack.callback(watch.cancel)
 
-    def clock_ms(self) -> int:
-        return int(asyncio.get_running_loop().time() * 1000)
-
     async def _send_heartbeats(self) -> None:
         while True:
             self._seq += 1
-            if not self.is_on_standby:
+            if not self.is_on_standby and not self.is_unlisted:
                 self._store.put_json("keyed.servers", self.worker_id, self.entry())
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -133,7 +136,7 @@
             "capacity": self.room.current,
             "labels": ["a", "r1"],
             "machine": self.machine,
-            "clock-ms": self.clock_ms(),
+            "clock-ms": self.clock.now_ms(),
             "seq": self._seq,
         }
 
@@ -151,6 +154,7 @@
         expected = exchange.header_values(b"expect-instance")
         if self.unresponsive or self.is_on_standby:
             await asyncio.sleep(3600)
+        await self._wait_for_next_life()
         if asyncio.get_running_loop().time() < self.down_until_s:
             exchange.abort()
             return
@@ -169,13 +173,23 @@
             await self._wait_for_end(body)
         if self.started_ms != started_ms:
             # The process that accepted the call has ended.
+            if self.is_unlisted:
+                await asyncio.sleep(3600)
             exchange.abort()
             return
         status, answer = self._answer(call, body)
-        answer["clock-ms"] = self.clock_ms()
+        if self.loses_start_answers and call == "run-start":
+            await asyncio.sleep(3600)
+        answer["clock-ms"] = self.clock.now_ms()
         answer["born"] = self.started_ms
         await exchange.respond(status, json.dumps(answer).encode())
 
+    async def _wait_for_next_life(self) -> None:
+        """Hold a call that comes while the worker is dark; its next life takes it."""
+        dark_s = self.dark_until_s - asyncio.get_running_loop().time()
+        if dark_s > 0:
+            await asyncio.sleep(dark_s)
+
     def _carry_out_late(self, body: dict[str, Any], started_ms: int) -> None:
         if started_ms == self.started_ms:
             self._answer("run-start", body)
@@ -194,7 +208,8 @@
     def _renew_lease(self, body: dict[str, Any]) -> None:
         if body["fencing-token"] < self.token or "deadline-ms" not in body:
             return
-        self.deadline_s = max(self.deadline_s, body["deadline-ms"] / 1000)
+        end_s = self.clock.lease_end_s(body["deadline-ms"])
+        self.deadline_s = max(self.deadline_s, end_s)
 
     def _answer(self, call: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         if body["fencing-token"] < self.token:
@@ -240,7 +255,7 @@
     def _start(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         task, run = body["task"], body["run"]
         now_s = asyncio.get_running_loop().time()
-        if body["deadline-ms"] / 1000 < now_s:
+        if body["deadline-ms"] < self.clock.now_ms():
             return 409, {"reason": "late"}
         self._renew_lease(body)
         current = self.runs.get(task)
@@ -307,11 +322,23 @@
         self.ended_runs.clear()
         self.last_end_number = self.acknowledged_end = self.token = 0
         self.started_ms += 1000
+        self.clock.restart()
+        self.deadline_s = 0.0
         self.room.forget_earlier()
         self.down_until_s = asyncio.get_running_loop().time() + RESTART_S
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def restart_dark(self, dark_s: float) -> None:
+        """Restart without a reset; calls that come until then wait for the new life.
+
+        The store goes on listing the former life.
+        """
+        self.is_unlisted = True
+        self.restart()
+        self.down_until_s = 0.0
+        self.dark_until_s = asyncio.get_running_loop().time() + dark_s
+
     def go_to_standby(self, pool: str) -> None:
         """Move to a standby pool: the machine is off and has no worker."""
         self.restart()
--- /dev/null
+++ b/features/steps/unnoticed_lives_steps.py
@@ -0,0 +1,83 @@
+"""Steps about calls that a worker's next life takes, on a cluster of instances."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+
+from features.support.platform_actions import (
+    JOB,
+    other_instance,
+    run_on_cluster,
+    start_instances,
+    submit,
+)
+from features.support.platform_cluster import PlatformCluster, job
+
+DARK_S = 0.25
+LONG_MS = 30_000
+SLOW_RATE = 0.98
+REPEAT_LIMIT_S = 20.0
+
+
+@given("a worker that is back under its id before its leader has noticed")
+def step_back(context: Any) -> None:
+    async def restart(cluster: PlatformCluster) -> None:
+        (worker,) = cluster.workers
+        worker.clock.rate = SLOW_RATE
+        await cluster.wait_until(lambda: worker.token)
+        worker.restart_dark(DARK_S)
+
+    context.restart = restart
+
+
+async def _take_start(context: Any, cluster: PlatformCluster, answer: str) -> str:
+    """Let the worker's new life take a start; return the leader that sent it."""
+    leader = await start_instances(cluster, 3)
+    await context.restart(cluster)
+    (worker,) = cluster.workers
+    worker.loses_start_answers = answer == "whose answer gets lost"
+    entry = other_instance(cluster, leader)
+    assert await submit(cluster, entry, JOB, job(LONG_MS, count=1)) == 200
+    await cluster.wait_until(lambda: cluster.fleet.starts)
+    return leader
+
+
+async def _cut_off(cluster: PlatformCluster) -> None:
+    """Cut the worker off, and wait until its subtask starts on another one."""
+    cluster.workers[0].unresponsive = True
+    other = await cluster.add_worker("i-9")
+    await cluster.wait_until(
+        lambda: cluster.fleet.worker_starts[other.worker_id], REPEAT_LIMIT_S
+    )
+
+
+@when("it takes a start, {answer}, and is cut off")
+def step_takes_start(context: Any, answer: str) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        await _take_start(context, cluster, answer)
+        await _cut_off(cluster)
+
+    run_on_cluster(context, scenario, worker_count=1)
+
+
+@when(
+    "it takes a start, {answer}, its leader is killed {seconds:g} s later"
+    " and it is cut off"
+)
+def step_leader_killed(context: Any, answer: str, seconds: float) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await _take_start(context, cluster, answer)
+        await asyncio.sleep(seconds)
+        cluster.workers[0].unresponsive = True
+        await cluster.kill(leader)
+        await _cut_off(cluster)
+
+    run_on_cluster(context, scenario, worker_count=1)
+
+
+@then("the subtask starts on another worker only when the lease is over")
+def step_not_twice(context: Any) -> None:
+    assert not context.fleet.violations, context.fleet.violations
--- a/features/support/platform_cluster.py
+++ b/features/support/platform_cluster.py
@@ -140,14 +140,18 @@
     async def open(self, worker_count: int = 3) -> None:
         self._store_port = await self.store.listen(self._stack, HOST)
         for number in range(worker_count):
-            worker = PlatformWorker(self.store, self.fleet, f"i-{number}", "pool")
-            await worker.listen(self._stack, HOST)
-            self.workers.append(worker)
+            await self.add_worker(f"i-{number}")
         self.machines = PlatformMachines(self.workers, MAINTENANCE_S)
         self._machines_port = await self.machines.listen(self._stack, HOST)
         self.store.put_json("keyed.op", "config", configuration())
         await self._clients.open(self._stack)
 
+    async def add_worker(self, worker_id: str) -> PlatformWorker:
+        worker = PlatformWorker(self.store, self.fleet, worker_id, "pool")
+        await worker.listen(self._stack, HOST)
+        self.workers.append(worker)
+        return worker
+
     async def add_proxy(self, name: str) -> FaultyProxy:
         """Add a proxy to the store for an instance that is yet to be started."""
         proxy = FaultyProxy(self._store_port)
