Let the worker-restart scenario have work that waits for nothing lost

'A worker that restarts while the store is down starts nothing until it is back' failed since the stand-in's clock begins anew with each life. Before, the new life seemed as old as the machine, so that the leader took what was lost with the former one for proved over (held_lease_ago) and repeated it without its lease. The job now has 400 independent subtasks; the three assertions are the same.

--- a/features/steps/platform_leader_steps.py
+++ b/features/steps/platform_leader_steps.py
@@ -221,7 +221,9 @@
 def step_restart_without_store(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
         leader = await start_instances(cluster, 3)
-        body = job(ms=300, steps=10, count=20)
+        # What is lost with the worker is not repeated without the lease, and holds
+        # up no other subtask.
+        body = job(ms=300, count=400)
         assert await submit(cluster, leader, JOB, body) == 200
         await asyncio.sleep(0.1)
         cluster.store.faults.down = True
