Wait for the limit where a worker's next life may have taken a start

Cause: the lease that a start or a renewal grants was counted on the clock of the life that the leader knew, whoever took the call. On the next life's clock, which begins anew, the deadline lies far ahead, and the worker cuts its lease down to hold-max-ms: 6.1 s in place of 3.7 s. The answer to a start, which has the worker's clock, was read for its status only.

Changed: the clock in an answer proves the life (LifeClock.is_continued_by): a later life's clock began after the known one was asked for, so it can't have come as far. A call with a deadline whose answer doesn't prove that counts up to the limit from its end. Only runs whose start isn't proved wait for it: a life begins with no runs, so that what is proved to run in the known life ends with it or holds the lease that was counted. So a worker that is cut off without a restart costs no more time, but for starts under way at the cut. A start whose answer shows a restart marks the worker as suspect until its lists are read. A start under way as the lease expires is kept until its outcome is known.

Ruled out for the record: a late order, a takeover.

--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
@@ -9,6 +9,7 @@
 from cicadatrail_core.jobs.state import Run, StepState, SubtaskPhase
 from cicadatrail_core.jobs.takeover import is_queue_reconciled
 from cicadatrail_core.jobs.worker_conditions import turned_down_counts
+from cicadatrail_core.jobs.worker_leases import lease_end_s
 from cicadatrail_core.models.resources import NO_RESOURCES
 
 
@@ -116,7 +117,7 @@
         phase=run.phase.value,
         percent=run.percent,
         age_s=round(now_s - run.sent_s, 3),
-        lease_left_s=round(run.worker.lease_expires_s - now_s, 3),
+        lease_left_s=round(lease_end_s(run) - now_s, 3),
     )
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -47,6 +47,7 @@
         "apart_until_s",
         "first_progress",
         "inherited_clock_ms",
+        "is_proved",
         "is_start_pending",
         "measurement",
         "number",
@@ -73,6 +74,8 @@
         self.sent_s = sent_s
         # True while the start order waits to be sent or answered.
         self.is_start_pending = False
+        # An answer or a list shows that the worker's known life has it.
+        self.is_proved = False
         self.answered_s: float | None = None
         self.unanswered_s: float | None = None
         self.stop_sent_s: float | None = None
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
@@ -9,7 +9,7 @@
 from cicadatrail_core.jobs.crash_suspicion import lose_runs
 from cicadatrail_core.jobs.log_fields import worker_fields
 from cicadatrail_core.jobs.scheduler_settings import CLOCK_DRIFT, LEASE_MARGIN_S
-from cicadatrail_core.jobs.state import RunPhase
+from cicadatrail_core.jobs.state import Run, RunPhase
 from cicadatrail_core.jobs.worker_state import WorkerState
 
 if TYPE_CHECKING:
@@ -39,6 +39,13 @@
         longest_age_s = (now_s - self.asked_s) / (1 - CLOCK_DRIFT)
         return clock_ms > longest_age_s * 1000
 
+    def has_begun_anew(self, clock_ms: int | None) -> bool:
+        """Return whether a clock that was read later shows that the worker restarted.
+
+        A restart may have taken place without showing here.
+        """
+        return clock_ms is not None and clock_ms < self.clock_ms
+
 
 def known_clock(worker: WorkerState) -> LifeClock | None:
     """Return the clock on which a worker's deadlines are counted, or None."""
@@ -66,8 +73,43 @@
     return deadline
 
 
+def count_call(
+    scheduler: Scheduler,
+    worker: WorkerState,
+    clock: LifeClock,
+    answer_clock_ms: int | None,
+    now_s: float,
+) -> bool:
+    """Count a call that has ended, whose deadline was on ``clock``.
+
+    Return whether its answer proves that the life with that clock has taken it. If not,
+    a later life may have. The deadline lies far ahead on the clock of that life, which
+    cuts its lease down to the limit.
+    """
+    if clock.is_continued_by(answer_clock_ms, now_s):
+        return True
+    until_s = now_s + scheduler.settings.longest_lease_s
+    worker.later_life_until_s = max(worker.later_life_until_s, until_s)
+    if worker.born_unix_ms != clock.born_unix_ms:
+        # That may have been the life that has been read since.
+        worker.lease_expires_s = max(worker.lease_expires_s, until_s)
+    return False
+
+
+def lease_end_s(run: Run) -> float:
+    """Return when every lease that a run may hold is over.
+
+    Only a start that a later life of the worker may have taken can hold one by calls
+    that were meant for the known life: a life begins with no runs.
+    """
+    worker = run.worker
+    if run.is_proved:
+        return worker.lease_expires_s
+    return max(worker.lease_expires_s, worker.later_life_until_s)
+
+
 def has_expired_lease(worker: WorkerState, now_s: float) -> bool:
-    """Return whether every lease granted to a worker has expired."""
+    """Return whether every lease of a worker's known life has expired."""
     return now_s > worker.lease_expires_s and not worker.may_hold_former_lease
 
 
@@ -79,25 +121,30 @@
 
 
 def _expire(scheduler: Scheduler, worker: WorkerState, now_s: float) -> None:
-    if not worker.is_reconciled and not worker.is_listed:
+    over = [
+        run
+        for run in worker.runs.values()
+        if now_s > lease_end_s(run) and not run.is_start_pending
+    ]
+    has_kept = len(over) < len(worker.runs)
+    if not worker.is_reconciled and not worker.is_listed and not has_kept:
         scheduler.remove_worker(worker.facts.worker_id, now_s, "lease expired")
         return
-    if worker.runs:
+    if over:
         logger.warning(
             "scheduler: worker lease expired; releasing its runs.",
             extra={
                 **worker_fields(worker),
-                "run_count": len(worker.runs),
-                "order_count": sum(
-                    run.answered_s is None for run in worker.runs.values()
-                ),
+                "run_count": len(over),
+                "order_count": sum(run.answered_s is None for run in over),
+                "kept_count": len(worker.runs) - len(over),
                 "answer_age_s": round(now_s - (worker.answered_s or 0), 3),
             },
         )
-    for run in worker.runs.values():
-        if run.phase is not RunPhase.SENT or run.unanswered_s is not None:
-            run.subtask.expired_runs.add(run.number)
-            worker.unreported_runs.append(run)
-    lose_runs(scheduler, worker, list(worker.runs.values()), "lease expired", now_s)
-    if not worker.is_listed:
+        for run in over:
+            if run.phase is not RunPhase.SENT or run.unanswered_s is not None:
+                run.subtask.expired_runs.add(run.number)
+                worker.unreported_runs.append(run)
+        lose_runs(scheduler, worker, over, "lease expired", now_s)
+    if not worker.is_listed and not has_kept:
         scheduler.remove_worker(worker.facts.worker_id, now_s, "no longer listed")
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -102,6 +102,7 @@
     if run.phase is RunPhase.SENT:
         run.phase = RunPhase.RUNNING
         run.answered_s = run.answered_s or now_s
+    run.is_proved = True
     _settle_inherited(scheduler, run)
     if run.first_progress is None:
         run.first_progress = (now_s, row.percent)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
@@ -30,6 +30,7 @@
         "is_listed",
         "is_reconciled",
         "is_suspect",
+        "later_life_until_s",
         "lease_expires_s",
         "processed_end",
         "runs",
@@ -54,6 +55,9 @@
         self.clock_asked_s = 0.0
         self.clock_at_s: float | None = None
         self.lease_expires_s = 0.0
+        # When every lease is over that a life whose lists are unread may have by calls
+        # that were meant for the known one.
+        self.later_life_until_s = 0.0
         # True while its lists are unread and another leader may have given it a lease.
         self.may_hold_former_lease = False
         # True once the worker's complete lists have been applied.
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -13,7 +13,7 @@
 from cicadatrail_core.jobs.pacing import has_serving_and_best_effort, plan_pace
 from cicadatrail_core.jobs.report_rollback import ReportRollback
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.worker_leases import renew_lease
+from cicadatrail_core.jobs.worker_leases import count_call, known_clock, renew_lease
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatraild.platform.store import FencedError
@@ -151,13 +151,15 @@
         if not is_known or is_behind or has_unanswered_run:
             wait_ms = 0
         self.list_count += 1
+        clock = known_clock(worker)
+        deadline_ms = self._next_deadline_ms(worker, sent_s)
         result = await self._client.read_lists(
-            worker.facts,
-            self._acknowledged_end(worker),
-            self._next_deadline_ms(worker, sent_s),
-            wait_ms,
+            worker.facts, self._acknowledged_end(worker), deadline_ms, wait_ms
         )
         if isinstance(result, ListFailure):
+            is_unknown = result.outcome is OrderOutcome.UNKNOWN
+            if is_unknown and deadline_ms is not None and clock is not None:
+                count_call(scheduler, worker, clock, None, loop_now_s())
             await self._handle_failure(worker, result.outcome)
             return
         was_resolved = worker.is_reconciled
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -10,7 +10,11 @@
 from cicadatrail_core.jobs.ejection import eject
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, RunPhase
-from cicadatrail_core.jobs.worker_leases import known_clock, renew_lease
+from cicadatrail_core.jobs.worker_leases import (
+    count_call,
+    known_clock,
+    renew_lease,
+)
 from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
 from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
@@ -39,6 +43,14 @@
 }
 """Outcomes of a start after which the subtask has not run and will not run."""
 
+CARRIED_OUT_OUTCOMES = {
+    OrderOutcome.DONE,
+    OrderOutcome.OLD,
+    OrderOutcome.NO_CAPACITY,
+    OrderOutcome.UNKNOWN,
+}
+"""Outcomes of a start whose deadline may have renewed the worker's lease."""
+
 
 class WorkerOrders:
     """Send the orders of the scheduler, and know when a worker last answered.
@@ -193,6 +205,11 @@
                 "is_same_life": clock.is_continued_by(answer.clock_ms, now_s),
             },
         )
+        if answer.outcome in CARRIED_OUT_OUTCOMES:
+            run.is_proved = count_call(scheduler, worker, clock, answer.clock_ms, now_s)
+        if clock.has_begun_anew(answer.clock_ms):
+            # Nothing is sent to the new life before its lists are read.
+            worker.mark_failed(now_s)
         self._apply_start_outcome(run, answer.outcome, now_s)
 
     async def _check_incarnation(self, worker: WorkerState) -> None:
