Tell the successor of leases that a worker's next life may hold

Its successor, which doesn't reach the worker, waited for 3.7 s from the end of the leader's right, though the worker may run on for 6.1 s after its start (10.2 s where hold-max-ms is 10,000).

Changed: the leader stores on which workers a lease may last longer than a granted one, with the time that is left (long-leases), as soon as it knows and with each batch from then on, so that the wait does not begin anew with each leader of a series. A leader that hands over adds workers with a start under way. A worker that is listed with a later birth than its predecessor stored counts like them. An older instance ignores the record.

Not covered, listed: a leader that is killed before it can know of the start's outcome. The successor would have to wait for the limit for each worker that it doesn't reach.

--- a/features/support/outer_names.py
+++ b/features/support/outer_names.py
@@ -278,6 +278,9 @@
     waves = WaveRunner(inventory, MagicMock(), scheduler, list, lambda: None)
     leader_records.attach(inventory, waves)
     scheduler.update_worker(sample(models.WorkerFacts), 0.0)
+    (worker,) = scheduler.workers.values()
+    worker.is_reconciled = True
+    worker.lease_expires_s = float("inf")
     moved = replace(sample(models.WorkerFacts), worker_id="moved")
     scheduler.update_worker(moved, 0.0)
     scheduler.remove_worker("moved", loop_now_s(), MOVED)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
@@ -93,6 +93,8 @@
     if worker.born_unix_ms != clock.born_unix_ms:
         # That may have been the life that has been read since.
         worker.lease_expires_s = max(worker.lease_expires_s, until_s)
+    # A successor has to know of it.
+    scheduler.on_change()
     return False
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -373,3 +373,5 @@
     # Its clock began with this life, and runs slow if at all.
     scheduler.confirm_unproven_runs(worker, report.clock_ms / 1000)
     worker.draining_until_s = None
+    # A successor has to know of a longer lease.
+    scheduler.on_change()
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
@@ -128,6 +128,16 @@
         """Return whether an earlier leader's stop may be under way here."""
         return any(run.inherited_clock_ms is not None for run in self.runs.values())
 
+    @property
+    def has_unproved_run(self) -> bool:
+        """Return whether a later life may have taken the start of a run."""
+        return any(not run.is_proved for run in self.runs.values())
+
+    @property
+    def has_start_under_way(self) -> bool:
+        """Return whether a start has not been sent or not been answered yet."""
+        return any(run.is_start_pending for run in self.runs.values())
+
     @property
     def acknowledged_end(self) -> int:
         """Return the number of the last end that the worker may delete.
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Iterable
 
+from cicadatrail_core.jobs.later_lives import CALL_LIMIT_S
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import JobState
 from cicadatrail_core.jobs.worker_state import WorkerState
@@ -31,17 +32,30 @@
         self._held_jobs: list[JobState] = []
         # Workers known since the takeover. None gets a lease before its first answer.
         self._known_first: dict[str, WorkerState] = {}
+        # When all leases are over that the predecessor has stored as long ones.
+        self.long_until_s = 0.0
 
     @property
     def told(self) -> LastAnswers:
         """Return what the predecessor told of earlier leaders."""
         return self._right.last_answers
 
+    @property
+    def former_until_s(self) -> float:
+        """Return until when an earlier leader may act, on the loop's clock."""
+        return self._right.former_until_loop_s
+
     @property
     def end_s(self) -> float:
         """Return when every lease of an earlier leader is over, on the loop's clock."""
         lease_s = self._scheduler.settings.granted_lease_s
-        return self._right.former_until_loop_s + lease_s
+        return max(self.former_until_s + lease_s, self.long_until_s)
+
+    @property
+    def longest_end_s(self) -> float:
+        """Return the same for a worker whose present life no leader may have known."""
+        lease_s = self._scheduler.settings.longest_lease_s
+        return self.former_until_s + CALL_LIMIT_S + lease_s
 
     def await_workers(self) -> None:
         """Count all workers that are known now as under the lease of a predecessor."""
@@ -95,7 +109,8 @@
                 continue
             if worker.answered_s is None:
                 until_s = self._until_s(worker_id)
-                worker.lease_expires_s = until_s + settings.granted_lease_s
+                granted_s = until_s + settings.granted_lease_s
+                worker.lease_expires_s = max(granted_s, worker.later_life_until_s)
             if is_lease_valid and now_s > worker.lease_expires_s:
                 del self._awaited[worker_id]
                 worker.may_hold_former_lease = False
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -32,6 +32,7 @@
 )
 from cicadatraild.scheduling.former_leases import FormerLeases
 from cicadatraild.scheduling.journal import Batch
+from cicadatraild.scheduling.long_leases import LONG_LEASES_KEY, LongLeases
 from cicadatraild.scheduling.machine_inventory import MachineInventory
 from cicadatraild.scheduling.maintenance import WaveRunner
 from cicadatraild.scheduling.queue_records import QueueRecords
@@ -51,8 +52,9 @@
 
     There are records of each job's definition and its progress, of the queues of jobs,
     of the machines that a wave has started on, of the workers that may run subtasks,
-    of those whose machine has got an order and that may still be listed, and of the
-    machines that may recently have got an order.
+    of those whose machine has got an order and that may still be listed, of those whose
+    leases may last longer than granted ones, and of the machines that may recently have
+    got an order.
     """
 
     def __init__(self, scheduler: Scheduler, former_leases: FormerLeases) -> None:
@@ -63,6 +65,7 @@
         self._ended: dict[str, int] | None = {}
         self._changed_waves = False
         self._queues = QueueRecords(scheduler)
+        self._long_leases = LongLeases(scheduler)
         self._inventory: MachineInventory
         self._waves: WaveRunner
         self._turns: TurnRecords | None = None
@@ -94,6 +97,7 @@
             self._scheduler.changed_jobs
             or self._has_fleet_changes()
             or self._queues.has_changes()
+            or self._long_leases.has_changes(loop_now_s())
             or self._unneeded_definitions()
         )
 
@@ -112,6 +116,7 @@
             self._fleet = tuple(scheduler.workers)
             records += encode_fleet(scheduler.workers.values())
             records += self._collect_ended()
+        records += self._long_leases.collect(loop_now_s())
         if self._inventory.has_unstored_announcements:
             records.append(KeyedRecord(ORDERS_KEY, self._inventory.encode()))
         if self._changed_waves:
@@ -210,6 +215,9 @@
         now_s = loop_now_s()
         values = {record.key: record.value or b"" for record in records}
         has_fleet = self._restore_fleet(values.get(FLEET_KEY), values.get(MACHINES_KEY))
+        self._former_leases.long_until_s = self._long_leases.restore(
+            values.get(LONG_LEASES_KEY), self._former_leases.former_until_s, now_s
+        )
         if has_fleet:
             self._restore_ended(values.get(ENDED_KEY), now_s)
         else:
@@ -313,7 +321,11 @@
             return False
         self.stored_worker_ids = {facts.worker_id for facts in workers}
         for facts in workers:
-            if facts.worker_id in self._scheduler.workers:
+            listed = self._scheduler.workers.get(facts.worker_id)
+            if listed is not None:
+                if listed.facts.born_unix_ms > facts.born_unix_ms > 0:
+                    # The predecessor may not have known of this life.
+                    listed.later_life_until_s = self._former_leases.longest_end_s
                 continue
             self._scheduler.workers[facts.worker_id] = WorkerState(facts)
             self._scheduler.workers[facts.worker_id].is_listed = False
