Have a worker's next life refuse starts that got no answer

What callers could see (TWICE): a start gets no answer, is stopped and repeated on another worker. Its worker then restarts under its id, and the order, which PROTOCOL.md lets arrive seconds later, is carried out by the next life.

What bars a run (a stop that was answered, the fencing token, the deadline) ends with the life that holds it, but the order goes to whichever life has the id.

Changed: the leader remembers for 15 s which starts of a worker got no answer (the kinds of trouble carry orders out 2 to 12 s late), and orders the next life, once its lists show it, to stop them, which bars them there.

Evidence: the new scenario of restarted_workers.feature fails without the order (the late start is answered 200 and runs beside the repeated one) and passes with it. Not covered: a late start that arrives before the new life's lists are read.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -45,6 +45,11 @@
       | which it answers       | 0.2     |
       | whose answer gets lost | 0.6     |
 
+  # Guards against TWICE: what bars a run ends with the life that was told so.
+  Scenario: A start that was stopped without an answer is not carried out by the next life
+    When a start gets no answer and is repeated, and the next life of its worker gets it
+    Then the next life refuses it
+
   # Guards against TWICE: nobody knows of the start but the leader that is killed.
   Scenario: A successor does not repeat a start whose outcome its predecessor never knew
     Given a worker that is back under its id before its leader has noticed
--- a/features/standins/platform_fleet.py
+++ b/features/standins/platform_fleet.py
@@ -65,7 +65,8 @@
     """A worker with its HTTP server.
 
     ``unresponsive`` leaves every call unanswered while runs go on; ``late_starts_s``
-    leaves starts unanswered and carries them out that much later, and
+    leaves starts unanswered and carries them out that much later, with
+    ``passes_late_starts_on`` also if the worker has restarted in between, and
     ``loses_start_answers`` carries them out at once. ``is_unlisted`` writes no entries.
     """
 
@@ -89,6 +90,8 @@
         self.dark_until_s = 0.0
         self.clock = WorkerClock()
         self.late_starts_s = 0.0
+        self.passes_late_starts_on = False
+        self.late_answers: list[tuple[int, dict[str, Any]]] = []
         self.is_on_standby = False
         self.data_centre = "z1"
         self.started_ms = int(time.time() * 1000)
@@ -191,8 +194,8 @@
             await asyncio.sleep(dark_s)
 
     def _carry_out_late(self, body: dict[str, Any], started_ms: int) -> None:
-        if started_ms == self.started_ms:
-            self._answer("run-start", body)
+        if started_ms == self.started_ms or self.passes_late_starts_on:
+            self.late_answers.append(self._answer("run-start", body))
 
     async def _wait_for_end(self, body: dict[str, Any]) -> None:
         self._renew_lease(body)
--- a/features/steps/unnoticed_lives_steps.py
+++ b/features/steps/unnoticed_lives_steps.py
@@ -18,6 +18,7 @@
 
 DARK_S = 0.25
 LONG_MS = 30_000
+LATE_S = 3.0
 SLOW_RATE = 0.98
 REPEAT_LIMIT_S = 20.0
 
@@ -81,3 +82,26 @@
 @then("the subtask starts on another worker only when the lease is over")
 def step_not_twice(context: Any) -> None:
     assert not context.fleet.violations, context.fleet.violations
+
+
+@when("a start gets no answer and is repeated, and the next life of its worker gets it")
+def step_late_start(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        entry = await start_instances(cluster)
+        (worker,) = cluster.workers
+        worker.late_starts_s = LATE_S
+        worker.passes_late_starts_on = True
+        assert await submit(cluster, entry, JOB, job(LONG_MS, count=1)) == 200
+        await cluster.add_worker("i-9")
+        await cluster.wait_until(lambda: cluster.fleet.starts)
+        worker.restart()
+        await cluster.wait_until(lambda: worker.late_answers)
+        context.late_answers = worker.late_answers
+
+    run_on_cluster(context, scenario, worker_count=1)
+
+
+@then("the next life refuses it")
+def step_refuses(context: Any) -> None:
+    assert context.late_answers == [(409, {"reason": "old"})], context.late_answers
+    step_not_twice(context)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -56,8 +56,8 @@
 class Scheduler:
     """Track the state of jobs and workers and decide when runs start and stop.
 
-    The scheduler does no I/O. Callers send the orders queued in ``starts`` and
-    ``stops`` and store the jobs listed in ``changed_jobs``.
+    The scheduler does no I/O. Callers send the orders queued in ``starts``, ``stops``
+    and ``bars`` (runs to refuse) and store the jobs listed in ``changed_jobs``.
     """
 
     def __init__(self, settings: SchedulerSettings) -> None:
@@ -86,6 +86,7 @@
         self.evicted_job_ids: list[str] = []
         self.starts: list[Run] = []
         self.stops: list[Run] = []
+        self.bars: list[tuple[WorkerState, SubtaskName, int]] = []
         self.next_maintenance_machines: frozenset[str] = frozenset()
         self.evacuated_data_centres: frozenset[str] = frozenset()
         self.on_change: Callable[[], None] = lambda: None
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -98,6 +98,7 @@
         """Record that the start order got no answer, so the run may have started."""
         self.is_start_pending = False
         self.unanswered_s = now_s
+        self.worker.note_unanswered_start(self, now_s)
 
     @property
     def is_available(self) -> bool:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -373,5 +373,9 @@
     # Its clock began with this life, and runs slow if at all.
     scheduler.confirm_unproven_runs(worker, report.clock_ms / 1000)
     worker.draining_until_s = None
+    # What bars a run ends with the life that was told to stop it.
+    for name, number in worker.recent_unanswered_starts(now_s):
+        if (name, number) not in worker.runs:
+            scheduler.bars.append((worker, name, number))
     # A successor has to know of a longer lease.
     scheduler.on_change()
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
@@ -9,6 +9,9 @@
 from cicadatrail_core.jobs.state import Run
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
+LATE_START_S = 15.0
+"""Time for which a start without an answer may still be carried out."""
+
 
 class WorkerState:
     """A worker's last known state and the runs that it may have."""
@@ -36,6 +39,7 @@
         "runs",
         "stored_end",
         "unknown_run_count",
+        "unanswered_starts",
         "unreported_runs",
         "used",
     )
@@ -46,6 +50,9 @@
         self.runs: dict[tuple[SubtaskName, int], Run] = {}
         # Runs whose lease expired before the worker reported how they ended.
         self.unreported_runs: list[Run] = []
+        # Starts without an answer, by subtask and run number, and when they ended. The
+        # worker may yet carry them out.
+        self.unanswered_starts: dict[tuple[SubtaskName, int], float] = {}
         self.used: Resources = NO_RESOURCES
         # Runs of the last report that are of no known job, so that ``used`` lacks them.
         self.unknown_run_count = 0
@@ -128,6 +135,21 @@
         """Return whether an earlier leader's stop may be under way here."""
         return any(run.inherited_clock_ms is not None for run in self.runs.values())
 
+    def note_unanswered_start(self, run: Run, now_s: float) -> None:
+        """Remember a start that may be carried out late; forget those of long ago."""
+        recent = self.recent_unanswered_starts(now_s)
+        self.unanswered_starts = {(run.subtask.name, run.number): now_s, **recent}
+
+    def recent_unanswered_starts(
+        self, now_s: float
+    ) -> dict[tuple[SubtaskName, int], float]:
+        """Return the starts without an answer that may still be carried out."""
+        return {
+            key: ended_s
+            for key, ended_s in self.unanswered_starts.items()
+            if now_s - ended_s < LATE_START_S
+        }
+
     @property
     def has_unproved_run(self) -> bool:
         """Return whether a later life may have taken the start of a run."""
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -8,6 +8,7 @@
 
 from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.ejection import eject
+from cicadatrail_core.jobs.models import SubtaskName
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, RunPhase
 from cicadatrail_core.jobs.worker_leases import (
@@ -82,6 +83,9 @@
             self._spawn(self._start_or_keep(run))
         for run in stops:
             self._spawn(self._stop(run))
+        bars, scheduler.bars = scheduler.bars, []
+        for worker, name, number in bars:
+            self._spawn(self._bar(worker, name, number))
 
     def pace(self, run: Run, percent: int) -> None:
         """Send the speed of a best-effort run."""
@@ -283,6 +287,30 @@
             case OrderOutcome.FENCED:
                 self._step_down(f"worker {worker.facts.worker_id} refused a pace")
 
+    async def _bar(self, worker: WorkerState, name: SubtaskName, number: int) -> None:
+        """Have a worker refuse a run that an earlier life of it may have been sent."""
+        born_unix_ms = worker.born_unix_ms
+        outcome = OrderOutcome.UNKNOWN
+        while (
+            outcome in (OrderOutcome.UNKNOWN, OrderOutcome.BUSY)
+            and worker.born_unix_ms == born_unix_ms
+            and self._scheduler.workers.get(worker.facts.worker_id) is worker
+            and (name, number) in worker.recent_unanswered_starts(loop_now_s())
+        ):
+            outcome = await self._client.stop(worker.facts, str(name), number)
+            logger.info(
+                "worker: late start barred.",
+                extra={
+                    "subtask": str(name),
+                    "run": number,
+                    "worker_id": worker.facts.worker_id,
+                    "outcome": outcome.value,
+                },
+            )
+            if outcome is OrderOutcome.FENCED:
+                self._step_down(f"worker {worker.facts.worker_id} refused a stop")
+            await asyncio.sleep(STOP_RETRY_S * random.uniform(0.5, 1.5))
+
     async def _stop(self, run: Run) -> None:
         worker = run.worker
         while run in run.subtask.live_runs:
