--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -6,7 +6,8 @@
 the connection to the store, and the store and workers lose or delay answers. With
 --partitions the links between instances and to workers are cut as well, with
 --refusals some of them refuse connections, instances start for the first time
-during a cut, and leaders are frozen in it.
+during a cut, and leaders are frozen in it. With --recuts workers restart under their
+ids unnoticed and are cut off soon after.
 The checks are what callers and workers observe: no subtask runs twice or starts
 after its end, no worker is over its capacity, and every accepted job is completed.
 
@@ -34,6 +35,7 @@
 from features.support.open_caller import open_caller
 from features.support.partition_faults import PartitionFaults
 from features.support.platform_cluster import PlatformCluster, configuration, job
+from features.support.recut_faults import RecutFaults
 
 INSTANCE_COUNT = 4
 FIRST_START_COUNT = 2
@@ -60,7 +62,8 @@
     links of instances to each other and to workers are cut. The first ``first_count``
     instances run from the start, ``later_daemons`` not before ``start_later``. With
     ``has_refusals``, which needs ``has_partitions``, links are also cut by refusals,
-    and instances start for the first time.
+    and instances start for the first time. With ``has_recuts`` workers restart
+    unnoticed and are cut off.
     """
 
     seed: int
@@ -68,6 +71,7 @@
     has_series: bool = False
     has_partitions: bool = False
     has_refusals: bool = False
+    has_recuts: bool = False
     cluster: PlatformCluster = field(default_factory=PlatformCluster)
     daemons: list[Daemon] = field(default_factory=list)
     accepted: set[str] = field(default_factory=set)
@@ -238,6 +242,9 @@
                 self._make_worker_unresponsive,
                 self._kill,
             )
+        if self.has_recuts:
+            recuts = RecutFaults(self.random, self.cluster.workers)
+            actions = (recuts.recut, recuts.recut, self._kill, self._late_starts)
         if self.has_partitions:
             faults = PartitionFaults(
                 self.random,
@@ -379,8 +386,9 @@
     has_series: bool = False,
     has_partitions: bool = False,
     has_refusals: bool = False,
+    has_recuts: bool = False,
 ) -> Soak:
-    soak = Soak(seed, seconds, has_series, has_partitions, has_refusals)
+    soak = Soak(seed, seconds, has_series, has_partitions, has_refusals, has_recuts)
     asyncio.run(soak.run(folder))
     return soak
 
@@ -405,6 +413,11 @@
         action="store_true",
         help="as --partitions, with refusals, first starts and frozen leaders",
     )
+    parser.add_argument(
+        "--recuts",
+        action="store_true",
+        help="restart workers unnoticed, and cut them off soon after",
+    )
     parser.add_argument("--keep", type=Path, help="folder to keep the logs in")
     options = parser.parse_args()
     failed = 0
@@ -419,6 +432,7 @@
                 options.series,
                 options.partitions or options.refusals,
                 options.refusals,
+                options.recuts,
             )
         failed += bool(soak.findings)
         summary = {
