Acknowledge ends only by calls that don't wait at the worker

What callers could see (TWICE, 'a start after a run has ended done'): a subtask ends on a worker that has restarted under its id, nobody reads the end, and it is started again.

Each poll acknowledged ends by number, and waits at the worker for up to 1 s. Taken by the next life, which numbers its ends from 1 again, it made that life forget the ends of its first second. 'The same life, as it answered 0.2 s ago' is counted at the sending of the call, not when it is carried out.

Changed: ends are acknowledged once, by a call of its own that doesn't wait and follows the answer at once; polls that wait acknowledge nothing. What is left is a worker that goes dark within the milliseconds between its answer and that call and has ended a run when the call is carried out.

Evidence: the new scenario failed before (5 polls, of which 4 waited and acknowledged the end).

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -50,6 +50,11 @@
     When a start gets no answer and is repeated, and the next life of its worker gets it
     Then the next life refuses it
 
+  # Guards against TWICE: the call waited in the next life, whose ends have the same numbers.
+  Scenario: No call that waits at a worker acknowledges ends
+    When a leader has read the end of a run, and goes on polling its worker
+    Then one call that did not wait acknowledged the end, and no other call
+
   # Guards against TWICE: nobody knows of the start but the leader that is killed.
   Scenario: A successor does not repeat a start whose outcome its predecessor never knew
     Given a worker that is back under its id before its leader has noticed
--- a/features/standins/platform_fleet.py
+++ b/features/standins/platform_fleet.py
@@ -222,10 +222,10 @@
             case "hold":
                 self.acknowledged_end = max(self.acknowledged_end, body["last-seen"])
                 for number in [
-                    n for n in self.unacknowledged_done if n <= self.acknowledged_end
+                    n for n in self.unacknowledged_done if n <= body["last-seen"]
                 ]:
                     self._fleet.acknowledge_done(*self.unacknowledged_done.pop(number))
-                self.ends = [end for end in self.ends if end[0] > self.acknowledged_end]
+                self.ends = [end for end in self.ends if end[0] > body["last-seen"]]
                 now_s = asyncio.get_running_loop().time()
                 running = [
                     [
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -16,9 +16,11 @@
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.leader import Leader
 from cicadatraild.scheduling.leadership import Leadership
+from cicadatraild.scheduling.worker_links import LIST_WAIT_MS
 from features.steps.ended_lives_steps import StoppedStore
 from features.support.job_world import definition
 from features.support.sampled_values import sample
+from features.support.takeover_pair import TakeoverPair
 
 OTHER = "00000000000000b9"
 WORKER = "w0"
@@ -153,3 +155,19 @@
 def step_waits(context: Any) -> None:
     assert WORKER in context.reading.leader.scheduler.workers
     assert context.reading.read_count
+
+
+@when("a leader has read the end of a run, and goes on polling its worker")
+def step_poll_on(context: Any) -> None:
+    context.pair = pair = TakeoverPair()
+    pair.end_run()
+    pair.calls.clear()
+    for _ in range(5):
+        pair.poll(pair.former_links)
+
+
+@then("one call that did not wait acknowledged the end, and no other call")
+def step_one_call(context: Any) -> None:
+    calls = context.pair.calls
+    assert [call for call in calls if call[0]] == [(1, 0)], calls
+    assert [wait_ms for _, wait_ms in calls].count(LIST_WAIT_MS) >= 2, calls
--- a/features/support/takeover_pair.py
+++ b/features/support/takeover_pair.py
@@ -49,8 +49,9 @@
         self._world = world
 
     async def read_lists(
-        self, facts: WorkerFacts, acknowledged_end: int, *_: Any
+        self, facts: WorkerFacts, acknowledged_end: int, _: int | None, wait_ms: int
     ) -> WorkerReport:
+        self._world.calls.append((acknowledged_end, wait_ms))
         sim = self._sims[facts.worker_id]
         sim.ends = [end for end in sim.ends if end.number > acknowledged_end]
         running = (RunningRow(n, r, "", 0) for n, r in sim.running.items())
@@ -74,6 +75,8 @@
 
     def __init__(self) -> None:
         self.jobs = JobWorld(2)
+        # What each call acknowledged, and how long it waited at the worker.
+        self.calls: list[tuple[int, int]] = []
         self.born_s = 0.0
         self.jobs.report_all()
         self.jobs.worker("w1").is_cordoned = True
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -338,6 +338,7 @@
     worker.clear_unreported_runs()
     worker.processed_end = 0
     worker.stored_end = 0
+    worker.confirmed_end = 0
     if worker.is_reconciled:
         # Only this leader's leases were known, and they ended with the earlier life.
         worker.lease_expires_s = now_s
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
@@ -23,6 +23,7 @@
         "clock_asked_s",
         "clock_at_s",
         "clock_ms",
+        "confirmed_end",
         "draining_until_s",
         "ejected_until_s",
         "end_outcomes",
@@ -78,6 +79,8 @@
         self.end_outcomes: list[bool] = []
         self.processed_end = 0
         self.stored_end = 0
+        # The last end of this life that an answered call has acknowledged.
+        self.confirmed_end = 0
         self.draining_until_s: float | None = None
         self.below_target_since_s: float | None = None
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -148,13 +148,17 @@
         if worker.may_be_stopping_inherited_runs:
             # The next answer shows that no stop is under way.
             wait_ms = min(wait_ms, int(scheduler.settings.stop_limit_s * 1000) + 1)
-        if not is_known or is_behind or has_unanswered_run:
+        acknowledged_end = self._acknowledged_end(worker)
+        if not is_known or is_behind or has_unanswered_run or acknowledged_end:
+            # A call that waits may be taken by the worker's next life, whose ends it
+            # must not acknowledge.
             wait_ms = 0
         self.list_count += 1
+        born_unix_ms = worker.born_unix_ms
         clock = known_clock(worker)
         deadline_ms = self._next_deadline_ms(worker, sent_s)
         result = await self._client.read_lists(
-            worker.facts, self._acknowledged_end(worker), deadline_ms, wait_ms
+            worker.facts, acknowledged_end, deadline_ms, wait_ms
         )
         if isinstance(result, ListFailure):
             is_unknown = result.outcome is OrderOutcome.UNKNOWN
@@ -165,6 +169,8 @@
         was_resolved = worker.is_reconciled
         self._orders.record_answer(worker, result.born_unix_ms)
         self._apply(worker, result, sent_s)
+        if worker.born_unix_ms == result.born_unix_ms == born_unix_ms:
+            worker.confirmed_end = max(worker.confirmed_end, acknowledged_end)
         if worker.is_reconciled and not was_resolved:
             logger.info(
                 "worker: lists received.",
@@ -183,7 +189,10 @@
             scheduler.remove_worker(
                 worker.facts.worker_id, loop_now_s(), "left the list"
             )
-        if wait_ms or is_behind or not worker.is_reconciled:
+        if self._acknowledged_end(worker):
+            # To be acknowledged before the worker can have restarted.
+            return
+        if wait_ms or acknowledged_end or is_behind or not worker.is_reconciled:
             await asyncio.sleep(LIST_PAUSE_S)
 
     def _next_deadline_ms(self, worker: WorkerState, now_s: float) -> int | None:
@@ -210,10 +219,12 @@
         Returns 0 while the worker may have restarted since its last answer, such as
         after a wait for the store or a suspension of this process. A new incarnation
         numbers its ends from the start, and would delete ends that nobody has read.
+        Also returns 0 once the worker has deleted them all: no later call has to do it.
         """
-        return (
-            worker.acknowledged_end if self._orders.is_same_incarnation(worker) else 0
-        )
+        end = worker.acknowledged_end
+        if end <= worker.confirmed_end or not self._orders.is_same_incarnation(worker):
+            return 0
+        return end
 
     async def _store_ends(self, worker: WorkerState) -> None:
         """Wait until ends are stored, so that the worker may delete them."""
