--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/long_waits.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/long_waits.py
@@ -23,6 +23,7 @@
     can_run,
     turned_down_counts,
 )
+from cicadatrail_core.jobs.worker_leases import lease_end_s
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
 logger = logging.getLogger("cicadatrail.scheduler")
@@ -200,7 +201,7 @@
     numbers: dict[str, object] = {
         "run": run.number,
         "worker_id": worker.facts.worker_id,
-        "left_s": round(worker.lease_expires_s - now_s, 3),
+        "left_s": round(lease_end_s(run) - now_s, 3),
     }
     match run.phase:
         case RunPhase.STOPPING if run.stop_acked_s is None:
