Leave evacuated data centres out of the forecast of admission

While a data centre is evacuated, callers were told 200 for jobs that could only come to nothing: the forecast counted its workers, on which nothing may start, and its machines on standby as room for the work ahead.

The new scenario failed before: with half of the fleet and four machines on standby in an evacuated data centre a plain job behind 1200 core seconds was accepted, though the 64 cores that are left need 19 s for them, and its result is of use for 6.6 s. It fails as well if only the workers or only the machines on standby are left out.

Cordoned and draining workers stay as they were: most are about to move, and their machines serve another pool soon. Nothing changes while no data centre is evacuated.

--- a/features/job_admission.feature
+++ b/features/job_admission.feature
@@ -49,6 +49,12 @@
     Given a team whose limit is half of the fleet and its urgent work of a minute
     Then admission accepts a plain job
 
+  Scenario: Machines of an evacuated data centre serve no work ahead
+    Given work that a fleet and its standby machines end in time
+    Then admission accepts a plain job
+    When the data centre of half of them is evacuated
+    Then a plain job is refused
+
   Scenario: A job that was accepted but not stored doesn't count as work
     Given an idle fleet and 400 urgent jobs that were accepted and then dropped
     Then admission accepts a plain job
--- a/features/steps/job_admission_steps.py
+++ b/features/steps/job_admission_steps.py
@@ -10,6 +10,7 @@
 
 from behave import given, then, when
 
+from cicadatrail_core.jobs.data_centre_evacuation import evacuate_data_centres
 from cicadatrail_core.jobs.models import JobDefinition, Machine, MachineState, Step
 from cicadatrail_core.jobs.service_window import READING_AGE_S
 from cicadatrail_core.models.resources import Resources
@@ -45,6 +46,7 @@
 LAST_COUNT = 40
 SMALL = Step(1, Resources(3000, 10), 800)
 NEW_ID = "00000000000000ff"
+EVACUATED = "y"
 
 
 def _plan(step: Step, team: str = "calm", queue: str = "plain") -> JobDefinition:
@@ -261,6 +263,25 @@
     _add_work(world, cores * 30 // 240, team="hot", queue="urgent")
 
 
+@given("work that a fleet and its standby machines end in time")
+def step_evacuable(context: Any) -> None:
+    load = context.load = OverloadWorld(1, 1.0, False)
+    world = load.world
+    for sim in [*world.sims.values()][::2]:
+        facts = replace(world.facts(sim), zone=EVACUATED)
+        world.scheduler.update_worker(facts, world.now_s)
+        name = f"{EVACUATED}-{sim.worker_id}"
+        load.machines[name] = Machine(
+            name, "spare", MachineState.UP, "", data_centre=EVACUATED
+        )
+    _add_work(load, 5)
+
+
+@when("the data centre of half of them is evacuated")
+def step_evacuate(context: Any) -> None:
+    evacuate_data_centres(context.load.world.scheduler, frozenset({EVACUATED}))
+
+
 @given("an idle fleet and {count:d} urgent jobs that were accepted and then dropped")
 def step_dropped(context: Any, count: int) -> None:
     world = context.load = OverloadWorld(1, 1.0, False)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/admission_load.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/admission_load.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator, Mapping
 from statistics import fmean
 
+from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.job_admission import (
     FleetLoad,
     NewJob,
@@ -88,6 +89,8 @@
         if not worker.is_listed or worker.is_cordoned or facts.draining:
             continue
         on_machines.add(facts.machine)
+        if is_evacuated(scheduler, worker):
+            continue
         sizes.append(facts.capacity.cpu_millicores / 1000)
         free = facts.capacity.cpu_millicores / 1000
         for run in worker.runs.values():
@@ -106,6 +109,7 @@
         1
         for machine in machines.values()
         if machine.name not in on_machines
+        and machine.data_centre not in scheduler.evacuated_data_centres
         and machine.state in (MachineState.UP, MachineState.MOVING)
     )
     return FleetLoad(
