Count the lease of a new life that the poll which found it empty has granted

A worker is back under its id, its leader reads it as restarted and empty, starts a subtask there, and the worker is cut off: the subtask starts on another worker 3.7 s later, while it may run on the first for up to 6.1 s from that poll.

Cause: the poll was meant for the former life and carries a deadline of its clock, which the new life cuts down to the limit. A lease is the worker's, not the run's: it never shortens, and what starts afterwards holds it too. The lease of a life that listed nothing counted as over at the report, so that the start's own lease counted alone.

Changed: a life that is read for the first time after a restart has a lease up to the limit. It costs up to 2.5 s where a worker is lost within 2.5 s of its restart having been read.

Evidence: 'A lease lasts that a restarted worker got by the poll that found it empty' failed before in its last step.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -14,6 +14,12 @@
     When their worker restarts, answers another start, and is then read as restarted
     Then that start still counts before the lease is renewed
 
+  # Guards against TWICE: that poll's deadline was on the clock of the former life.
+  Scenario: A lease lasts that a restarted worker got by the poll that found it empty
+    Given a scheduler with 2 workers of 8 cores
+    When a worker is read as restarted and empty, answers a start and is cut off
+    Then that start counts for 6.12 s from the poll, and no longer than 6.4 s
+
   Scenario: A worker that is removed and known again at once is read
     When a worker is removed and known again before the next scheduling pass
     Then the leader reads its lists again
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -80,6 +80,30 @@
     assert context.run in context.run.subtask.live_runs
 
 
+@when("a worker is read as restarted and empty, answers a start and is cut off")
+def step_read_empty(context: Any) -> None:
+    world = context.world
+    world.report_all()
+    world.sims[WORKER].started_ms += 1000
+    context.read_s = world.now_s
+    world.report(WORKER)
+    world.tick(0.01)
+    for other in world.scheduler.workers.values():
+        other.is_cordoned = other.facts.worker_id != WORKER
+    world.submit(OTHER, definition(1, 4))
+    (context.run,) = world.run_all()
+
+
+@then(
+    "that start counts for {least_s:g} s from the poll, and no longer than {most_s:g} s"
+)
+def step_counts_from_poll(context: Any, least_s: float, most_s: float) -> None:
+    world = context.world
+    for seconds, counts in ((least_s, True), (most_s, False)):
+        world.tick(context.read_s + seconds - world.now_s)
+        assert (context.run in context.run.subtask.live_runs) is counts, seconds
+
+
 class ReadingLeader:
     """A leader whose worker runs nothing, and each read of its lists.
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -338,13 +338,11 @@
     worker.clear_unreported_runs()
     worker.processed_end = 0
     worker.stored_end = 0
-    if worker.is_reconciled:
-        # Only this leader's leases were known, and they ended with the earlier life.
-        worker.lease_expires_s = now_s
-    if report.running or not report.is_complete:
-        # Calls that this life has answered gave it a lease up to the limit.
-        limit_s = now_s + scheduler.settings.longest_lease_s
-        worker.lease_expires_s = max(worker.lease_expires_s, limit_s)
+    # Calls with a deadline of an earlier life's clock, such as the poll that has been
+    # answered, may have given this life a lease up to the limit. It never shortens, and
+    # what starts next holds it as well.
+    limit_s = now_s + scheduler.settings.longest_lease_s
+    worker.lease_expires_s = max(worker.lease_expires_s, limit_s)
     worker.clock_at_s = None
     worker.end_outcomes.clear()
     listed = {(row.name, row.run) for row in report.running}
@@ -354,11 +352,9 @@
     for key, run in worker.runs.items():
         is_answered = run.answered_s is not None and run.answered_s < sent_s
         if not is_answered:
-            # The order's deadlines were on the clock of the previous incarnation, so
-            # the new one may accept it late and shortens its lease only to the limit.
+            # The order's deadline was on the clock of the previous incarnation, so the
+            # new one may accept it late.
             run.start_expires_s = float("inf")
-            limit_s = now_s + scheduler.settings.longest_lease_s
-            worker.lease_expires_s = max(worker.lease_expires_s, limit_s)
         if key in listed:
             if run.inherited_clock_ms is not None:
                 # The clock of the new incarnation starts anew.
