Blame no run alone beside a start that is kept longer

What callers would see: a job is failed at the third crash in place of the fourth though another job's start may have caused the last. Since the lease of a start without an answer is counted longer, so that the runs of one lost worker are released at two times; each of them then counted as the only one that had just started.

Changed: runs of the same worker that are kept, or were released since its last report, count as started beside those that are released now.

Evidence: 'A run does not count as alone beside a start that is released later' failed before: the job was given up.

--- a/features/crashing_subtasks.feature
+++ b/features/crashing_subtasks.feature
@@ -162,3 +162,9 @@
     Given 3 workers of 4 cores that return under a new id after 3.3 s
     When a suspect fails on a worker, waits, and 4 leaders take over in turn
     Then one crash counts for the subtask, and its job is not failed
+
+  # Guards against a job given up too early: the other start has no answer, and counts longer.
+  Scenario: A run does not count as alone beside a start that is released later
+    Given a scheduler with 1 worker of 8 cores
+    When a run that crashed twice is lost within 0.1 s beside another job's start
+    Then neither job is given up
--- a/features/steps/crash_counts_steps.py
+++ b/features/steps/crash_counts_steps.py
@@ -12,6 +12,7 @@
 from cicadatrail_core.jobs.records import apply_progress, encode_progress
 from cicadatrail_core.jobs.report_rollback import ReportRollback
 from cicadatrail_core.jobs.state import JobState, StepState, SubtaskPhase
+from cicadatrail_core.jobs.worker_leases import count_call, known_clock
 from features.support.crash_world import CrashWorld
 from features.support.crashing_subtask import (
     DEADLY,
@@ -300,3 +301,31 @@
     assert len(deadly_subtask(world).crashed_runs) == 1, deadly_subtask(
         world
     ).crashed_runs
+
+
+@when(
+    "a run that crashed twice is lost within {seconds:g} s beside another job's start"
+)
+def step_lost_beside(context: Any, seconds: float) -> None:
+    world = context.world
+    world.report_all()
+    context.jobs = [world.submit(job_id, definition(1, 2)) for job_id in "ab"]
+    answered, unanswered = world.dispatch()
+    worker = answered.worker
+    for run in (answered, unanswered):
+        run.subtask.crashed_runs |= {1: "w8", 2: "w9"}
+    world.carry_out(answered)
+    answered.is_proved = True
+    unanswered.mark_unanswered(world.now_s)
+    worker.mark_failed(world.now_s + seconds)
+    clock = known_clock(worker)
+    count_call(world.scheduler, worker, clock, None, world.now_s)
+    world.tick(4.0)
+    assert list(worker.runs.values()) == [unanswered]
+    world.tick(3.0)
+    assert not worker.runs
+
+
+@then("neither job is given up")
+def step_not_given_up(context: Any) -> None:
+    assert [job.phase for job in context.jobs] == [JobPhase.PENDING] * 2
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
@@ -104,12 +104,15 @@
     reason: str,
     now_s: float,
     kept: Iterable[Run] = (),
+    beside: Iterable[Run] = (),
 ) -> None:
     """Release the runs lost with a worker and count the crash.
 
     Without the lease they count for their teams until the worker answers. ``kept``
-    holds runs that may be the cause of the crash, but may not be over.
+    holds runs that may be the cause of the crash, but may not be over, and ``beside``
+    those that are lost by the same crash at another time.
     """
+    other = [run for run in beside if is_recent(run) and _is_prompt(run, now_s)]
     blamed = [run for run in (*lost, *kept) if is_recent(run)]
     _log_loss(worker, len(lost), blamed, reason, now_s)
     if is_loss_planned(worker, now_s):
@@ -121,7 +124,7 @@
     if lost and not scheduler.is_lease_valid():
         scheduler.unproven_runs.add(worker, lost)
     prompt = [run for run in blamed if _is_prompt(run, now_s)]
-    is_alone = len({run.subtask.step.job.job_id for run in prompt}) == 1
+    is_alone = len({run.subtask.step.job.job_id for run in (*prompt, *other)}) == 1
     for run in blamed:
         is_cause = is_alone and run in prompt
         if crash_count(run.subtask) >= SHARED_LIMIT_COUNT or (
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
@@ -163,6 +163,7 @@
             if run.phase is not RunPhase.SENT or run.unanswered_s is not None:
                 run.subtask.expired_runs.add(run.number)
                 worker.unreported_runs.append(run)
-        lose_runs(scheduler, worker, over, "lease expired", now_s)
+        beside = [*worker.unreported_runs, *worker.runs.values()]
+        lose_runs(scheduler, worker, over, "lease expired", now_s, beside=beside)
     if not worker.is_listed and not has_kept:
         scheduler.remove_worker(worker.facts.worker_id, now_s, "no longer listed")
