Keep the wait for a listed life beside a stored lease

What callers would see (TWICE): a worker whose start the leader knew to be taken by a later life restarts once more, takes another start and is cut off as the leader is killed. The successor reads the stored lease, of which little is left, in place of the wait for the life that the list shows: it starts the subtask elsewhere too early.

Changed: the later of both ends counts.

Evidence: 'A stored lease does not end the wait for a life that is listed since' failed before.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -31,6 +31,11 @@
       | 1   | 6.12  | 6.4  |
       | 60  | 3.6   | 4.3  |
 
+  # Guards against TWICE: the stored lease is of the life before the listed one.
+  Scenario: A stored lease does not end the wait for a life that is listed since
+    When a new leader that awaits a listed life reads a stored lease of 1 s
+    Then it still awaits that life for 6.8 s
+
   Scenario: A worker that is removed and known again at once is read
     When a worker is removed and known again before the next scheduling pass
     Then the leader reads its lists again
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from typing import Any
 
+import msgpack
 from behave import then, when
 
 from cicadatrail_core.jobs.models import RunningRow, WorkerFacts, WorkerReport
@@ -17,8 +18,9 @@
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.leader import Leader
 from cicadatraild.scheduling.leadership import Leadership
+from cicadatraild.scheduling.long_leases import LongLeases
 from features.steps.ended_lives_steps import StoppedStore
-from features.support.job_world import definition
+from features.support.job_world import JobWorld, definition
 from features.support.sampled_values import sample
 
 OTHER = "00000000000000b9"
@@ -161,6 +163,20 @@
         journal.cancel()
 
 
+@when("a new leader that awaits a listed life reads a stored lease of {left_s:g} s")
+def step_reads_lease(context: Any, left_s: float) -> None:
+    world = context.world = JobWorld(1)
+    context.worker = world.worker(WORKER)
+    context.worker.later_life_until_s = world.now_s + 6.8
+    value = msgpack.packb([(WORKER, left_s)])
+    LongLeases(world.scheduler).restore(value, world.now_s, world.now_s)
+
+
+@then("it still awaits that life for {left_s:g} s")
+def step_awaits(context: Any, left_s: float) -> None:
+    assert context.worker.later_life_until_s >= context.world.now_s + left_s
+
+
 @when("a worker is removed and known again before the next scheduling pass")
 def step_know_again(context: Any) -> None:
     async def scenario() -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/long_leases.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/long_leases.py
@@ -72,7 +72,10 @@
             limit_s = former_until_s + self._scheduler.settings.longest_lease_s
             until_s = dict.fromkeys(workers, limit_s)
         for worker_id in until_s.keys() & workers.keys():
-            workers[worker_id].later_life_until_s = until_s[worker_id]
+            worker = workers[worker_id]
+            # The list may show a life that the predecessor did not know.
+            known_s = worker.later_life_until_s
+            worker.later_life_until_s = max(known_s, until_s[worker_id])
         # To be stored anew: what is left then is less.
         self._stored = dict.fromkeys(until_s, 0.0)
         return max(until_s.values(), default=0.0)
