Store the lives of workers that the leader knows, as they change

What callers would see: after a takeover, a subtask on a worker that the new leader does not reach waits for up to 3 s longer than needed where that worker had restarted under its id at any earlier time. The successor compares the listed birth with the stored one, which was stored anew only when a worker came or left.

Changed: the record of workers is stored again when a known birth changes, which is once for each restart. The record of long leases goes before it, as a batch may be split.

Evidence: 'A successor does not wait longer for a restart that its predecessor knew' failed before. The order of a split batch was not tested.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -36,6 +36,10 @@
     When a new leader that awaits a listed life reads a stored lease of 1 s
     Then it still awaits that life for 6.8 s
 
+  Scenario: A successor does not wait longer for a restart that its predecessor knew
+    When a leader stores its fleet before and after a restart, and another restores it
+    Then the other awaits no later life
+
   Scenario: A worker that is removed and known again at once is read
     When a worker is removed and known again before the next scheduling pass
     Then the leader reads its lists again
--- a/features/steps/crash_counts_steps.py
+++ b/features/steps/crash_counts_steps.py
@@ -319,6 +319,7 @@
     unanswered.mark_unanswered(world.now_s)
     worker.mark_failed(world.now_s + seconds)
     clock = known_clock(worker)
+    assert clock is not None
     count_call(world.scheduler, worker, clock, None, world.now_s)
     world.tick(4.0)
     assert list(worker.runs.values()) == [unanswered]
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -15,6 +15,7 @@
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.settings import PlatformSettings
+from cicadatraild.platform.store import KeyedRecord
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.leader import Leader
 from cicadatraild.scheduling.leadership import Leadership
@@ -177,6 +178,32 @@
     assert context.worker.later_life_until_s >= context.world.now_s + left_s
 
 
+@when("a leader stores its fleet before and after a restart, and another restores it")
+def step_stores_fleet(context: Any) -> None:
+    async def scenario() -> None:
+        records = ReadingLeader(has_more_ends=False).leader._records
+        worker = records._scheduler.workers[WORKER]
+        stored: dict[str, KeyedRecord] = {}
+        for _ in range(2):
+            if records.has_changes():
+                stored |= {record.key: record for record in records.collect()[0]}
+            worker.born_unix_ms += 1000
+            worker.facts = replace(worker.facts, born_unix_ms=worker.born_unix_ms)
+        other = ReadingLeader(has_more_ends=False).leader
+        other.scheduler.workers[WORKER].facts = replace(
+            worker.facts, born_unix_ms=worker.born_unix_ms - 1000
+        )
+        other._records.restore([*stored.values()])
+        context.worker = other.scheduler.workers[WORKER]
+
+    asyncio.run(scenario())
+
+
+@then("the other awaits no later life")
+def step_awaits_none(context: Any) -> None:
+    assert context.worker.later_life_until_s == 0.0
+
+
 @when("a worker is removed and known again before the next scheduling pass")
 def step_know_again(context: Any) -> None:
     async def scenario() -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -60,7 +60,7 @@
     def __init__(self, scheduler: Scheduler, former_leases: FormerLeases) -> None:
         self._scheduler = scheduler
         self._former_leases = former_leases
-        self._fleet: tuple[str, ...] | None = None
+        self._fleet: dict[str, int] | None = None
         # As stored; None if that record was not read, so that it is replaced.
         self._ended: dict[str, int] | None = {}
         self._changed_waves = False
@@ -102,8 +102,12 @@
         )
 
     def _has_fleet_changes(self) -> bool:
-        """Return whether the set of workers differs from the stored one."""
-        return self._fleet != tuple(self._scheduler.workers)
+        """Return whether the workers, or their known lives, differ from the stored."""
+        return self._fleet != self._lives()
+
+    def _lives(self) -> dict[str, int]:
+        workers = self._scheduler.workers
+        return {worker_id: worker.born_unix_ms for worker_id, worker in workers.items()}
 
     def collect(self) -> Batch:
         """Return the records of all changes, and a callback for once they are stored.
@@ -111,12 +115,12 @@
         The changes are marked as collected.
         """
         scheduler = self._scheduler
-        records: list[KeyedRecord] = []
+        # Before the workers, as an append may be split.
+        records = self._long_leases.collect(loop_now_s())
         if self._has_fleet_changes():
-            self._fleet = tuple(scheduler.workers)
+            self._fleet = self._lives()
             records += encode_fleet(scheduler.workers.values())
             records += self._collect_ended()
-        records += self._long_leases.collect(loop_now_s())
         if self._inventory.has_unstored_announcements:
             records.append(KeyedRecord(ORDERS_KEY, self._inventory.encode()))
         if self._changed_waves:
