Count a start that fails unexpectedly like one without an answer

What callers would see (TWICE): the order of a start raises an unexpected error after it was sent, and a later life of the worker has taken it: the subtask starts elsewhere after 3.7 s.

Cause: such a start counts as one without an answer, but the lease that a later life may have was counted only where the order returned.

Evidence: 'A start that fails unexpectedly counts as long as one without an answer' failed before: its lease ended after 3.65 s.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -40,6 +40,11 @@
     When a leader stores its fleet before and after a restart, and another restores it
     Then the other awaits no later life
 
+  # Guards against TWICE: a later life may have taken it, as with no answer.
+  Scenario: A start that fails unexpectedly counts as long as one without an answer
+    When sending a start fails unexpectedly at a worker that has answered
+    Then its lease may last for 6.1 s
+
   Scenario: A worker that is removed and known again at once is read
     When a worker is removed and known again before the next scheduling pass
     Then the leader reads its lists again
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
+from unittest.mock import patch
 
 import msgpack
 from behave import then, when
 
 from cicadatrail_core.jobs.models import RunningRow, WorkerFacts, WorkerReport
-from cicadatrail_core.jobs.worker_leases import renew_lease
+from cicadatrail_core.jobs.state import StepState
+from cicadatrail_core.jobs.worker_leases import lease_end_s, renew_lease
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.settings import PlatformSettings
@@ -204,6 +206,30 @@
     assert context.worker.later_life_until_s == 0.0
 
 
+@when("sending a start fails unexpectedly at a worker that has answered")
+def step_start_fails(context: Any) -> None:
+    async def scenario() -> None:
+        leader = ReadingLeader(has_more_ends=False).leader
+        scheduler, worker = leader.scheduler, leader.scheduler.workers[WORKER]
+        now_s = loop_now_s()
+        report = WorkerReport(60_000, worker.born_unix_ms, (), ())
+        apply_report(scheduler, worker, report, now_s, now_s)
+        job = scheduler.accept(OTHER, definition(1), now_s)
+        context.run = scheduler.place(
+            StepState(job, 0, 0).subtasks[0], worker, loop_now_s()
+        )
+        with patch.object(leader._client, "start", side_effect=KeyError(OTHER)):
+            await leader.orders._start_or_keep(context.run)
+        context.left_s = lease_end_s(context.run) - loop_now_s()
+
+    asyncio.run(scenario())
+
+
+@then("its lease may last for {least_s:g} s")
+def step_lease_lasts(context: Any, least_s: float) -> None:
+    assert context.left_s >= least_s, context.left_s
+
+
 @when("a worker is removed and known again before the next scheduling pass")
 def step_know_again(context: Any) -> None:
     async def scenario() -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -154,7 +154,12 @@
             await self._start(run)
         except Exception as error:
             _log_failure("start", run, error)
-            run.mark_unanswered(loop_now_s())
+            now_s, clock = loop_now_s(), known_clock(run.worker)
+            if clock is not None:
+                run.is_proved = count_call(
+                    self._scheduler, run.worker, clock, None, now_s
+                )
+            run.mark_unanswered(now_s)
             run.subtask.avoided_worker = run.worker.facts.worker_id
 
     async def _start(self, run: Run) -> None:
