--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -341,6 +341,7 @@
     worker.clear_unreported_runs()
     worker.processed_end = 0
     worker.stored_end = 0
+    worker.confirmed_end = 0
     # Calls with a deadline of an earlier life's clock, such as the poll that has been
     # answered, may have given this life a lease up to the limit. It never shortens, and
     # what starts next holds it as well.
@@ -372,5 +373,9 @@
     # Its clock began with this life, and runs slow if at all.
     scheduler.confirm_unproven_runs(worker, report.clock_ms / 1000)
     worker.draining_until_s = None
+    # What bars a run ends with the life that was told to stop it.
+    for name, number in worker.recent_unanswered_starts(now_s):
+        if (name, number) not in worker.runs:
+            scheduler.bars.append((worker, name, number))
     # A successor has to know of a longer lease.
     scheduler.on_change()
