Stop a run again whose stop only a worker's former life has acknowledged

What callers would see (TWICE): a start gets no answer, the worker acknowledges its stop and restarts before its lists are read.

Changed: a restart takes back the acknowledged stop of a start without an answer, and sends it once more; the run counts until the new life has acknowledged it.

Evidence: 'A stop that a worker's former life has acknowledged is sent to the next one' failed before: the run was released with the report of the restart.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -45,6 +45,12 @@
     When sending a start fails unexpectedly at a worker that has answered
     Then its lease may last for 6.1 s
 
+  # Guards against TWICE: what bars a run ends with the life that was told to stop it.
+  Scenario: A stop that a worker's former life has acknowledged is sent to the next one
+    Given a scheduler with 2 workers of 8 cores
+    When a start gets no answer, its stop is acknowledged, and the worker restarts
+    Then that run counts until the next life has acknowledged its stop
+
   Scenario: A worker that is removed and known again at once is read
     When a worker is removed and known again before the next scheduling pass
     Then the leader reads its lists again
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -232,6 +232,34 @@
     assert context.left_s >= least_s, context.left_s
 
 
+@when("a start gets no answer, its stop is acknowledged, and the worker restarts")
+def step_stopped_before(context: Any) -> None:
+    world = context.world
+    world.report_all()
+    world.submit(OTHER, definition(1, 4))
+    (context.run,) = world.dispatch()
+    run, worker = context.run, context.run.worker
+    run.mark_unanswered(world.now_s)
+    world.scheduler.stop(run)
+    assert world.stops() == [run]
+    world.now_s += 0.1
+    run.stop_acked_s = world.now_s
+    world.now_s += 0.1
+    world.sims[worker.facts.worker_id].started_ms += 1000
+    world.report(worker.facts.worker_id)
+
+
+@then("that run counts until the next life has acknowledged its stop")
+def step_stopped_again(context: Any) -> None:
+    world, run = context.world, context.run
+    assert run in run.subtask.live_runs
+    assert world.stops() == [run]
+    run.stop_acked_s = world.now_s
+    world.now_s += 0.1
+    world.report(run.worker.facts.worker_id)
+    assert run not in run.subtask.live_runs
+
+
 @when("a worker is removed and known again before the next scheduling pass")
 def step_know_again(context: Any) -> None:
     async def scenario() -> None:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -359,6 +359,10 @@
             # The order's deadline was on the clock of the previous incarnation, so the
             # new one may accept it late.
             run.start_expires_s = float("inf")
+            if run.stop_acked_s is not None:
+                # What bars the run ended with the life that was told to stop it.
+                run.stop_acked_s = None
+                scheduler.stops.append(run)
         if key in listed:
             if run.inherited_clock_ms is not None:
                 # The clock of the new incarnation starts anew.
