--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -14,6 +14,43 @@
     When their worker restarts, answers another start, and is then read as restarted
     Then that start still counts before the lease is renewed
 
+  # Guards against TWICE: that poll's deadline was on the clock of the former life.
+  Scenario: A lease lasts that a restarted worker got by the poll that found it empty
+    Given a scheduler with 2 workers of 8 cores
+    When a worker is read as restarted and empty, answers a start and is cut off
+    Then that run counts for 6.12 s, and no longer than 6.4 s
+
+  # Guards against TWICE: the former leader's calls had a deadline of the former clock.
+  Scenario Outline: A lease lasts that a worker of <age> s got from a leader that is gone
+    Given a scheduler with 2 workers of 8 cores
+    When a worker of <age> s with a run answers a new leader and is cut off
+    Then that run counts for <least> s, and no longer than <most> s
+
+    Examples: ages
+      | age | least | most |
+      | 1   | 6.12  | 6.4  |
+      | 60  | 3.6   | 4.3  |
+
+  # Guards against TWICE: the stored lease is of the life before the listed one.
+  Scenario: A stored lease does not end the wait for a life that is listed since
+    When a new leader that awaits a listed life reads a stored lease of 1 s
+    Then it still awaits that life for 6.8 s
+
+  Scenario: A successor does not wait longer for a restart that its predecessor knew
+    When a leader stores its fleet before and after a restart, and another restores it
+    Then the other awaits no later life
+
+  # Guards against TWICE: a later life may have taken it, as with no answer.
+  Scenario: A start that fails unexpectedly counts as long as one without an answer
+    When sending a start fails unexpectedly at a worker that has answered
+    Then its lease may last for 6.1 s
+
+  # Guards against TWICE: what bars a run ends with the life that was told to stop it.
+  Scenario: A stop that a worker's former life has acknowledged is sent to the next one
+    Given a scheduler with 2 workers of 8 cores
+    When a start gets no answer, its stop is acknowledged, and the worker restarts
+    Then that run counts until the next life has acknowledged its stop
+
   Scenario: A worker that is removed and known again at once is read
     When a worker is removed and known again before the next scheduling pass
     Then the leader reads its lists again
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -6,19 +6,25 @@
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
+from unittest.mock import patch
 
+import msgpack
 from behave import then, when
 
 from cicadatrail_core.jobs.models import RunningRow, WorkerFacts, WorkerReport
+from cicadatrail_core.jobs.state import StepState
+from cicadatrail_core.jobs.worker_leases import lease_end_s, renew_lease
 from cicadatrail_core.jobs.worker_reports import apply_report
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.settings import PlatformSettings
+from cicadatraild.platform.store import KeyedRecord
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.leader import Leader
 from cicadatraild.scheduling.leadership import Leadership
+from cicadatraild.scheduling.long_leases import LongLeases
 from cicadatraild.scheduling.worker_links import LIST_WAIT_MS
 from features.steps.ended_lives_steps import StoppedStore
-from features.support.job_world import definition
+from features.support.job_world import JobWorld, definition
 from features.support.sampled_values import sample
 from features.support.takeover_pair import TakeoverPair
 
@@ -82,6 +88,46 @@
     assert context.run in context.run.subtask.live_runs
 
 
+@when("a worker is read as restarted and empty, answers a start and is cut off")
+def step_read_empty(context: Any) -> None:
+    world = context.world
+    world.report_all()
+    world.sims[WORKER].started_ms += 1000
+    context.read_s = world.now_s
+    world.report(WORKER)
+    world.tick(0.01)
+    for other in world.scheduler.workers.values():
+        other.is_cordoned = other.facts.worker_id != WORKER
+    world.submit(OTHER, definition(1, 4))
+    (context.run,) = world.run_all()
+
+
+@when("a worker of {age_s:g} s with a run answers a new leader and is cut off")
+def step_young(context: Any, age_s: float) -> None:
+    world = context.world
+    world.report_all()
+    world.submit(OTHER, definition(1, 4))
+    (run,) = world.run_all()
+    worker_id = run.worker.facts.worker_id
+    world.fail_over(2)
+    worker, born_ms = world.worker(worker_id), world.sims[worker_id].started_ms
+    worker.may_hold_former_lease = True
+    row = RunningRow(run.subtask.name, run.number, "", 10)
+    report = WorkerReport(int(age_s * 1000), born_ms, (row,), ())
+    apply_report(world.scheduler, worker, report, world.now_s, world.now_s)
+    renew_lease(world.scheduler, worker, world.now_s)
+    context.read_s = world.now_s
+    context.run = worker.runs[run.subtask.name, run.number]
+
+
+@then("that run counts for {least_s:g} s, and no longer than {most_s:g} s")
+def step_counts(context: Any, least_s: float, most_s: float) -> None:
+    world = context.world
+    for seconds, counts in ((least_s, True), (most_s, False)):
+        world.tick(context.read_s + seconds - world.now_s)
+        assert (context.run in context.run.subtask.live_runs) is counts, seconds
+
+
 class ReadingLeader:
     """A leader whose worker runs nothing, and each read of its lists.
 
@@ -122,6 +168,98 @@
         journal.cancel()
 
 
+@when("a new leader that awaits a listed life reads a stored lease of {left_s:g} s")
+def step_reads_lease(context: Any, left_s: float) -> None:
+    world = context.world = JobWorld(1)
+    context.worker = world.worker(WORKER)
+    context.worker.later_life_until_s = world.now_s + 6.8
+    value = msgpack.packb([(WORKER, left_s)])
+    LongLeases(world.scheduler).restore(value, world.now_s, world.now_s)
+
+
+@then("it still awaits that life for {left_s:g} s")
+def step_awaits(context: Any, left_s: float) -> None:
+    assert context.worker.later_life_until_s >= context.world.now_s + left_s
+
+
+@when("a leader stores its fleet before and after a restart, and another restores it")
+def step_stores_fleet(context: Any) -> None:
+    async def scenario() -> None:
+        records = ReadingLeader(has_more_ends=False).leader._records
+        worker = records._scheduler.workers[WORKER]
+        stored: dict[str, KeyedRecord] = {}
+        for _ in range(2):
+            if records.has_changes():
+                stored |= {record.key: record for record in records.collect()[0]}
+            worker.born_unix_ms += 1000
+            worker.facts = replace(worker.facts, born_unix_ms=worker.born_unix_ms)
+        other = ReadingLeader(has_more_ends=False).leader
+        other.scheduler.workers[WORKER].facts = replace(
+            worker.facts, born_unix_ms=worker.born_unix_ms - 1000
+        )
+        other._records.restore([*stored.values()])
+        context.worker = other.scheduler.workers[WORKER]
+
+    asyncio.run(scenario())
+
+
+@then("the other awaits no later life")
+def step_awaits_none(context: Any) -> None:
+    assert context.worker.later_life_until_s == 0.0
+
+
+@when("sending a start fails unexpectedly at a worker that has answered")
+def step_start_fails(context: Any) -> None:
+    async def scenario() -> None:
+        leader = ReadingLeader(has_more_ends=False).leader
+        scheduler, worker = leader.scheduler, leader.scheduler.workers[WORKER]
+        now_s = loop_now_s()
+        report = WorkerReport(60_000, worker.born_unix_ms, (), ())
+        apply_report(scheduler, worker, report, now_s, now_s)
+        job = scheduler.accept(OTHER, definition(1), now_s)
+        context.run = scheduler.place(
+            StepState(job, 0, 0).subtasks[0], worker, loop_now_s()
+        )
+        with patch.object(leader._client, "start", side_effect=KeyError(OTHER)):
+            await leader.orders._start_or_keep(context.run)
+        context.left_s = lease_end_s(context.run) - loop_now_s()
+
+    asyncio.run(scenario())
+
+
+@then("its lease may last for {least_s:g} s")
+def step_lease_lasts(context: Any, least_s: float) -> None:
+    assert context.left_s >= least_s, context.left_s
+
+
+@when("a start gets no answer, its stop is acknowledged, and the worker restarts")
+def step_stopped_before(context: Any) -> None:
+    world = context.world
+    world.report_all()
+    world.submit(OTHER, definition(1, 4))
+    (context.run,) = world.dispatch()
+    run, worker = context.run, context.run.worker
+    run.mark_unanswered(world.now_s)
+    world.scheduler.stop(run)
+    assert world.stops() == [run]
+    world.now_s += 0.1
+    run.stop_acked_s = world.now_s
+    world.now_s += 0.1
+    world.sims[worker.facts.worker_id].started_ms += 1000
+    world.report(worker.facts.worker_id)
+
+
+@then("that run counts until the next life has acknowledged its stop")
+def step_stopped_again(context: Any) -> None:
+    world, run = context.world, context.run
+    assert run in run.subtask.live_runs
+    assert world.stops() == [run]
+    run.stop_acked_s = world.now_s
+    world.now_s += 0.1
+    world.report(run.worker.facts.worker_id)
+    assert run not in run.subtask.live_runs
+
+
 @when("a worker is removed and known again before the next scheduling pass")
 def step_know_again(context: Any) -> None:
     async def scenario() -> None:
