Count a call's time limit from its open connection

The time limit of a call counted the opening of its connection. A failed call ends its connection, so that its repeat needs two round trips in the time in which the first call had one. In the log a round trip takes 0.3 to 0.5 s; of two starts sent to i-dd1f848591 at once the one on the open connection is answered after 0.398 s, the other is given up after 0.5 s; from then on every poll of it fails for 12 s, 0.6 s and a pause each. Its lease ends, and the subtask that was done on it at 40.586 s starts elsewhere at 43.446 s.

The exchange gets its whole time limit once the connection is open. Opening one keeps its own limit of 0.5 s, so that a worker that can't be reached is noticed as soon as before. Times that rights and leases rest on are read before a call begins.

Failed before: slow_worker_paths.feature, at 0.35 s a round trip no repeated poll and not even a first one was answered. At 0.45 s with a lost poll the lease still ends, which is listed.

Passed: platform (26), worker_capacity, leader_containment.

--- a/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
@@ -83,14 +83,19 @@
     ) -> Result[WholeResponse, ClientError]:
         """Send a complete request and return the complete response.
 
+        ``timeout_s`` limits the exchange, which begins with an open connection: over
+        a slow path a request on a new connection would have less time than one on an
+        idle connection.
+
         ``may_send`` is called once the connection is open, right before the first
         byte is sent; if it returns false, the outcome is NOT_SENT. A permission that
         was checked earlier may expire while the connection is being opened.
         """
         exchange: ClientExchange | None = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 exchange = await self.start(address)
+                limit.reschedule(asyncio.get_running_loop().time() + timeout_s)
                 if not may_send():
                     reason = "the permission to send it has expired"
                     return Failure(ClientError(ClientFault.NOT_SENT, reason))
