Let a drain wait for answers that were sent before it

Callers that read slowly lost the end of an answer that an instance had written right before its drain, and callers that were still sending when a full server refused them got a reset instead of its 503.

Cause: a drain waited for the tasks that serve connections. A connection whose task had ended, as its response said "Connection: close" or the server was full, lingered without anybody waiting for it, and the process could end first. On a kept connection up to 8 KiB may wait in the transport when its handler has ended; the drain took it for idle and aborted it, unsent bytes included.

Lingering connections are now known one by one, and a drain waits for them as for the others, for its time at most. An idle connection with unsent bytes is closed after they have been sent. "http: drained." names what lingers.

Ruled out: connections whose answer was written while a drain is on were waited for before; bytes that the kernel has are sent after the process has ended, unless the caller sends more. Not changed: over the limit of lingering connections, and when a full server drops the connection that has waited longest for a head, unsent bytes are still dropped.

--- a/features/drains.feature
+++ b/features/drains.feature
@@ -24,3 +24,16 @@
   Scenario: A new connection without a request does not hold up a drain
     When a connection is made 0.02 s before a drain and sends nothing
     Then the drain has ended within 0.3 s
+
+  Scenario Outline: An answer that was sent right before a drain reaches its caller, <on>
+    When a caller reads an answer <on> 0.1 s after a drain has begun
+    Then the process has ended after the caller had the whole answer
+
+    Examples: connections
+      | on                                  |
+      | on a connection that is kept        |
+      | on a connection that ends           |
+
+  Scenario: The refusal of a full server reaches a caller that still sends as it drains
+    When a full server refuses a caller right before a drain, which then sends a body
+    Then the process has ended after the caller had the refusal
--- a/features/steps/drains_steps.py
+++ b/features/steps/drains_steps.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import socket
+import threading
 import time
 from collections.abc import Callable
 from contextlib import AsyncExitStack, suppress
@@ -15,7 +17,11 @@
 from features.support.faulty_proxy import HOST
 from features.support.thread_caller import REQUEST
 
+# ruff: noqa: SLF001
+
 CALLERS_COUNT = 5
+CHUNK = b"x" * 4096
+READ_DELAY_S = 0.1
 BLOCKED_S = 0.4
 HANDLER_PASSES_COUNT = 3
 
@@ -156,3 +162,92 @@
 @then("the drain has ended within {limit_s:g} s")
 def step_drain_ended(context: Any, limit_s: float) -> None:
     assert context.duration_s < limit_s, context.duration_s
+
+
+@when("a caller reads an answer {on} {delay_s:g} s after a drain has begun")
+def step_slow_reader(context: Any, on: str, delay_s: float) -> None:
+    headers = ((b"Connection", b"close"),) if on.endswith("ends") else ()
+
+    async def scenario() -> None:
+        answered = asyncio.Event()
+
+        async def fill(exchange: HttpExchange) -> None:
+            await exchange.start(200, headers)
+            while not exchange._transport.unsent_bytes:
+                await exchange.send(CHUNK)
+            await exchange.end()
+            answered.set()
+
+        async with AsyncExitStack() as stack:
+            server = HttpServer("drained", fill, HttpLimits())
+            caller = _connect(context, await server.listen(stack, HOST, 0))
+            caller.sendall(REQUEST)
+            await answered.wait()
+            await asyncio.sleep(0.02)
+            context.reading = _Reading(caller, b"", delay_s)
+            await server.drain(1.0)
+
+    _run_process(scenario)
+
+
+@when("a full server refuses a caller right before a drain, which then sends a body")
+def step_refused_sender(context: Any) -> None:
+    async def scenario() -> None:
+        async with AsyncExitStack() as stack:
+            limits = HttpLimits(connection_limit_count=0)
+            server = HttpServer("drained", _answer, limits)
+            caller = _connect(context, await server.listen(stack, HOST, 0))
+            caller.sendall(REQUEST)
+            await asyncio.sleep(0.02)
+            context.reading = _Reading(caller, CHUNK, READ_DELAY_S)
+            await server.drain(1.0)
+
+    _run_process(scenario)
+
+
+@then("the process has ended after the caller had the whole answer")
+def step_whole_answer(context: Any) -> None:
+    data = context.reading.join()
+    assert data.startswith(b"HTTP/1.1 200 "), data[:100]
+    assert data.endswith(b"0\r\n\r\n"), (len(data), data[-100:])
+
+
+@then("the process has ended after the caller had the refusal")
+def step_whole_refusal(context: Any) -> None:
+    data = context.reading.join()
+    assert data.startswith(b"HTTP/1.1 503 "), data[:100]
+
+
+class _Reading:
+    """Send in two parts after a delay, and read until the server closes."""
+
+    def __init__(self, caller: socket.socket, body: bytes, delay_s: float) -> None:
+        self._caller = caller
+        self._body = body
+        self._delay_s = delay_s
+        self._data = b""
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def join(self) -> bytes:
+        """Return what was read."""
+        self._thread.join()
+        return self._data
+
+    def _run(self) -> None:
+        time.sleep(self._delay_s)
+        self._caller.settimeout(2.0)
+        with self._caller, suppress(OSError):
+            for part in (self._body, self._body):
+                self._caller.sendall(part)
+                time.sleep(0.02)
+            while data := self._caller.recv(65536):
+                self._data += data
+                if self._data.endswith(b"0\r\n\r\n"):
+                    return
+
+
+def _run_process(scenario: Callable[[], Any]) -> None:
+    """Run a loop, and close all sockets that it leaves open, as a process does."""
+    asyncio.run(scenario())
+    gc.collect()
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_server.py
@@ -19,6 +19,7 @@
     HttpTransport,
     lower_headers,
 )
+from cicadatraild.network.lingering import CLOSE_GRACE_S, LingeringConnections
 from cicadatraild.network.listener import Listener
 from cicadatraild.network.open_connections import OpenConnections, Stage
 from cicadatraild.network.refusal_counts import RefusalCounts
@@ -41,9 +42,6 @@
 
 logger = logging.getLogger("cicadatrail.http")
 
-CLOSE_GRACE_S = 1.0
-"""Time to send the last bytes before a connection is aborted."""
-
 DRAIN_HEAD_TIMEOUT_S = 0.2
 """Time for the request on a connection that was opened right before a drain."""
 
@@ -83,7 +81,7 @@
         "_handler",
         "_idle",
         "_is_closing",
-        "_lingering_count",
+        "_lingering",
         "_listener",
         "_name",
         "_read_buffer",
@@ -108,7 +106,7 @@
         self._read_buffer = bytearray(READ_BYTES)
         # Connections that wait for a head, the oldest first, and since when.
         self._waiting: dict[HttpTransport, float] = {}
-        self._lingering_count = 0
+        self._lingering = LingeringConnections()
         self._connections = OpenConnections()
         # Connections that wait for the head of a request.
         self._idle: dict[asyncio.Task[None], HttpTransport] = {}
@@ -128,8 +126,9 @@
     async def drain(self, timeout_s: float) -> None:
         """Refuse connections, close idle ones and wait until requests are answered.
 
-        What takes longer than ``timeout_s`` is dropped when the stack closes, but a
-        loop that was late for all of that time gets a short time after it.
+        Callers may also read answers that were sent before. What takes longer than
+        ``timeout_s`` is dropped when the stack closes, but a loop that was late for all
+        of that time gets a short time after it.
         """
         began_s = asyncio.get_running_loop().time()
         drain_time = DrainTime(timeout_s)
@@ -152,18 +151,24 @@
         """End the connections without a request, but not new ones."""
         for task, transport in self._idle.items():
             is_new = self._connections.is_new(task, new_limit_s)
-            if not is_new and not transport.has_unparsed:
+            if is_new or transport.has_unparsed:
+                continue
+            if transport.unsent_bytes:
+                # Its task ends once the caller has the last answer.
+                transport.close_unread(CLOSE_GRACE_S)
+            else:
                 task.cancel()
 
     async def _wait_ended(self, drain_time: DrainTime, limit_s: float) -> None:
         """Wait until no connection is open, for ``limit_s`` or until a drain's end."""
         loop = asyncio.get_running_loop()
         until_s = loop.time() + limit_s
-        while self._connections:
+        while self._connections or self._lingering:
             left_s = min(drain_time.left_s(), until_s - loop.time())
             if left_s <= 0:
                 return
-            await asyncio.wait(tuple(self._connections), timeout=left_s)
+            waiters = (*self._connections, *self._lingering)
+            await asyncio.wait(waiters, timeout=left_s)
 
     def _log_drain(self, message: str, began_s: float, made_count: int) -> None:
         connections = self._connections
@@ -175,6 +180,7 @@
                 "connection_count": len(connections),
                 "waiting_count": connections.count(Stage.HEAD),
                 "answering_count": connections.count(Stage.ANSWER),
+                "lingering_count": len(self._lingering),
                 "made_count": connections.made_count - made_count,
             },
         )
@@ -194,7 +200,7 @@
         if is_full and not self._drop_waiting():
             self._refuse("too-many-connections")
             transport.write_raw(_TOO_MANY_CONNECTIONS)
-            self._linger(transport)
+            self._lingering.close(transport, self.limits.lingering_limit_count)
             return
         loop = asyncio.get_running_loop()
         self._waiting[transport] = loop.time()
@@ -216,20 +222,6 @@
         transport.abort()
         return True
 
-    def _linger(self, transport: HttpTransport) -> None:
-        """Close a connection whose caller may still send, if few such are open."""
-        if transport.lost:
-            return
-        if self._lingering_count >= self.limits.lingering_limit_count:
-            transport.close_at_once()
-            return
-        self._lingering_count += 1
-        transport.on_lost = self._end_lingering
-        transport.close_unread(CLOSE_GRACE_S)
-
-    def _end_lingering(self) -> None:
-        self._lingering_count -= 1
-
     def _refuse(self, reason: str) -> None:
         self.refusals.add(reason, asyncio.get_running_loop().time())
 
@@ -243,7 +235,7 @@
                     # Others are served between pipelined requests.
                     await asyncio.sleep(0)
             self._enter(Stage.CLOSE)
-            self._linger(transport)
+            self._lingering.close(transport, self.limits.lingering_limit_count)
             if self.draining:
                 # The process may end next, and would discard unsent bytes.
                 await transport.wait_lost(CLOSE_GRACE_S)
