Let a request without a reply leave the others on its link alone

When one request to a peer got no reply in its time, all others on the same stream failed as "may have run": callers got 504, or their requests were sent a second time to a leader that was about to answer. A query for the leader with 0.4 s, or one caller's own deadline, was enough.

Cause: PeerClient aborted the link at each timeout, as it can't tell a slow reply from a stream that has died.

A link that has delivered something since the request was sent, within the last 0.4 s, is kept. Else it takes no new requests, as before, but those that wait on it go on; a query on the same stream finds out within 0.4 s whether it still delivers, and if not they fail as before. A link without requests is closed.

Evidence: the first two scenarios of peer_links.feature failed before ("no reply in 0.15 s" for a request with a limit of 5 s; two streams in place of one), with paused clocks. The third, on a stream that has died, passed before and after.

Ruled out: the product's own PeerLink (network/peer_client.py) keeps its link at a timeout. Not changed: a peer whose loop is blocked for over 0.4 s after the timeout counts as dead, so that its requests are repeated.

--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
@@ -13,6 +13,7 @@
 from cicadatraild.network.frames import FrameError, FrameStream
 from cicadatraild.network.listener import Listener, listen_for_streams
 from cicadatraild.scheduling.messages import (
+    AskHolder,
     Refused,
     Reply,
     Request,
@@ -30,6 +31,10 @@
 CONNECT_TIMEOUT_S = 0.4
 """Timeout for connecting to a peer; peers are about 1 ms away."""
 
+SILENCE_S = 0.4
+"""Time without any reply after which a link counts as silent, and for the reply that
+shows that it still delivers."""
+
 CONCURRENT_REQUESTS_COUNT = 2000
 """Largest number of concurrent requests per stream."""
 
@@ -148,19 +153,63 @@
 
 
 class _Link:
-    """One stream to a peer, and the requests that wait for a reply on it."""
+    """One stream to a peer, and the requests that wait for a reply on it.
+
+    A retired link takes no new requests and closes when none is left.
+    """
 
     def __init__(self, stream: FrameStream) -> None:
         self.stream = stream
         self.waiting: dict[int, asyncio.Future[Reply]] = {}
-        self.reader: asyncio.Task[None] | None = None
         self.is_closed = False
+        self._received_s = asyncio.get_running_loop().time()
+        self._is_retired = False
+        self._tasks = {asyncio.create_task(self._read())}
+
+    async def request(self, number: int, request: Request) -> Reply:
+        """Return the reply to a request. Raises PeerUnreachableError or FrameError."""
+        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        self.waiting[number] = future
+        try:
+            self.stream.write([number, encode_message(request)])
+            await self.stream.drain()
+            return await future
+        finally:
+            self.waiting.pop(number, None)
+            if self._is_retired and not self.waiting:
+                self.close("retired")
+
+    def is_silent(self, since_s: float) -> bool:
+        """Return whether nothing was received since a time, or for ``SILENCE_S``."""
+        silent_s = asyncio.get_running_loop().time() - self._received_s
+        return self._received_s <= since_s or silent_s >= SILENCE_S
+
+    def retire(self, number: int) -> None:
+        """Take no new requests, and fail those that wait if the stream has died.
+
+        ``number`` is that of the query by which this is found out.
+        """
+        if self._is_retired or self.is_closed:
+            return
+        self._is_retired = True
+        if self.waiting:
+            self._tasks.add(asyncio.create_task(self._check(number)))
+        else:
+            self.close("retired")
+
+    async def _check(self, number: int) -> None:
+        try:
+            async with asyncio.timeout(SILENCE_S):
+                await self.request(number, AskHolder())
+        except (TimeoutError, FrameError, PeerUnreachableError) as error:
+            self.close(f"no reply in {SILENCE_S:.2f} s: {error!r}")
 
-    async def read(self) -> None:
+    async def _read(self) -> None:
         """Pass replies to the waiting requests until the stream ends."""
         try:
             while True:
                 number, value = await self.stream.read()
+                self._received_s = asyncio.get_running_loop().time()
                 future = self.waiting.pop(number, None)
                 if future is not None and not future.done():
                     future.set_result(_decode(value))
@@ -176,13 +225,24 @@
                 future.set_exception(PeerUnreachableError(reason, True, False))
         self.waiting.clear()
 
+    def cancel(self) -> None:
+        """Close the link as its owner closes."""
+        self.close("closing")
+        for task in self._tasks:
+            task.cancel()
+
 
 class PeerClient:
-    """Send requests to peers over one stream per peer."""
+    """Send requests to peers over one stream per peer.
+
+    A stream that delivers nothing any more is replaced; requests that wait on it go on,
+    unless it has died.
+    """
 
     def __init__(self, port: int) -> None:
         self._port = port
         self._links: dict[str, _Link] = {}
+        self._retired: set[_Link] = set()
         self._is_closed = False
         self._numbers = itertools.count(1)
 
@@ -196,20 +256,19 @@
         Raises PeerUnreachableError when there is none within ``timeout_s``.
         """
         link = await self._link(host)
-        number = next(self._numbers)
-        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
-        link.waiting[number] = future
+        sent_s = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(timeout_s):
-                link.stream.write([number, encode_message(request)])
-                await link.stream.drain()
-                return await future
-        except (TimeoutError, FrameError) as error:
-            # The stream may never deliver again, so it is not reused.
-            self._drop(host, link, f"no reply in {timeout_s:.2f} s")
+                return await link.request(next(self._numbers), request)
+        except FrameError as error:
+            self._forget(host, link)
+            link.close(str(error))
+            raise PeerUnreachableError(repr(error), True, False) from error
+        except TimeoutError as error:
+            if link.is_silent(sent_s):
+                self._forget(host, link)
+                self._retire(link)
             raise PeerUnreachableError(repr(error), True, False) from error
-        finally:
-            link.waiting.pop(number, None)
 
     async def _link(self, host: str) -> _Link:
         link = self._links.get(host)
@@ -230,19 +289,21 @@
             writer.close()
             return present
         link = _Link(FrameStream(reader, writer, FRAME_LIMIT_BYTES))
-        link.reader = asyncio.create_task(link.read())
         self._links[host] = link
         return link
 
-    def _drop(self, host: str, link: _Link, reason: str) -> None:
-        link.close(reason)
+    def _forget(self, host: str, link: _Link) -> None:
         if self._links.get(host) is link:
             del self._links[host]
 
+    def _retire(self, link: _Link) -> None:
+        self._retired = {retired for retired in self._retired if not retired.is_closed}
+        self._retired.add(link)
+        link.retire(next(self._numbers))
+
     def _close(self) -> None:
         self._is_closed = True
-        for link in self._links.values():
-            link.close("closing")
-            if link.reader is not None:
-                link.reader.cancel()
+        for link in (*self._links.values(), *self._retired):
+            link.cancel()
         self._links.clear()
+        self._retired.clear()
