Close the socket of a listener that can't listen

What callers saw: nothing by itself. An instance that could not listen, and whose error was kept or logged, kept the port bound, so that a later attempt or another process could find it in use until the object was collected as garbage.

Cause: bind() closed the socket on OSError only (an OverflowError for a port out of range passed by), and listen() had no owner for it between bind and the first reader.

An exit stack owns the socket until it is being watched.

Evidence: three new scenarios of listeners.feature failed before, with one socket left in each: a port out of range, a second socket that listens between bind and listen (EADDRINUSE), and a loop that can't watch the socket (ENOSPC).

Ruled out: between the return of listen() and the registration of the close with the server's stack nothing is awaited, in each of the three servers.

--- a/features/listeners.feature
+++ b/features/listeners.feature
@@ -32,3 +32,13 @@
   Scenario: A listener on all IPv6 addresses takes no IPv4 connections
     When a listener is opened on "::"
     Then an IPv4 connection to its port is refused
+
+  Scenario Outline: A listener that can't listen leaves no socket open, as <fault>
+    When a listener can't listen, as <fault>
+    Then it has no open socket, though it and its error are kept
+
+    Examples: faults
+      | fault                            |
+      | its port is out of range         |
+      | another socket has listened      |
+      | the loop can't watch its socket  |
--- a/features/steps/listeners_steps.py
+++ b/features/steps/listeners_steps.py
@@ -5,9 +5,10 @@
 import asyncio
 import errno
 import logging
+import os
 import socket
 from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, ExitStack, suppress
 from typing import Any
 from unittest.mock import patch
 
@@ -16,7 +17,7 @@
 from cicadatrail_core.models.rights import IncarnationId
 from cicadatraild.network import peer_server
 from cicadatraild.network.http_server import HttpExchange, HttpLimits, HttpServer
-from cicadatraild.network.listener import listen_for_streams
+from cicadatraild.network.listener import Listener, listen_for_streams
 from cicadatraild.scheduling import peers
 from cicadatraild.scheduling.messages import HolderIs, Reply, Request
 from features.support.faulty_proxy import HOST
@@ -277,3 +278,50 @@
 @then("an IPv4 connection to its port is refused")
 def step_refused(context: Any) -> None:
     assert context.error_number == errno.ECONNREFUSED, context.error_number
+
+
+@when("a listener can't listen, as {fault}")
+def step_fail_to_listen(context: Any, fault: str) -> None:
+    other = context.stack.enter_context(socket.socket())
+    other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    other.bind((HOST, 0))
+    port = other.getsockname()[1]
+    listen = socket.socket.listen
+
+    def listen_second(bound: socket.socket, backlog_count: int) -> None:
+        listen(other)
+        listen(bound, backlog_count)
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        with ExitStack() as stack:
+            if fault == "another socket has listened":
+                stack.enter_context(
+                    patch.object(socket.socket, "listen", listen_second)
+                )
+            elif fault == "the loop can't watch its socket":
+                full = OSError(errno.ENOSPC, "no space left on device")
+                stack.enter_context(patch.object(loop, "add_reader", side_effect=full))
+            listener = Listener(asyncio.Protocol)
+            before = _open_sockets()
+            try:
+                listener.listen(HOST, 70_000 if "port" in fault else port)
+            except (OSError, OverflowError) as error:
+                context.outcome = (listener, error, _open_sockets() - before)
+
+    asyncio.run(scenario())
+
+
+def _open_sockets() -> set[str]:
+    """Return the open sockets of this process, by the system's names."""
+    names = set()
+    for number in os.listdir("/proc/self/fd"):
+        with suppress(FileNotFoundError):
+            names.add(os.readlink(f"/proc/self/fd/{number}"))
+    return {name for name in names if name.startswith("socket:")}
+
+
+@then("it has no open socket, though it and its error are kept")
+def step_no_socket(context: Any) -> None:
+    _, error, sockets = context.outcome
+    assert not sockets, (error, sockets)
--- a/packages/cicadatrail-node/src/cicadatraild/network/listener.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/listener.py
@@ -7,6 +7,7 @@
 import logging
 import socket
 from collections.abc import Callable
+from contextlib import ExitStack
 
 logger = logging.getLogger("cicadatrail.listener")
 
@@ -59,11 +60,17 @@
         self._socket: socket.socket | None = None
 
     def listen(self, host: str, port: int) -> int:
-        """Start to accept connections; return the port. Raises OSError."""
-        self._socket = _bind(host, port)
-        self._socket.listen(self._backlog_count)
-        self._resume()
-        bound_port: int = self._socket.getsockname()[1]
+        """Start to accept connections; return the port.
+
+        Raises OSError, or OverflowError for a port that is out of range.
+        """
+        with ExitStack() as stack:
+            bound = stack.enter_context(_bind(host, port))
+            bound.listen(self._backlog_count)
+            asyncio.get_running_loop().add_reader(bound, self._accept)
+            bound_port: int = bound.getsockname()[1]
+            stack.pop_all()
+        self._socket = bound
         return bound_port
 
     async def close(self) -> None:
@@ -150,15 +157,15 @@
 def _bind(host: str, port: int) -> socket.socket:
     """Return a non-blocking socket that is bound to an address."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    # asyncio disables Nagle's algorithm only if the protocol is named.
-    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    try:
+    with ExitStack() as stack:
+        # asyncio disables Nagle's algorithm only if the protocol is named.
+        bound = stack.enter_context(
+            socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        )
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if family == socket.AF_INET6:
             bound.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
         bound.setblocking(False)
         bound.bind((host, port))
-    except OSError:
-        bound.close()
-        raise
+        stack.pop_all()
     return bound
