Answer 503 for a request that was given up before it was sent

Callers got 504 (may have run) for requests that no leader ever got, when their time was up while a connection to the leader was being made, or while a late loop was about to make one.

Cause: an attempt counted as under way as soon as it began. It counts from the moment before the request is written to the link now, and for a leader on the same instance from its call. A call that ends as its leader was replaced is "may have run" by the same rule.

Evidence: "Only a request that was sent counts as one that may have run, a connection for it is made" failed before (Unsettled in place of Refused, paused clocks); its counterpart, where the leader has the request, passed before and after.

RoutedEntry, the stand-in for peers in recovery_world.py, takes the new argument; no check is changed.

--- a/features/peer_links.feature
+++ b/features/peer_links.feature
@@ -15,3 +15,12 @@
     When a request gets no reply in 0.15 s on a stream that has died
     Then another one on this stream has failed 0.6 s after it was sent
     And a request sent after the first has failed is replied to
+
+  Scenario Outline: Only a request that was sent counts as one that may have run, <state>
+    When an instance must answer a request while <state>
+    Then its answer is <answer>
+
+    Examples: states
+      | state                           | answer    |
+      | a connection for it is made     | Refused   |
+      | its leader has it               | Unsettled |
--- a/features/steps/peer_links_steps.py
+++ b/features/steps/peer_links_steps.py
@@ -5,14 +5,17 @@
 import asyncio
 from contextlib import AsyncExitStack
 from typing import Any
+from unittest.mock import patch
 
 from behave import then, when
 
 from cicadatraild.network.frames import FrameStream
 from cicadatraild.network.listener import listen_for_streams
+from cicadatraild.scheduling.entry import Entry
 from cicadatraild.scheduling.messages import (
     AskCandidate,
     AskHolder,
+    CandidateIs,
     ConfirmHolder,
     HolderIs,
     Reply,
@@ -22,6 +25,7 @@
 from cicadatraild.scheduling.peers import PeerClient, PeerServer, PeerUnreachableError
 from features.support.faulty_proxy import HOST
 from features.support.paused_loop import run_paused
+from features.support.recovery_world import KnownLeadership
 
 # ruff: noqa: SLF001
 
@@ -161,3 +165,33 @@
 @then("a request sent after the first has failed is replied to")
 def step_next(context: Any) -> None:
     assert context.reply == HolderIs(1, ""), context.reply
+
+
+@when("an instance must answer a request while {state}")
+def step_must_answer(context: Any, state: str) -> None:
+    connect = asyncio.open_connection
+
+    async def open_connection(_host: str, port: int) -> Any:
+        if state == "a connection for it is made":
+            await asyncio.sleep(LIMIT_S)
+        return await connect(HOST, port)
+
+    async def scenario() -> None:
+        async with AsyncExitStack() as stack:
+            stack.enter_context(patch("asyncio.open_connection", open_connection))
+            client = await _Peer().open(stack)
+            leadership: Any = KnownLeadership()
+            candidate = CandidateIs(False, False, 0.0)
+            entry = Entry(
+                leadership, client, "own", (), lambda: None, lambda: candidate
+            )
+            now_s = asyncio.get_running_loop().time()
+            entry.limits.close_at(now_s + 0.2)
+            context.reply = await entry.ask(SLOW, now_s + LIMIT_S)
+
+    run_paused(scenario())
+
+
+@then("its answer is {answer}")
+def step_answer(context: Any, answer: str) -> None:
+    assert type(context.reply).__name__ == answer, context.reply
--- a/features/support/recovery_world.py
+++ b/features/support/recovery_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -76,7 +77,7 @@
     return leader
 
 
-class _Leadership:
+class KnownLeadership:
     """The leader that an instance knows."""
 
     def __init__(self) -> None:
@@ -105,9 +106,12 @@
         self._leader = leader
         self.asked: list[str] = []
 
-    async def call(self, host: str, request: Request, timeout_s: float) -> Reply:
+    async def call(
+        self, host: str, request: Request, timeout_s: float, on_sent: Callable[[], None]
+    ) -> Reply:
         """Return a peer's reply."""
         self.asked.append(host)
+        on_sent()
         if host == "host-2":
             return QueuedCount(2)
         if self._leader is not None:
@@ -121,7 +125,7 @@
         """Ask, with a leader's record read after 1 s; return the reply and its time."""
 
         async def scenario() -> tuple[Reply, float]:
-            leadership: Any = _Leadership()
+            leadership: Any = KnownLeadership()
             peers: Any = self
             candidate = CandidateIs(False, False, 0.0)
             entry = Entry(leadership, peers, "own", (), lambda: None, lambda: candidate)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -72,6 +72,10 @@
         self.may_have_run = False
         self.reason = "no holder"
 
+    def note_sent(self) -> None:
+        """Record that a leader may have the request from now on."""
+        self.is_under_way = True
+
     def note_failure(self, error: PeerUnreachableError, epoch: int) -> None:
         """Record that the leader of an epoch did not reply."""
         self.is_under_way = False
@@ -150,9 +154,8 @@
                 await self._query_peers()
                 continue
             try:
-                pending.is_under_way = True
                 reply = await self._call_until_replaced(
-                    current, request, deadline_s - now_s
+                    current, request, deadline_s - now_s, pending
                 )
             except PeerUnreachableError as error:
                 pending.note_failure(error, current.epoch)
@@ -201,14 +204,18 @@
         return await leader.answer(request)
 
     async def _call_until_replaced(
-        self, current: LeaderRecord, request: Request, left_s: float
+        self,
+        current: LeaderRecord,
+        request: Request,
+        left_s: float,
+        pending: _PendingRequest,
     ) -> Reply:
         """Return a leader's reply, unless a newer leader is known before.
 
         Requests may be repeated: the newer leader knows what the store has. Raises
         PeerUnreachableError.
         """
-        call = asyncio.ensure_future(self._call(current, request, left_s))
+        call = asyncio.ensure_future(self._call(current, request, left_s, pending))
         call.add_done_callback(_retrieve)
         try:
             while True:
@@ -224,7 +231,9 @@
                         "entry: leader replaced; asking its successor.",
                         extra={"epoch": current.epoch},
                     )
-                    raise PeerUnreachableError("it was replaced", True, False)
+                    raise PeerUnreachableError(
+                        "it was replaced", pending.is_under_way, False
+                    )
         finally:
             call.cancel()
 
@@ -234,15 +243,22 @@
         return RULES[state].verdict is Verdict.ASK_AGAIN
 
     async def _call(
-        self, current: LeaderRecord, request: Request, left_s: float
+        self,
+        current: LeaderRecord,
+        request: Request,
+        left_s: float,
+        pending: _PendingRequest,
     ) -> Reply:
         timeout_s = max(0.01, left_s)
         if current.host != self._own_host:
             self._hosts[current.host] = None
-            return await self._peers.call(current.host, request, timeout_s)
+            return await self._peers.call(
+                current.host, request, timeout_s, pending.note_sent
+            )
         leader = self._leader()
         if leader is None:
             return HolderIs(0, "")
+        pending.note_sent()
         try:
             async with asyncio.timeout(timeout_s):
                 return await leader.answer(request)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/peers.py
@@ -250,12 +250,19 @@
         """Close all streams when ``stack`` closes."""
         stack.callback(self._close)
 
-    async def call(self, host: str, request: Request, timeout_s: float) -> Reply:
-        """Return a peer's reply.
+    async def call(
+        self,
+        host: str,
+        request: Request,
+        timeout_s: float,
+        on_sent: Callable[[], None] = lambda: None,
+    ) -> Reply:
+        """Return a peer's reply; ``on_sent`` is called before the request is sent.
 
         Raises PeerUnreachableError when there is none within ``timeout_s``.
         """
         link = await self._link(host)
+        on_sent()
         sent_s = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(timeout_s):
