Let a late shutdown end before its kill

An instance whose loop was late for its end, or whose grace period is short, could still be storing the release of its leadership when the platform killed it: its exit code was that of a kill, and its last lines of log were lost. Callers saw nothing of it, as their connections had ended.

Cause: the waits after the end of a shutdown, 0.3 s for a late drain and 0.5 s for the release, were added to each other without regard to the kill at 1.0 s. With a loop that is late by 0.15, 0.3 and 0.5 s they took until 0.05 s before it, and 0.1 and 0.3 s after it; with a grace period of 0.6 s, until 0.2 s after it.

The release now gets what is left until 0.1 s before the kill, 0.5 s at most, so that it loses only time in which it might have been killed. The times of a shutdown are in a module of their own.

Evidence: four of the five new cases in shutdown.feature failed before with the figures above, on paused clocks with a caller and a store that hang.

Ruled out, by reading: the hand-over before the drain ends at its time also while its queries hang, and what closes after the release waits for nothing but tasks that were cancelled. Not changed: a loop that is late by over 0.6 s for its end has no time for its release, and one that is late by over 0.7 s is killed in its drain. A drain and the release are not run at the same time.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -101,3 +101,15 @@
   Scenario: A server that drains finishes open requests and closes idle connections
     When a server drains with an open request and an idle connection
     Then the open request is answered, the idle connection ends and no new one is made
+
+  Scenario Outline: A shutdown ends 0.1 s before its kill, <grace> s after SIGTERM and <late> s late
+    When an instance with <grace> s stops, and its loop is <late> s late for its end
+    Then it has ended 0.1 s before the kill, though a caller and the store hang
+
+    Examples: times
+      | grace | late |
+      | 3     | 0    |
+      | 3     | 0.15 |
+      | 3     | 0.3  |
+      | 3     | 0.5  |
+      | 0.6   | 0    |
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/instance.py
@@ -42,24 +42,13 @@
 from cicadatraild.scheduling.operator_interface import OperatorInterface
 from cicadatraild.scheduling.operator_requests import OperatorRequests
 from cicadatraild.scheduling.peers import PeerClient, PeerServer
+from cicadatraild.scheduling.shutdown_times import ShutdownTimes
 from cicadatraild.utils.output import OutputHandler
 
 logger = logging.getLogger("cicadatrail.instance")
 
-STOP_MARGIN_S = 1.0
-"""Margin between the exit of a stopping process and its kill by the platform."""
-
-DRAIN_S = 0.5
-"""Time before its end in which a stopping process takes no new requests."""
-
-SEND_MARGIN_S = 0.15
-"""Part of that time reserved for sending the last answers."""
-
-RELEASE_TIMEOUT_S = 0.5
-"""Time for storing the release of leadership; half of the stop margin."""
-
 WITHDRAW_TIMEOUT_S = 0.2
-"""Part of that time for storing which noted starts will not be sent."""
+"""Part of the time of a release for storing which noted starts will not be sent."""
 
 STRONG_CORES = 1.0
 """Cores that make an instance a strong candidate for leader: the leader of 150
@@ -370,14 +359,14 @@
         Another instance leads as soon as one can.
         """
         logger.info("instance: stopping.", extra={"epoch": self._leadership.held_epoch})
-        end_s = loop_now_s() + max(0.0, self._settings.grace_s - STOP_MARGIN_S)
+        times = ShutdownTimes(loop_now_s(), self._settings.grace_s)
         self._leadership.claims_disabled = True
-        self._entry.limits.close_at(end_s - SEND_MARGIN_S)
-        await self.handover.until(end_s - DRAIN_S)
-        await front.drain(max(0.0, end_s - loop_now_s()))
+        self._entry.limits.close_at(times.answer_s)
+        await self.handover.until(times.drain_s)
+        await front.drain(max(0.0, times.end_s - loop_now_s()))
         self._leadership.is_closed = True
         with suppress(TimeoutError):
-            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+            async with asyncio.timeout(times.release_timeout_s(loop_now_s())):
                 await self.handover.release("")
         logger.info(
             "instance: stopped.", extra={"open_count": self._callers.open_count}
