--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/later_lives.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/later_lives.py
@@ -10,8 +10,9 @@
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.worker_state import WorkerState
 
-CALL_LIMIT_S = 0.6
-"""Time after its sending within which a start has ended, answered or not."""
+CALL_LIMIT_S = 1.1
+"""Time within which a start has ended, answered or not: 0.5 s for a connection, and as
+long for the exchange."""
 
 
 def find_long_leases(scheduler: Scheduler, now_s: float) -> dict[str, float]:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
@@ -17,9 +17,9 @@
 
 logger = logging.getLogger("cicadatrail.scheduler")
 
-UNNOTICED_LIMIT_S = 2.2
+UNNOTICED_LIMIT_S = 3.2
 """Age of a worker's life until which calls may still be meant for the one before: a
-poll ends within 1.6 s, and a call within 0.6 s."""
+poll ends within 2.1 s, and a start within 1.1 s."""
 
 
 @dataclass(frozen=True, slots=True)
