Free a given-up task only by a report made after it was sent

What callers saw: nothing at once. A caller left, its task went on for some seconds on a worker that stops slowly or did not get the stop, and the instance released the task's capacity and its team's slot all the same. Another task could start there: a team above its limit, a worker over its capacity, and a worker that counts as idle for a wave or a move though it runs a task.

Cause: a report lags by the age that it states, and a report that was made before the task was sent can't name it. GivenUpTasks took "not named" for "ended" and did not look at the age.

The report's age is now counted back from when it was asked for. A report of a worker's next life proves the end as before: the request can't reach that life, as its connection ends with the life that it was opened to.

Evidence: given_up_tasks.feature, "was made 2 s before", failed before with "released 2.95 s early"; the row with a report without age passed before and after. request_outcomes.feature and http.feature pass, so that capacity is still released within 1 s by workers whose reports don't lag.

--- a/packages/cicadatrail-node/src/cicadatraild/serving/leases.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/leases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 
@@ -20,6 +21,7 @@
 
     ``expiry_s`` is the loop time by which the worker's latest lease has expired,
     counted from the sending of the latest renewal, whether or not it was answered.
+    ``started_s`` is the loop time at which the task was sent.
     """
 
     __slots__ = (
@@ -28,6 +30,7 @@
         "_renewer",
         "_timer",
         "expiry_s",
+        "started_s",
         "task_id",
         "worker",
     )
@@ -42,9 +45,15 @@
         self._timer: asyncio.TimerHandle | None = None
         self._ended = False
         self.expiry_s = 0.0
+        self.started_s = math.inf
+
+    def start(self) -> int:
+        """Start the lease of a task that is sent now; return its duration in ms."""
+        self.started_s = asyncio.get_running_loop().time()
+        return self.extend()
 
     def extend(self) -> int:
-        """Start or extend the lease from now; return its duration in ms."""
+        """Extend the lease from now; return its duration in ms."""
         loop = asyncio.get_running_loop()
         now_s = loop.time()
         duration_s = min(self._renewer.lease_s, max(0.001, self._deadline_s - now_s))
--- a/packages/cicadatrail-node/src/cicadatraild/serving/placed_tasks.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/placed_tasks.py
@@ -8,7 +8,6 @@
 
 from returns.result import Success
 
-from cicadatrail_core.models.fleet import Worker
 from cicadatrail_core.models.platform import TaskControl
 from cicadatrail_core.placement.dispatcher import TaskEnd
 from cicadatraild.interfaces.worker_client import HttpWorkerControl
@@ -67,19 +66,23 @@
         lease_end_s = lease.expiry_s + LEASE_MARGIN_S
         loop = asyncio.get_running_loop()
         while loop.time() < lease_end_s:
-            if await self._stop_and_check(lease.worker, lease.task_id):
+            if await self._stop_and_check(lease):
                 break
             await asyncio.sleep(STOP_RETRY_INTERVAL_S)
         self._dispatch_queue.finish(lease.task_id, task_end)
 
-    async def _stop_and_check(self, worker: Worker, request_id: str) -> bool:
+    async def _stop_and_check(self, lease: TaskLease) -> bool:
         """Stop the task; return whether the worker no longer reports it."""
-        await self._control.control(worker, request_id, TaskControl.STOP)
-        report = await self._control.read_report(worker)
+        await self._control.control(lease.worker, lease.task_id, TaskControl.STOP)
+        asked_s = asyncio.get_running_loop().time()
+        report = await self._control.read_report(lease.worker)
         if not isinstance(report, Success):
             return False
         found = report.unwrap()
-        return all(task.task_id != request_id for task in found.tasks)
+        # A report that was made before the task was sent can't name it.
+        if asked_s - found.age_s <= lease.started_s:
+            return False
+        return all(task.task_id != lease.task_id for task in found.tasks)
 
     def _close(self) -> None:
         for task in self._tasks:
--- a/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
@@ -111,7 +111,7 @@
         The rights were checked just before the call. Nothing may be awaited in
         between.
         """
-        headers = self._headers(exchange.address, call, task.lease.extend())
+        headers = self._headers(exchange.address, call, task.lease.start())
         body = call.body
         if not body.is_complete:
             chunked = (b"Transfer-Encoding", b"chunked")
