Give each try of a wave at a worker a maintenance job of its own

A worker that was maintained and failed afterwards would be taken for maintained again without a reboot.

Cause: the platform's job was named by wave and worker only. The platform keeps the outcome of a job and doesn't begin it twice, so that the outcome of the former try was taken for that of the present one.

WaveProgress keeps the configuration version of the resume for each retried worker, and names the job by it. It is part of the folded state, so that a new owner of the worker goes on with the same job. The first try keeps its name: jobs under way during an upgrade are not begun again.

Evidence: wave_retries.feature failed before with "PAUSED" and one job ("week-1.worker-0", failed) where two are due. The other scenarios of waves don't show it: their simulated maintenance keeps no outcome.

Open: the id of a wave that the state has dropped (20 finished ones are kept) can be given to another wave, which then gets the former one's outcomes.

--- a/packages/cicadatrail-core/src/cicadatrail_core/fold/wave_operations.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/fold/wave_operations.py
@@ -140,11 +140,21 @@
 
 
 def _resumed(state: State, progress: WaveProgress) -> WaveProgress:
+    retried = {
+        worker for worker, step in progress.steps if failed_in_wave(state, worker, step)
+    }
     steps = tuple(
-        (worker, StepStatus.WAITING if failed_in_wave(state, worker, step) else step)
+        (worker, StepStatus.WAITING if worker in retried else step)
         for worker, step in progress.steps
     )
-    return replace(progress, status=WaveStatus.RUNNING, steps=steps, pause_reason="")
+    versions = dict(progress.retries) | dict.fromkeys(retried, state.version)
+    return replace(
+        progress,
+        status=WaveStatus.RUNNING,
+        steps=steps,
+        pause_reason="",
+        retries=tuple(sorted(versions.items())),
+    )
 
 
 def _aborted(_state: State, progress: WaveProgress) -> WaveProgress:
--- a/packages/cicadatrail-core/src/cicadatrail_core/models/maintenance.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/models/maintenance.py
@@ -80,12 +80,26 @@
 
 @dataclass(frozen=True, slots=True)
 class WaveProgress:
-    """A wave with the step of each of its workers, in wave order."""
+    """A wave with the step of each of its workers, in wave order.
+
+    ``retries`` has the configuration version in which the wave was resumed for each
+    worker that it has retried since.
+    """
 
     wave: Wave
     status: WaveStatus
     steps: tuple[tuple[str, StepStatus], ...]
     pause_reason: str = ""
+    retries: tuple[tuple[str, int], ...] = ()
+
+    def job_id(self, worker_id: str) -> str:
+        """Return the id of the platform's job for the worker's latest attempt.
+
+        The platform keeps the outcome of a job, so each attempt has its own.
+        """
+        first_id = f"{self.wave.wave_id}.{worker_id}"
+        version = dict(self.retries).get(worker_id)
+        return first_id if version is None else f"{first_id}@{version}"
 
 
 class MoveStatus(Enum):
--- a/packages/cicadatrail-core/src/cicadatrail_core/utils/codec.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/utils/codec.py
@@ -13,9 +13,11 @@
 
 import msgpack
 from cattrs import BaseValidationError, Converter, transform_error
+from cattrs.gen import make_dict_unstructure_fn, override
 from cattrs.strategies import configure_tagged_union
 from returns.result import Failure, Result, Success
 
+from cicadatrail_core.models.maintenance import WaveProgress
 from cicadatrail_core.models.patches import Accepted, Operation, Refused, Verdict
 from cicadatrail_core.models.peer_messages import ControlMessage, ForwardMessage
 from cicadatrail_core.models.records import Record
@@ -67,6 +69,11 @@
         _is_tuple,
         lambda wanted: _tuple_hook(converter, wanted),
     )
+    # Releases without the field refuse snapshots that have it.
+    write_progress = make_dict_unstructure_fn(
+        WaveProgress, converter, retries=override(omit_if_default=True)
+    )
+    converter.register_unstructure_hook(WaveProgress, write_progress)
     for union in _UNIONS:
         register_union(converter, union)
     return converter
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/fleet_maintenance.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/fleet_maintenance.py
@@ -13,7 +13,7 @@
 from cicadatrail_core.models.maintenance import (
     MoveStatus,
     StepStatus,
-    WaveAction,
+    WaveProgress,
 )
 from cicadatrail_core.models.platform import Maintenance, MaintenanceStatus
 from cicadatrail_core.models.records import (
@@ -169,14 +169,12 @@
         for progress in state.waves.values():
             for worker_id, step in progress.steps:
                 if step is StepStatus.MAINTAINING and worker_id in held:
-                    wave = progress.wave
-                    await self._follow_job(wave.wave_id, worker_id, wave.action)
+                    await self._follow_job(progress, worker_id)
 
-    async def _follow_job(
-        self, wave_id: str, worker_id: str, action: WaveAction
-    ) -> None:
+    async def _follow_job(self, progress: WaveProgress, worker_id: str) -> None:
         """Start a job unless it was started before, and report its end."""
-        job_id = f"{wave_id}.{worker_id}"
+        wave_id, action = progress.wave.wave_id, progress.wave.action
+        job_id = progress.job_id(worker_id)
         answer = await self._maintenance.status(worker_id, job_id)
         if not isinstance(answer, Success):
             return
