Count slots lent of removed teams before an instance leaves

What callers saw: nothing so far. An instance that had lent slots of a team left while a peer's tasks still ran on them, if the team had been removed meanwhile. Its slots were freed with it; a team that is created again under that name gets all of its slots anew, beside the tasks that run on the former ones.

Cause: SlotLoans counted what is lent by the teams of the present state. The loans of a removed team weren't waited for, though its slots stay charged to their owner for just this case (docs/design/rights.md, "worker created again", "limit lowered and raised").

All loans count now. They come back also for a removed team, as borrowers return idle slots by loan and not by team; the wait is bounded as before.

Evidence: leaving.feature, "A leaving instance doesn't free lent slots for a team that may come back under its name", failed before with 0 slots lent. That the tasks beside the new slots pass the limit is by reading the fold, not by a run of the whole cluster.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -18,3 +18,10 @@
     Then it has lent 3 slots and doesn't leave yet
     When the peer returns 3 slots to the leaving instance
     Then it has lent 0 slots and may leave
+
+  Scenario: A leaving instance doesn't free lent slots for a team that may come back under its name
+    Given an entry instance that has lent 3 slots of a team to a peer
+    When the team is removed and the instance is asked to leave
+    Then it has lent 3 slots and doesn't leave yet
+    When the peer returns 3 slots to the leaving instance
+    Then it has lent 0 slots and may leave
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from dataclasses import replace
 from typing import Any
 
 from behave import given, then, when
@@ -80,13 +81,12 @@
         lambda: Demand({}, {}),
         lambda: None,
     )
-    context.loans.take_state(
-        State(
-            teams={"couriers": Team("couriers", 1.0, 10)},
-            roster=members,
-            slots={"couriers": {OWNER: 10}},
-        )
+    context.state = State(
+        teams={"couriers": Team("couriers", 1.0, 10)},
+        roster=members,
+        slots={"couriers": {OWNER: 10}},
     )
+    context.loans.take_state(context.state)
     request_slots(context, count, 0)
     assert context.loans.lent_count() == count
 
@@ -97,6 +97,12 @@
     request_slots(context, context.loans.lent_count() + count, 0)
 
 
+@when("the team is removed and the instance is asked to leave")
+def step_remove_team(context: Any) -> None:
+    context.loans.leaving = True
+    context.loans.take_state(replace(context.state, teams={}))
+
+
 @when("the peer returns {count:d} slots to the leaving instance")
 def step_give_back(context: Any, count: int) -> None:
     request_slots(context, 0, count)
--- a/packages/cicadatrail-core/src/cicadatrail_core/rights/lender.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/rights/lender.py
@@ -42,6 +42,10 @@
             if team == team_id
         )
 
+    def total_outstanding_count(self) -> int:
+        """Return how many slots are currently lent, also of removed teams."""
+        return sum(loan.outstanding_count for loan in self._loans.values())
+
     def usable_count(self, team_id: str, allowance_count: int) -> int:
         """Return how many tasks of a team the lender itself may run."""
         return max(0, allowance_count - self.outstanding_count(team_id))
--- a/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/slot_loans.py
@@ -180,7 +180,7 @@
 
     def lent_count(self) -> int:
         """Return how many slots are lent to peers."""
-        return sum(map(self._lender.outstanding_count, self._state.teams))
+        return self._lender.total_outstanding_count()
 
     def unsettled_lenders(self) -> tuple[IncarnationId, ...]:
         """Return the lenders whose slots still run tasks here."""
