Count a streamed task's lease from the end of its body

What callers saw: nothing at once. A caller sent a long body for some seconds and left; the worker was cut off just then, and the instance freed the task's capacity and slot up to 4 s before the worker's lease was over.

Cause: the lease was counted from the sending of the request's head. A body of more than 64 KiB is passed on while it comes, and a worker may start the task, and count its lease, only when it has the whole body. Renewals don't close the gap: the first is sent after half a lease.

The expiry, and the time before which a report can't name the task, are counted anew as the body's end is sent. Workers that count from the head end earlier.

Evidence: given_up_tasks.feature, "The lease of a task that starts at its body's end isn't counted from its head", failed before with "released 2.70 s early".

--- a/features/given_up_tasks.feature
+++ b/features/given_up_tasks.feature
@@ -10,3 +10,8 @@
       | was made when it was asked for          | 2.5    |
       | was made 2 s before                     | 2.5    |
       | another worker at the same address made | 8.0    |
+
+  Scenario: The lease of a task that starts at its body's end isn't counted from its head
+    Given an entry instance whose worker is cut off and goes on with its tasks
+    When a caller that sends its body for 4 s leaves 0.5 s after its task has started
+    Then the task stays charged until it has ended, and at most 2.5 s longer
--- a/features/steps/given_up_tasks_steps.py
+++ b/features/steps/given_up_tasks_steps.py
@@ -10,6 +10,7 @@
 
 from features.standins.workers import StandInWorker
 from features.support.edge_caller import EdgeCaller, request_bytes
+from features.support.edge_outcomes import BODY, LONG_BODY
 from features.support.edge_world import EdgeWorld
 from features.support.paused_loop import run_paused
 
@@ -41,6 +42,19 @@
         return {**self._reports[0], "age_s": REPORT_COUNT * REPORT_INTERVAL_S}
 
 
+class CutOffWorker(StandInWorker):
+    """A worker that is told nothing and whose reports can't be had."""
+
+    def _stop(self, task_id: str) -> None:
+        return
+
+    def _renew(self, task_id: str, lease_ms: int) -> bool:
+        return False
+
+    def report(self) -> dict[str, object]:
+        return {}
+
+
 class ReplacedWorker(SlowToStopWorker):
     """A worker that is cut off and whose address another worker has got."""
 
@@ -63,13 +77,26 @@
     context.worker_type = WORKER_TYPES[report]
 
 
+@given("an entry instance whose worker is cut off and goes on with its tasks")
+def step_cut_off(context: Any) -> None:
+    context.worker_type = CutOffWorker
+
+
 @when("a caller leaves {after_s:g} s after its task has started")
 def step_leave(context: Any, after_s: float) -> None:
-    context.charges = run_paused(_give_up(context.worker_type, after_s))
+    context.charges = run_paused(_give_up(context.worker_type, 0.0, after_s))
+
+
+@when(
+    "a caller that sends its body for {body_s:g} s leaves {after_s:g} s after its task"
+    " has started"
+)
+def step_leave_after_body(context: Any, body_s: float, after_s: float) -> None:
+    context.charges = run_paused(_give_up(context.worker_type, body_s, after_s))
 
 
 async def _give_up(
-    worker_type: type[SlowToStopWorker], after_s: float
+    worker_type: type[StandInWorker], body_s: float, after_s: float
 ) -> list[tuple[float, bool, int]]:
     """Return the time, whether the task runs and what is charged, in steps."""
     loop = asyncio.get_running_loop()
@@ -82,9 +109,12 @@
         instance = await world.add_instance()
         await world.settle({0: {"w0"}})
         caller = await EdgeCaller.connect(instance.caller)
-        await caller.send(
-            request_bytes(world.headers(), b"", target="/work?run_ms=14000")
-        )
+        headers = world.headers(Transfer_Encoding="chunked")
+        await caller.send(request_bytes(headers, b"", target="/work?run_ms=14000"))
+        body = LONG_BODY if body_s else BODY
+        await caller.send(b"%x\r\n%s\r\n" % (len(body), body))
+        await asyncio.sleep(body_s)
+        await caller.send(b"0\r\n\r\n")
         await asyncio.sleep(after_s)
         caller.close()
         charges = []
--- a/packages/cicadatrail-node/src/cicadatraild/serving/leases.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/leases.py
@@ -21,13 +21,14 @@
 
     ``expiry_s`` is the loop time by which the worker's latest lease has expired,
     counted from the sending of the latest renewal, whether or not it was answered.
-    ``started_s`` is the loop time at which the task was sent.
+    ``started_s`` is the loop time at which the task was sent, body included.
     """
 
     __slots__ = (
         "_deadline_s",
         "_ended",
         "_renewer",
+        "_start_duration_s",
         "_timer",
         "expiry_s",
         "started_s",
@@ -46,11 +47,22 @@
         self._ended = False
         self.expiry_s = 0.0
         self.started_s = math.inf
+        self._start_duration_s = 0.0
 
     def start(self) -> int:
         """Start the lease of a task that is sent now; return its duration in ms."""
         self.started_s = asyncio.get_running_loop().time()
-        return self.extend()
+        duration_ms = self.extend()
+        self._start_duration_s = duration_ms / 1000
+        return duration_ms
+
+    def restart(self) -> None:
+        """Count the lease from now, as the end of the task's body is sent.
+
+        A worker may start a task, and its lease, only when it has the whole body.
+        """
+        self.started_s = asyncio.get_running_loop().time()
+        self.expiry_s = max(self.expiry_s, self.started_s + self._start_duration_s)
 
     def extend(self) -> int:
         """Extend the lease from now; return its duration in ms."""
--- a/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
@@ -116,7 +116,7 @@
         if not body.is_complete:
             chunked = (b"Transfer-Encoding", b"chunked")
             await exchange.send_head(call.method, call.target, (*headers, chunked))
-            return await _send_and_read(exchange, body)
+            return await _send_and_read(exchange, body, task)
         length = (b"Content-Length", str(len(body.start)).encode())
         # A server may answer and close before it has read the whole body.
         with suppress(ClientError):
@@ -183,13 +183,15 @@
         self._task.give_up(TaskEnd.CANCELLED)
 
 
-async def _send_and_read(exchange: ClientExchange, body: RequestBody) -> h11.Response:
+async def _send_and_read(
+    exchange: ClientExchange, body: RequestBody, task: PlacedTask
+) -> h11.Response:
     """Send a body and read the head concurrently.
 
     The server may answer before the body's end.
     """
     loop = asyncio.get_running_loop()
-    sending = loop.create_task(_send_body(exchange, body))
+    sending = loop.create_task(_send_body(exchange, body, task))
     reading = loop.create_task(exchange.read_head())
     try:
         await asyncio.wait((sending, reading), return_when=asyncio.FIRST_COMPLETED)
@@ -203,9 +205,12 @@
         await asyncio.gather(sending, reading, return_exceptions=True)
 
 
-async def _send_body(exchange: ClientExchange, body: RequestBody) -> None:
+async def _send_body(
+    exchange: ClientExchange, body: RequestBody, task: PlacedTask
+) -> None:
     async for chunk in body.chunks():
         await exchange.send_body(chunk)
+    task.lease.restart()
     await exchange.end_body()
 
 
