End a task's body only while its instance may use its rights

What callers saw: nothing at once. An instance that was cut off from the log and its peers, but not from a caller that sent a long body, passed the end of the body on whenever it came. The worker started the task then, also after its rights had been freed and given to another instance: work beside the new owner's, above a team's limit or a worker's capacity.

Cause: the rights were checked before the head only. Who frees the rights of a lost instance waits for one task lease after the instance can no longer use them, on the promise that nothing starts later.

The end of a body that is passed on waits until the rights may be used, within the request's deadline.

Evidence: request_outcomes.feature, "A task whose body ends after its instance lost its rights doesn't start before they are back", failed before: the task started while its instance might not use its rights. That another instance's task ran beside it is by reasoning; no run of several processes shows it.

Not covered, as before (docs/INVARIANTS.md): bytes that wait in a socket's buffer after the check.

--- a/features/request_outcomes.feature
+++ b/features/request_outcomes.feature
@@ -139,6 +139,13 @@
     Then the request's outcome is not-run because of rights-not-supported
     And the workers' ledger agrees and nothing remains charged
 
+  Scenario: A task whose body ends after its instance lost its rights doesn't start before they are back
+    Given 2 entry instances with one healthy worker each
+    When the body of a request ends while its instance may not use its rights for 3 s
+    Then the request's outcome is complete because of -
+    And the task started only once its instance might use its rights
+    And the workers' ledger agrees and nothing remains charged
+
   Scenario Outline: Leases of a task that runs <run_s> s
     Given 2 entry instances with one healthy worker each
     When a task runs for <run_s> s and its instance may use its rights for <spend_s> s
--- a/features/steps/request_outcome_steps.py
+++ b/features/steps/request_outcome_steps.py
@@ -66,6 +66,21 @@
     context.result = run_paused(edge_outcomes.send_without_rights(context.plan))
 
 
+@when(
+    "the body of a request ends while its instance may not use its rights for"
+    " {without_s:g} s"
+)
+def end_body_without_rights(context: Any, without_s: float) -> None:
+    context.result = run_paused(
+        edge_outcomes.end_body_without_rights(context.plan, without_s)
+    )
+
+
+@then("the task started only once its instance might use its rights")
+def check_not_started(context: Any) -> None:
+    assert context.result.started_without_rights == 0
+
+
 @when(
     "a task runs for {run_s:g} s and its instance may use its rights for {spend_s:g} s"
 )
--- a/features/support/edge_outcomes.py
+++ b/features/support/edge_outcomes.py
@@ -59,6 +59,7 @@
     still_running_count: int = 0
     renewal_count: int = 0
     expired_lease_count: int = 0
+    started_without_rights: int = 0
 
     def problems(self) -> list[str]:
         """Return a description of each contradiction between answers and counts."""
@@ -200,6 +201,28 @@
     return result
 
 
+async def end_body_without_rights(plan: FaultPlan, without_s: float) -> RequestResult:
+    result = RequestResult()
+    async with faulty_edge(plan, result) as world:
+        entry = world.instances[0]
+        request_id = str(world.identifiers.new())
+        headers = world.headers(
+            Cicadatrail_Request_Id=request_id, Transfer_Encoding="chunked"
+        )
+        caller = await EdgeCaller.connect(entry.caller)
+        await caller.send(request_bytes(headers, b""))
+        await caller.send(b"%x\r\n%s\r\n" % (len(LONG_BODY), LONG_BODY))
+        await asyncio.sleep(1.0)
+        entry.may_spend = False
+        await caller.send(b"0\r\n\r\n")
+        await asyncio.sleep(without_s)
+        result.started_without_rights = sum(world.ledger.executions.values())
+        entry.may_spend = True
+        result.answers.append((request_id, await caller.read()))
+        caller.close()
+    return result
+
+
 async def disconnect_at(plan: FaultPlan, step: str) -> RequestResult:
     """Close a caller's connection at a step; time the release of its capacity."""
     result = RequestResult()
--- a/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
+++ b/packages/cicadatrail-node/src/cicadatraild/serving/upstream.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import suppress
+from typing import Any
 
 import h11
 
@@ -34,6 +35,9 @@
 MIN_FAILURE_STATUS = 500
 """Lowest HTTP status that counts as a failure of the worker."""
 
+RIGHTS_CHECK_INTERVAL_S = 0.05
+"""Time between checks whether a body may be ended while rights may not be used."""
+
 Attempt = Reply | NotRun | Unknown
 
 
@@ -116,7 +120,8 @@
         if not body.is_complete:
             chunked = (b"Transfer-Encoding", b"chunked")
             await exchange.send_head(call.method, call.target, (*headers, chunked))
-            return await _send_and_read(exchange, body, task)
+            sending = self._send_body(exchange, body, task)
+            return await _send_and_read(exchange, sending)
         length = (b"Content-Length", str(len(body.start)).encode())
         # A server may answer and close before it has read the whole body.
         with suppress(ClientError):
@@ -125,6 +130,20 @@
             )
         return await exchange.read_head()
 
+    async def _send_body(
+        self, exchange: ClientExchange, body: RequestBody, task: PlacedTask
+    ) -> None:
+        """Send a body; its end, on which the task may start, only under the rights."""
+        async for chunk in body.chunks():
+            await exchange.send_body(chunk)
+        loop = asyncio.get_running_loop()
+        while True:
+            if self._may_use_rights(loop.time()):
+                task.lease.restart()
+                await exchange.end_body()
+                return
+            await asyncio.sleep(RIGHTS_CHECK_INTERVAL_S)
+
     def _headers(self, address: Address, call: UpstreamCall, lease_ms: int) -> Headers:
         request = call.request
         trace_headers = ((b"traceparent", call.traceparent.encode()),)
@@ -184,14 +203,14 @@
 
 
 async def _send_and_read(
-    exchange: ClientExchange, body: RequestBody, task: PlacedTask
+    exchange: ClientExchange, send_body: Coroutine[Any, Any, None]
 ) -> h11.Response:
     """Send a body and read the head concurrently.
 
     The server may answer before the body's end.
     """
     loop = asyncio.get_running_loop()
-    sending = loop.create_task(_send_body(exchange, body, task))
+    sending = loop.create_task(send_body)
     reading = loop.create_task(exchange.read_head())
     try:
         await asyncio.wait((sending, reading), return_when=asyncio.FIRST_COMPLETED)
@@ -205,15 +224,6 @@
         await asyncio.gather(sending, reading, return_exceptions=True)
 
 
-async def _send_body(
-    exchange: ClientExchange, body: RequestBody, task: PlacedTask
-) -> None:
-    async for chunk in body.chunks():
-        await exchange.send_body(chunk)
-    task.lease.restart()
-    await exchange.end_body()
-
-
 def _not_run(
     exchange: ClientExchange | None, task: PlacedTask, not_run: NotRun
 ) -> NotRun:
