Forget missed polls of workers that an instance no longer owns

What operators saw: nothing traced to it. A worker could be reported as failed after one missed poll in place of three: out of service until the next poll, and one more failure for a wave, which pauses at the second in a rack.

Cause: the count of missed polls is kept by worker id. A worker that was given to a peer, or removed, kept it and began with it when it came back under its id. The count is dropped when the instance doesn't own the worker in a round of polls.

Evidence: worker_polls.feature, "gives it to a peer and takes it", failed before with a report as failed; the row without a change of owner still reports it.

Not covered: a worker that is removed and added again between two rounds, while its owner keeps its right.

--- a/packages/cicadatrail-node/src/cicadatraild/sharing/worker_watch.py
+++ b/packages/cicadatrail-node/src/cicadatraild/sharing/worker_watch.py
@@ -79,8 +79,10 @@
         loop = asyncio.get_running_loop()
         while True:
             began_s = loop.time()
-            state = self._replica.state
-            for worker_id in sorted(self._holdings.held_workers(state)):
+            held = self._holdings.held_workers(self._replica.state)
+            for worker_id in self._missed.keys() - held:
+                del self._missed[worker_id]
+            for worker_id in sorted(held):
                 worker = self._replica.state.workers.get(worker_id)
                 if worker is not None:
                     await self._poll(worker)
