--- a/features/soak.feature
+++ b/features/soak.feature
@@ -3,7 +3,8 @@
   injected from outside.
   By hand: python -m features.support.soak --seed 1 --seeds 50 --seconds 20
   and with --series: processes are stopped in overlapping series, while callers use
-  their open connections until the process is gone.
+  their open connections until the process is gone; or with --recuts: workers restart
+  under their ids unnoticed and are cut off soon after.
 
   Scenario: A seed that CI runs
     Then a soak of seed 1 over 8 seconds finds no violation
@@ -41,5 +42,9 @@
   Scenario: A worker restarts while starts are queued, seed 128
     Then a soak of seed 128 over 15 seconds finds no violation
 
+  # Its workers took starts, and acknowledgements of ends, that were meant for the life before.
+  Scenario: Workers that restart unnoticed and are cut off run nothing twice, seed 4001
+    Then a soak of seed 4001 with restarts and cuts over 12 s finds none
+
   Scenario: Processes stopped in overlapping series cut no request
     Then a soak of seed 2 with stops in series over 12 s finds none
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -31,16 +31,28 @@
     _check_soak(seed, seconds, has_series=False, has_partitions=True, has_refusals=True)
 
 
+@then("a soak of seed {seed:d} with restarts and cuts over {seconds:d} s finds none")
+def step_soak_with_recuts(context: Any, seed: int, seconds: int) -> None:
+    _check_soak(seed, seconds, has_series=False, has_recuts=True)
+
+
 def _check_soak(
     seed: int,
     seconds: int,
     has_series: bool,
     has_partitions: bool = False,
     has_refusals: bool = False,
+    has_recuts: bool = False,
 ) -> None:
     with tempfile.TemporaryDirectory() as folder:
         soak = run_seed(
-            seed, seconds, Path(folder), has_series, has_partitions, has_refusals
+            seed,
+            seconds,
+            Path(folder),
+            has_series,
+            has_partitions,
+            has_refusals,
+            has_recuts,
         )
     assert soak.accepted, soak.faults
     assert not soak.findings, (soak.findings, soak.faults)
