Send starts only to a worker whose known life has just answered

Cause: the leader sent starts to workers that it had not heard from for up to 1.6 s, and learnt from the answer which life had taken them. Until then only the leader knew that a lease may be long; a leader that is killed tells nobody.

Changed: starts and renewals leave only within 0.2 s after an answer of the known life (a restart takes longer); a worker that has not just answered is asked for its life first, with one call for all starts that wait. A worker that doesn't show the known life is sent nothing: its starts are known not to have run and go elsewhere at once, where they waited for the lease before. So no start goes to a life whose birth the store hasn't, and the successor's shorter wait is right. A connection on which nothing was sent goes back to the pool.

Not covered and listed: an order that is in flight as its worker goes dark.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -82,6 +82,12 @@
       | which it answers       | 0.2     |
       | whose answer gets lost | 0.6     |
 
+  # Guards against TWICE: only the leader knew of the start, and it is killed.
+  Scenario: No start is sent to a worker that may have restarted since its last answer
+    Given a worker that has been back under its id for 0.1 s, unnoticed
+    When a subtask waits for it, and it is cut off and its leader killed soon after
+    Then the subtask starts on another worker, and none has started on the restarted one
+
   # Guards against TWICE: what bars a run ends with the life that was told so.
   Scenario: A start that was stopped without an answer is not carried out by the next life
     When a start gets no answer and is repeated, and the next life of its worker gets it
--- a/features/steps/unnoticed_lives_steps.py
+++ b/features/steps/unnoticed_lives_steps.py
@@ -17,19 +17,30 @@
 from features.support.platform_cluster import PlatformCluster, job
 
 DARK_S = 0.25
+SOON_S = 0.15
 LONG_MS = 30_000
 LATE_S = 3.0
 SLOW_RATE = 0.98
 REPEAT_LIMIT_S = 20.0
 
 
+async def _restart(cluster: PlatformCluster) -> None:
+    (worker,) = cluster.workers
+    worker.clock.rate = SLOW_RATE
+    await cluster.wait_until(lambda: worker.token)
+    worker.restart_dark(DARK_S)
+
+
 @given("a worker that is back under its id before its leader has noticed")
 def step_back(context: Any) -> None:
+    context.restart = _restart
+
+
+@given("a worker that has been back under its id for {seconds:g} s, unnoticed")
+def step_back_for(context: Any, seconds: float) -> None:
     async def restart(cluster: PlatformCluster) -> None:
-        (worker,) = cluster.workers
-        worker.clock.rate = SLOW_RATE
-        await cluster.wait_until(lambda: worker.token)
-        worker.restart_dark(DARK_S)
+        await _restart(cluster)
+        await asyncio.sleep(DARK_S + seconds)
 
     context.restart = restart
 
@@ -79,6 +90,33 @@
     run_on_cluster(context, scenario, worker_count=1)
 
 
+@when(
+    "a subtask waits for it, and it is cut off and its leader killed soon after",
+)
+def step_waits_for_restarted(context: Any) -> None:
+    async def scenario(cluster: PlatformCluster) -> None:
+        leader = await start_instances(cluster, 3)
+        await context.restart(cluster)
+        cluster.workers[0].loses_start_answers = True
+        entry = other_instance(cluster, leader)
+        assert await submit(cluster, entry, JOB, job(LONG_MS, count=1)) == 200
+        await asyncio.sleep(SOON_S)
+        cluster.workers[0].unresponsive = True
+        await cluster.kill(leader)
+        await _cut_off(cluster)
+        context.restarted_id = cluster.workers[0].worker_id
+
+    run_on_cluster(context, scenario, worker_count=1)
+
+
+@then(
+    "the subtask starts on another worker, and none has started on the restarted one",
+)
+def step_not_sent(context: Any) -> None:
+    step_not_twice(context)
+    assert not context.fleet.worker_starts[context.restarted_id]
+
+
 @then("the subtask starts on another worker only when the lease is over")
 def step_not_twice(context: Any) -> None:
     assert not context.fleet.violations, context.fleet.violations
--- a/packages/cicadatrail-node/src/cicadatraild/network/client_exchange.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/client_exchange.py
@@ -213,6 +213,11 @@
             self._closed = True
             self._transport.abort()
 
+    def give_back(self) -> None:
+        """Release the connection, on which nothing has been sent."""
+        self._closed = True
+        self._pool.release(self.address, self._transport)
+
     def _finish(self) -> None:
         """Release the connection, which another exchange may use at once."""
         self._closed = True
--- a/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
+++ b/packages/cicadatrail-node/src/cicadatraild/network/http_client.py
@@ -97,6 +97,7 @@
                 exchange = await self.start(address)
                 limit.reschedule(asyncio.get_running_loop().time() + timeout_s)
                 if not may_send():
+                    exchange.give_back()
                     reason = "the permission to send it has expired"
                     return Failure(ClientError(ClientFault.NOT_SENT, reason))
                 response = await _exchange_whole(
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -21,7 +21,8 @@
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.journal import Journal
 from cicadatraild.scheduling.leadership import Leadership
-from cicadatraild.scheduling.worker_orders import WorkerOrders, age_s
+from cicadatraild.scheduling.worker_lives import age_s
+from cicadatraild.scheduling.worker_orders import WorkerOrders
 
 logger = logging.getLogger("cicadatrail.worker")
 
@@ -82,7 +83,7 @@
             if workers.get(worker_id) is not linked:
                 del self._links[worker_id]
                 link.cancel()
-                self._orders.forget(worker_id)
+                self._orders.lives.forget(worker_id)
                 self._failing_ids.discard(worker_id)
         for worker_id, worker in workers.items():
             if worker_id not in self._links:
@@ -138,6 +139,9 @@
 
     async def _poll(self, worker: WorkerState) -> None:
         scheduler = self._scheduler
+        if worker.clock_at_s is not None and not worker.is_suspect:
+            # The next life would take the deadline of the poll for a later one.
+            await self._orders.lives.confirm(worker)
         sent_s = loop_now_s()
         is_behind = worker.processed_end > worker.stored_end
         is_known = worker.is_reconciled and worker.clock_at_s is not None
@@ -167,7 +171,7 @@
             await self._handle_failure(worker, result.outcome)
             return
         was_resolved = worker.is_reconciled
-        self._orders.record_answer(worker, result.born_unix_ms)
+        self._orders.lives.record_answer(worker, result.born_unix_ms)
         self._apply(worker, result, sent_s)
         if worker.born_unix_ms == result.born_unix_ms == born_unix_ms:
             worker.confirmed_end = max(worker.confirmed_end, acknowledged_end)
@@ -222,7 +226,7 @@
         Also returns 0 once the worker has deleted them all: no later call has to do it.
         """
         end = worker.acknowledged_end
-        if end <= worker.confirmed_end or not self._orders.is_same_incarnation(worker):
+        if end <= worker.confirmed_end or not self._orders.lives.is_same(worker):
             return 0
         return end
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -17,15 +17,16 @@
     renew_lease,
 )
 from cicadatrail_core.jobs.worker_state import WorkerState
-from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
-from cicadatraild.scheduling.clocks import boot_now_s, loop_now_s
+from cicadatraild.platform.workers import OrderOutcome, WorkerClient
+from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.leadership import Leadership
+from cicadatraild.scheduling.worker_lives import WorkerLives, age_s
 
 logger = logging.getLogger("cicadatrail.worker")
 
-SAME_INCARNATION_S = 0.2
-"""Time after an answer within which a worker can't have restarted unnoticed, as a
-restart takes longer."""
+START_TRY_COUNT = 3
+"""Most times that a start is tried that could not leave soon after an answer of its
+worker, as it waited for other orders or for a connection."""
 
 STOP_RETRY_S = 0.2
 """Mean delay before an unanswered stop is retried."""
@@ -54,7 +55,7 @@
 
 
 class WorkerOrders:
-    """Send the orders of the scheduler, and know when a worker last answered.
+    """Send the orders of the scheduler to its workers.
 
     Makes ``leadership`` step down when a worker obeys a newer leader, or an order
     fails unexpectedly.
@@ -68,10 +69,7 @@
         self._leadership = leadership
         self._step_down = leadership.step_down
         self._tasks: set[asyncio.Task[None]] = set()
-        # Times of each worker's last answer, and of the first one of its incarnation,
-        # on the clock that counts suspended time.
-        self._answered_boot_s: dict[str, float] = {}
-        self._known_since_boot_s: dict[str, float] = {}
+        self.lives = WorkerLives(client)
         self.start_count = 0
 
     def send(self) -> None:
@@ -91,13 +89,9 @@
         """Send the speed of a best-effort run."""
         self._spawn(self._pace(run, percent))
 
-    def forget(self, worker_id: str) -> None:
-        """Forget when a removed worker answered."""
-        self._answered_boot_s.pop(worker_id, None)
-        self._known_since_boot_s.pop(worker_id, None)
-
     def close(self) -> None:
         """Cancel all orders."""
+        self.lives.close()
         for task in self._tasks:
             task.cancel()
 
@@ -118,23 +112,6 @@
         logger.error("worker: link failed unexpectedly.", exc_info=error)
         self._step_down(f"a link failed: {error!r}")
 
-    def record_answer(self, worker: WorkerState, born_unix_ms: int) -> None:
-        """Record that a worker has just answered."""
-        now_s = boot_now_s()
-        worker_id = worker.facts.worker_id
-        self._answered_boot_s[worker_id] = now_s
-        if born_unix_ms > worker.born_unix_ms:
-            self._known_since_boot_s[worker_id] = now_s
-        else:
-            self._known_since_boot_s.setdefault(worker_id, now_s)
-
-    def is_same_incarnation(self, worker: WorkerState) -> bool:
-        """Return whether the worker can't have restarted since its last answer."""
-        answered_s = self._answered_boot_s.get(worker.facts.worker_id)
-        return answered_s is not None and (
-            boot_now_s() - answered_s <= SAME_INCARNATION_S
-        )
-
     def _is_fenced_for(self, worker: WorkerState) -> bool:
         """Return whether a worker would refuse a start if there were a newer leader.
 
@@ -145,11 +122,11 @@
         """
         if self._leadership.is_lease_valid():
             return True
-        known_since_s = self._known_since_boot_s.get(worker.facts.worker_id)
+        known_since_s = self.lives.known_since_boot_s(worker)
         return (
             known_since_s is not None
             and self._leadership.held_lease_after(known_since_s)
-            and self.is_same_incarnation(worker)
+            and self.lives.is_same(worker)
         )
 
     async def _start_or_keep(self, run: Run) -> None:
@@ -167,20 +144,30 @@
             run.subtask.avoided_worker = run.worker.facts.worker_id
 
     async def _start(self, run: Run) -> None:
+        worker = run.worker
+        born_unix_ms = worker.born_unix_ms
+        outcome = OrderOutcome.NOT_SENT
+        for _ in range(START_TRY_COUNT):
+            is_known_life = await self.lives.confirm(worker)
+            if not is_known_life or worker.born_unix_ms != born_unix_ms:
+                break
+            outcome = await self._send_start(run)
+            if outcome is not OrderOutcome.NOT_SENT or self.lives.is_same(worker):
+                break
+        self._apply_start_outcome(run, outcome, loop_now_s())
+
+    async def _send_start(self, run: Run) -> OrderOutcome:
+        """Send a start, unless its worker may have restarted since its last answer."""
         scheduler = self._scheduler
         worker = run.worker
         now_s = loop_now_s()
         clock = known_clock(worker)
         deadline_ms = renew_lease(scheduler, worker, now_s)
         if deadline_ms is None or clock is None:
-            run.is_start_pending = False
-            scheduler.release_refused(run, now_s, "no-clock")
-            return
+            return OrderOutcome.NOT_SENT
         run.start_expires_s = worker.lease_expires_s
         subtask = run.subtask
         self.start_count += 1
-        if not self._leadership.is_lease_valid():
-            await self._check_incarnation(worker)
         answer = await self._client.start(
             worker.facts,
             str(subtask.name),
@@ -192,6 +179,7 @@
             lambda: (
                 _is_wanted(run)
                 and not is_evacuated(scheduler, worker)
+                and self.lives.is_same(worker)
                 and self._is_fenced_for(worker)
                 and scheduler.may_repeat(subtask)
             ),
@@ -216,23 +204,12 @@
         )
         if answer.outcome in CARRIED_OUT_OUTCOMES:
             run.is_proved = count_call(scheduler, worker, clock, answer.clock_ms, now_s)
+            if run.is_proved and worker.born_unix_ms == clock.born_unix_ms:
+                self.lives.record_answer(worker, clock.born_unix_ms)
         if clock.has_begun_anew(answer.clock_ms):
             # Nothing is sent to the new life before its lists are read.
             worker.mark_failed(now_s)
-        self._apply_start_outcome(run, answer.outcome, now_s)
-
-    async def _check_incarnation(self, worker: WorkerState) -> None:
-        """Ask a worker that has not answered lately whether it has restarted.
-
-        Acknowledges nothing and renews no lease.
-        """
-        if self.is_same_incarnation(worker):
-            return
-        result = await self._client.read_lists(worker.facts, 0, None, 0)
-        if isinstance(result, ListFailure):
-            return
-        if result.born_unix_ms == worker.born_unix_ms:
-            self.record_answer(worker, result.born_unix_ms)
+        return answer.outcome
 
     def _apply_start_outcome(
         self, run: Run, outcome: OrderOutcome, now_s: float
@@ -380,8 +357,3 @@
     for member in run.subtask.step.subtasks:
         for other in list(member.live_runs):
             scheduler.stop(other)
-
-
-def age_s(since_s: float | None) -> float | None:
-    """Return the age of a time on the loop's clock, or None without one."""
-    return None if since_s is None else round(loop_now_s() - since_s, 3)
