Wait longer for a worker once a later life of it is listed

What callers could see (TWICE): a worker restarts under its id and takes a call of the former clock; its leader is killed, and the successor restores its state before the worker's new entry is in the list. It compared births only then, so it waited 3.7 s for a lease of up to 6.1 s.

Changed: a new leader looks for it for as long as it waits for the worker.

Evidence: 'A new leader waits longer for a worker once a later life of it is listed' failed before (started again 4.26 s after the takeover, 6.72 s at least is right) and passes. An entry that comes after the wait is over can't help any more.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -45,6 +45,12 @@
     When sending a start fails unexpectedly at a worker that has answered
     Then its lease may last for 6.1 s
 
+  # Guards against TWICE: the entry was read after what the predecessor had stored.
+  Scenario: A new leader waits longer for a worker once a later life of it is listed
+    Given a subtask runs on one of 2 workers as the leader changes
+    When the new leader does not reach that worker, and a later life is listed after 1 s
+    Then the subtask starts again only when a lease up to the limit is over
+
   # Guards against TWICE: what bars a run ends with the life that was told to stop it.
   Scenario: A stop that a worker's former life has acknowledged is sent to the next one
     Given a scheduler with 2 workers of 8 cores
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -12,9 +12,11 @@
 from behave import then, when
 
 from cicadatrail_core.jobs.models import RunningRow, WorkerFacts, WorkerReport
+from cicadatrail_core.jobs.scheduler_settings import CLOCK_DRIFT
 from cicadatrail_core.jobs.state import StepState
 from cicadatrail_core.jobs.worker_leases import lease_end_s, renew_lease
 from cicadatrail_core.jobs.worker_reports import apply_report
+from cicadatrail_core.leadership.acting_right import CONFIRMATION_S
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.settings import PlatformSettings
 from cicadatraild.platform.store import KeyedRecord
@@ -24,13 +26,14 @@
 from cicadatraild.scheduling.long_leases import LongLeases
 from cicadatraild.scheduling.worker_links import LIST_WAIT_MS
 from features.steps.ended_lives_steps import StoppedStore
-from features.support.job_world import JobWorld, definition
+from features.support.job_world import LEASE_LIMIT_S, JobWorld, definition
 from features.support.sampled_values import sample
 from features.support.takeover_pair import TakeoverPair
 
 OTHER = "00000000000000b9"
 WORKER = "w0"
 PAUSE_S = 0.2
+WAIT_LIMIT_S = 20.0
 
 
 def _take_over(context: Any) -> RunningRow:
@@ -64,6 +67,30 @@
     assert context.name not in [run.subtask.name for run in context.world.dispatch()]
 
 
+@when(
+    "the new leader does not reach that worker, and a later life is listed"
+    " after {seconds:g} s"
+)
+def step_listed_later(context: Any, seconds: float) -> None:
+    world, sim = context.world, context.busy
+    world.silent.add(sim.worker_id)
+    world.fail_over(2)
+    context.changed_s = world.now_s
+    world.advance(seconds)
+    facts = world.worker(sim.worker_id).facts
+    later = replace(facts, born_unix_ms=facts.born_unix_ms + 1000)
+    world.scheduler.update_worker(later, world.now_s)
+    world.advance(WAIT_LIMIT_S)
+
+
+@then("the subtask starts again only when a lease up to the limit is over")
+def step_waits_for_limit(context: Any) -> None:
+    world = context.world
+    (_, again_s) = world.start_times_s[context.name]
+    least_s = CONFIRMATION_S + LEASE_LIMIT_S / (1 - CLOCK_DRIFT)
+    assert again_s - context.changed_s >= least_s, again_s - context.changed_s
+
+
 @when("their worker restarts, answers another start, and is then read as restarted")
 def step_answers_start(context: Any) -> None:
     world = context.world
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
@@ -118,6 +118,11 @@
         entry_born_unix_ms = self.facts.born_unix_ms or self.born_unix_ms
         return self.is_reconciled and entry_born_unix_ms >= self.born_unix_ms
 
+    @property
+    def is_listed_in_later_life(self) -> bool:
+        """Return whether its entry is of a later life than the one that is known."""
+        return self.facts.born_unix_ms > self.born_unix_ms > 0
+
     def clear_unreported_runs(self) -> None:
         """Drop the runs whose lease expired unreported.
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
@@ -108,6 +108,10 @@
                 del self._awaited[worker_id]
                 continue
             if worker.answered_s is None:
+                if worker.is_listed_in_later_life:
+                    # The predecessor may not have known of that life.
+                    known_s = worker.later_life_until_s
+                    worker.later_life_until_s = max(known_s, self.longest_end_s)
                 until_s = self._until_s(worker_id)
                 granted_s = until_s + settings.granted_lease_s
                 worker.lease_expires_s = max(granted_s, worker.later_life_until_s)
