--- a/packages/cicadatrail-node/src/cicadatraild/platform/store.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/store.py
@@ -80,6 +80,15 @@
     value: bytes | None
 
 
+@dataclass(frozen=True, slots=True)
+class NewestPage:
+    """Newest records of some keys of a topic that ends at ``end``."""
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+    has_more: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Producer:
     """Producer, epoch and sequence number of a fenced append by one leader."""
@@ -143,26 +152,36 @@
         pages are read is not missed.
         """
         records: list[KeyedRecord] = []
-        query: dict[str, object] = {"topic": topic, "part": 0}
         end = -1
         while True:
-            response = await self._call(
-                "GET",
-                f"/cicadatrail/log-newest?{urlencode(query)}",
-                b"",
-                READ_TIMEOUT_S,
+            page = await self.read_newest_page(
+                topic, records[-1].key if records else ""
             )
-            if response.status != 200:
-                reason = f"newest: {response.status}"
-                raise StoreUnavailableError(reason, may_have_run=False)
-            page = _json(response)
-            end = int(page["end"]) if end < 0 else end
-            for item in page["items"]:
-                value = base64.b64decode(item["value"])
-                records.append(KeyedRecord(item["key"], value))
-            if not page.get("more") or not page["items"]:
+            end = page.end if end < 0 else end
+            records += page.records
+            if not page.has_more:
                 return records, end
-            query["after"] = records[-1].key
+
+    async def read_newest_page(
+        self, topic: str, after: str, timeout_s: float = READ_TIMEOUT_S
+    ) -> NewestPage:
+        """Return the newest record of each key of a page, which follows a key."""
+        query: dict[str, object] = {"topic": topic, "part": 0}
+        if after:
+            query["after"] = after
+        response = await self._call(
+            "GET", f"/cicadatrail/log-newest?{urlencode(query)}", b"", timeout_s
+        )
+        if response.status != 200:
+            reason = f"newest: {response.status}"
+            raise StoreUnavailableError(reason, may_have_run=False)
+        page = _json(response)
+        records = tuple(
+            KeyedRecord(item["key"], base64.b64decode(item["value"]))
+            for item in page["items"]
+        )
+        has_more = bool(page.get("more")) and bool(records)
+        return NewestPage(records, int(page["end"]), has_more)
 
     async def read(
         self, topic: str, offset: int, wait_ms: int
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -41,6 +41,7 @@
 from cicadatraild.scheduling.admission import AdmissionControl
 from cicadatraild.scheduling.adviser import Adviser
 from cicadatraild.scheduling.clocks import loop_now_s, unix_now_ms
+from cicadatraild.scheduling.fenced_reading import FencedReading
 from cicadatraild.scheduling.former_leases import FormerLeases
 from cicadatraild.scheduling.journal import Journal, refusal_to_store
 from cicadatraild.scheduling.leader_records import LeaderRecords
@@ -151,6 +152,7 @@
         )
         self._records.attach(self._inventory, self.waves, self.balance.turns)
         self._worker_list = WorkerList(store, self.scheduler)
+        self._stored_jobs = FencedReading(store, JOBS_TOPIC)
 
     def configure(self, configuration: FleetConfiguration) -> None:
         """Apply a newer configuration."""
@@ -231,8 +233,7 @@
     async def _read_jobs(self) -> list[KeyedRecord]:
         """Return the stored jobs once no earlier leader can change them."""
         await self.journal.fence()
-        records, _ = await self._store.read_newest(JOBS_TOPIC)
-        return records
+        return await self._stored_jobs.read()
 
     def may_start(self) -> bool:
         """Return whether subtasks may be started on the workers as they are known.
