--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -43,6 +43,9 @@
 PEER_QUERY_COUNT = 6
 """Peers that are queried at once; the platform supplies three seed hosts."""
 
+SUCCESSOR_QUERY_COUNT = 64
+"""Peers that are queried for a strong successor, if the first ones have none."""
+
 PEER_QUERY_TIMEOUT_S = 0.4
 """Time for a peer's reply about the leader."""
 
@@ -338,14 +341,27 @@
         Prefers strong instances, then the one that started last: instances are
         restarted in turn, so it is the least likely to stop soon.
         """
-        hosts = self._sample_peers()
+        hosts = self._sample_peers(PEER_QUERY_COUNT)
+        able = await self._query_candidates(hosts)
+        if not any(reply.is_strong for reply in able.values()):
+            # Few are strong where most machines are small.
+            others = self._sample_peers(SUCCESSOR_QUERY_COUNT)
+            able |= await self._query_candidates(
+                [host for host in others if host not in hosts]
+            )
+        ranked = [
+            (not reply.is_strong, reply.age_s, host) for host, reply in able.items()
+        ]
+        return min(ranked)[2] if ranked else ""
+
+    async def _query_candidates(self, hosts: list[str]) -> dict[str, CandidateIs]:
+        """Return those peers that could lead."""
         replies = await asyncio.gather(*[self._query_candidate(host) for host in hosts])
-        able = [
-            (not reply.is_strong, reply.age_s, host)
+        return {
+            host: reply
             for host, reply in zip(hosts, replies, strict=True)
             if reply is not None and reply.is_able
-        ]
-        return min(able)[2] if able else ""
+        }
 
     async def _query_candidate(self, host: str) -> CandidateIs | None:
         try:
@@ -364,12 +380,12 @@
             return
         self._queried_s = now_s
         await asyncio.gather(
-            *[self._query_leader(host) for host in self._sample_peers()]
+            *[self._query_leader(host) for host in self._sample_peers(PEER_QUERY_COUNT)]
         )
 
-    def _sample_peers(self) -> list[str]:
+    def _sample_peers(self, count: int) -> list[str]:
         others = [host for host in self._hosts if host != self._own_host]
-        return random.sample(others, min(PEER_QUERY_COUNT, len(others)))
+        return random.sample(others, min(count, len(others)))
 
     async def _query_leader(self, host: str) -> bool:
         """Learn the leader from a peer; return whether the peer answered."""
