--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -33,6 +33,7 @@
     Unsettled,
 )
 from cicadatraild.scheduling.peers import PeerClient, PeerUnreachableError
+from cicadatraild.scheduling.pending_request import PendingRequest
 from cicadatraild.scheduling.request_limits import RequestLimits
 
 logger = logging.getLogger("cicadatrail.entry")
@@ -65,34 +66,6 @@
 """Delay before the same leader is asked again."""
 
 
-class _PendingRequest:
-    """What is known of a request that has no reply yet."""
-
-    __slots__ = ("is_under_way", "may_have_run", "reason")
-
-    def __init__(self) -> None:
-        self.is_under_way = False
-        self.may_have_run = False
-        self.reason = "no holder"
-
-    def note_sent(self) -> None:
-        """Record that a leader may have the request from now on."""
-        self.is_under_way = True
-
-    def note_failure(self, error: PeerUnreachableError, epoch: int) -> None:
-        """Record that the leader of an epoch did not reply."""
-        self.is_under_way = False
-        self.may_have_run = self.may_have_run or error.may_have_run
-        self.reason = f"holder of epoch {epoch}: {error}"
-
-    @property
-    def final_reply(self) -> Reply:
-        """Return the reply to the caller if the request is given up now."""
-        if self.may_have_run or self.is_under_way:
-            return Unsettled(self.reason)
-        return Refused(self.reason)
-
-
 @dataclass(frozen=True, slots=True)
 class _TimedReply:
     """A peer's reply and when it came, on the boot clock."""
@@ -134,7 +107,7 @@
         Without a reply by the deadline, or before this instance ends, return Unsettled
         when the request may have been carried out, else Refused.
         """
-        pending = _PendingRequest()
+        pending = PendingRequest()
         try:
             async with self.limits.until():
                 return await self._ask(request, deadline_s, pending)
@@ -142,7 +115,7 @@
             return pending.final_reply
 
     async def _ask(
-        self, request: Request, deadline_s: float, pending: _PendingRequest
+        self, request: Request, deadline_s: float, pending: PendingRequest
     ) -> Reply:
         wait_until_s = min(
             deadline_s, loop_now_s() + RULES[RequestState.NO_LEADER].wait_s
@@ -211,7 +184,7 @@
         current: LeaderRecord,
         request: Request,
         left_s: float,
-        pending: _PendingRequest,
+        pending: PendingRequest,
     ) -> Reply:
         """Return a leader's reply, unless a newer leader is known before.
 
@@ -250,7 +223,7 @@
         current: LeaderRecord,
         request: Request,
         left_s: float,
-        pending: _PendingRequest,
+        pending: PendingRequest,
     ) -> Reply:
         timeout_s = max(0.01, left_s)
         if current.host != self._own_host:
