--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/metrics.py
@@ -181,7 +181,7 @@
             "unanswered_starts": sum(run.phase is RunPhase.SENT for run in runs),
             "store_appends": leader.journal.append_count,
             "stored_bytes": leader.journal.stored_bytes,
-            "worker_lists": leader.links.list_count,
+            "worker_lists": (leader.links.list_count + leader.orders.lives.check_count),
             "starts": leader.orders.start_count,
             "machine_moves": leader.balance.move_count,
             "evacuated_data_centres": len(scheduler.evacuated_data_centres),
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_lives.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_lives.py
@@ -38,6 +38,7 @@
         self._known_since_boot_s: dict[str, float] = {}
         # Calls under way that ask workers for their life.
         self._checks: dict[WorkerState, asyncio.Task[None]] = {}
+        self.check_count = 0
 
     def close(self) -> None:
         """Cancel all calls."""
@@ -85,6 +86,7 @@
 
     async def _check(self, worker: WorkerState) -> None:
         """Ask a worker for its life; acknowledge nothing and renew no lease."""
+        self.check_count += 1
         born_unix_ms, reason = None, ""
         try:
             result = await self._client.read_lists(worker.facts, 0, None, 0)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -144,6 +144,7 @@
             run.subtask.avoided_worker = run.worker.facts.worker_id
 
     async def _start(self, run: Run) -> None:
+        """Send a start while its worker is in the life that the run was placed on."""
         worker = run.worker
         born_unix_ms = worker.born_unix_ms
         outcome = OrderOutcome.NOT_SENT
