--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -45,6 +45,17 @@
     When sending a start fails unexpectedly at a worker that has answered
     Then its lease may last for 6.1 s
 
+  # Guards against a leader that steps down over one order.
+  Scenario: A late start is barred after the order to do so has failed unexpectedly
+    When the order to bar a late start fails unexpectedly at first
+    Then it is sent again, and the start is barred
+
+  # Guards against TWICE: the entry was read after what the predecessor had stored.
+  Scenario: A new leader waits longer for a worker once a later life of it is listed
+    Given a subtask runs on one of 2 workers as the leader changes
+    When the new leader does not reach that worker, and a later life is listed after 1 s
+    Then the subtask starts again only when a lease up to the limit is over
+
   # Guards against TWICE: what bars a run ends with the life that was told to stop it.
   Scenario: A stop that a worker's former life has acknowledged is sent to the next one
     Given a scheduler with 2 workers of 8 cores
@@ -82,6 +93,12 @@
       | which it answers       | 0.2     |
       | whose answer gets lost | 0.6     |
 
+  # Guards against TWICE: only the leader knew of the start, and it is killed.
+  Scenario: No start is sent to a worker that may have restarted since its last answer
+    Given a worker that has been back under its id for 0.1 s, unnoticed
+    When a subtask waits for it, and it is cut off and its leader killed soon after
+    Then the subtask starts on another worker, and none has started on the restarted one
+
   # Guards against TWICE: what bars a run ends with the life that was told so.
   Scenario: A start that was stopped without an answer is not carried out by the next life
     When a start gets no answer and is repeated, and the next life of its worker gets it
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/entry.py
@@ -33,6 +33,7 @@
     Unsettled,
 )
 from cicadatraild.scheduling.peers import PeerClient, PeerUnreachableError
+from cicadatraild.scheduling.pending_request import PendingRequest
 from cicadatraild.scheduling.request_limits import RequestLimits
 
 logger = logging.getLogger("cicadatrail.entry")
@@ -43,6 +44,9 @@
 PEER_QUERY_COUNT = 6
 """Peers that are queried at once; the platform supplies three seed hosts."""
 
+SUCCESSOR_QUERY_COUNT = 64
+"""Peers that are queried for a strong successor, if the first ones have none."""
+
 PEER_QUERY_TIMEOUT_S = 0.4
 """Time for a peer's reply about the leader."""
 
@@ -62,34 +66,6 @@
 """Delay before the same leader is asked again."""
 
 
-class _PendingRequest:
-    """What is known of a request that has no reply yet."""
-
-    __slots__ = ("is_under_way", "may_have_run", "reason")
-
-    def __init__(self) -> None:
-        self.is_under_way = False
-        self.may_have_run = False
-        self.reason = "no holder"
-
-    def note_sent(self) -> None:
-        """Record that a leader may have the request from now on."""
-        self.is_under_way = True
-
-    def note_failure(self, error: PeerUnreachableError, epoch: int) -> None:
-        """Record that the leader of an epoch did not reply."""
-        self.is_under_way = False
-        self.may_have_run = self.may_have_run or error.may_have_run
-        self.reason = f"holder of epoch {epoch}: {error}"
-
-    @property
-    def final_reply(self) -> Reply:
-        """Return the reply to the caller if the request is given up now."""
-        if self.may_have_run or self.is_under_way:
-            return Unsettled(self.reason)
-        return Refused(self.reason)
-
-
 @dataclass(frozen=True, slots=True)
 class _TimedReply:
     """A peer's reply and when it came, on the boot clock."""
@@ -131,7 +107,7 @@
         Without a reply by the deadline, or before this instance ends, return Unsettled
         when the request may have been carried out, else Refused.
         """
-        pending = _PendingRequest()
+        pending = PendingRequest()
         try:
             async with self.limits.until():
                 return await self._ask(request, deadline_s, pending)
@@ -139,7 +115,7 @@
             return pending.final_reply
 
     async def _ask(
-        self, request: Request, deadline_s: float, pending: _PendingRequest
+        self, request: Request, deadline_s: float, pending: PendingRequest
     ) -> Reply:
         wait_until_s = min(
             deadline_s, loop_now_s() + RULES[RequestState.NO_LEADER].wait_s
@@ -208,7 +184,7 @@
         current: LeaderRecord,
         request: Request,
         left_s: float,
-        pending: _PendingRequest,
+        pending: PendingRequest,
     ) -> Reply:
         """Return a leader's reply, unless a newer leader is known before.
 
@@ -247,7 +223,7 @@
         current: LeaderRecord,
         request: Request,
         left_s: float,
-        pending: _PendingRequest,
+        pending: PendingRequest,
     ) -> Reply:
         timeout_s = max(0.01, left_s)
         if current.host != self._own_host:
@@ -338,14 +314,27 @@
         Prefers strong instances, then the one that started last: instances are
         restarted in turn, so it is the least likely to stop soon.
         """
-        hosts = self._sample_peers()
+        hosts = self._sample_peers(PEER_QUERY_COUNT)
+        able = await self._query_candidates(hosts)
+        if not any(reply.is_strong for reply in able.values()):
+            # Few are strong where most machines are small.
+            others = self._sample_peers(SUCCESSOR_QUERY_COUNT)
+            able |= await self._query_candidates(
+                [host for host in others if host not in hosts]
+            )
+        ranked = [
+            (not reply.is_strong, reply.age_s, host) for host, reply in able.items()
+        ]
+        return min(ranked)[2] if ranked else ""
+
+    async def _query_candidates(self, hosts: list[str]) -> dict[str, CandidateIs]:
+        """Return those peers that could lead."""
         replies = await asyncio.gather(*[self._query_candidate(host) for host in hosts])
-        able = [
-            (not reply.is_strong, reply.age_s, host)
+        return {
+            host: reply
             for host, reply in zip(hosts, replies, strict=True)
             if reply is not None and reply.is_able
-        ]
-        return min(able)[2] if able else ""
+        }
 
     async def _query_candidate(self, host: str) -> CandidateIs | None:
         try:
@@ -364,12 +353,12 @@
             return
         self._queried_s = now_s
         await asyncio.gather(
-            *[self._query_leader(host) for host in self._sample_peers()]
+            *[self._query_leader(host) for host in self._sample_peers(PEER_QUERY_COUNT)]
         )
 
-    def _sample_peers(self) -> list[str]:
+    def _sample_peers(self, count: int) -> list[str]:
         others = [host for host in self._hosts if host != self._own_host]
-        return random.sample(others, min(PEER_QUERY_COUNT, len(others)))
+        return random.sample(others, min(count, len(others)))
 
     async def _query_leader(self, host: str) -> bool:
         """Learn the leader from a peer; return whether the peer answered."""
