Take no late answer of a worker's former life for the present one

What callers could see (TWICE): answers on different connections may overtake each other. One of a worker's former life that was read after the present life's counted as an answer of the known life, so that starts and acknowledgements could leave without one for over 0.2 s.

Cause: the same class; when a worker had answered was kept by its id, not by its life.

Evidence: 'A late answer of a worker's former life does not stand for the present one' failed before and passes.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -45,6 +45,11 @@
     When sending a start fails unexpectedly at a worker that has answered
     Then its lease may last for 6.1 s
 
+  # Guards against TWICE: answers on other connections may be overtaken.
+  Scenario: A late answer of a worker's former life does not stand for the present one
+    When a worker's former life is heard of 1 s after the present one
+    Then the present life does not count as having just answered
+
   # Guards against a leader that steps down over one order.
   Scenario: A late start is barred after the order to do so has failed unexpectedly
     When the order to bar a late start fails unexpectedly at first
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -31,6 +31,7 @@
 from cicadatraild.scheduling.leadership import Leadership
 from cicadatraild.scheduling.long_leases import LongLeases
 from cicadatraild.scheduling.worker_links import LIST_WAIT_MS
+from cicadatraild.scheduling.worker_lives import WorkerLives
 from features.steps.ended_lives_steps import StoppedStore
 from features.support.job_world import LEASE_LIMIT_S, JobWorld, definition
 from features.support.sampled_values import sample
@@ -265,6 +266,24 @@
     assert context.left_s >= least_s, context.left_s
 
 
+@when("a worker's former life is heard of {seconds:g} s after the present one")
+def step_former_life_late(context: Any, seconds: float) -> None:
+    client: Any = None
+    context.lives, context.worker = WorkerLives(client), JobWorld(1).worker(WORKER)
+    born_unix_ms = context.worker.born_unix_ms
+    with patch("cicadatraild.scheduling.worker_lives.boot_now_s") as clock:
+        clock.return_value = 1.0
+        context.lives.record_answer(context.worker, born_unix_ms)
+        clock.return_value += seconds
+        context.lives.record_answer(context.worker, born_unix_ms - 1)
+        context.is_same = context.lives.is_same(context.worker)
+
+
+@then("the present life does not count as having just answered")
+def step_not_same(context: Any) -> None:
+    assert not context.is_same
+
+
 @when("the order to bar a late start fails unexpectedly at first")
 def step_bar_fails(context: Any) -> None:
     async def scenario() -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_lives.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_lives.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+from dataclasses import dataclass
 
 from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatraild.platform.workers import ListFailure, WorkerClient
@@ -25,6 +26,14 @@
     return None if since_s is None else round(loop_now_s() - since_s, 3)
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """The last answer of a worker: of which life, and when it was read."""
+
+    born_unix_ms: int
+    read_boot_s: float
+
+
 class WorkerLives:
     """Know when the known life of each worker last answered, and ask for it.
 
@@ -33,7 +42,7 @@
 
     def __init__(self, client: WorkerClient) -> None:
         self._client = client
-        self._answered_boot_s: dict[str, float] = {}
+        self._answers: dict[str, _Answer] = {}
         # When the present life of each worker first answered.
         self._known_since_boot_s: dict[str, float] = {}
         # Calls under way that ask workers for their life.
@@ -47,14 +56,14 @@
 
     def forget(self, worker_id: str) -> None:
         """Forget when a removed worker answered."""
-        self._answered_boot_s.pop(worker_id, None)
+        self._answers.pop(worker_id, None)
         self._known_since_boot_s.pop(worker_id, None)
 
     def record_answer(self, worker: WorkerState, born_unix_ms: int) -> None:
         """Record that a worker has just answered in the life of that birth."""
         now_s = boot_now_s()
         worker_id = worker.facts.worker_id
-        self._answered_boot_s[worker_id] = now_s
+        self._answers[worker_id] = _Answer(born_unix_ms, now_s)
         if born_unix_ms > worker.born_unix_ms:
             self._known_since_boot_s[worker_id] = now_s
         else:
@@ -65,9 +74,14 @@
         return self._known_since_boot_s.get(worker.facts.worker_id)
 
     def is_same(self, worker: WorkerState) -> bool:
-        """Return whether a worker can't have restarted since its last answer."""
-        answered_s = self._answered_boot_s.get(worker.facts.worker_id)
-        return answered_s is not None and boot_now_s() - answered_s <= SAME_LIFE_S
+        """Return whether the known life of a worker can't have ended since it answered.
+
+        An answer of the life before may be read after one of the known life.
+        """
+        answer = self._answers.get(worker.facts.worker_id)
+        if answer is None or answer.born_unix_ms != worker.born_unix_ms:
+            return False
+        return boot_now_s() - answer.read_boot_s <= SAME_LIFE_S
 
     async def confirm(self, worker: WorkerState) -> bool:
         """Return whether the known life of a worker has just answered.
