Let a successor wait for starts of which only a killed leader knew

A start left within 0.2 s after an answer, its worker restarted under its id, the next life took the start with a lease up to the limit, and the leader was killed before it knew the outcome. The successor did not reach the worker and waited for the lease that a known life gets, 3.7 s of up to 6.2 s.

The class: a successor bounded what it can't know by what its predecessor knew. It now waits for the limit, from the end of its predecessor's right and the last call on, at each worker that it does not reach, whichever life is there. That covers also a leader that was paused between an answer and its reading, and an entry of a later life that is read after the wait. A leader that hands over tells of starts under way in the record of its release, so that after it the wait is as short as before.

Long-running subtasks are left out: they have to run again within 6 s of their last run.

--- a/features/hand_over_histories.feature
+++ b/features/hand_over_histories.feature
@@ -26,3 +26,19 @@
     When it hands over
     Then nothing refers to its jobs and workers
     And its record tells of the worker
+
+  # Guards against TWICE: only this leader knows of the start.
+  Scenario: A leader that hands over tells of a start whose outcome it does not know
+    Given a leader of a series with a start under way
+    When it hands over
+    Then its record tells of the worker
+
+  Scenario Outline: Only a leader that hands over shortens the wait for a lost worker, <end>
+    Given a leader of a series whose worker is lost with a subtask
+    When it <end>, and the next one does not reach that worker
+    Then the subtask starts again after <least> to <most> s
+
+    Examples: ends
+      | end        | least | most |
+      | hands over | 3.4   | 4.0  |
+      | is killed  | 6.6   | 8.0  |
--- a/features/lives_histories.feature
+++ b/features/lives_histories.feature
@@ -13,3 +13,23 @@
       | 2034 |
       | 3016 |
       | 3018 |
+
+  Scenario: Nothing runs twice in random histories
+    Then in 6 histories from seed 5001 on nothing runs twice, and all jobs complete
+
+  Scenario Outline: The histories tell when a rule on the lives of workers is left out
+    Then something runs twice in one of the histories <seeds> if <rule>
+
+    Examples: rules
+      | rule                    | seeds            |
+      | every answer is a proof | 1006, 1012, 1028 |
+      | granted leases are all  | 2021, 2034, 3016 |
+
+  # Guards against TWICE: only the leader knew of the start, and it is killed.
+  Scenario Outline: Long-running subtasks run nowhere twice either, seed <seed>
+    Then in the history of seed <seed> nothing runs twice, and all jobs complete
+
+    Examples: seeds
+      | seed |
+      | 1003 |
+      | 1047 |
--- a/features/steps/lives_histories_steps.py
+++ b/features/steps/lives_histories_steps.py
@@ -7,14 +7,34 @@
 
 from behave import then
 
-from features.support.lives_history import play_lives
+from features.support.lives_history import LivesHistory, play_lives
 
 
-@then("in the history of seed {seed:d} nothing runs twice, and all jobs complete")
-def step_never_twice(context: Any, seed: int) -> None:
+def _play(seed: int, rule: str = "") -> LivesHistory:
     logging.disable(logging.CRITICAL)
     try:
-        history = play_lives(seed)
+        return play_lives(seed, rule)
     finally:
         logging.disable(logging.NOTSET)
+
+
+@then("in the history of seed {seed:d} nothing runs twice, and all jobs complete")
+def step_never_twice(context: Any, seed: int) -> None:
+    history = _play(seed)
     assert not history.findings, (history.findings, history.actions)
+
+
+@then(
+    "in {count:d} histories from seed {first:d} on nothing runs twice,"
+    " and all jobs complete"
+)
+def step_none_twice(context: Any, count: int, first: int) -> None:
+    for seed in range(first, first + count):
+        history = _play(seed)
+        assert not history.findings, (seed, history.findings, history.actions)
+
+
+@then("something runs twice in one of the histories {seeds} if {rule}")
+def step_told(context: Any, seeds: str, rule: str) -> None:
+    findings = [f for seed in seeds.split(",") for f in _play(int(seed), rule).findings]
+    assert any("runs on" in finding for finding in findings), findings
--- a/features/steps/queue_pools_steps.py
+++ b/features/steps/queue_pools_steps.py
@@ -8,17 +8,25 @@
 
 from behave import given, then, when
 
+from cicadatrail_core.jobs.later_lives import CALL_LIMIT_S
 from cicadatrail_core.jobs.models import JobDefinition, JobPhase, Step, WorkerFacts
 from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.scheduler_settings import CLOCK_DRIFT, LEASE_MARGIN_S
+from cicadatrail_core.leadership.acting_right import CONFIRMATION_S
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.scheduling.queue_records import QUEUE_PREFIX
-from features.support.crash_world import STATUS_KEPT_S, CrashWorld
-from features.support.job_world import LEASE_S, SimulatedWorker, configuration
+from features.support.crash_world import STATUS_KEPT_S, STEP_S, CrashWorld
+from features.support.job_world import LEASE_LIMIT_S, SimulatedWorker, configuration
 
 JOB = "00000000000000a1"
 NEXT_JOB = "00000000000000a2"
 LONG_S = 1000.0
 
+LEAST_WAIT_S = CONFIRMATION_S + LEASE_LIMIT_S / (1 - CLOCK_DRIFT)
+"""A start that no leader knows of may hold a lease up to the limit."""
+
+LONGEST_WAIT_S = LEAST_WAIT_S + CALL_LIMIT_S + LEASE_MARGIN_S + 2 * STEP_S
+
 
 class TwoPoolWorld(CrashWorld):
     """Workers w0 and w1 in the queue's first pool, w2 and w3 in another one."""
@@ -89,10 +97,10 @@
     world = context.world
     sim = world.sims["w0"]
     (name,) = sim.running
-    while world.now_s < context.began_s + LEASE_S:
+    while world.now_s < context.began_s + LEAST_WAIT_S:
         world.advance_step()
         assert world.starts[name] == 1, f"{name} runs twice"
-    world.advance(3.0)
+    world.advance(LONGEST_WAIT_S - LEAST_WAIT_S)
     assert world.starts[name] == 2, "the subtask was never started again"
 
 
--- a/features/support/lives_mutants.py
+++ b/features/support/lives_mutants.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from contextlib import AbstractContextManager
 from typing import Any
 from unittest.mock import patch
 
 from cicadatraild.scheduling import worker_links, worker_orders
-from cicadatraild.scheduling.worker_lives import WorkerLives
+from cicadatraild.scheduling.former_leases import FormerLeases
 
 
 def _any_answer_is_proof() -> Any:
@@ -20,11 +21,9 @@
     return _patch_both("count_call", count_none)
 
 
-def _no_life_is_asked_for() -> Any:
-    async def confirm(*_: object) -> bool:
-        return True
-
-    return patch.multiple(WorkerLives, confirm=confirm, is_same=lambda *_: True)
+def _granted_leases_are_all() -> Any:
+    """Let successors wait for the leases that their predecessors have granted alone."""
+    return patch.object(FormerLeases, "_unknown_until_s", lambda *_: -math.inf)
 
 
 def _patch_both(name: str, value: Any) -> Any:
@@ -46,5 +45,5 @@
 
 MUTANTS: dict[str, Callable[[], AbstractContextManager[Any]]] = {
     "every answer is a proof": _any_answer_is_proof,
-    "no life is asked for": _no_life_is_asked_for,
+    "granted leases are all": _granted_leases_are_all,
 }
--- a/features/support/lives_world.py
+++ b/features/support/lives_world.py
@@ -17,6 +17,7 @@
 
 CLOCK_MODULES = ("leadership", "last_answers", "worker_lives", "leader_right", "entry")
 UNIX_MODULES = ("scheduling.leader", "scheduling.leader_records", "platform.callers")
+PORTS = (7100, 7101, 7102, 7103)
 UNIX_BEGIN_MS = 1_700_000_000_000
 
 
@@ -45,6 +46,11 @@
         unix = SimpleNamespace(time=lambda: self.unix_now_ms() / 1000)
         stack.enter_context(patch("features.standins.platform_fleet.time", unix))
         super().__init__()
+        # Nothing is bound, and what sets of addresses hold must not differ.
+        self.ports = list(PORTS)
+
+    def host(self, name: str) -> str:
+        return f"127.9.9.{10 + int(name.rsplit('-', 1)[1])}"
 
     def _life(self, machine: str) -> int:
         return sum(w.started_ms for w in self.workers if w.worker_id == machine)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -49,6 +49,10 @@
 function that returns the ids of those that are kept free of a subtask."""
 
 
+Reconciled = Set[tuple[str, bool]]
+"""Queues whose inherited steps may start, each with whether long-running ones may."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Candidate:
     order: tuple[float, ...]
@@ -113,9 +117,10 @@
     for pool, candidates in pools.items():
         queues = {candidate.queue.name: candidate.queue for candidate in candidates}
         reconciled = {
-            name
+            (name, for_lasting)
             for name, queue in queues.items()
-            if is_queue_reconciled(scheduler, queue, now_s)
+            for for_lasting in (False, True)
+            if is_queue_reconciled(scheduler, queue, now_s, for_lasting)
         }
         candidates.sort(key=lambda candidate: candidate.order)
         workers = usable_workers(scheduler, pool, now_s)
@@ -165,7 +170,7 @@
     candidates: Iterable[_Candidate],
     workers: list[WorkerState],
     room: _Room,
-    reconciled: set[str],
+    reconciled: Reconciled,
     unseen: dict[str, Resources],
     now_s: float,
     on_turn: OnTurn | None,
@@ -174,7 +179,7 @@
         step = candidate.step
         if on_turn is not None:
             on_turn(step, workers, room.closed_to)
-        if step.job.inherited and candidate.queue.name not in reconciled:
+        if not _is_reconciled(step, reconciled):
             continue
         if step.spec.gang:
             if not is_suspect_step(step):
@@ -198,6 +203,12 @@
     room.end()
 
 
+def _is_reconciled(step: StepState, reconciled: Reconciled) -> bool:
+    """Return whether no worker may run subtasks of a step unseen."""
+    job = step.job
+    return not job.inherited or (job.definition.queue, step.spec.lasting) in reconciled
+
+
 def _may_start(scheduler: Scheduler, subtask: Subtask) -> bool:
     """Return whether a ready subtask may start beside others, its limits aside."""
     if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
@@ -236,7 +247,7 @@
     candidates: list[_Candidate],
     suspects: list[Subtask],
     workers: list[WorkerState],
-    reconciled: set[str],
+    reconciled: Reconciled,
     unseen: dict[str, Resources],
     now_s: float,
 ) -> list[WorkerState]:
@@ -257,13 +268,13 @@
     scheduler: Scheduler,
     subtask: Subtask,
     placement: SuspectPlacement,
-    reconciled: set[str],
+    reconciled: Reconciled,
     unseen: dict[str, Resources],
     now_s: float,
 ) -> None:
     """Start a suspect, or the gang that it belongs to, apart from other runs."""
     step = subtask.step
-    if step.job.inherited and step.job.definition.queue not in reconciled:
+    if not _is_reconciled(step, reconciled):
         return
     if give_up_inherited(scheduler, subtask, now_s):
         return
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/takeover.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/takeover.py
@@ -8,7 +8,10 @@
 from cicadatrail_core.jobs.crash_suspicion import restore_suspects
 from cicadatrail_core.jobs.models import Queue
 from cicadatrail_core.jobs.state import JobState
-from cicadatrail_core.jobs.worker_leases import has_expired_lease
+from cicadatrail_core.jobs.worker_leases import (
+    has_expired_granted_lease,
+    has_expired_lease,
+)
 from cicadatrail_core.jobs.worker_state import WorkerState
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
@@ -29,11 +32,18 @@
         restore_suspects(scheduler, job)
 
 
-def is_queue_reconciled(scheduler: Scheduler, queue: Queue, now_s: float) -> bool:
-    """Return whether every worker is known on which a queue's jobs may run."""
+def is_queue_reconciled(
+    scheduler: Scheduler, queue: Queue, now_s: float, for_lasting: bool = False
+) -> bool:
+    """Return whether every worker is known on which a queue's jobs may run.
+
+    Long-running subtasks, for which ``for_lasting`` asks, don't wait for starts of
+    which only a killed leader knew: they are at work nearly always as it is killed.
+    """
+    has_expired = has_expired_granted_lease if for_lasting else has_expired_lease
     pools = scheduler.queue_pools.of(queue)
     return all(
-        worker.is_reconciled or has_expired_lease(worker, now_s)
+        worker.is_reconciled or has_expired(worker, now_s)
         for worker in scheduler.workers.values()
         if worker.facts.pool in pools
     )
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
@@ -131,6 +131,11 @@
     return now_s > worker.lease_expires_s and not worker.may_hold_former_lease
 
 
+def has_expired_granted_lease(worker: WorkerState, now_s: float) -> bool:
+    """Return whether every lease has expired but those of starts nobody knows of."""
+    return now_s > worker.lease_expires_s and not worker.may_hold_granted_lease
+
+
 def expire_leases(scheduler: Scheduler, now_s: float) -> None:
     """Release the runs of workers whose lease has expired."""
     for worker in list(scheduler.workers.values()):
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -89,6 +89,7 @@
         if not worker.is_reconciled:
             worker.is_reconciled = True
             worker.may_hold_former_lease = False
+            worker.may_hold_granted_lease = False
             scheduler.on_change()
     return has_ends
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
@@ -30,6 +30,7 @@
         "facts",
         "failed_s",
         "may_hold_former_lease",
+        "may_hold_granted_lease",
         "is_cordoned",
         "is_listed",
         "is_reconciled",
@@ -68,6 +69,8 @@
         self.later_life_until_s = 0.0
         # True while its lists are unread and another leader may have given it a lease.
         self.may_hold_former_lease = False
+        # The same for a lease that was given to the life which that leader knew.
+        self.may_hold_granted_lease = False
         # True once the worker's complete lists have been applied.
         self.is_reconciled = False
         # A call has failed since the last report: the worker may have restarted.
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Iterable
 
-from cicadatrail_core.jobs.later_lives import CALL_LIMIT_S
+from cicadatrail_core.jobs.later_lives import CALL_LIMIT_S, find_long_leases
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import JobState
 from cicadatrail_core.jobs.worker_state import WorkerState
@@ -47,13 +48,15 @@
 
     @property
     def end_s(self) -> float:
-        """Return when every lease of an earlier leader is over, on the loop's clock."""
-        lease_s = self._scheduler.settings.granted_lease_s
-        return max(self.former_until_s + lease_s, self.long_until_s)
+        """Return when every lease of an earlier leader is over, on the loop's clock.
+
+        No leader may have known the present life of a worker that isn't known now.
+        """
+        return max(self.longest_end_s, self.long_until_s)
 
     @property
     def longest_end_s(self) -> float:
-        """Return the same for a worker whose present life no leader may have known."""
+        """Return the same for leases up to the limit, by calls of earlier leaders."""
         lease_s = self._scheduler.settings.longest_lease_s
         return self.former_until_s + CALL_LIMIT_S + lease_s
 
@@ -63,28 +66,43 @@
         self._known_first = dict(self._scheduler.workers)
         self.told.unanswered = self.unanswered
         for worker in self._awaited.values():
-            worker.may_hold_former_lease = True
+            worker.may_hold_former_lease = worker.may_hold_granted_lease = True
         self.update()
 
     def unanswered(self) -> dict[str, float]:
-        """Return the workers that have not answered this leader.
+        """Return the workers that may hold leases which a successor can't count.
 
-        Each with the seconds for which an earlier leader may still give it a lease.
+        Each with the seconds for which a leader may still give it a lease: those that
+        have not answered this leader, and those whose lease may be longer than a
+        granted one, as the record of these may not have been stored.
         """
         now_s, workers = loop_now_s(), self._scheduler.workers
-        return {
+        unanswered = {
             worker_id: self._until_s(worker_id) - now_s
             for worker_id, worker in self._known_first.items()
             if workers.get(worker_id) is worker
             and worker.answered_s is None
             and worker.clock_at_s is None
         }
+        long_leases = find_long_leases(self._scheduler, now_s)
+        return dict.fromkeys(long_leases, 0.0) | unanswered
 
     def _until_s(self, worker_id: str) -> float:
         """Return until when an earlier leader may give a worker a lease."""
         told_s = self.told.until_loop_s(worker_id)
         return min(self._right.former_until_loop_s, told_s)
 
+    def _unknown_until_s(self, worker_id: str) -> float:
+        """Return until when a worker may run a start that no leader knows of.
+
+        A start may be under way as its leader is killed, and a later life that nobody
+        has read may take it. Such a life may hold a lease up to the limit.
+        """
+        if self.told.has_reached(worker_id):
+            return -math.inf
+        lease_s = self._scheduler.settings.longest_lease_s
+        return self._until_s(worker_id) + CALL_LIMIT_S + lease_s
+
     def hold_jobs(self, jobs: Iterable[JobState]) -> None:
         """Have nothing of these jobs start before the leases are over.
 
@@ -115,7 +133,12 @@
                 until_s = self._until_s(worker_id)
                 granted_s = until_s + settings.granted_lease_s
                 worker.lease_expires_s = max(granted_s, worker.later_life_until_s)
-            if is_lease_valid and now_s > worker.lease_expires_s:
+            if not is_lease_valid or now_s <= worker.lease_expires_s:
+                continue
+            if worker.may_hold_granted_lease:
+                worker.may_hold_granted_lease = False
+                self._scheduler.on_change()
+            if now_s > self._unknown_until_s(worker_id):
                 del self._awaited[worker_id]
                 worker.may_hold_former_lease = False
                 self._log_end(worker, now_s)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/last_answers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/last_answers.py
@@ -98,6 +98,14 @@
         """
         return self._time(self._inherited.former_left_s)
 
+    def has_reached(self, worker_id: str) -> bool:
+        """Return whether the predecessor told all leases that a worker may hold.
+
+        It has then handed over, and stored which of them are longer than granted ones.
+        """
+        told = self._inherited
+        return math.isfinite(told.former_left_s) and worker_id not in told.left_s
+
     def until_loop_s(self, worker_id: str) -> float:
         """Return until when a worker may get a lease by an earlier leader."""
         left_s = self._inherited.left_s.get(worker_id, math.inf)
