Set the rates of the soak's clocks before they are read

A worker's clock that is set to run slow after its first read jumps back by 72 s, as its first life began an hour before. No clock of the platform does.

--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -88,6 +88,9 @@
             stack.callback(self._end_all)
             stack.push_async_callback(self.cluster.close)
             await self.cluster.open(WORKER_COUNT)
+            if self.has_recuts:
+                # Sets the rates of clocks, which must not jump once they are read.
+                self.recuts = RecutFaults(self.random, self.cluster.workers)
             later_count = FIRST_START_COUNT if self.has_refusals else 0
             count = INSTANCE_COUNT + later_count
             names = [f"edge-{number}" for number in range(1, count + 1)]
@@ -243,8 +246,8 @@
                 self._kill,
             )
         if self.has_recuts:
-            recuts = RecutFaults(self.random, self.cluster.workers)
-            actions = (recuts.recut, recuts.recut, self._kill, self._late_starts)
+            recut = self.recuts.recut
+            actions = (recut, recut, self._kill, self._late_starts)
         if self.has_partitions:
             faults = PartitionFaults(
                 self.random,
