--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -20,6 +20,7 @@
 import asyncio
 import json
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -396,6 +397,12 @@
     return soak
 
 
+def keep_logs(logs: Path, kept: Path) -> None:
+    """Copy the logs of a failed seed, as its next play may pass."""
+    shutil.copytree(logs, kept, dirs_exist_ok=True)
+    print(f"logs are in {kept}", flush=True)
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
@@ -422,6 +429,12 @@
         help="restart workers unnoticed, and cut them off soon after",
     )
     parser.add_argument("--keep", type=Path, help="folder to keep the logs in")
+    parser.add_argument(
+        "--failures",
+        type=Path,
+        default=Path("out/soak-failures"),
+        help="folder to keep the logs of failed seeds in",
+    )
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
@@ -437,7 +450,9 @@
                 options.refusals,
                 options.recuts,
             )
-        failed += bool(soak.findings)
+            if soak.findings:
+                failed += 1
+                keep_logs(log_folder, options.failures / str(seed))
         summary = {
             "seed": seed,
             "accepted": len(soak.accepted),
