--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -8,7 +8,7 @@
 
 from behave import then
 
-from features.support.soak import run_seed
+from features.support.soak import FAILURES, keep_logs, run_seed
 
 
 @then("a soak of seed {seed:d} over {seconds:d} seconds finds no violation")
@@ -54,5 +54,7 @@
             has_refusals,
             has_recuts,
         )
+        if soak.findings:
+            keep_logs(Path(folder), FAILURES / str(seed))
     assert soak.accepted, soak.faults
     assert not soak.findings, (soak.findings, soak.faults)
--- a/features/support/lives_history.py
+++ b/features/support/lives_history.py
@@ -285,11 +285,17 @@
         self.world.store.faults.down = False
 
 
-def play_lives(seed: int, mutant: str = "") -> LivesHistory:
-    """Play a random history, in which a rule may be left out of the product."""
+def play_lives(
+    seed: int, mutant: str = "", passes_late_calls_on: bool = False
+) -> LivesHistory:
+    """Play a random history, in which a rule may be left out of the product.
+
+    Late orders end with the life that they were sent to, or are passed on.
+    """
 
     async def main(world: LivesWorld) -> LivesHistory:
         history = LivesHistory(world, seed)
+        world.network.passes_late_calls_on = passes_late_calls_on
         await history.play()
         return history
 
@@ -315,6 +321,9 @@
         "--seeds", type=int, default=1, help="number of seeds, from --seed on"
     )
     parser.add_argument("--mutant", default="", choices=["", *MUTANTS])
+    parser.add_argument(
+        "--late", action="store_true", help="let late orders outlive their worker"
+    )
     parser.add_argument("--logs", action="store_true", help="show the instances' logs")
     arguments = parser.parse_args()
     if arguments.logs:
@@ -323,7 +332,7 @@
         logging.disable(logging.CRITICAL)
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
-        history = play_lives(seed, arguments.mutant)
+        history = play_lives(seed, arguments.mutant, arguments.late)
         failed += bool(history.findings)
         if history.findings or arguments.logs:
             print(f"seed {seed}: {history.findings}", flush=True)
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -52,6 +52,7 @@
 # Runs that may outlast the claim of an instance that starts during a cut.
 LONGEST_MS = (8000, 24_000)
 LONGEST_FRACTION = 0.06
+FAILURES = Path("out/soak-failures")
 
 
 @dataclass
@@ -432,7 +433,7 @@
     parser.add_argument(
         "--failures",
         type=Path,
-        default=Path("out/soak-failures"),
+        default=FAILURES,
         help="folder to keep the logs of failed seeds in",
     )
     options = parser.parse_args()
