--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -20,6 +20,7 @@
 import asyncio
 import json
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -51,6 +52,7 @@
 # Runs that may outlast the claim of an instance that starts during a cut.
 LONGEST_MS = (8000, 24_000)
 LONGEST_FRACTION = 0.06
+FAILURES = Path("out/soak-failures")
 
 
 @dataclass
@@ -88,6 +90,9 @@
             stack.callback(self._end_all)
             stack.push_async_callback(self.cluster.close)
             await self.cluster.open(WORKER_COUNT)
+            if self.has_recuts:
+                # Sets the rates of clocks, which must not jump once they are read.
+                self.recuts = RecutFaults(self.random, self.cluster.workers)
             later_count = FIRST_START_COUNT if self.has_refusals else 0
             count = INSTANCE_COUNT + later_count
             names = [f"edge-{number}" for number in range(1, count + 1)]
@@ -243,8 +248,8 @@
                 self._kill,
             )
         if self.has_recuts:
-            recuts = RecutFaults(self.random, self.cluster.workers)
-            actions = (recuts.recut, recuts.recut, self._kill, self._late_starts)
+            recut = self.recuts.recut
+            actions = (recut, recut, self._kill, self._late_starts)
         if self.has_partitions:
             faults = PartitionFaults(
                 self.random,
@@ -393,6 +398,12 @@
     return soak
 
 
+def keep_logs(logs: Path, kept: Path) -> None:
+    """Copy the logs of a failed seed, as its next play may pass."""
+    shutil.copytree(logs, kept, dirs_exist_ok=True)
+    print(f"logs are in {kept}", flush=True)
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
@@ -419,6 +430,12 @@
         help="restart workers unnoticed, and cut them off soon after",
     )
     parser.add_argument("--keep", type=Path, help="folder to keep the logs in")
+    parser.add_argument(
+        "--failures",
+        type=Path,
+        default=FAILURES,
+        help="folder to keep the logs of failed seeds in",
+    )
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
@@ -434,7 +451,9 @@
                 options.refusals,
                 options.recuts,
             )
-        failed += bool(soak.findings)
+            if soak.findings:
+                failed += 1
+                keep_logs(log_folder, options.failures / str(seed))
         summary = {
             "seed": seed,
             "accepted": len(soak.accepted),
