Shorten no wait by a hand-over that came before the takeover

A leader that is elected after a kill and hands over before it has taken over has called no worker and names none in its record. Its successor took all workers for reached by it, and waited 3.7 s for starts of the killed leader, of up to 7.3 s.

Such a record now stands for any worker, unless the leader before it has told of them. An older instance ignores the entry, as it names no worker. Two scenarios begin with a hand-over now, as the first leader of their world restores nothing; a leader of the product always does.

--- a/features/hand_over_histories.feature
+++ b/features/hand_over_histories.feature
@@ -42,3 +42,9 @@
       | end        | least | most |
       | hands over | 3.4   | 4.0  |
       | is killed  | 6.6   | 8.0  |
+
+  # Guards against TWICE: the leader between them has reached no worker.
+  Scenario: A leader that hands over before its takeover does not shorten the wait
+    Given a leader of a series whose worker is lost with a subtask
+    When it is killed, and the next one hands over before its takeover
+    Then the subtask starts again after 6.6 to 8 s
--- a/features/steps/hand_over_histories_steps.py
+++ b/features/steps/hand_over_histories_steps.py
@@ -13,10 +13,14 @@
 from cicadatrail_core.jobs.models import SubtaskName
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatraild.scheduling.last_answers import UNANSWERED_KEY
+from cicadatraild.scheduling.leader_right import ConfirmationRound
+from cicadatraild.scheduling.leadership import SILENCE_LIMIT_S
 from features.support.job_world import definition
 from features.support.series_history import FAULTS, play_series
 from features.support.series_world import SeriesWorld
 
+# ruff: noqa: SLF001
+
 JOB = "00000000000000a1"
 LONG_S = 1000.0
 WAIT_LIMIT_S = 12.0
@@ -64,6 +68,8 @@
 @given("a leader of a series whose worker is lost with a subtask")
 def step_lost(context: Any) -> None:
     world = context.world = SeriesWorld(context.stack, 3, 2)
+    # Its first leader has not restored anything, and so knows no workers.
+    world.hand_over()
     world.durations_s[JOB] = LONG_S
     world.submit(JOB, definition(1, 8))
     world.advance(1.0)
@@ -83,9 +89,28 @@
     _wait_for_repeat(context)
 
 
-def _wait_for_repeat(context: Any) -> None:
+@when("it is killed, and the next one hands over before its takeover")
+def step_killed_and_handed_over(context: Any) -> None:
     world = context.world
+    position = world.instances.index(world.leading)
+    world.instances[position] = world.new_instance(position)
+    world.follow()
+    world.now_s += SILENCE_LIMIT_S + 0.1
+    world.leading = world.instances[(position + 1) % len(world.instances)]
+    world.claim(world.leading)
     began_s = world.now_s
+    others = [i for i in world.instances if i is not world.leading]
+    confirmed_s = {instance._host: world.now_s for instance in others}
+    world.leading.apply_round(
+        ConfirmationRound(world.leading.held_epoch, world.now_s, confirmed_s, False)
+    )
+    world.hand_over()
+    _wait_for_repeat(context, began_s)
+
+
+def _wait_for_repeat(context: Any, began_s: float | None = None) -> None:
+    world = context.world
+    began_s = world.now_s if began_s is None else began_s
     world.advance(WAIT_LIMIT_S)
     (_, again_s) = world.start_times_s[SubtaskName(JOB, 0, 0, 0)]
     context.waited_s = again_s - began_s
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/last_answers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/last_answers.py
@@ -27,6 +27,9 @@
 
 UNANSWERED_KEY = "unanswered"
 
+ANY_WORKER = ""
+"""Stands for all workers, by a leader that has not taken over and knows none."""
+
 LONGEST_AGE_S = 1e6
 """Stands for all longer times since a lease was possible."""
 
@@ -74,17 +77,23 @@
         """Begin a term; what the predecessor stored counts, if it handed over."""
         is_newest = self._stored.epoch == predecessor_epoch
         self._inherited = self._stored if is_newest else _HandedOver(0)
-        # Until the takeover this instance has called no worker.
-        self.unanswered = lambda: {
-            worker_id: self.until_loop_s(worker_id) - loop_now_s()
-            for worker_id in self._inherited.left_s
-        }
+        self.unanswered = self._unanswered_before_takeover
         # It has sent no order either.
         self.blocked = lambda: {
             name: until_s - loop_now_s()
             for name, until_s in self.blocked_until_loop_s().items()
         }
 
+    def _unanswered_before_takeover(self) -> dict[str, float]:
+        """Return what the predecessor told, as this instance has called no worker."""
+        unanswered = {
+            worker_id: self.until_loop_s(worker_id) - loop_now_s()
+            for worker_id in self._inherited.left_s
+        }
+        if not math.isfinite(self._inherited.former_left_s):
+            unanswered[ANY_WORKER] = 0.0
+        return unanswered
+
     def end(self) -> None:
         """End a term: keep the times that it knows, and nothing that it refers to."""
         self.unanswered = _count_on(self.unanswered())
@@ -104,7 +113,8 @@
         It has then handed over, and stored which of them are longer than granted ones.
         """
         told = self._inherited
-        return math.isfinite(told.former_left_s) and worker_id not in told.left_s
+        has_handed_over = math.isfinite(told.former_left_s)
+        return has_handed_over and not {worker_id, ANY_WORKER} & told.left_s.keys()
 
     def until_loop_s(self, worker_id: str) -> float:
         """Return until when a worker may get a lease by an earlier leader."""
