--- a/features/support/lives_history.py
+++ b/features/support/lives_history.py
@@ -14,7 +14,6 @@
 import logging
 import random
 import sys
-from collections import Counter
 from collections.abc import Callable, Coroutine
 from contextlib import ExitStack
 from typing import Any
@@ -59,8 +58,6 @@
         self.accepted: set[str] = set()
         self.actions: list[tuple[float, str]] = []
         self.findings: list[str] = []
-        # How often a worker has restarted under a subtask, which may be given up then.
-        self.restarts_under: Counter[str] = Counter()
         self._late: dict[str, float] = {}
         world.network.late_s = self._late_s
 
@@ -135,7 +132,7 @@
         while waiting and self.loop.time() < until_s:
             name = self.random.choice(sorted(self.world.instances))
             states = {i: await self.world.state(name, i) for i in waiting}
-            waiting = [i for i in waiting if not self._has_ended(i, states[i])]
+            waiting = [i for i in waiting if states[i] != "completed"]
             await asyncio.sleep(0.3)
         self.findings += [f"{i} is not completed: {states[i]}" for i in waiting]
         running = [t for t in self.world.fleet.running if t.startswith(LASTING)]
@@ -143,13 +140,6 @@
         if LASTING in self.accepted and count < LASTING_COUNT:
             self.findings.append(f"{count} subtasks of {LASTING} run")
 
-    def _has_ended(self, job_id: str, state: str) -> bool:
-        """Return whether a job is completed, or given up as it may crash workers."""
-        crashed = [c for t, c in self.restarts_under.items() if t.startswith(job_id)]
-        return state == "completed" or (
-            state == "failed" and max(crashed, default=0) > 1
-        )
-
     # Workers
 
     async def _restart_and_cut_off(self) -> None:
@@ -160,7 +150,6 @@
         await asyncio.gather(*(self._restart_one(worker) for worker in chosen))
 
     async def _restart_one(self, worker: PlatformWorker) -> None:
-        self.restarts_under.update([*worker.runs])
         dark_s = self.random.uniform(*DARK_S)
         worker.loses_start_answers = self.random.random() < 0.5
         worker.restart_dark(dark_s)
