Show that a late start may run on a later life of its worker beside another run

A start gets no answer. Its worker restarts under its id, and the leader reads that life and has it acknowledge the stop of the run. The run is released and starts on another worker. The worker restarts again, and the late start is the first call that its next life gets: what refused the run ended with the life before.

Cut off from all instances instead, the worker's lease counts as over after 7.9 s, and a start that comes 8 s late is carried out after that.

The scenarios play on virtual time and count the starts that a later life has carried out.

--- /dev/null
+++ b/features/starts_in_later_lives.feature
@@ -0,0 +1,27 @@
+Feature: Starts that a later life of their worker carries out run nothing twice
+  A start without an answer may be carried out seconds later. The worker may have restarted
+  under its id by then, and more than once.
+
+  # Guards against TWICE: a refusal ends with the life that took it.
+  Scenario Outline: A start that comes <late> s late, after a refusal's life, runs nothing twice
+    When a start gets no answer, and its worker restarts and is read by the leader
+    And the worker restarts again, and first gets that start, <late> s late
+    Then that start was carried out by a later life, and nothing runs on two workers
+    And the job completes
+
+    Examples: delays
+      | late |
+      | 4    |
+      | 8    |
+
+  # Guards against TWICE: a late start comes after all leases of the known lives are over.
+  Scenario Outline: A start that comes <late> s late to a worker that is cut off runs nothing twice, <listed>
+    When a start gets no answer, and its worker restarts cut off from all instances, <listed>
+    And the worker restarts again, and first gets that start, <late> s late
+    Then that start was carried out by a later life, and nothing runs on two workers
+    And the job completes
+
+    Examples: delays
+      | late | listed                  |
+      | 8    | its former life listed  |
+      | 8    | its present life listed  |
--- /dev/null
+++ b/features/steps/starts_in_later_lives_steps.py
@@ -0,0 +1,143 @@
+"""Steps about starts that a later life of their worker carries out."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import Any
+
+from behave import then, when
+
+from features.support.lives_world import LivesWorld, run_in_memory
+from features.support.platform_actions import (
+    JOB,
+    other_instance,
+    start_instances,
+    submit,
+)
+from features.support.platform_cluster import job
+
+SEED = 46
+INSTANCE_COUNT = 3
+WORKER_COUNT = 3
+RUN_MS = 15_000
+SOON_S = 0.1
+FIRST_DARK_S = 0.2
+SECOND_DARK_S = 0.25
+READ_LIMIT_S = 3.0
+COMPLETION_LIMIT_S = 60.0
+
+
+@dataclass(frozen=True)
+class Outcome:
+    later_lives_start_count: int
+    violations: list[str]
+    state: str
+
+
+class LateStart:
+    """The first start gets no answer and is carried out ``late_s`` later."""
+
+    def __init__(self, world: LivesWorld, late_s: float) -> None:
+        self._late_s = late_s
+        self._sent = asyncio.Event()
+        self.worker_id = ""
+        self.arrives_s = 0.0
+        world.network.passes_late_calls_on = True
+        world.network.late_s = self._delay
+        self._loop = world.loop
+
+    async def wait_until_sent(self) -> None:
+        await self._sent.wait()
+
+    def _delay(self, machine: str, call: str) -> float:
+        if call != "run-start" or self.worker_id:
+            return 0.0
+        self.worker_id = machine
+        self.arrives_s = self._loop.time() + self._late_s
+        self._sent.set()
+        return self._late_s
+
+
+@when("a start gets no answer, and its worker restarts and is read by the leader")
+def step_read(context: Any) -> None:
+    context.is_cut_off = context.is_present_life_listed = False
+
+
+@when(
+    "a start gets no answer, and its worker restarts cut off from all instances,"
+    " its {life} life listed"
+)
+def step_cut_off(context: Any, life: str) -> None:
+    context.is_cut_off = True
+    context.is_present_life_listed = life == "present"
+
+
+@when("the worker restarts again, and first gets that start, {late_s:g} s late")
+def step_restarts_again(context: Any, late_s: float) -> None:
+    async def main(world: LivesWorld) -> Outcome:
+        return await _play(context, world, late_s)
+
+    logging.disable(logging.CRITICAL)
+    try:
+        context.outcome = run_in_memory(main, SEED)
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+async def _play(context: Any, world: LivesWorld, late_s: float) -> Outcome:
+    late_start = LateStart(world, late_s)
+    await world.open(WORKER_COUNT)
+    leader = await start_instances(world, INSTANCE_COUNT)
+    entry = other_instance(world, leader)
+    assert await submit(world, entry, JOB, job(RUN_MS, count=1)) == 200
+    await late_start.wait_until_sent()
+    await _restart_twice(context, world, late_start)
+    state = await _wait_for_completion(world, entry)
+    assert world.leader() == leader, "the leader changed"
+    count = world.network.later_lives_calls["run-start"]
+    return Outcome(count, world.fleet.violations, state)
+
+
+async def _restart_twice(
+    context: Any, world: LivesWorld, late_start: LateStart
+) -> None:
+    """Restart the worker, and once more shortly before its late start arrives."""
+    worker = next(w for w in world.workers if w.worker_id == late_start.worker_id)
+    links = {(name, worker.worker_id) for name in world.instances}
+    links |= {(target, source) for source, target in links}
+    await asyncio.sleep(SOON_S)
+    if context.is_cut_off:
+        world.network.lost |= links
+    worker.restart_dark(FIRST_DARK_S)
+    worker.is_unlisted = not context.is_present_life_listed
+    if not context.is_cut_off:
+        await world.wait_until(lambda: worker.token, READ_LIMIT_S)
+    await asyncio.sleep(late_start.arrives_s - SOON_S - world.loop.time())
+    worker.restart_dark(SECOND_DARK_S)
+    worker.is_unlisted = not context.is_present_life_listed
+    await asyncio.sleep(SOON_S + SECOND_DARK_S)
+    world.network.lost -= links
+    worker.is_unlisted = False
+
+
+async def _wait_for_completion(world: LivesWorld, entry: str) -> str:
+    """Return the job's state once it is completed, or at the end of the wait."""
+    until_s = world.loop.time() + COMPLETION_LIMIT_S
+    state = ""
+    while state != "completed" and world.loop.time() < until_s:
+        await asyncio.sleep(0.1)
+        state = await world.state(entry, JOB)
+    return state
+
+
+@then("that start was carried out by a later life, and nothing runs on two workers")
+def step_not_twice(context: Any) -> None:
+    assert context.outcome.later_lives_start_count == 1, context.outcome
+    assert not context.outcome.violations, context.outcome
+
+
+@then("the job completes")
+def step_completes(context: Any) -> None:
+    assert context.outcome.state == "completed", context.outcome
--- a/features/support/memory_network.py
+++ b/features/support/memory_network.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from typing import Any
@@ -29,6 +30,7 @@
 
 LATENCY_S = 0.001
 CONNECT_S = 0.5
+HTTP_OK = 200
 
 Headers = tuple[tuple[bytes, bytes], ...]
 Place = tuple[str, int]
@@ -70,7 +72,8 @@
     ``late_s`` returns by how much a call to a machine is carried out late, without an
     answer; it gets the machine and the last part of the call's target. ``life`` returns
     which life of a machine is present: a late call ends with the life to which it was
-    sent, unless ``passes_late_calls_on`` is set.
+    sent, unless ``passes_late_calls_on`` is set. ``later_lives_calls`` counts the calls
+    that a later life carried out instead, by the last part of their target.
     """
 
     passes_late_calls_on = False
@@ -79,6 +82,7 @@
         self.lost: set[tuple[str, str]] = set()
         self.late_s: Callable[[str, str], float] = lambda _machine, _call: 0.0
         self.life: Callable[[str], int] = lambda _machine: 0
+        self.later_lives_calls: Counter[str] = Counter()
         self._loop = loop
         self._servers: dict[Place, tuple[str, Any]] = {}
         self._peers: dict[Place, tuple[str, Any]] = {}
@@ -142,9 +146,11 @@
             return Failure(ClientError(ClientFault.NOT_SENT, "not permitted any more"))
         host = (b"Host", str(address).encode())
         exchange = MemoryExchange(method, target, (host, *headers), body)
-        late_s = self.late_s(machine_of(owner), target.rsplit("/", 1)[-1])
+        call = target.rsplit("/", 1)[-1]
+        late_s = self.late_s(machine_of(owner), call)
         if not self._is_lost(source, owner):
-            self._loop.run_as(owner, self._deliver(owner, handler, exchange, late_s))
+            delivery = self._deliver(owner, handler, exchange, call, late_s)
+            self._loop.run_as(owner, delivery)
         try:
             async with asyncio.timeout(timeout_s):
                 response = await asyncio.shield(exchange.answer)
@@ -158,13 +164,16 @@
         return Success(response)
 
     async def _deliver(
-        self, owner: str, handler: Any, exchange: Any, late_s: float
+        self, owner: str, handler: Any, exchange: Any, call: str, late_s: float
     ) -> None:
         life = self.life(machine_of(owner))
         await asyncio.sleep(LATENCY_S + late_s)
         is_same = self.life(machine_of(owner)) == life
         if is_same or not late_s or self.passes_late_calls_on:
             await handler(exchange)
+            response = await exchange.answer
+            is_carried_out = response is not None and response.status == HTTP_OK
+            self.later_lives_calls[call] += is_carried_out and not is_same
 
     async def _call_peer(
         self,
