Start a subtask nowhere else while its worker may yet carry out a start

Cause: a start without an answer may be carried out seconds later, by a life of its worker that no leader has called. The leader had the life that it read refuse the run, and started the subtask elsewhere. What bars a run ends with the life that was told so; the late start was the first call of the next one. The class: a proof about one life of a worker was taken for a proof about its id.

Now the subtask starts nowhere else for 15 s, and for the limit of leases more while the worker is silent, unless the worker lists the run or isn't listed any more itself. A worker that answers without the run gets the same start again: a number runs once, whichever order comes first. The end as done of such a subtask isn't acknowledged until then, as a late start after an acknowledged end is a second run as well. An answer that can't be read still ends the call, so that nothing comes late after it.

Checks changed, as what they held is no longer so: an unanswered start that isn't listed was to be stopped and started elsewhere, and is to be sent again; after a stop it may start elsewhere only once it can't be carried out. A restarted worker's run counted for the limit of leases, and counts for 12 s more at least. A start that was stopped without an answer is stopped by a cancel. A worker that writes no entries loses its entry, as on the platform.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -28,8 +28,8 @@
   Scenario: An unanswered start uses capacity until its outcome is known
     Given a scheduler with 2 workers of 8 cores
     When a start gets no answer and the worker does not list it
-    Then the run is told to stop and the subtask starts nowhere else
-    And the subtask starts again after the stop was acknowledged and a report arrived
+    Then the run is sent again to its worker and the subtask starts nowhere else
+    And after a stop it starts again only once the first order can't be carried out
 
   Scenario: A start request in flight when its worker restarts is awaited
     Given a scheduler with 2 workers of 8 cores
@@ -152,7 +152,7 @@
     Given a scheduler with 2 workers of 8 cores
     And a start on the first worker gets no answer
     When the first worker reports a newer incarnation without the run
-    Then the run counts until the longest lease of a worker is over
+    Then the run counts until the longest lease of a late start is over
 
   # Guards against TWICE: a successor waits for a lease as from its grant.
   Scenario: A lease that is granted long after a worker's answer ends as soon as any
--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -106,7 +106,7 @@
 
   # Guards against TWICE: what bars a run ends with the life that was told so.
   Scenario: A start that was stopped without an answer is not carried out by the next life
-    When a start gets no answer and is repeated, and the next life of its worker gets it
+    When a start gets no answer and is stopped, and the next life of its worker gets it
     Then the next life refuses it
 
   # Guards against TWICE: the call waited in the next life, whose ends have the same numbers.
--- a/features/starts_in_later_lives.feature
+++ b/features/starts_in_later_lives.feature
@@ -25,3 +25,11 @@
       | late | listed                  |
       | 8    | its former life listed  |
       | 8    | its present life listed  |
+
+  # Guards against TWICE: the next life may carry the first start out after that end.
+  Scenario: The end of a repeated start is acknowledged once the first can't be carried out
+    Given a scheduler with 2 workers of 8 cores
+    When a start gets no answer and the worker does not list it
+    And it is sent again, and its end as done is read
+    Then the job is completed, and that end isn't acknowledged for 12 s
+    And later it is acknowledged
--- a/features/steps/crash_counts_steps.py
+++ b/features/steps/crash_counts_steps.py
@@ -13,6 +13,7 @@
 from cicadatrail_core.jobs.report_rollback import ReportRollback
 from cicadatrail_core.jobs.state import JobState, StepState, SubtaskPhase
 from cicadatrail_core.jobs.worker_leases import count_call, known_clock
+from cicadatrail_core.jobs.worker_state import LATE_START_S
 from features.support.crash_world import CrashWorld
 from features.support.crashing_subtask import (
     DEADLY,
@@ -323,7 +324,7 @@
     count_call(world.scheduler, worker, clock, None, world.now_s)
     world.tick(4.0)
     assert list(worker.runs.values()) == [unanswered]
-    world.tick(3.0)
+    world.tick(LATE_START_S + world.scheduler.settings.longest_lease_s - 3.9)
     assert not worker.runs
 
 
--- a/features/steps/starts_in_later_lives_steps.py
+++ b/features/steps/starts_in_later_lives_steps.py
@@ -9,6 +9,8 @@
 
 from behave import then, when
 
+from cicadatrail_core.jobs.models import EndKind, JobPhase
+from cicadatrail_core.jobs.worker_state import LATE_START_S
 from features.support.lives_world import LivesWorld, run_in_memory
 from features.support.platform_actions import (
     JOB,
@@ -141,3 +143,32 @@
 @then("the job completes")
 def step_completes(context: Any) -> None:
     assert context.outcome.state == "completed", context.outcome
+
+
+@when("it is sent again, and its end as done is read")
+def step_repeated_end(context: Any) -> None:
+    world, run = context.world, context.run
+    assert world.dispatch() == [run]
+    world.carry_out(run)
+    context.sim = world.sims[run.worker.facts.worker_id]
+    context.sim.end(run.subtask.name, EndKind.DONE)
+    world.report_all()
+
+
+@then("the job is completed, and that end isn't acknowledged for {seconds:g} s")
+def step_not_acknowledged(context: Any, seconds: float) -> None:
+    world = context.world
+    assert context.run.subtask.step.job.phase is JobPhase.COMPLETED
+    until_s = world.now_s + seconds
+    while world.now_s < until_s:
+        world.report_all()
+        assert context.run.worker.acknowledged_end == 0
+        assert len(context.sim.ends) == 1
+        world.tick(1.0)
+
+
+@then("later it is acknowledged")
+def step_acknowledged_later(context: Any) -> None:
+    context.world.tick(LATE_START_S)
+    context.world.report_all()
+    assert context.run.worker.acknowledged_end == 1
--- a/features/steps/unnoticed_lives_steps.py
+++ b/features/steps/unnoticed_lives_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from features.standins.platform_fleet import HEARTBEAT_S
 from features.support.platform_actions import (
     JOB,
     other_instance,
@@ -22,6 +23,8 @@
 LATE_S = 3.0
 SLOW_RATE = 0.98
 REPEAT_LIMIT_S = 20.0
+EXPIRY_COUNT = 3
+"""Heartbeat intervals of silence after which the platform removes an entry."""
 
 
 async def _restart(cluster: PlatformCluster) -> None:
@@ -58,9 +61,15 @@
 
 
 async def _cut_off(cluster: PlatformCluster) -> None:
-    """Cut the worker off, and wait until its subtask starts on another one."""
-    cluster.workers[0].unresponsive = True
+    """Cut the worker off, and wait until its subtask starts on another one.
+
+    It writes no entries either, so that the platform removes its last one.
+    """
+    worker = cluster.workers[0]
+    worker.unresponsive = worker.is_unlisted = True
     other = await cluster.add_worker("i-9")
+    await asyncio.sleep(EXPIRY_COUNT * HEARTBEAT_S)
+    cluster.store.put("keyed.servers", worker.worker_id, None)
     await cluster.wait_until(
         lambda: cluster.fleet.worker_starts[other.worker_id], REPEAT_LIMIT_S
     )
@@ -122,7 +131,7 @@
     assert not context.fleet.violations, context.fleet.violations
 
 
-@when("a start gets no answer and is repeated, and the next life of its worker gets it")
+@when("a start gets no answer and is stopped, and the next life of its worker gets it")
 def step_late_start(context: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
         entry = await start_instances(cluster)
@@ -130,8 +139,10 @@
         worker.late_starts_s = LATE_S
         worker.passes_late_starts_on = True
         assert await submit(cluster, entry, JOB, job(LONG_MS, count=1)) == 200
-        await cluster.add_worker("i-9")
-        await cluster.wait_until(lambda: cluster.fleet.starts)
+        await asyncio.sleep(SOON_S)
+        status, _ = await cluster.call(entry, "DELETE", f"/q/{JOB}")
+        assert status == 200
+        await cluster.wait_until(lambda: worker.ended_runs)
         worker.restart()
         await cluster.wait_until(lambda: worker.late_answers)
         context.late_answers = worker.late_answers
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -16,8 +16,10 @@
     give_up_inherited,
     is_start_note_new,
     note_start,
+    together,
     withdraw_start_notes,
 )
+from cicadatrail_core.jobs.late_starts import has_late_start
 from cicadatrail_core.jobs.models import Queue
 from cicadatrail_core.jobs.placement_error import Cursor, PlacementError
 from cicadatrail_core.jobs.reservations import (
@@ -189,14 +191,14 @@
         for position, subtask in enumerate(ready):
             if not within_limit(scheduler, step, 1, unseen):
                 break
-            if not _may_start(scheduler, subtask):
+            if not _may_start(scheduler, subtask, now_s):
                 continue
             closed = room.closed_to(subtask)
             worker = best_worker(
                 scheduler, subtask, workers, closed, room.backfill, now_s
             )
             if worker is None:
-                rest = [s for s in ready[position:] if _may_start(scheduler, s)]
+                rest = [s for s in ready[position:] if _may_start(scheduler, s, now_s)]
                 room.keep(step, _within_limit(scheduler, step, rest, unseen))
                 break
             scheduler.place(subtask, worker, now_s)
@@ -209,10 +211,12 @@
     return not job.inherited or (job.definition.queue, step.spec.lasting) in reconciled
 
 
-def _may_start(scheduler: Scheduler, subtask: Subtask) -> bool:
+def _may_start(scheduler: Scheduler, subtask: Subtask, now_s: float) -> bool:
     """Return whether a ready subtask may start beside others, its limits aside."""
     if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
         return False
+    if has_late_start(scheduler, subtask, now_s):
+        return False
     return scheduler.may_repeat(subtask)
 
 
@@ -285,6 +289,8 @@
         return
     if not step.spec.gang and not scheduler.may_repeat(subtask):
         return
+    if any(has_late_start(scheduler, member, now_s) for member in together(subtask)):
+        return
     choose = partial(_choose_for_suspect, scheduler, subtask, unseen, now_s)
     chosen = choose(placement.candidates(subtask))
     if chosen is None:
@@ -343,6 +349,8 @@
     """Start all subtasks of a gang, or none of them."""
     if not may_start_gang(scheduler, step, unseen):
         return
+    if any(has_late_start(scheduler, member, now_s) for member in step.subtasks):
+        return
     closed = room.closed_to(step.subtasks[0])
     chosen = choose_gang_workers(scheduler, step, workers, closed, now_s)
     if chosen is not None:
--- /dev/null
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/late_starts.py
@@ -0,0 +1,63 @@
+"""Starts without an answer, which their workers may yet carry out.
+
+Nothing bars such a start in a life of its worker that no leader has called. So its
+subtask starts nowhere else until it can't be carried out any more.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cicadatrail_core.jobs.models import EndRow
+from cicadatrail_core.jobs.state import Run, Subtask
+from cicadatrail_core.jobs.worker_state import WorkerState
+
+if TYPE_CHECKING:
+    from cicadatrail_core.jobs.scheduler import Scheduler
+
+
+def may_start_late(scheduler: Scheduler, run: Run, now_s: float) -> bool:
+    """Return whether an unanswered start of a run may yet be carried out."""
+    worker_id = run.worker.facts.worker_id
+    until_s = run.subtask.late_starts.get(worker_id)
+    return until_s is not None and not _is_over(scheduler, worker_id, until_s, now_s)
+
+
+def has_late_start(scheduler: Scheduler, subtask: Subtask, now_s: float) -> bool:
+    """Return whether a worker may yet carry out an unanswered start of a subtask."""
+    if not subtask.late_starts or subtask.step.spec.copies_allowed:
+        return False
+    return any(
+        not _is_over(scheduler, worker_id, until_s, now_s)
+        for worker_id, until_s in subtask.late_starts.items()
+    )
+
+
+def hold_end(worker: WorkerState, row: EndRow, subtask: Subtask) -> None:
+    """Leave an end as done unacknowledged while its subtask may be started late.
+
+    A worker's next life may carry out such a start, and an end that was lost with the
+    life before doesn't count for the platform.
+    """
+    spec = subtask.step.spec
+    if spec.lasting or spec.copies_allowed:
+        return
+    members = subtask.step.subtasks if spec.gang else [subtask]
+    times_s = [until_s for m in members for until_s in m.late_starts.values()]
+    if times_s:
+        worker.hold_end(row.number, max(times_s))
+
+
+def _is_over(
+    scheduler: Scheduler, worker_id: str, until_s: float, now_s: float
+) -> bool:
+    """Return whether a worker can't run a start any more that it may get until then.
+
+    One that isn't listed counts as gone.
+    """
+    worker = scheduler.workers.get(worker_id)
+    if worker is None or not worker.is_listed:
+        return True
+    if worker.answered_s is not None and worker.answered_s > until_s:
+        return True
+    return now_s > until_s + scheduler.settings.longest_lease_s
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/long_waits.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/long_waits.py
@@ -9,6 +9,7 @@
 import logging
 from collections.abc import Iterator, Mapping
 
+from cicadatrail_core.jobs.late_starts import has_late_start
 from cicadatrail_core.jobs.models import Queue
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import (
@@ -164,6 +165,11 @@
             "workers": [worker.facts.worker_id for worker in awaited[:NAMED_COUNT]],
             "left_s": round(left_s, 3),
         }
+    if has_late_start(scheduler, subtask, now_s):
+        return "a worker may yet carry out a start of it", {
+            "workers": [*subtask.late_starts][:NAMED_COUNT],
+            "left_s": round(max(subtask.late_starts.values()) - now_s, 3),
+        }
     if not scheduler.may_repeat(subtask):
         return "its last run may go on, as another leader may have been elected", {}
     count = step.spec.count if step.spec.gang else 1
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -60,6 +60,7 @@
         "stop_acked_s",
         "stop_sent_s",
         "subtask",
+        "unanswered_count",
         "unanswered_s",
         "worker",
     )
@@ -78,6 +79,7 @@
         self.is_proved = False
         self.answered_s: float | None = None
         self.unanswered_s: float | None = None
+        self.unanswered_count = 0
         self.stop_sent_s: float | None = None
         self.stop_acked_s: float | None = None
         # Set when the start order is sent.
@@ -94,11 +96,35 @@
         # None once no stop by that leader can be under way.
         self.inherited_clock_ms: int | None = None
 
-    def mark_unanswered(self, now_s: float) -> None:
-        """Record that the start order got no answer, so the run may have started."""
+    def mark_unanswered(self, now_s: float, is_ended: bool = False) -> None:
+        """Record that it isn't known whether the start order was carried out.
+
+        It may yet be, unless the call ``is_ended``.
+        """
+        self.mark_refused(now_s)
+        if is_ended:
+            return
+        self.unanswered_count += 1
+        until_s = self.worker.note_unanswered_start(self, now_s)
+        self.subtask.late_starts[self.worker.facts.worker_id] = until_s
+
+    def mark_refused(self, now_s: float) -> None:
+        """Record that a repeated start was refused; the first may yet take place."""
         self.is_start_pending = False
         self.unanswered_s = now_s
-        self.worker.note_unanswered_start(self, now_s)
+
+    def mark_listed(self, now_s: float) -> None:
+        """Record that the worker lists the run, or its end, so that it has started."""
+        if self.unanswered_s is not None and self.unanswered_count == 1:
+            # It was the only order that has left.
+            self.subtask.late_starts.pop(self.worker.facts.worker_id, None)
+        self.unanswered_s = None
+        self.answered_s = self.answered_s or now_s
+
+    @property
+    def is_start_unknown(self) -> bool:
+        """Return whether a start without an answer is neither repeated nor stopped."""
+        return self.phase is RunPhase.SENT and self.unanswered_s is not None
 
     @property
     def is_available(self) -> bool:
@@ -119,6 +145,7 @@
         "failed_runs",
         "index",
         "last_run",
+        "late_starts",
         "live_runs",
         "phase",
         "unproven_run",
@@ -149,6 +176,8 @@
         self.start_noted_s: float | None = None
         self.checkpoint = ""
         self.last_run = 0
+        # Until when a worker may carry out an unanswered start, by worker id.
+        self.late_starts: dict[str, float] = {}
         self.ready_s = 0.0
         self.avoided_worker = ""
         self.live_runs: list[Run] = []
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_leases.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from cicadatrail_core.jobs.crash_suspicion import lose_runs
+from cicadatrail_core.jobs.late_starts import may_start_late
 from cicadatrail_core.jobs.log_fields import worker_fields
 from cicadatrail_core.jobs.scheduler_settings import CLOCK_DRIFT, LEASE_MARGIN_S
 from cicadatrail_core.jobs.state import Run, RunPhase
@@ -147,7 +148,9 @@
     over = [
         run
         for run in worker.runs.values()
-        if now_s > lease_end_s(run) and not run.is_start_pending
+        if now_s > lease_end_s(run)
+        and not run.is_start_pending
+        and not may_start_late(scheduler, run, now_s)
     ]
     has_kept = len(over) < len(worker.runs)
     if not worker.is_reconciled and not worker.is_listed and not has_kept:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -17,6 +17,7 @@
     withdraw_crashes,
 )
 from cicadatrail_core.jobs.ejection import record_outcome
+from cicadatrail_core.jobs.late_starts import hold_end
 from cicadatrail_core.jobs.log_fields import worker_fields
 from cicadatrail_core.jobs.models import (
     EndKind,
@@ -27,6 +28,7 @@
     WorkerReport,
 )
 from cicadatrail_core.jobs.scheduler import Scheduler
+from cicadatrail_core.jobs.start_retries import may_retry, retry_start
 from cicadatrail_core.jobs.state import (
     JobState,
     Run,
@@ -67,6 +69,7 @@
     worker.clock_ms = report.clock_ms
     worker.clock_asked_s = sent_s
     worker.clock_at_s = now_s
+    worker.drop_held_ends(now_s)
     has_ends = False
     for row in report.ends:
         if row.number > worker.processed_end:
@@ -105,7 +108,7 @@
         return False
     if run.phase is RunPhase.SENT:
         run.phase = RunPhase.RUNNING
-        run.answered_s = run.answered_s or now_s
+        run.mark_listed(now_s)
     run.is_proved = True
     _settle_inherited(scheduler, run)
     if run.first_progress is None:
@@ -206,6 +209,7 @@
     subtask = job.subtask(row.name) if job is not None else None
     if run is not None:
         subtask = run.subtask
+        run.mark_listed(now_s)
         scheduler.detach(run, row.kind.value)
     if subtask is not None:
         subtask.confirm_ends_up_to(row.run)
@@ -235,6 +239,7 @@
                     subtask.step.spec.estimate_ms,
                     now_s - run.answered_s,
                 )
+            hold_end(worker, row, subtask)
             _apply_done(scheduler, subtask, now_s)
             clear_crashes(scheduler, subtask)
         case EndKind.FAILED if row.run not in subtask.failed_runs:
@@ -308,6 +313,8 @@
         elif run.answered_s is not None and run.answered_s < sent_s:
             scheduler.counts["vanished"] = scheduler.counts.get("vanished", 0) + 1
             scheduler.stop(run)
+        elif may_retry(scheduler, run, sent_s):
+            retry_start(scheduler, run, now_s)
         elif run.start_expires_s < sent_s:
             # The worker refuses a start order that arrives after its deadline.
             scheduler.release(run, now_s, "not listed")
@@ -341,6 +348,7 @@
     )
     worker.clear_unreported_runs()
     worker.processed_end = 0
+    worker.held_ends.clear()
     worker.stored_end = 0
     worker.confirmed_end = 0
     # Calls with a deadline of an earlier life's clock, such as the poll that has been
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
@@ -9,6 +9,9 @@
 from cicadatrail_core.jobs.state import Run
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
+HELD_LIMIT_COUNT = 400
+"""Most ends that are left unacknowledged; a list has 500 at most."""
+
 LATE_START_S = 15.0
 """Time for which a start without an answer may still be carried out."""
 
@@ -29,6 +32,7 @@
         "end_outcomes",
         "facts",
         "failed_s",
+        "held_ends",
         "may_hold_former_lease",
         "may_hold_granted_lease",
         "is_cordoned",
@@ -82,6 +86,9 @@
         self.end_outcomes: list[bool] = []
         self.processed_end = 0
         self.stored_end = 0
+        # Ends as done that aren't acknowledged yet, and until when: after that end the
+        # next life may still carry out an unanswered start of the same subtask.
+        self.held_ends: dict[int, float] = {}
         # The last end of this life that an answered call has acknowledged.
         self.confirmed_end = 0
         self.draining_until_s: float | None = None
@@ -146,10 +153,14 @@
         """Return whether an earlier leader's stop may be under way here."""
         return any(run.inherited_clock_ms is not None for run in self.runs.values())
 
-    def note_unanswered_start(self, run: Run, now_s: float) -> None:
-        """Remember a start that may be carried out late; forget those of long ago."""
+    def note_unanswered_start(self, run: Run, now_s: float) -> float:
+        """Remember a start that may be carried out late; return until when it may be.
+
+        Forgets those of long ago.
+        """
         recent = self.recent_unanswered_starts(now_s)
-        self.unanswered_starts = {(run.subtask.name, run.number): now_s, **recent}
+        self.unanswered_starts = {**recent, (run.subtask.name, run.number): now_s}
+        return now_s + LATE_START_S
 
     def recent_unanswered_starts(
         self, now_s: float
@@ -179,7 +190,25 @@
         anew, and the number from its previous incarnation would make it delete
         ends that were never reported.
         """
-        return 0 if self.is_suspect else self.stored_end
+        if self.is_suspect:
+            return 0
+        first_held = min(self.held_ends, default=self.stored_end + 1)
+        return min(self.stored_end, first_held - 1)
+
+    def hold_end(self, number: int, until_s: float) -> None:
+        """Keep an end listed by not acknowledging it until then."""
+        self.held_ends[number] = until_s
+
+    def drop_held_ends(self, now_s: float) -> None:
+        """Acknowledge ends again for which the time is over, or that are too many.
+
+        A list has a limited number of ends, so that later ones would not be seen.
+        """
+        self.held_ends = {
+            number: until_s
+            for number, until_s in self.held_ends.items()
+            if now_s <= until_s and self.processed_end - number < HELD_LIMIT_COUNT
+        }
 
     def add(self, run: Run) -> None:
         """Add a run and take its resources from the capacity."""
--- a/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
@@ -67,11 +67,13 @@
 class OrderAnswer:
     """Outcome of an order, and the worker's clock if the answer gave it.
 
-    ``clock_ms`` tells which life of the worker has answered.
+    ``clock_ms`` tells which life of the worker has answered. An order that
+    ``is_answered`` isn't carried out later, even if the answer can't be read.
     """
 
     outcome: OrderOutcome
     clock_ms: int | None = None
+    is_answered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,7 +197,7 @@
             response = await self._call(worker, call, body, ORDER_TIMEOUT_S, may_send)
         if isinstance(response, OrderOutcome):
             return OrderAnswer(response)
-        return OrderAnswer(_outcome(response), decode_clock(response.body))
+        return OrderAnswer(_outcome(response), decode_clock(response.body), True)
 
     async def _call(
         self,
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -153,6 +153,7 @@
             # The next answer shows that no stop is under way.
             wait_ms = min(wait_ms, int(scheduler.settings.stop_limit_s * 1000) + 1)
         acknowledged_end = self._acknowledged_end(worker)
+        has_held_ends = bool(worker.held_ends)
         if not is_known or is_behind or has_unanswered_run or acknowledged_end:
             # A call that waits may be taken by the worker's next life, whose ends it
             # must not acknowledge.
@@ -196,6 +197,12 @@
         if self._acknowledged_end(worker):
             # To be acknowledged before the worker can have restarted.
             return
+        has_unknown_start = any(run.is_start_unknown for run in worker.runs.values())
+        if has_held_ends or has_unknown_start:
+            # The worker answers at once while it lists ends, and a start may have to
+            # wait before it is sent again.
+            await asyncio.sleep(LIST_RETRY_S * random.uniform(0.5, 1.5))
+            return
         if wait_ms or acknowledged_end or is_behind or not worker.is_reconciled:
             await asyncio.sleep(LIST_PAUSE_S)
 
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -17,7 +17,7 @@
     renew_lease,
 )
 from cicadatrail_core.jobs.worker_state import WorkerState
-from cicadatraild.platform.workers import OrderOutcome, WorkerClient
+from cicadatraild.platform.workers import OrderAnswer, OrderOutcome, WorkerClient
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.leadership import Leadership
 from cicadatraild.scheduling.worker_lives import WorkerLives, age_s
@@ -45,6 +45,13 @@
 }
 """Outcomes of a start after which the subtask has not run and will not run."""
 
+GIVEN_UP_OUTCOMES = {
+    OrderOutcome.NO_CAPACITY,
+    OrderOutcome.NO_TICKET,
+    OrderOutcome.INVALID,
+}
+"""Refusals of a repeated start after which it isn't tried again."""
+
 CARRIED_OUT_OUTCOMES = {
     OrderOutcome.DONE,
     OrderOutcome.OLD,
@@ -147,17 +154,18 @@
         """Send a start while its worker is in the life that the run was placed on."""
         worker = run.worker
         born_unix_ms = worker.born_unix_ms
-        outcome = OrderOutcome.NOT_SENT
+        answer = OrderAnswer(OrderOutcome.NOT_SENT)
         for _ in range(START_TRY_COUNT):
             is_known_life = await self.lives.confirm(worker)
             if not is_known_life or worker.born_unix_ms != born_unix_ms:
                 break
-            outcome = await self._send_start(run)
-            if outcome is not OrderOutcome.NOT_SENT or self.lives.is_same(worker):
+            answer = await self._send_start(run)
+            was_sent = answer.outcome is not OrderOutcome.NOT_SENT
+            if was_sent or self.lives.is_same(worker):
                 break
-        self._apply_start_outcome(run, outcome, loop_now_s())
+        self._apply_start_outcome(run, answer, loop_now_s())
 
-    async def _send_start(self, run: Run) -> OrderOutcome:
+    async def _send_start(self, run: Run) -> OrderAnswer:
         """Send a start, unless its worker may have restarted since its last answer."""
         scheduler = self._scheduler
         worker = run.worker
@@ -165,7 +173,7 @@
         clock = known_clock(worker)
         deadline_ms = renew_lease(scheduler, worker, now_s)
         if deadline_ms is None or clock is None:
-            return OrderOutcome.NOT_SENT
+            return OrderAnswer(OrderOutcome.NOT_SENT)
         run.start_expires_s = worker.lease_expires_s
         subtask = run.subtask
         self.start_count += 1
@@ -210,15 +218,13 @@
         if clock.has_begun_anew(answer.clock_ms):
             # Nothing is sent to the new life before its lists are read.
             worker.mark_failed(now_s)
-        return answer.outcome
+        return answer
 
-    def _apply_start_outcome(
-        self, run: Run, outcome: OrderOutcome, now_s: float
-    ) -> None:
+    def _apply_start_outcome(self, run: Run, answer: OrderAnswer, now_s: float) -> None:
         scheduler = self._scheduler
         worker = run.worker
         run.is_start_pending = False
-        match outcome:
+        match answer.outcome:
             case OrderOutcome.DONE:
                 run.answered_s = now_s
                 if run.phase is RunPhase.SENT:
@@ -228,6 +234,12 @@
                 self._step_down(f"worker {worker.facts.worker_id} refused a start")
             case OrderOutcome.WRONG_WORKER:
                 scheduler.remove_worker(worker.facts.worker_id, now_s, "replaced")
+            case refusal if refusal in REFUSAL_OUTCOMES and run.unanswered_count:
+                if run.phase is RunPhase.SENT:
+                    # An earlier order of it may yet be carried out.
+                    run.mark_refused(now_s)
+                if refusal in GIVEN_UP_OUTCOMES:
+                    scheduler.stop(run)
             case refusal if refusal in REFUSAL_OUTCOMES:
                 is_unhealthy = refusal in (OrderOutcome.BUSY, OrderOutcome.INVALID)
                 if is_unhealthy or not self._is_fenced_for(worker):
@@ -242,7 +254,7 @@
                 if run.subtask.step.spec.gang:
                     _stop_gang(scheduler, run)
             case _:
-                run.mark_unanswered(now_s)
+                run.mark_unanswered(now_s, answer.is_answered)
                 run.subtask.avoided_worker = worker.facts.worker_id
 
     async def _pace(self, run: Run, percent: int) -> None:
