Store the start of a long-running subtask before it leaves

Callers saw a long-running subtask run on two workers. Its start was under way as its leader was killed, and a later life of its worker took it, with a lease up to the limit. The successor knew nothing of it. It lets long-running subtasks wait for granted leases alone, as they have to run again soon, so it repeated the start 2.6 to 4.6 s too early.

Now the leader stores each long-running subtask with its worker ('lasting-starts') and waits for the append before the start leaves; the worker's life, the lease and whether the run is still wanted are checked after that, as before. The row goes once an answer or a list has proved the run, or the run is over. A successor lets just these subtasks wait, and gangs with such a member, until the worker has answered, is proved gone or is past the limit. It keeps their rows until then, as it may be killed in turn. Where the worker or the subtask isn't known the job waits; where the record can't be read all long-running subtasks do. Other starts make no call to the store. While the store is away long-running starts wait.

--- a/features/steps/unnoticed_lives_steps.py
+++ b/features/steps/unnoticed_lives_steps.py
@@ -45,14 +45,16 @@
     context.restart = restart
 
 
-async def _take_start(context: Any, cluster: PlatformCluster, answer: str) -> str:
+async def _take_start(
+    context: Any, cluster: PlatformCluster, answer: str, **step: Any
+) -> str:
     """Let the worker's new life take a start; return the leader that sent it."""
     leader = await start_instances(cluster, 3)
     await context.restart(cluster)
     (worker,) = cluster.workers
     worker.loses_start_answers = answer == "whose answer gets lost"
     entry = other_instance(cluster, leader)
-    assert await submit(cluster, entry, JOB, job(LONG_MS, count=1)) == 200
+    assert await submit(cluster, entry, JOB, job(LONG_MS, count=1, **step)) == 200
     await cluster.wait_until(lambda: cluster.fleet.starts)
     return leader
 
@@ -80,8 +82,21 @@
     " and it is cut off"
 )
 def step_leader_killed(context: Any, answer: str, seconds: float) -> None:
+    _kill_leader(context, answer, seconds)
+
+
+@when(
+    "it takes a long-running start, its leader is killed {seconds:g} s later"
+    " and it is cut off"
+)
+def step_lasting_leader_killed(context: Any, seconds: float) -> None:
+    step = {"long-running": True}
+    _kill_leader(context, "whose answer gets lost", seconds, **step)
+
+
+def _kill_leader(context: Any, answer: str, seconds: float, **step: Any) -> None:
     async def scenario(cluster: PlatformCluster) -> None:
-        leader = await _take_start(context, cluster, answer)
+        leader = await _take_start(context, cluster, answer, **step)
         await asyncio.sleep(seconds)
         cluster.workers[0].unresponsive = True
         await cluster.kill(leader)
--- a/features/support/outer_names.py
+++ b/features/support/outer_names.py
@@ -293,11 +293,18 @@
     scheduler.accept("new", _plain_job(), 0.0)
     scheduler.jobs["begun"] = _begin_job("begun")
     scheduler.changed_jobs = dict.fromkeys(("new", "begun"))
+    # What is collected holds its start until it is stored.
+    run = scheduler.place(
+        _begin_job("lasting").occurrences[1][0].subtasks[2], worker, 0
+    )
+    storing = asyncio.create_task(leader_records.lasting_starts.store(run))
+    await asyncio.sleep(0)
     # The order of a worker's amounts.
     capacity = Resources(cpu_millicores=1, memory_mib=2, accelerator_count=3)
     entries: dict[str, Any] = {"amounts": astuple(capacity)}
     for record in leader_records.collect()[0]:
         entries[record.key] = Coded(None, record.value or b"", bytes)
+    storing.cancel()
     return entries
 
 
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -213,6 +213,8 @@
     """Return whether a ready subtask may start beside others, its limits aside."""
     if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
         return False
+    if subtask.may_run_unseen:
+        return False
     return scheduler.may_repeat(subtask)
 
 
@@ -274,7 +276,7 @@
 ) -> None:
     """Start a suspect, or the gang that it belongs to, apart from other runs."""
     step = subtask.step
-    if not _is_reconciled(step, reconciled):
+    if not _is_reconciled(step, reconciled) or subtask.may_run_unseen:
         return
     if give_up_inherited(scheduler, subtask, now_s):
         return
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -122,6 +122,7 @@
         "live_runs",
         "phase",
         "unproven_run",
+        "unseen_on",
         "previous_end",
         "ready_s",
         "start_noted_s",
@@ -135,6 +136,8 @@
         # The newest run that counts as over though another leader may have been
         # elected, which may know better; 0 if there is none.
         self.unproven_run = 0
+        # Workers that may have taken a start of which only an earlier leader knew.
+        self.unseen_on: tuple[WorkerState, ...] = ()
         # How the newest run that is over ended, for the log of the next start.
         self.previous_end = ""
         self.phase = SubtaskPhase.WAITING
@@ -158,6 +161,11 @@
         """Return the number of runs that failed or may have failed unreported."""
         return len(self.failed_runs | self.expired_runs)
 
+    @property
+    def may_run_unseen(self) -> bool:
+        """Return whether a worker that has not answered may run the subtask."""
+        return any(worker.may_hold_former_lease for worker in self.unseen_on)
+
     def confirm_ends_up_to(self, run_number: int) -> None:
         """Count runs up to this one as over or known: a worker has told of it."""
         if run_number >= self.unproven_run:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/takeover.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/takeover.py
@@ -38,7 +38,8 @@
     """Return whether every worker is known on which a queue's jobs may run.
 
     Long-running subtasks, for which ``for_lasting`` asks, don't wait for starts of
-    which only a killed leader knew: they are at work nearly always as it is killed.
+    which only a killed leader knew: those few that it had under way are stored, and
+    each waits by itself (``Subtask.may_run_unseen``).
     """
     has_expired = has_expired_granted_lease if for_lasting else has_expired_lease
     pools = scheduler.queue_pools.of(queue)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_choice.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_choice.py
@@ -60,6 +60,8 @@
         return False
     if not all(scheduler.may_repeat(member) for member in members):
         return False
+    if any(member.may_run_unseen for member in members):
+        return False
     # The members of a run share its number; one that ended unreported may have failed.
     unreported = {number for member in members for number in member.expired_runs}
     attempt_count = step.gang_failures + len(unreported)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/former_leases.py
@@ -108,11 +108,17 @@
 
         Their subtasks may run on workers that aren't known.
         """
-        self._held_jobs = list(jobs)
-        for job in self._held_jobs:
+        held = list(jobs)
+        self._held_jobs += held
+        for job in held:
             job.held_until_s = float("inf")
         self.update()
 
+    @property
+    def holds_jobs(self) -> bool:
+        """Return whether jobs wait for workers that aren't known."""
+        return bool(self._held_jobs)
+
     def update(self) -> None:
         """Apply the present bound to the workers whose lists have not been read."""
         if not self._awaited and not self._held_jobs:
@@ -124,6 +130,10 @@
             is_present = self._scheduler.workers.get(worker_id) is worker
             if not is_present or worker.is_reconciled:
                 del self._awaited[worker_id]
+                if not is_present:
+                    # Nothing waits for it any more.
+                    worker.may_hold_former_lease = False
+                    self._scheduler.on_change()
                 continue
             if worker.answered_s is None:
                 if worker.is_listed_in_later_life:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader.py
@@ -125,6 +125,7 @@
         )
         self._client = WorkerClient(epoch, self.may_start)
         self.orders = WorkerOrders(self.scheduler, self._client, leadership)
+        self.orders.store_lasting_start = self._records.lasting_starts.store
         self.links = WorkerLinks(
             self.scheduler, self._client, self.journal, leadership, self.orders
         )
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -32,6 +32,10 @@
 )
 from cicadatraild.scheduling.former_leases import FormerLeases
 from cicadatraild.scheduling.journal import Batch
+from cicadatraild.scheduling.lasting_starts import (
+    LASTING_STARTS_KEY,
+    LastingStarts,
+)
 from cicadatraild.scheduling.long_leases import LONG_LEASES_KEY, LongLeases
 from cicadatraild.scheduling.machine_inventory import MachineInventory
 from cicadatraild.scheduling.maintenance import WaveRunner
@@ -53,8 +57,8 @@
     There are records of each job's definition and its progress, of the queues of jobs,
     of the machines that a wave has started on, of the workers that may run subtasks,
     of those whose machine has got an order and that may still be listed, of those whose
-    leases may last longer than granted ones, and of the machines that may recently have
-    got an order.
+    leases may last longer than granted ones, of the long-running subtasks whose start
+    isn't proved, and of the machines that may recently have got an order.
     """
 
     def __init__(self, scheduler: Scheduler, former_leases: FormerLeases) -> None:
@@ -66,6 +70,7 @@
         self._changed_waves = False
         self._queues = QueueRecords(scheduler)
         self._long_leases = LongLeases(scheduler)
+        self.lasting_starts = LastingStarts(scheduler, former_leases)
         self._inventory: MachineInventory
         self._waves: WaveRunner
         self._turns: TurnRecords | None = None
@@ -98,6 +103,7 @@
             or self._has_fleet_changes()
             or self._queues.has_changes()
             or self._long_leases.has_changes(loop_now_s())
+            or self.lasting_starts.has_changes()
             or self._unneeded_definitions()
         )
 
@@ -117,6 +123,9 @@
         scheduler = self._scheduler
         # Before the workers, as an append may be split.
         records = self._long_leases.collect(loop_now_s())
+        # A start that is proved may count as a long lease from then on.
+        starts, on_starts_stored = self.lasting_starts.collect()
+        records += starts
         if self._has_fleet_changes():
             self._fleet = self._lives()
             records += encode_fleet(scheduler.workers.values())
@@ -162,6 +171,7 @@
         def on_stored() -> None:
             now_s = loop_now_s()
             on_queues_stored()
+            on_starts_stored()
             for job, phase in ended:
                 job.stored_phase = phase
                 if phase is JobPhase.CANCELLED:
@@ -244,6 +254,7 @@
             self._former_leases.hold_jobs(jobs)
         for job in jobs:
             self._activate(job, now_s)
+        self.lasting_starts.restore(values.get(LASTING_STARTS_KEY), jobs)
         return now_s if has_fleet else self._former_leases.end_s
 
     def _activate(self, job: JobState, now_s: float) -> None:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Awaitable, Callable
 
 from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.ejection import eject
@@ -71,6 +72,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.lives = WorkerLives(client)
         self.start_count = 0
+        # Waits until the start of a long-running subtask is stored; set by the leader.
+        self.store_lasting_start: Callable[[Run], Awaitable[None]] = _store_nothing
 
     def send(self) -> None:
         """Send the starts and stops that the scheduler has decided on."""
@@ -148,6 +151,10 @@
         worker = run.worker
         born_unix_ms = worker.born_unix_ms
         outcome = OrderOutcome.NOT_SENT
+        is_lasting = run.subtask.step.spec.lasting
+        if is_lasting:
+            # A successor must know of it if this leader is killed meanwhile.
+            await self.store_lasting_start(run)
         for _ in range(START_TRY_COUNT):
             is_known_life = await self.lives.confirm(worker)
             if not is_known_life or worker.born_unix_ms != born_unix_ms:
@@ -156,6 +163,9 @@
             if outcome is not OrderOutcome.NOT_SENT or self.lives.is_same(worker):
                 break
         self._apply_start_outcome(run, outcome, loop_now_s())
+        if is_lasting:
+            # So that its record is dropped soon.
+            self._scheduler.on_change()
 
     async def _send_start(self, run: Run) -> OrderOutcome:
         """Send a start, unless its worker may have restarted since its last answer."""
@@ -332,6 +342,10 @@
             await asyncio.sleep(STOP_RETRY_S * random.uniform(0.5, 1.5))
 
 
+async def _store_nothing(run: Run) -> None:
+    """Let a start leave that no successor has to know of."""
+
+
 def _is_wanted(run: Run) -> bool:
     """Return whether a start that was queued may still be sent."""
     if run.phase is not RunPhase.SENT or run not in run.subtask.live_runs:
