--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -215,7 +215,7 @@
     """Return whether a ready subtask may start beside others, its limits aside."""
     if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
         return False
-    if has_late_start(scheduler, subtask, now_s):
+    if subtask.may_run_unseen or has_late_start(scheduler, subtask, now_s):
         return False
     return scheduler.may_repeat(subtask)
 
@@ -278,7 +278,7 @@
 ) -> None:
     """Start a suspect, or the gang that it belongs to, apart from other runs."""
     step = subtask.step
-    if not _is_reconciled(step, reconciled):
+    if not _is_reconciled(step, reconciled) or subtask.may_run_unseen:
         return
     if give_up_inherited(scheduler, subtask, now_s):
         return
