--- a/features/starts_in_later_lives.feature
+++ b/features/starts_in_later_lives.feature
@@ -13,6 +13,14 @@
       | late |
       | 4    |
       | 8    |
+      | 12   |
+
+  # Guards against TWICE: a stop that was acknowledged ends with the life that did so.
+  Scenario: A start that comes 8 s late, after one restart, runs nothing twice
+    When a start gets no answer, and its worker goes on answering other calls
+    And the worker restarts, and first gets that start, 8 s late
+    Then that start was carried out by a later life, and nothing runs on two workers
+    And the job completes
 
   # Guards against TWICE: a late start comes after all leases of the known lives are over.
   Scenario Outline: A start that comes <late> s late to a worker that is cut off runs nothing twice, <listed>
@@ -25,6 +33,7 @@
       | late | listed                  |
       | 8    | its former life listed  |
       | 8    | its present life listed  |
+      | 12   | its present life listed  |
 
   # Guards against TWICE: the next life may carry the first start out after that end.
   Scenario: The end of a repeated start is acknowledged once the first can't be carried out
