Run a long-running subtask again at once on the worker that may start it late

A subtask whose first start may yet be carried out waited for up to 15 s once its worker restarted, and a scheduling pass followed only with the next change. A long-running one has to run again within seconds (LOST). Its start is sent to the same worker once more, under its number: that life runs it once, whichever order comes first. After a further restart it waits, as the start may have crashed the worker. Each tick leads to a pass while a subtask waits for such a start. Starts of speculative steps, which may run in parallel, are not waited for.

--- a/features/starts_in_later_lives.feature
+++ b/features/starts_in_later_lives.feature
@@ -42,3 +42,10 @@
     And it is sent again, and its end as done is read
     Then the job is completed, and that end isn't acknowledged for 12 s
     And later it is acknowledged
+
+  # Guards against LOST: it has to run again within seconds.
+  Scenario: A long-running subtask runs again at once on the worker that may start it late
+    Given a scheduler with 2 workers of 8 cores
+    When a long-running start gets no answer, and the repeated one is lost with its worker's life
+    Then the start is sent to that worker once more, under its number, and to no other
+    And after another restart nothing starts it for 12 s, and then a worker does
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -200,10 +200,14 @@
     context.run.stop_acked_s = world.now_s
     world.now_s += 0.01
     assert world.dispatch() == []
+    changes: list[float] = []
+    world.scheduler.on_change = lambda: changes.append(world.now_s)
     while world.now_s < sent_s + LATEST_START_S:
         world.report_all()
         assert world.dispatch() == []
+        changes.clear()
         world.tick(1.0)
+        assert changes, "no scheduling pass would follow"
     assert not context.run.subtask.live_runs
     world.tick(LATE_START_S - LATEST_START_S)
     world.report_all()
--- a/features/steps/starts_in_later_lives_steps.py
+++ b/features/steps/starts_in_later_lives_steps.py
@@ -10,7 +10,9 @@
 from behave import then, when
 
 from cicadatrail_core.jobs.models import EndKind, JobPhase
+from cicadatrail_core.jobs.worker_leases import renew_lease
 from cicadatrail_core.jobs.worker_state import LATE_START_S
+from features.support.job_world import definition
 from features.support.lives_world import LivesWorld, run_in_memory
 from features.support.platform_actions import (
     JOB,
@@ -179,3 +181,58 @@
     context.world.tick(LATE_START_S)
     context.world.report_all()
     assert context.run.worker.acknowledged_end == 1
+
+
+def _lose_life(context: Any) -> None:
+    world, run = context.world, context.run
+    sim = world.sims[run.worker.facts.worker_id]
+    sim.running.clear()
+    sim.started_ms += 1
+    world.now_s += SOON_S
+    world.scheduler.update_worker(world.facts(sim), world.now_s)
+    for _ in range(2):
+        world.report_all()
+
+
+@when(
+    "a long-running start gets no answer, and the repeated one is lost with its"
+    " worker's life"
+)
+def step_lasting_lost(context: Any) -> None:
+    world = context.world
+    world.submit(JOB, definition(1, lasting=True))
+    (context.run,) = world.dispatch()
+    renew_lease(world.scheduler, context.run.worker, world.now_s)
+    context.run.start_expires_s = context.run.worker.lease_expires_s
+    context.run.mark_unanswered(world.now_s)
+    world.now_s += SOON_S
+    world.report_all()
+    assert world.dispatch() == [context.run]
+    world.carry_out(context.run)
+    world.report_all()
+    _lose_life(context)
+
+
+@then("the start is sent to that worker once more, under its number, and to no other")
+def step_lasting_repeated(context: Any) -> None:
+    assert context.world.stops() == []
+    assert context.world.dispatch() == [context.run]
+    assert context.run.subtask.live_runs == [context.run]
+
+
+@then(
+    "after another restart nothing starts it for {seconds:g} s, and then a worker does"
+)
+def step_lasting_waits(context: Any, seconds: float) -> None:
+    world = context.world
+    world.carry_out(context.run)
+    world.report_all()
+    _lose_life(context)
+    until_s = world.now_s + seconds
+    while world.now_s < until_s:
+        world.report_all()
+        assert world.dispatch() == []
+        world.tick(1.0)
+    world.tick(LATE_START_S)
+    world.report_all()
+    assert len(world.dispatch()) == 1
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -19,7 +19,7 @@
     together,
     withdraw_start_notes,
 )
-from cicadatrail_core.jobs.late_starts import has_late_start
+from cicadatrail_core.jobs.late_starts import awaits_late_start
 from cicadatrail_core.jobs.models import Queue
 from cicadatrail_core.jobs.placement_error import Cursor, PlacementError
 from cicadatrail_core.jobs.reservations import (
@@ -95,6 +95,7 @@
 
     Raises PlacementError when one job fails; the other jobs' runs stay placed.
     """
+    scheduler.awaits_late_start = False
     ready = list(_ready_steps(scheduler, now_s))
     if not ready:
         forget_reservations(scheduler, ())
@@ -215,7 +216,7 @@
     """Return whether a ready subtask may start beside others, its limits aside."""
     if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
         return False
-    if subtask.may_run_unseen or has_late_start(scheduler, subtask, now_s):
+    if subtask.may_run_unseen or awaits_late_start(scheduler, subtask, now_s):
         return False
     return scheduler.may_repeat(subtask)
 
@@ -289,7 +290,7 @@
         return
     if not step.spec.gang and not scheduler.may_repeat(subtask):
         return
-    if any(has_late_start(scheduler, member, now_s) for member in together(subtask)):
+    if any(awaits_late_start(scheduler, member, now_s) for member in together(subtask)):
         return
     choose = partial(_choose_for_suspect, scheduler, subtask, unseen, now_s)
     chosen = choose(placement.candidates(subtask))
@@ -349,7 +350,7 @@
     """Start all subtasks of a gang, or none of them."""
     if not may_start_gang(scheduler, step, unseen):
         return
-    if any(has_late_start(scheduler, member, now_s) for member in step.subtasks):
+    if any(awaits_late_start(scheduler, member, now_s) for member in step.subtasks):
         return
     closed = room.closed_to(step.subtasks[0])
     chosen = choose_gang_workers(scheduler, step, workers, closed, now_s)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/late_starts.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/late_starts.py
@@ -25,7 +25,7 @@
 
 def has_late_start(scheduler: Scheduler, subtask: Subtask, now_s: float) -> bool:
     """Return whether a worker may yet carry out an unanswered start of a subtask."""
-    if not subtask.late_starts or subtask.step.spec.copies_allowed:
+    if not subtask.late_starts:
         return False
     return any(
         not _is_over(scheduler, worker_id, until_s, now_s)
@@ -33,6 +33,13 @@
     )
 
 
+def awaits_late_start(scheduler: Scheduler, subtask: Subtask, now_s: float) -> bool:
+    """Return the same, and have the next tick lead to another scheduling pass if so."""
+    is_awaited = has_late_start(scheduler, subtask, now_s)
+    scheduler.awaits_late_start |= is_awaited
+    return is_awaited
+
+
 def hold_end(worker: WorkerState, row: EndRow, subtask: Subtask) -> None:
     """Leave an end as done unacknowledged while its subtask may be started late.
 
@@ -40,7 +47,7 @@
     life before doesn't count for the platform.
     """
     spec = subtask.step.spec
-    if spec.lasting or spec.copies_allowed:
+    if spec.lasting:
         return
     members = subtask.step.subtasks if spec.gang else [subtask]
     times_s = [until_s for m in members for until_s in m.late_starts.values()]
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -74,6 +74,7 @@
         # Subtasks that may have crashed a worker.
         self.suspects: dict[SubtaskName, Subtask] = {}
         self.is_handing_over = False
+        self.awaits_late_start = False
         # Since when each pool has had a worker reserved.
         self.reserved_since_s: dict[str, float] = {}
         # How teams and queues were served lately, and when that was read.
@@ -152,10 +153,9 @@
         if reason in ORDER_REASONS:
             self.ended_lives.add(worker, now_s)
         worker.clear_unreported_runs()
-        fields = worker_fields(worker)
         logger.info(
             "scheduler: worker removed; releasing its runs.",
-            extra={**fields, "reason": reason},
+            extra={**worker_fields(worker), "reason": reason},
         )
         lose_runs(self, worker, list(worker.runs.values()), reason, now_s)
         self.on_change()
@@ -164,8 +164,7 @@
 
     def accept(self, job_id: str, definition: JobDefinition, now_s: float) -> JobState:
         """Add a new job, which must be stored before any of it runs."""
-        job = JobState(job_id, definition, now_s)
-        self.jobs[job_id] = job
+        job = self.jobs[job_id] = JobState(job_id, definition, now_s)
         return job
 
     def discard(self, job_id: str) -> None:
@@ -386,7 +385,8 @@
         expire_leases(self, now_s)
         self.queue_pools.drop_unused(self, now_s)
         drop_ended_suspects(self)
-        if self.suspects or self.reserved_since_s or self.kept_starts:
+        timed = (self.suspects, self.reserved_since_s, self.kept_starts)
+        if any(timed) or self.awaits_late_start:
             # Workers that were kept for a suspect or reserved become free with time.
             self.on_change()
         since_s, self.ticked_s = self.ticked_s, now_s
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -46,6 +46,7 @@
         "answered_s",
         "apart_until_s",
         "first_progress",
+        "has_moved_life",
         "inherited_clock_ms",
         "is_proved",
         "is_start_pending",
@@ -80,6 +81,8 @@
         self.answered_s: float | None = None
         self.unanswered_s: float | None = None
         self.unanswered_count = 0
+        # It was started again in a later life of its worker.
+        self.has_moved_life = False
         self.stop_sent_s: float | None = None
         self.stop_acked_s: float | None = None
         # Set when the start order is sent.
@@ -99,10 +102,11 @@
     def mark_unanswered(self, now_s: float, is_ended: bool = False) -> None:
         """Record that it isn't known whether the start order was carried out.
 
-        It may yet be, unless the call ``is_ended``.
+        It may yet be, unless the call ``is_ended``, which matters if only one run may
+        be under way.
         """
         self.mark_refused(now_s)
-        if is_ended:
+        if is_ended or self.subtask.step.spec.copies_allowed:
             return
         self.unanswered_count += 1
         until_s = self.worker.note_unanswered_start(self, now_s)
@@ -113,6 +117,14 @@
         self.is_start_pending = False
         self.unanswered_s = now_s
 
+    def mark_lost(self, now_s: float) -> None:
+        """Record that the worker has restarted, and may yet get the order again."""
+        self.phase = RunPhase.SENT
+        self.is_proved = False
+        self.answered_s, self.unanswered_s = None, now_s
+        self.start_expires_s = float("inf")
+        self.percent, self.first_progress = 0, None
+
     def mark_listed(self, now_s: float) -> None:
         """Record that the worker lists the run, or its end, so that it has started."""
         if self.unanswered_s is not None and self.unanswered_count == 1:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -28,7 +28,7 @@
     WorkerReport,
 )
 from cicadatrail_core.jobs.scheduler import Scheduler
-from cicadatrail_core.jobs.start_retries import may_retry, retry_start
+from cicadatrail_core.jobs.start_retries import may_keep_lost, may_retry, retry_start
 from cicadatrail_core.jobs.state import (
     JobState,
     Run,
@@ -377,7 +377,9 @@
                 # The clock of the new incarnation starts anew.
                 run.inherited_clock_ms = report.clock_ms
             continue
-        if is_answered:
+        if is_answered and may_keep_lost(scheduler, run, now_s):
+            run.mark_lost(sent_s)
+        elif is_answered:
             lost.append(run)
         elif run.answered_s is None:
             kept.append(run)
