--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -37,6 +37,13 @@
     Then the subtask starts nowhere else while the request is in flight
     And the run counts once the new incarnation has received the request
 
+  # Guards against polls without a pause for as long as the run lasts.
+  Scenario: A start that is listed before its call ends unanswered is not polled for
+    Given a scheduler with 2 workers of 8 cores
+    When a start is listed before its call ends without an answer
+    Then the run counts as running
+    And nothing is polled for its outcome
+
   Scenario: An unanswered start that the worker lists is running
     Given a scheduler with 2 workers of 8 cores
     When a start gets no answer and the worker lists it as running
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -227,6 +227,23 @@
     world.report_all()
 
 
+@when("a start is listed before its call ends without an answer")
+def step_listed_first(context: Any) -> None:
+    world = context.world
+    world.submit(JOB, definition(1))
+    (context.run,) = world.dispatch()
+    sim = world.sims[context.run.worker.facts.worker_id]
+    sim.running[context.run.subtask.name] = context.run.number
+    world.report_all()
+    context.run.mark_unanswered(world.now_s)
+
+
+@then("nothing is polled for its outcome")
+def step_not_polled(context: Any) -> None:
+    assert context.run.unanswered_s is None
+    assert not context.run.is_start_unknown
+
+
 @then("the run counts as running")
 def step_is_running(context: Any) -> None:
     assert context.run.phase is RunPhase.RUNNING
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -115,7 +115,8 @@
     def mark_refused(self, now_s: float) -> None:
         """Record that a repeated start was refused; the first may yet take place."""
         self.is_start_pending = False
-        self.unanswered_s = now_s
+        if self.phase is not RunPhase.RUNNING:
+            self.unanswered_s = now_s
 
     def mark_lost(self, now_s: float) -> None:
         """Record that the worker has restarted, and may yet get the order again."""
