Send an unanswered start to its restarted worker once more

The new life now gets the same start again, as that of a long-running subtask does: it runs the number once. The worker starts nothing else beside it for a quarter of a second, as the start may have crashed it. After another restart it is stopped, as before, and waits.

The scenario of jobs.feature asked for a stop after the first restart; it asks for the repeated start now, and for the stop after the second one.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -146,8 +146,8 @@
     Given a scheduler with 2 workers of 8 cores
     And a start on the first worker gets no answer
     When the first worker reports a newer incarnation without the run
-    Then the subtask is not ready, and the run is ordered to stop
-    And it is ready once the stop is acknowledged and another report lacks the run
+    Then the subtask is not ready, and the start is sent to that incarnation again
+    And after another restart it is stopped, and ready once the stop is acknowledged
 
   Scenario: A start that a restarted worker answered after its report is kept
     Given a scheduler with 2 workers of 8 cores
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/start_retries.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/start_retries.py
@@ -7,6 +7,7 @@
 
 import logging
 
+from cicadatrail_core.jobs.crash_suspicion import PROMPT_S
 from cicadatrail_core.jobs.late_starts import may_start_late
 from cicadatrail_core.jobs.log_fields import worker_fields
 from cicadatrail_core.jobs.scheduler import Scheduler
@@ -20,28 +21,20 @@
     """Return whether a run that its worker doesn't list is to be started there again.
 
     ``sent_s`` is when the list was asked for. A worker that has restarted since the
-    order may have been crashed by it. Long-running subtasks have to run again soon, so
-    that these are tried once more all the same.
+    order may have been crashed by it, so that its later lives get it once more only.
     """
     if not run.is_start_unknown or (run.unanswered_s or 0.0) >= sent_s:
         return False
     if not may_start_late(scheduler, run, sent_s):
         return False
-    return not _is_of_former_life(run) or _may_move_life(run)
+    return not (run.is_of_former_life and run.has_moved_life)
 
 
 def may_keep_lost(scheduler: Scheduler, run: Run, now_s: float) -> bool:
     """Return whether a run that a restarted worker has lost is to be started there."""
-    return may_start_late(scheduler, run, now_s) and _may_move_life(run)
-
-
-def _is_of_former_life(run: Run) -> bool:
-    return run.start_expires_s == float("inf")
-
-
-def _may_move_life(run: Run) -> bool:
-    is_wanted = run.phase is not RunPhase.STOPPING and not run.has_moved_life
-    return is_wanted and run.subtask.step.spec.lasting
+    if run.phase is RunPhase.STOPPING or run.has_moved_life:
+        return False
+    return may_start_late(scheduler, run, now_s)
 
 
 def retry_start(scheduler: Scheduler, run: Run, now_s: float) -> None:
@@ -59,7 +52,10 @@
         },
     )
     scheduler.counts["start-retried"] = scheduler.counts.get("start-retried", 0) + 1
-    run.has_moved_life |= _is_of_former_life(run)
+    if run.is_of_former_life:
+        run.has_moved_life = True
+        # Its crash may be repeated, and the worker runs nothing else yet.
+        run.apart_until_s = now_s + PROMPT_S
     run.unanswered_s = None
     run.is_start_pending = True
     scheduler.starts.append(run)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/state.py
@@ -99,18 +99,18 @@
         # None once no stop by that leader can be under way.
         self.inherited_clock_ms: int | None = None
 
-    def mark_unanswered(self, now_s: float, is_ended: bool = False) -> None:
+    def mark_unanswered(self, now_s: float, is_answered: bool = False) -> None:
         """Record that it isn't known whether the start order was carried out.
 
-        It may yet be, unless the call ``is_ended``, which matters if only one run may
-        be under way.
+        It may yet be, unless the call ``is_answered`` by what can't be read.
         """
         self.mark_refused(now_s)
-        if is_ended or self.subtask.step.spec.copies_allowed:
+        if is_answered:
             return
-        self.unanswered_count += 1
         until_s = self.worker.note_unanswered_start(self, now_s)
-        self.subtask.late_starts[self.worker.facts.worker_id] = until_s
+        self.unanswered_count += 1
+        if not self.subtask.step.spec.copies_allowed:
+            self.subtask.late_starts[self.worker.facts.worker_id] = until_s
 
     def mark_refused(self, now_s: float) -> None:
         """Record that a repeated start was refused; the first may yet take place."""
@@ -134,6 +134,11 @@
         self.unanswered_s = None
         self.answered_s = self.answered_s or now_s
 
+    @property
+    def is_of_former_life(self) -> bool:
+        """Return whether the worker has restarted since the start order left."""
+        return self.start_expires_s == float("inf")
+
     @property
     def is_start_unknown(self) -> bool:
         """Return whether a start without an answer is neither repeated nor stopped."""
