Stop an unanswered start on a worker that may not take it any more

It is stopped there now; its subtask waits as before. It is repeated only once no other run of its subtask is being stopped.

--- a/features/starts_in_later_lives.feature
+++ b/features/starts_in_later_lives.feature
@@ -49,3 +49,16 @@
     When a long-running start gets no answer, and the repeated one is lost with its worker's life
     Then the start is sent to that worker once more, under its number, and to no other
     And after another restart nothing starts it for 12 s, and then a worker does
+
+  # Guards against waves that wait, and against ROUTE: a worker may have changed.
+  Scenario Outline: A start is not sent again to a worker that <change>
+    Given a scheduler with 2 workers of 8 cores
+    When a start gets no answer, and its worker <change>
+    Then the run is ordered to stop, and starts nowhere
+
+    Examples: changes
+      | change                |
+      | drains                |
+      | is cordoned           |
+      | is of another kind    |
+      | is evacuated          |
--- a/features/steps/starts_in_later_lives_steps.py
+++ b/features/steps/starts_in_later_lives_steps.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from behave import then, when
 
+from cicadatrail_core.jobs.data_centre_evacuation import evacuate_data_centres
 from cicadatrail_core.jobs.models import EndKind, JobPhase
 from cicadatrail_core.jobs.worker_leases import renew_lease
 from cicadatrail_core.jobs.worker_state import LATE_START_S
@@ -236,3 +237,29 @@
     world.tick(LATE_START_S)
     world.report_all()
     assert len(world.dispatch()) == 1
+
+
+@when("a start gets no answer, and its worker {change}")
+def step_worker_changes(context: Any, change: str) -> None:
+    world = context.world
+    world.submit(JOB, definition(1, required_label="a"))
+    (context.run,) = world.dispatch()
+    worker = context.run.worker
+    context.run.mark_unanswered(world.now_s)
+    match change:
+        case "drains":
+            worker.facts = replace(worker.facts, draining=True)
+        case "is cordoned":
+            worker.is_cordoned = True
+        case "is of another kind":
+            worker.facts = replace(worker.facts, labels=("b",))
+        case "is evacuated":
+            evacuate_data_centres(world.scheduler, frozenset({worker.facts.zone}))
+    world.now_s += SOON_S
+    world.report_all()
+
+
+@then("the run is ordered to stop, and starts nowhere")
+def step_ordered_to_stop(context: Any) -> None:
+    assert context.world.stops() == [context.run]
+    assert context.world.dispatch() == []
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/start_retries.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/start_retries.py
@@ -8,11 +8,12 @@
 import logging
 
 from cicadatrail_core.jobs.crash_suspicion import PROMPT_S
+from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.late_starts import may_start_late
 from cicadatrail_core.jobs.log_fields import worker_fields
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, RunPhase
-from cicadatrail_core.jobs.worker_conditions import unusable_reason
+from cicadatrail_core.jobs.worker_conditions import has_label, unusable_reason
 
 logger = logging.getLogger("cicadatrail.scheduler")
 
@@ -38,10 +39,16 @@
 
 
 def retry_start(scheduler: Scheduler, run: Run, now_s: float) -> None:
-    """Send a start again, if its worker may take it now."""
+    """Send a start again if its worker may take it now; give it up if it never may."""
     worker = run.worker
+    if not _may_take(scheduler, run):
+        scheduler.stop(run)
+        return
     if unusable_reason(scheduler, worker, now_s) or worker.is_over_capacity:
         return
+    if len(run.subtask.live_runs) > 1 and not run.subtask.step.spec.copies_allowed:
+        # An earlier one is being stopped there.
+        return
     logger.info(
         "scheduler: start without an answer is sent again.",
         extra={
@@ -60,3 +67,13 @@
     run.is_start_pending = True
     scheduler.starts.append(run)
     scheduler.on_change()
+
+
+def _may_take(scheduler: Scheduler, run: Run) -> bool:
+    """Return whether a worker, which may have changed, may run a subtask at all."""
+    worker, step = run.worker, run.subtask.step
+    if worker.facts.draining or worker.is_cordoned or is_evacuated(scheduler, worker):
+        return False
+    queue = scheduler.queues.get(step.job.definition.queue)
+    is_in_pool = queue is not None and queue.pool == worker.facts.pool
+    return is_in_pool and has_label(step, worker)
