Start a long-running subtask again on the worker that may start it late

It starts under a new number on the same worker now, whose present life refuses the earlier one as it has stopped or ended it. It isn't evacuated while such a start may come.

The scenario fails without it.

--- a/features/starts_in_later_lives.feature
+++ b/features/starts_in_later_lives.feature
@@ -62,3 +62,9 @@
       | is cordoned           |
       | is of another kind    |
       | is evacuated          |
+
+  # Guards against LOST: it has to run again within seconds.
+  Scenario: A long-running subtask that fails after a repeated start runs again at once
+    Given a scheduler with 2 workers of 8 cores
+    When a long-running start gets no answer, and the repeated one fails
+    Then it starts on that worker again, under a higher number
--- a/features/steps/starts_in_later_lives_steps.py
+++ b/features/steps/starts_in_later_lives_steps.py
@@ -200,6 +200,12 @@
     " worker's life"
 )
 def step_lasting_lost(context: Any) -> None:
+    _repeat_lasting(context)
+    _lose_life(context)
+
+
+def _repeat_lasting(context: Any) -> None:
+    """Let a long-running subtask run whose first start has got no answer."""
     world = context.world
     world.submit(JOB, definition(1, lasting=True))
     (context.run,) = world.dispatch()
@@ -211,7 +217,6 @@
     assert world.dispatch() == [context.run]
     world.carry_out(context.run)
     world.report_all()
-    _lose_life(context)
 
 
 @then("the start is sent to that worker once more, under its number, and to no other")
@@ -263,3 +268,18 @@
 def step_ordered_to_stop(context: Any) -> None:
     assert context.world.stops() == [context.run]
     assert context.world.dispatch() == []
+
+
+@when("a long-running start gets no answer, and the repeated one fails")
+def step_lasting_failed(context: Any) -> None:
+    _repeat_lasting(context)
+    world, run = context.world, context.run
+    world.sims[run.worker.facts.worker_id].end(run.subtask.name, EndKind.FAILED)
+    world.report_all()
+
+
+@then("it starts on that worker again, under a higher number")
+def step_lasting_again(context: Any) -> None:
+    (run,) = context.world.dispatch()
+    assert run.worker is context.run.worker
+    assert run.number > context.run.number
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/dispatch.py
@@ -19,7 +19,7 @@
     together,
     withdraw_start_notes,
 )
-from cicadatrail_core.jobs.late_starts import awaits_late_start
+from cicadatrail_core.jobs.late_starts import defers_start, workers_beside
 from cicadatrail_core.jobs.models import Queue
 from cicadatrail_core.jobs.placement_error import Cursor, PlacementError
 from cicadatrail_core.jobs.reservations import (
@@ -95,7 +95,7 @@
 
     Raises PlacementError when one job fails; the other jobs' runs stay placed.
     """
-    scheduler.awaits_late_start = False
+    scheduler.has_deferred_start = False
     ready = list(_ready_steps(scheduler, now_s))
     if not ready:
         forget_reservations(scheduler, ())
@@ -192,14 +192,18 @@
         for position, subtask in enumerate(ready):
             if not within_limit(scheduler, step, 1, unseen):
                 break
-            if not _may_start(scheduler, subtask, now_s):
+            if not _may_start(scheduler, subtask):
+                continue
+            able = workers_beside(scheduler, subtask, workers, now_s)
+            if not able:
                 continue
             closed = room.closed_to(subtask)
-            worker = best_worker(
-                scheduler, subtask, workers, closed, room.backfill, now_s
-            )
+            worker = best_worker(scheduler, subtask, able, closed, room.backfill, now_s)
+            if worker is None and able is not workers:
+                continue
             if worker is None:
-                rest = [s for s in ready[position:] if _may_start(scheduler, s, now_s)]
+                rest = [s for s in ready[position:] if _may_start(scheduler, s)]
+                rest = [s for s in rest if not defers_start(scheduler, s, now_s)]
                 room.keep(step, _within_limit(scheduler, step, rest, unseen))
                 break
             scheduler.place(subtask, worker, now_s)
@@ -212,11 +216,11 @@
     return not job.inherited or (job.definition.queue, step.spec.lasting) in reconciled
 
 
-def _may_start(scheduler: Scheduler, subtask: Subtask, now_s: float) -> bool:
+def _may_start(scheduler: Scheduler, subtask: Subtask) -> bool:
     """Return whether a ready subtask may start beside others, its limits aside."""
     if subtask.crashed_runs or not _has_attempt(scheduler, subtask):
         return False
-    if subtask.may_run_unseen or awaits_late_start(scheduler, subtask, now_s):
+    if subtask.may_run_unseen:
         return False
     return scheduler.may_repeat(subtask)
 
@@ -290,7 +294,7 @@
         return
     if not step.spec.gang and not scheduler.may_repeat(subtask):
         return
-    if any(awaits_late_start(scheduler, member, now_s) for member in together(subtask)):
+    if any(defers_start(scheduler, member, now_s) for member in together(subtask)):
         return
     choose = partial(_choose_for_suspect, scheduler, subtask, unseen, now_s)
     chosen = choose(placement.candidates(subtask))
@@ -350,7 +354,7 @@
     """Start all subtasks of a gang, or none of them."""
     if not may_start_gang(scheduler, step, unseen):
         return
-    if any(awaits_late_start(scheduler, member, now_s) for member in step.subtasks):
+    if any(defers_start(scheduler, member, now_s) for member in step.subtasks):
         return
     closed = room.closed_to(step.subtasks[0])
     chosen = choose_gang_workers(scheduler, step, workers, closed, now_s)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/evacuation.py
@@ -9,6 +9,7 @@
 
 from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.ejection import EJECTION_S, eject
+from cicadatrail_core.jobs.late_starts import has_late_start
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, RunPhase, StepState
 from cicadatrail_core.jobs.takeover import is_queue_reconciled
@@ -80,6 +81,7 @@
     return (
         scheduler.is_lease_valid()
         and may_stop(step, run)
+        and not has_late_start(scheduler, run.subtask, now_s)
         and _may_start_again(scheduler, step, now_s)
         and _has_other_worker(scheduler, run, now_s)
     )
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/late_starts.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/late_starts.py
@@ -25,19 +25,39 @@
 
 def has_late_start(scheduler: Scheduler, subtask: Subtask, now_s: float) -> bool:
     """Return whether a worker may yet carry out an unanswered start of a subtask."""
-    if not subtask.late_starts:
-        return False
-    return any(
-        not _is_over(scheduler, worker_id, until_s, now_s)
+    return bool(subtask.late_starts and late_worker_ids(scheduler, subtask, now_s))
+
+
+def late_worker_ids(scheduler: Scheduler, subtask: Subtask, now_s: float) -> list[str]:
+    """Return the workers that may yet carry out an unanswered start of a subtask."""
+    return [
+        worker_id
         for worker_id, until_s in subtask.late_starts.items()
-    )
+        if not _is_over(scheduler, worker_id, until_s, now_s)
+    ]
+
 
+def defers_start(scheduler: Scheduler, subtask: Subtask, now_s: float) -> bool:
+    """Return whether a ready subtask waits, so that each tick leads to another pass."""
+    is_deferred = has_late_start(scheduler, subtask, now_s)
+    scheduler.has_deferred_start |= is_deferred
+    return is_deferred
 
-def awaits_late_start(scheduler: Scheduler, subtask: Subtask, now_s: float) -> bool:
-    """Return the same, and have the next tick lead to another scheduling pass if so."""
-    is_awaited = has_late_start(scheduler, subtask, now_s)
-    scheduler.awaits_late_start |= is_awaited
-    return is_awaited
+
+def workers_beside(
+    scheduler: Scheduler, subtask: Subtask, workers: list[WorkerState], now_s: float
+) -> list[WorkerState]:
+    """Return those of ``workers`` on which a ready subtask may start.
+
+    A long-running one has to run again soon. The worker that may start it late refuses
+    that start in its present life, in which an earlier run was stopped or has ended.
+    """
+    if not defers_start(scheduler, subtask, now_s):
+        return workers
+    late = late_worker_ids(scheduler, subtask, now_s)
+    if not subtask.step.spec.lasting or len(late) > 1:
+        return []
+    return [worker for worker in workers if worker.facts.worker_id in late]
 
 
 def hold_end(worker: WorkerState, row: EndRow, subtask: Subtask) -> None:
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -74,7 +74,7 @@
         # Subtasks that may have crashed a worker.
         self.suspects: dict[SubtaskName, Subtask] = {}
         self.is_handing_over = False
-        self.awaits_late_start = False
+        self.has_deferred_start = False
         # Since when each pool has had a worker reserved.
         self.reserved_since_s: dict[str, float] = {}
         # How teams and queues were served lately, and when that was read.
@@ -386,7 +386,7 @@
         self.queue_pools.drop_unused(self, now_s)
         drop_ended_suspects(self)
         timed = (self.suspects, self.reserved_since_s, self.kept_starts)
-        if any(timed) or self.awaits_late_start:
+        if any(timed) or self.has_deferred_start:
             # Workers that were kept for a suspect or reserved become free with time.
             self.on_change()
         since_s, self.ticked_s = self.ticked_s, now_s
