Wait for late starts of ordinary subtasks on workers that aren't listed, too

PROTOCOL.md lets a missing entry count as gone after an outage of the store only. Ordinary subtasks wait until the start can't come any more; not once an order has ended the worker or another one has answered in its place. Long-running ones have to run again before that and go on.

--- a/features/starts_in_later_lives.feature
+++ b/features/starts_in_later_lives.feature
@@ -76,3 +76,16 @@
     And it is sent again, and its end as failed is read
     Then that end isn't acknowledged for 12 s
     And later it is acknowledged
+
+  # Guards against TWICE: the worker may come back under its id.
+  Scenario Outline: <kind> subtask whose worker is <gone> starts elsewhere after <least> to <most> s
+    Given a scheduler with 2 workers of 8 cores
+    When the start of <kind> subtask gets no answer, and its worker is <gone>
+    Then it starts on the other worker after <least> to <most> s
+
+    Examples: workers
+      | kind           | gone             | least | most |
+      | an ordinary    | no longer listed | 12    | 16   |
+      | a long-running | no longer listed | 6     | 7    |
+      | an ordinary    | replaced         | 0     | 0.1  |
+      | an ordinary    | moved            | 0     | 0.1  |
--- a/features/steps/starts_in_later_lives_steps.py
+++ b/features/steps/starts_in_later_lives_steps.py
@@ -11,7 +11,7 @@
 
 from cicadatrail_core.jobs.data_centre_evacuation import evacuate_data_centres
 from cicadatrail_core.jobs.models import EndKind, JobPhase
-from cicadatrail_core.jobs.worker_leases import renew_lease
+from cicadatrail_core.jobs.worker_leases import count_call, known_clock, renew_lease
 from cicadatrail_core.jobs.worker_state import LATE_START_S
 from features.support.job_world import definition
 from features.support.lives_world import LivesWorld, run_in_memory
@@ -288,3 +288,35 @@
     (run,) = context.world.dispatch()
     assert run.worker is context.run.worker
     assert run.number > context.run.number
+
+
+@when("the start of {kind} subtask gets no answer, and its worker is {gone}")
+def step_gone(context: Any, kind: str, gone: str) -> None:
+    world = context.world
+    world.submit(JOB, definition(1, lasting=kind == "a long-running"))
+    (context.run,) = world.dispatch()
+    worker = context.run.worker
+    clock = known_clock(worker)
+    assert clock is not None
+    renew_lease(world.scheduler, worker, world.now_s)
+    context.run.mark_unanswered(world.now_s)
+    count_call(world.scheduler, worker, clock, None, world.now_s)
+    worker.mark_failed(world.now_s)
+    context.gone_s = world.now_s
+    if gone == "no longer listed":
+        worker.is_listed = False
+    else:
+        world.scheduler.remove_worker(worker.facts.worker_id, world.now_s, gone)
+
+
+@then("it starts on the other worker after {least_s:g} to {most_s:g} s")
+def step_starts_elsewhere(context: Any, least_s: float, most_s: float) -> None:
+    world = context.world
+    (other,) = world.sims.keys() - {context.run.worker.facts.worker_id}
+    runs = world.dispatch()
+    while not runs and world.now_s < context.gone_s + most_s:
+        world.report(other)
+        world.tick(0.1)
+        runs = world.dispatch()
+    assert [run.worker.facts.worker_id for run in runs] == [other]
+    assert least_s <= world.now_s - context.gone_s <= most_s + 0.2
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/ended_lives.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/ended_lives.py
@@ -44,6 +44,9 @@
     def __init__(self) -> None:
         self._lives: dict[str, EndedLife] = {}
 
+    def __contains__(self, worker_id: str) -> bool:
+        return worker_id in self._lives
+
     def add(self, worker: WorkerState, now_s: float) -> None:
         """Note that an order of this leader has ended a worker's life."""
         born_unix_ms = max(worker.born_unix_ms, worker.facts.born_unix_ms)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/late_starts.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/late_starts.py
@@ -19,8 +19,9 @@
 def may_start_late(scheduler: Scheduler, run: Run, now_s: float) -> bool:
     """Return whether an unanswered start of a run may yet be carried out."""
     worker_id = run.worker.facts.worker_id
-    until_s = run.subtask.late_starts.get(worker_id)
-    return until_s is not None and not _is_over(scheduler, worker_id, until_s, now_s)
+    if worker_id not in run.subtask.late_starts:
+        return False
+    return not _is_over(scheduler, run.subtask, worker_id, now_s)
 
 
 def has_late_start(scheduler: Scheduler, subtask: Subtask, now_s: float) -> bool:
@@ -32,8 +33,8 @@
     """Return the workers that may yet carry out an unanswered start of a subtask."""
     return [
         worker_id
-        for worker_id, until_s in subtask.late_starts.items()
-        if not _is_over(scheduler, worker_id, until_s, now_s)
+        for worker_id in subtask.late_starts
+        if not _is_over(scheduler, subtask, worker_id, now_s)
     ]
 
 
@@ -86,15 +87,18 @@
 
 
 def _is_over(
-    scheduler: Scheduler, worker_id: str, until_s: float, now_s: float
+    scheduler: Scheduler, subtask: Subtask, worker_id: str, now_s: float
 ) -> bool:
-    """Return whether a worker can't run a start any more that it may get until then.
+    """Return whether a worker can't carry out an unanswered start any more.
 
-    One that isn't listed counts as gone.
+    One that isn't listed may come back under its id. Long-running subtasks have to run
+    again before that is known.
     """
+    until_s = subtask.late_starts[worker_id]
     worker = scheduler.workers.get(worker_id)
     if worker is None or not worker.is_listed:
-        return True
+        is_gone = worker is None and worker_id in scheduler.ended_lives
+        return is_gone or subtask.step.spec.lasting or now_s > until_s
     if worker.answered_s is not None and worker.answered_s > until_s:
         return True
     return now_s > until_s + scheduler.settings.longest_lease_s
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -152,7 +152,7 @@
             return
         if reason in ORDER_REASONS:
             self.ended_lives.add(worker, now_s)
-        worker.clear_unreported_runs()
+        worker.leave(reason)
         logger.info(
             "scheduler: worker removed; releasing its runs.",
             extra={**worker_fields(worker), "reason": reason},
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
@@ -9,6 +9,11 @@
 from cicadatrail_core.jobs.state import Run
 from cicadatrail_core.models.resources import NO_RESOURCES, Resources
 
+REPLACED = "replaced"
+ADDRESS_TAKEN = "its address belongs to another worker"
+REPLACED_REASONS = (REPLACED, ADDRESS_TAKEN)
+"""Reasons for which a worker is removed once another one has answered in its place."""
+
 HELD_LIMIT_COUNT = 400
 """Most ends that are left unacknowledged; a list has 500 at most."""
 
@@ -142,6 +147,13 @@
             run.subtask.expired_runs.discard(run.number)
         self.unreported_runs.clear()
 
+    def leave(self, reason: str) -> None:
+        """Drop the unreported runs, and starts that can't be carried out any more."""
+        self.clear_unreported_runs()
+        if reason in REPLACED_REASONS:
+            for run in self.runs.values():
+                run.subtask.late_starts.pop(self.facts.worker_id, None)
+
     def mark_failed(self, now_s: float) -> None:
         """Record that a call got no answer, so the worker may have restarted."""
         self.is_suspect = True
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -15,7 +15,7 @@
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.worker_leases import count_call, known_clock, renew_lease
 from cicadatrail_core.jobs.worker_reports import apply_report
-from cicadatrail_core.jobs.worker_state import WorkerState
+from cicadatrail_core.jobs.worker_state import ADDRESS_TAKEN, WorkerState
 from cicadatraild.platform.store import FencedError
 from cicadatraild.platform.workers import ListFailure, OrderOutcome, WorkerClient
 from cicadatraild.scheduling.clocks import loop_now_s
@@ -259,9 +259,7 @@
             case OrderOutcome.FENCED:
                 self._step_down(f"worker {worker_id} obeys a newer leader")
             case OrderOutcome.WRONG_WORKER:
-                self._scheduler.remove_worker(
-                    worker_id, loop_now_s(), "its address belongs to another worker"
-                )
+                self._scheduler.remove_worker(worker_id, loop_now_s(), ADDRESS_TAKEN)
             case _:
                 logger.warning(
                     "worker: poll failed; retrying.",
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -17,7 +17,7 @@
     known_clock,
     renew_lease,
 )
-from cicadatrail_core.jobs.worker_state import WorkerState
+from cicadatrail_core.jobs.worker_state import REPLACED, WorkerState
 from cicadatraild.platform.workers import OrderAnswer, OrderOutcome, WorkerClient
 from cicadatraild.scheduling.clocks import loop_now_s
 from cicadatraild.scheduling.leadership import Leadership
@@ -243,7 +243,7 @@
             case OrderOutcome.FENCED:
                 self._step_down(f"worker {worker.facts.worker_id} refused a start")
             case OrderOutcome.WRONG_WORKER:
-                scheduler.remove_worker(worker.facts.worker_id, now_s, "replaced")
+                scheduler.remove_worker(worker.facts.worker_id, now_s, REPLACED)
             case refusal if refusal in REFUSAL_OUTCOMES and run.unanswered_count:
                 if run.phase is RunPhase.SENT:
                     # An earlier order of it may yet be carried out.
@@ -348,7 +348,7 @@
                     return
                 case OrderOutcome.WRONG_WORKER:
                     self._scheduler.remove_worker(
-                        worker.facts.worker_id, loop_now_s(), "replaced"
+                        worker.facts.worker_id, loop_now_s(), REPLACED
                     )
                     return
             await asyncio.sleep(STOP_RETRY_S * random.uniform(0.5, 1.5))
