Have a successor wait for the late starts of long-running subtasks that are stored

A stored start counted until its worker had answered the successor once: a proof about one life. The successor takes it now for one that may yet come, starts the subtask on that worker, and keeps the row for as long.

--- a/features/lasting_starts.feature
+++ b/features/lasting_starts.feature
@@ -83,3 +83,9 @@
       | proof                  |
       | that worker answers    |
       | that worker is removed |
+
+  # Guards against TWICE: a later life knows no token, and may yet get the stored start.
+  Scenario: A successor starts it on the worker that may start it late, and stores that
+    Given 2 long-running subtasks on a worker that is lost as the leader is killed
+    When the store has the start of the first on that worker, and that worker answers without it
+    Then the first starts on that worker again, and stays stored until it can't be started late
--- a/features/steps/lasting_starts_steps.py
+++ b/features/steps/lasting_starts_steps.py
@@ -15,6 +15,7 @@
 from cicadatrail_core.jobs.scheduler_settings import CLOCK_DRIFT
 from cicadatrail_core.jobs.state import Run, StepState
 from cicadatrail_core.jobs.worker_reports import apply_report
+from cicadatrail_core.jobs.worker_state import LATE_START_S
 from cicadatrail_core.leadership.acting_right import CONFIRMATION_S
 from cicadatrail_core.models.resources import Resources
 from cicadatraild.platform.workers import OrderAnswer, OrderOutcome
@@ -234,6 +235,14 @@
     context.world.advance(seconds)
 
 
+@when("the store has {record}, and that worker answers without it")
+def step_answers_without(context: Any, record: str) -> None:
+    sim = context.world.sims["w0"]
+    del sim.running[FIRST]
+    context.world.worker("w1").is_cordoned = False
+    step_answers(context, record)
+
+
 @when("the store has {record}, and that worker answers")
 def step_answers(context: Any, record: str) -> None:
     _put(context, record)
@@ -280,3 +289,18 @@
     subtask = world.scheduler.jobs[JOB].subtask(FIRST)
     assert subtask is not None
     assert not subtask.may_run_unseen
+
+
+@then(
+    "the first starts on that worker again, and stays stored until it can't be"
+    " started late"
+)
+def step_starts_there(context: Any) -> None:
+    world = context.world
+    subtask = world.scheduler.jobs[JOB].subtask(FIRST)
+    assert subtask is not None
+    assert [run.worker.facts.worker_id for run in subtask.live_runs] == ["w0"]
+    assert msgpack.unpackb(world.stored[STARTS_KEY]) == [[str(FIRST), "w0"]]
+    world.advance(LATE_START_S)
+    world.store()
+    assert msgpack.unpackb(world.stored[STARTS_KEY]) == []
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/late_starts.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/late_starts.py
@@ -99,6 +99,9 @@
     if worker is None or not worker.is_listed:
         is_gone = worker is None and worker_id in scheduler.ended_lives
         return is_gone or subtask.step.spec.lasting or now_s > until_s
-    if worker.answered_s is not None and worker.answered_s > until_s:
+    if worker.answered_s is None:
+        # Only an earlier leader has called it; its leases are waited for.
+        return True
+    if worker.answered_s > until_s:
         return True
     return now_s > until_s + scheduler.settings.longest_lease_s
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_reports.py
@@ -164,6 +164,8 @@
     run.phase = RunPhase.RUNNING
     run.answered_s = now_s
     run.start_expires_s = now_s
+    # What an earlier leader has stored of a start is of this one.
+    subtask.late_starts.pop(worker.facts.worker_id, None)
     if subtask.step.spec.lasting:
         run.inherited_clock_ms = worker.clock_ms
     has_other = bool(subtask.live_runs) and not subtask.step.spec.copies_allowed
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/lasting_starts.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/lasting_starts.py
@@ -16,9 +16,10 @@
 
 import msgpack
 
+from cicadatrail_core.jobs.late_starts import has_late_start, may_start_late
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import JobState, Run, Subtask
-from cicadatrail_core.jobs.worker_state import WorkerState
+from cicadatrail_core.jobs.worker_state import LATE_START_S, WorkerState
 from cicadatraild.platform.store import KeyedRecord
 from cicadatraild.scheduling.former_leases import FormerLeases
 
@@ -49,8 +50,8 @@
         self._former_leases = former_leases
         # Runs whose start isn't proved, each with a future that ends once it is stored.
         self._starts: dict[Run, asyncio.Future[None]] = {}
-        # Starts of earlier leaders, with their worker.
-        self._unseen: dict[Row, WorkerState] = {}
+        # Starts of earlier leaders, with their worker and the subtask, if it is open.
+        self._unseen: dict[Row, tuple[WorkerState, Subtask | None]] = {}
         # The same on workers that aren't known; their jobs are held.
         self._held: set[Row] = set()
         # As collected last.
@@ -62,16 +63,16 @@
         self._scheduler.on_change()
         await self._starts[run]
 
-    def has_changes(self) -> bool:
+    def has_changes(self, now_s: float) -> bool:
         """Return whether a start waits to be stored, or any differs from the stored."""
-        starts = self._open_starts()
+        starts = self._open_starts(now_s)
         is_waiting = not all(stored.done() for stored in starts.values())
-        return is_waiting or self._rows(starts) != self._stored
+        return is_waiting or self._rows(starts, now_s) != self._stored
 
-    def collect(self) -> tuple[list[KeyedRecord], Callable[[], None]]:
+    def collect(self, now_s: float) -> tuple[list[KeyedRecord], Callable[[], None]]:
         """Return the record if it has changed, and a callback for once it is stored."""
-        starts = self._open_starts()
-        rows = self._rows(starts)
+        starts = self._open_starts(now_s)
+        rows = self._rows(starts, now_s)
 
         def on_stored() -> None:
             for stored in starts.values():
@@ -83,25 +84,37 @@
         value = msgpack.packb(sorted(rows))
         return [KeyedRecord(LASTING_STARTS_KEY, value)], on_stored
 
-    def _open_starts(self) -> dict[Run, asyncio.Future[None]]:
+    def _open_starts(self, now_s: float) -> dict[Run, asyncio.Future[None]]:
         """Return the starts that the record has room for, the first ones of all."""
         for run, stored in [*self._starts.items()]:
-            if run.is_proved or run not in run.subtask.live_runs:
-                del self._starts[run]
+            is_over = run not in run.subtask.live_runs
+            if is_over:
                 # One that is over before it was stored is not sent.
                 _end(stored)
+            is_settled = is_over or run.is_proved
+            if is_settled and not may_start_late(self._scheduler, run, now_s):
+                del self._starts[run]
         return dict(islice(self._starts.items(), START_LIMIT_COUNT))
 
-    def _rows(self, starts: Iterable[Run]) -> set[Row]:
+    def _rows(self, starts: Iterable[Run], now_s: float) -> set[Row]:
         """Return what a successor has to know."""
         unseen = self._unseen.items()
-        self._unseen = {row: w for row, w in unseen if w.may_hold_former_lease}
+        self._unseen = {
+            row: (worker, subtask)
+            for row, (worker, subtask) in unseen
+            if worker.may_hold_former_lease or self._has_late_start(subtask, now_s)
+        }
         if not self._former_leases.holds_jobs:
             self._held = set()
         rows = {(str(run.subtask.name), run.worker.facts.worker_id) for run in starts}
         return rows | self._unseen.keys() | self._held
 
-    def restore(self, value: bytes | None, jobs: Iterable[JobState]) -> None:
+    def _has_late_start(self, subtask: Subtask | None, now_s: float) -> bool:
+        return subtask is not None and has_late_start(self._scheduler, subtask, now_s)
+
+    def restore(
+        self, value: bytes | None, jobs: Iterable[JobState], now_s: float
+    ) -> None:
         """Have subtasks wait whose start the predecessor stored as not proved.
 
         Where no such subtask or worker is known, the whole job waits.
@@ -118,8 +131,11 @@
             if worker is None:
                 self._held.add((name, worker_id))
             else:
-                self._unseen[name, worker_id] = worker
+                self._unseen[name, worker_id] = worker, subtasks.get(name)
                 unseen_on[name].append(worker)
+            if name in subtasks:
+                # A later life may yet carry it out, which knows no token.
+                subtasks[name].late_starts[worker_id] = now_s + LATE_START_S
             if name == ANY_SUBTASK:
                 held_jobs |= open_jobs if worker is None else {}
             elif worker is None or name not in subtasks:
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/leader_records.py
@@ -103,7 +103,7 @@
             or self._has_fleet_changes()
             or self._queues.has_changes()
             or self._long_leases.has_changes(loop_now_s())
-            or self.lasting_starts.has_changes()
+            or self.lasting_starts.has_changes(loop_now_s())
             or self._unneeded_definitions()
         )
 
@@ -124,7 +124,7 @@
         # Before the workers, as an append may be split.
         records = self._long_leases.collect(loop_now_s())
         # A start that is proved may count as a long lease from then on.
-        starts, on_starts_stored = self.lasting_starts.collect()
+        starts, on_starts_stored = self.lasting_starts.collect(loop_now_s())
         records += starts
         if self._has_fleet_changes():
             self._fleet = self._lives()
@@ -254,7 +254,7 @@
             self._former_leases.hold_jobs(jobs)
         for job in jobs:
             self._activate(job, now_s)
-        self.lasting_starts.restore(values.get(LASTING_STARTS_KEY), jobs)
+        self.lasting_starts.restore(values.get(LASTING_STARTS_KEY), jobs, now_s)
         return now_s if has_fleet else self._former_leases.end_s
 
     def _activate(self, job: JobState, now_s: float) -> None:
