Count a worker's loss against a subtask only if the subtask may be its cause

Cause: a subtask was given up at the fourth loss of its worker within 2 s of a start, whatever else was lost then and though nobody had seen it run. The fourth failed the job at 40.671 s. All other workers of the pool had failed calls within 3 s of each.

So now: - While a tenth of a pool's other workers, and two at least, are silent or were lost at that time, a loss counts only for a run that was answered and whose worker then broke or refused connections within 0.25 s (silence is no sign of a crash), and a job is given up at the fourth such loss, not at the third. Workers that the subtask was itself lost with are left out, so that its own crashes are no shared cause. - A start without an answer counts only if its worker did not answer for over 2 s after it. - A suspect starts on workers that it was not lost with, where there are such; late losses of one worker alone give up a job at the eighth. A subtask that does crash its workers breaks their connections at once, also beside others' trouble, and is still given up after at most 5 starts.

--- a/features/crashing_subtasks.feature
+++ b/features/crashing_subtasks.feature
@@ -168,3 +168,56 @@
     Given a scheduler with 1 worker of 8 cores
     When a run that crashed twice is lost within 0.1 s beside another job's start
     Then neither job is given up
+
+  # Guards against LOST: restarts of many workers, and starts without an answer, counted as crashes.
+  Scenario Outline: Many workers that fail together are not blamed on their subtasks, <share>
+    Then in 6 histories with half of the workers restarting each 3 s and <share> of the calls unanswered, every harmless job completes
+
+    Examples: share of calls without an answer
+      | share |
+      | 0.8   |
+      | 0.5   |
+      | 0     |
+
+  # Guards against BUDGET: a deadly subtask that is never given up while other workers fail.
+  Scenario Outline: A deadly subtask is given up while many workers fail as well, <share>
+    Then in 4 such histories with <share> of the calls unanswered a deadly subtask is given up after at most 5 starts
+
+    Examples: share of calls without an answer
+      | share |
+      | 0.8   |
+      | 0     |
+
+  # Guards against LOST: one worker restarted in series, and lost a subtask four times.
+  Scenario: A worker that restarts again and again is not blamed on its subtasks
+    Then in 4 histories with a worker that restarts each 1 s, every harmless job completes
+    And in 4 histories with a worker that restarts each 1.5 s, every harmless job completes
+    And in 2 histories with a worker that restarts each 1.5 s, a deadly subtask is given up after at most 5 starts
+
+  # Guards against LOST: a start without an answer counted however long its worker lived on.
+  Scenario Outline: A start without an answer counts only if its worker is lost soon, <seconds> s
+    Given 2 workers of 16 cores that return under a new id after 3.3 s
+    When a worker crashes <seconds> s after it left a start without an answer
+    Then <count> crashes of its subtask count
+
+    Examples: times
+      | seconds | count |
+      | 0.1     | 1     |
+      | 2.5     | 0     |
+
+  # Guards against LOST: the worker that had lost a subtask got it again, as it was empty.
+  Scenario: A suspect does not start on the worker that it was lost with
+    Given 3 workers of 16 cores that return under its old id after 0.3 s
+    When a subtask has been lost with a worker that is the emptiest since
+    Then the subtask starts next on another worker
+
+  # Guards against LOST: a break that had passed counted as a sign of a crash.
+  Scenario Outline: A connection that broke is a sign of a crash only right after a start, <when>
+    Given 4 workers of 16 cores that return under its old id after 0.3 s
+    When workers restart together after a connection to each broke <when> a start
+    Then <count> crashes of its subtask count
+
+    Examples: times
+      | when   | count |
+      | before | 0     |
+      | after  | 1     |
--- a/features/support/crash_world.py
+++ b/features/support/crash_world.py
@@ -157,7 +157,8 @@
     def phase(self, job_id: str) -> JobPhase:
         return self.scheduler.shown_phase(self.scheduler.jobs[job_id])
 
-    def crash(self, sim: SimulatedWorker) -> None:
+    def crash(self, sim: SimulatedWorker, is_silent: bool = False) -> None:
+        """Crash a worker, which breaks its connections unless it just falls silent."""
         for name in [*sim.running]:
             if self.steps_of(name).spec.gang:
                 self.break_gang(name, sim)
@@ -166,7 +167,7 @@
         self.down.append((self.now_s + self.down_s, sim))
         worker = self.scheduler.workers.get(sim.worker_id)
         if worker is not None:
-            worker.mark_failed(self.now_s)
+            worker.mark_failed(self.now_s, is_broken=not is_silent)
 
     def steps_of(self, name: SubtaskName) -> Any:
         job = self.scheduler.jobs[name.job_id]
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/crash_suspicion.py
@@ -12,8 +12,16 @@
 from collections.abc import Container, Iterable
 from typing import TYPE_CHECKING
 
+from cicadatrail_core.jobs.crash_evidence import (
+    CRASH_WINDOW_S,
+    has_crash_followed,
+    is_loss_planned,
+    is_prompt,
+    is_recent,
+)
 from cicadatrail_core.jobs.models import JobPhase
 from cicadatrail_core.jobs.scheduler_settings import RUNS_PER_EPOCH
+from cicadatrail_core.jobs.shared_trouble import PoolTrouble
 from cicadatrail_core.jobs.state import JobState, Run, Subtask, SubtaskPhase
 from cicadatrail_core.jobs.worker_state import WorkerState
 
@@ -22,9 +30,6 @@
 
 logger = logging.getLogger("cicadatrail.scheduler")
 
-CRASH_WINDOW_S = 2.0
-"""Time after its start within which a run may be the cause of its worker's crash."""
-
 ALONE_LIMIT_COUNT = 3
 """Crashes at which a job is given up if the last hardly has another cause.
 
@@ -34,14 +39,8 @@
 SHARED_LIMIT_COUNT = 4
 """Crashes at which a job is given up even if the last may have another cause."""
 
-PROMPT_S = 0.25
-"""Time after its start within which a crash is unlikely to have another cause.
-
-The crashes that have been recorded came within 10 ms of the answer to the start.
-"""
-
-ORDER_S = 1.0
-"""Time after a worker's first failed call in which a machine order may be the cause."""
+ONE_WORKER_LIMIT_COUNT = 8
+"""Crashes at which a job is given up even if one worker may be the cause of all."""
 
 STORE_WAIT_S = 0.4
 """Longest wait of a suspect with one crash for the crash to be stored."""
@@ -53,36 +52,6 @@
 """Maximum number of subtasks named in one log line."""
 
 
-def is_recent(run: Run) -> bool:
-    """Return whether a run is not known to have outlived the crash window.
-
-    A run without an answer counts, because the crash may have prevented the answer.
-    One whose start is still pending does not.
-    """
-    if run.answered_s is None:
-        return run.unanswered_s is not None
-    seen_s = max(run.worker.answered_s or 0.0, run.answered_s)
-    return seen_s - run.answered_s <= CRASH_WINDOW_S
-
-
-def _is_prompt(run: Run, now_s: float) -> bool:
-    """Return whether a run's worker was noticed to fail soon after the run's start."""
-    began_s = run.sent_s if run.answered_s is None else run.answered_s
-    failed_s = run.worker.failed_s
-    return (now_s if failed_s is None else failed_s) - began_s <= PROMPT_S
-
-
-def is_loss_planned(worker: WorkerState, now_s: float) -> bool:
-    """Return whether a worker is lost by a drain or by an order for its machine.
-
-    An order that came long after the worker's first failed call is not the cause.
-    """
-    if worker.facts.draining or worker.draining_until_s is not None:
-        return True
-    failed_s = now_s if worker.failed_s is None else worker.failed_s
-    return worker.is_cordoned and now_s - failed_s < ORDER_S
-
-
 def crash_count(subtask: Subtask) -> int:
     """Return the crashes of a subtask, or the most of any member of its gang."""
     return max(len(member.crashed_runs) for member in together(subtask))
@@ -94,6 +63,15 @@
     return step.subtasks if step.spec.gang else [subtask]
 
 
+def lost_with(subtask: Subtask) -> set[str]:
+    """Return the workers whose crashes count for a subtask, or for its gang.
+
+    A presumed crash stands for another worker.
+    """
+    members = together(subtask)
+    return {worker for member in members for worker in member.crashed_runs.values()}
+
+
 # Counting
 
 
@@ -112,25 +90,45 @@
     holds runs that may be the cause of the crash, but may not be over, and ``beside``
     those that are lost by the same crash at another time.
     """
-    other = [run for run in beside if is_recent(run) and _is_prompt(run, now_s)]
+    other = [run for run in beside if is_recent(run) and is_prompt(run, now_s)]
     blamed = [run for run in (*lost, *kept) if is_recent(run)]
-    _log_loss(worker, len(lost), blamed, reason, now_s)
-    if is_loss_planned(worker, now_s):
+    is_planned = is_loss_planned(worker, now_s)
+    trouble = scheduler.recent_losses.trouble(worker, scheduler.workers, now_s)
+    _log_loss(worker, len(lost), blamed, reason, trouble, now_s)
+    if is_planned:
         blamed = []
+    else:
+        scheduler.recent_losses.add(worker, now_s)
+    shared = {run for run in blamed if trouble.is_shared(lost_with(run.subtask))}
+    blamed = [run for run in blamed if run not in shared or has_crash_followed(run)]
     for run in blamed:
         _count_crash(scheduler, run)
     for run in lost:
         scheduler.release(run, now_s, reason)
     if lost and not scheduler.is_lease_valid():
         scheduler.unproven_runs.add(worker, lost)
-    prompt = [run for run in blamed if _is_prompt(run, now_s)]
+    prompt = [run for run in blamed if is_prompt(run, now_s)]
     is_alone = len({run.subtask.step.job.job_id for run in (*prompt, *other)}) == 1
     for run in blamed:
-        is_cause = is_alone and run in prompt
-        if crash_count(run.subtask) >= SHARED_LIMIT_COUNT or (
-            is_cause and _seen_crash_count(run.subtask) >= ALONE_LIMIT_COUNT
+        subtask = run.subtask
+        is_cause = is_alone and run in prompt and run not in shared
+        is_cause = is_cause and len(lost_with(subtask)) > 1
+        if _has_too_many_crashes(subtask, run in prompt) or (
+            is_cause and _seen_crash_count(subtask) >= ALONE_LIMIT_COUNT
         ):
-            _give_up(scheduler, run.subtask, now_s)
+            _give_up(scheduler, subtask, now_s)
+
+
+def _has_too_many_crashes(subtask: Subtask, is_last_prompt: bool = False) -> bool:
+    """Return whether a subtask is given up even if the last crash has another cause.
+
+    Late crashes of one worker, which may restart again and again, say little.
+    """
+    count = crash_count(subtask)
+    if count < SHARED_LIMIT_COUNT:
+        return False
+    has_several_workers = len(lost_with(subtask)) > 1
+    return is_last_prompt or has_several_workers or count >= ONE_WORKER_LIMIT_COUNT
 
 
 def _seen_crash_count(subtask: Subtask) -> int:
@@ -182,7 +180,7 @@
     Call it once every worker has reported: presumed crashes would be taken back by
     then. Return whether the subtask is given up.
     """
-    if crash_count(subtask) < SHARED_LIMIT_COUNT:
+    if not _has_too_many_crashes(subtask):
         return False
     _give_up(scheduler, subtask, now_s)
     return True
@@ -193,6 +191,7 @@
     run_count: int,
     blamed: list[Run],
     reason: str,
+    trouble: PoolTrouble,
     now_s: float,
 ) -> None:
     if not blamed:
@@ -205,6 +204,7 @@
             "pool": worker.facts.pool,
             "reason": reason,
             "is_planned": is_loss_planned(worker, now_s),
+            "is_shared": trouble.is_shared(),
             "answer_age_s": None if answer_age_s is None else round(answer_age_s, 3),
             "run_count": run_count,
             "recent_count": len(blamed),
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/scheduler.py
@@ -30,10 +30,8 @@
 )
 from cicadatrail_core.jobs.queue_pools import QueuePools
 from cicadatrail_core.jobs.scarcity import Standing
-from cicadatrail_core.jobs.scheduler_settings import (
-    RUNS_PER_EPOCH,
-    SchedulerSettings,
-)
+from cicadatrail_core.jobs.scheduler_settings import RUNS_PER_EPOCH, SchedulerSettings
+from cicadatrail_core.jobs.shared_trouble import RecentLosses
 from cicadatrail_core.jobs.state import (
     JobState,
     Run,
@@ -73,6 +71,7 @@
         self.unproven_runs = UnprovenRuns()
         # Subtasks that may have crashed a worker.
         self.suspects: dict[SubtaskName, Subtask] = {}
+        self.recent_losses = RecentLosses()
         self.is_handing_over = False
         # Since when each pool has had a worker reserved.
         self.reserved_since_s: dict[str, float] = {}
@@ -152,10 +151,9 @@
         if reason in ORDER_REASONS:
             self.ended_lives.add(worker, now_s)
         worker.clear_unreported_runs()
-        fields = worker_fields(worker)
         logger.info(
             "scheduler: worker removed; releasing its runs.",
-            extra={**fields, "reason": reason},
+            extra={**worker_fields(worker), "reason": reason},
         )
         lose_runs(self, worker, list(worker.runs.values()), reason, now_s)
         self.on_change()
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/suspect_placement.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/suspect_placement.py
@@ -2,15 +2,18 @@
 
 A suspect starts on the worker with the fewest runs, which then starts nothing else
 until the suspect is likely to be harmless. A suspect with two crashes should get an
-idle worker. Both are preferences: after a short wait a suspect starts elsewhere.
+idle worker. It should not be one that it was lost with: a worker that restarts again
+and again is itself the cause. All are preferences: after a short wait a suspect starts
+elsewhere.
 """
 
 from __future__ import annotations
 
+from cicadatrail_core.jobs.crash_evidence import PROMPT_S
 from cicadatrail_core.jobs.crash_suspicion import (
-    PROMPT_S,
     crash_count,
     drop_ended_suspects,
+    lost_with,
     together,
 )
 from cicadatrail_core.jobs.reservations import reservable_workers
@@ -97,13 +100,19 @@
                 or _runs_only(worker, subtask.step.job)
             )
         ]
+        crashed = lost_with(subtask)
+        others = [w for w in free if w.facts.worker_id not in crashed]
+        groups = [*_by_run_count(others), *_by_run_count(free)]
         if crash_count(subtask) < IDLE_FROM_COUNT:
-            late = [] if self._may_wait(subtask) else [self._workers]
-            return [*_by_run_count(free), *late]
+            return [*groups, *([] if self._may_wait(subtask) else [self._workers])]
         if self._may_wait(subtask):
-            return [[w for w in free if _runs_only(w, subtask.step.job)]]
+            has_crashed_all = crashed.issuperset(
+                worker.facts.worker_id for worker in self._workers
+            )
+            idle = free if has_crashed_all else others
+            return [[w for w in idle if _runs_only(w, subtask.step.job)]]
         is_overdue = self._now_s - subtask.ready_s > START_LIMIT_S
-        return [*_by_run_count(free), *([self._workers] if is_overdue else [])]
+        return [*groups, *([self._workers] if is_overdue else [])]
 
     def keep(self, subtask: Subtask) -> None:
         """Keep other runs from the workers that a suspect or its gang has just got."""
@@ -133,7 +142,8 @@
             self._scheduler, subtask.step, self.open_workers, self._now_s
         )
         eligible = [w for w in reservable if _may_empty(w, subtask.step.job)]
-        eligible.sort(key=lambda worker: len(worker.runs))
+        crashed = lost_with(subtask)
+        eligible.sort(key=lambda w: (w.facts.worker_id in crashed, len(w.runs)))
         for worker in eligible[: spec.count if spec.gang else 1]:
             if not self._is_full:
                 self._kept.add(worker.facts.worker_id)
--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/worker_state.py
@@ -20,6 +20,7 @@
         "answered_s",
         "below_target_since_s",
         "born_unix_ms",
+        "broken_s",
         "clock_asked_s",
         "clock_at_s",
         "clock_ms",
@@ -76,6 +77,9 @@
         # A call has failed since the last report: the worker may have restarted.
         self.is_suspect = False
         self.failed_s: float | None = None
+        # The first of the calls that failed since then because the connection broke or
+        # was refused, not by silence.
+        self.broken_s: float | None = None
         self.is_listed = True
         self.is_cordoned = False
         self.ejected_until_s = 0.0
@@ -135,11 +139,17 @@
             run.subtask.expired_runs.discard(run.number)
         self.unreported_runs.clear()
 
-    def mark_failed(self, now_s: float) -> None:
-        """Record that a call got no answer, so the worker may have restarted."""
+    def mark_failed(self, now_s: float, is_broken: bool = False) -> None:
+        """Record that a call got no answer, so the worker may have restarted.
+
+        ``is_broken`` tells that the connection broke or was refused.
+        """
         self.is_suspect = True
         if self.failed_s is None:
             self.failed_s = now_s
+            self.broken_s = None
+        if is_broken and self.broken_s is None:
+            self.broken_s = now_s
 
     @property
     def may_be_stopping_inherited_runs(self) -> bool:
--- a/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
+++ b/packages/cicadatrail-node/src/cicadatraild/platform/workers.py
@@ -76,9 +76,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ListFailure:
-    """Reason why a worker's report could not be read."""
+    """Reason why a worker's report could not be read.
+
+    ``is_broken`` tells that the connection broke or was refused, not by silence.
+    """
 
     outcome: OrderOutcome
+    is_broken: bool = False
 
 
 _REASONS = {
@@ -171,11 +175,14 @@
             body["deadline-ms"] = deadline_ms
         if wait_ms:
             body["wait-ms"] = wait_ms
-        response = await self._call(
-            worker, "hold", body, LIST_TIMEOUT_S + wait_ms / 1000
-        )
+        timeout_s = LIST_TIMEOUT_S + wait_ms / 1000
+        began_s = asyncio.get_running_loop().time()
+        response = await self._call(worker, "hold", body, timeout_s)
         if isinstance(response, OrderOutcome):
-            return ListFailure(response)
+            took_s = asyncio.get_running_loop().time() - began_s
+            is_sent = response is not OrderOutcome.NOT_SENT
+            limit_s = timeout_s if is_sent else CONNECT_TIMEOUT_S
+            return ListFailure(response, is_broken=took_s < limit_s)
         if response.status != 200:
             return ListFailure(_outcome(response))
         report = decode_report(response.body)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_links.py
@@ -168,7 +168,7 @@
             is_unknown = result.outcome is OrderOutcome.UNKNOWN
             if is_unknown and deadline_ms is not None and clock is not None:
                 count_call(scheduler, worker, clock, None, loop_now_s())
-            await self._handle_failure(worker, result.outcome)
+            await self._handle_failure(worker, result)
             return
         was_resolved = worker.is_reconciled
         self._orders.lives.record_answer(worker, result.born_unix_ms)
@@ -245,10 +245,10 @@
         if worker.born_unix_ms == born_unix_ms:
             worker.stored_end = max(worker.stored_end, target)
 
-    async def _handle_failure(self, worker: WorkerState, outcome: OrderOutcome) -> None:
+    async def _handle_failure(self, worker: WorkerState, failure: ListFailure) -> None:
         worker_id = worker.facts.worker_id
-        worker.mark_failed(loop_now_s())
-        match outcome:
+        worker.mark_failed(loop_now_s(), failure.is_broken)
+        match failure.outcome:
             case OrderOutcome.FENCED:
                 self._step_down(f"worker {worker_id} obeys a newer leader")
             case OrderOutcome.WRONG_WORKER:
@@ -260,7 +260,7 @@
                     "worker: poll failed; retrying.",
                     extra={
                         "worker_id": worker_id,
-                        "outcome": outcome.value,
+                        "outcome": failure.outcome.value,
                         "answer_age_s": age_s(worker.answered_s),
                     },
                 )
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_lives.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_lives.py
@@ -101,11 +101,11 @@
     async def _check(self, worker: WorkerState) -> None:
         """Ask a worker for its life; acknowledge nothing and renew no lease."""
         self.check_count += 1
-        born_unix_ms, reason = None, ""
+        born_unix_ms, reason, is_broken = None, "", False
         try:
             result = await self._client.read_lists(worker.facts, 0, None, 0)
             if isinstance(result, ListFailure):
-                reason = result.outcome.value
+                reason, is_broken = result.outcome.value, result.is_broken
             else:
                 born_unix_ms = result.born_unix_ms
         except Exception as error:
@@ -125,4 +125,4 @@
             },
         )
         # Until its lists have been read.
-        worker.mark_failed(loop_now_s())
+        worker.mark_failed(loop_now_s(), is_broken)
