--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/start_retries.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/start_retries.py
@@ -7,7 +7,7 @@
 
 import logging
 
-from cicadatrail_core.jobs.crash_suspicion import PROMPT_S
+from cicadatrail_core.jobs.crash_evidence import PROMPT_S
 from cicadatrail_core.jobs.data_centre_evacuation import is_evacuated
 from cicadatrail_core.jobs.late_starts import may_start_late
 from cicadatrail_core.jobs.log_fields import worker_fields
