--- a/features/steps/shared_trouble_steps.py
+++ b/features/steps/shared_trouble_steps.py
@@ -87,10 +87,13 @@
     run.start_expires_s = float("inf")
     run.mark_unanswered(world.now_s)
     run.worker.mark_failed(world.now_s)
-    until_s = world.now_s + seconds
-    while world.now_s < until_s:
+    began_s = world.now_s
+    while world.now_s < began_s + seconds:
         world.report(context.lost_id)
+        # The repeated start doesn't leave.
+        world.scheduler.starts.clear()
         world.tick(0.05)
+    run.mark_refused(began_s)
     lose_worker(world, context.lost_id)
 
 
