--- a/features/lives_histories.feature
+++ b/features/lives_histories.feature
@@ -44,3 +44,7 @@
       | seed |
       | 1003 |
       | 1047 |
+
+  # Guards against TWICE: no leader knows of a late start once its sender has been replaced.
+  Scenario: A late start of a former leader runs nothing twice, wide seed 412
+    Then in the wide histories 412 nothing runs twice, and all jobs complete
--- a/features/starts_in_later_lives.feature
+++ b/features/starts_in_later_lives.feature
@@ -89,3 +89,8 @@
       | a long-running | no longer listed | 6     | 7    |
       | an ordinary    | replaced         | 0     | 0.1  |
       | an ordinary    | moved            | 0     | 0.1  |
+
+  # Guards against TWICE: a late call gives the next life a lease up to the limit.
+  Scenario: A start that comes late renews the lease of what runs in a later life
+    When a later life gets a start 11 s late, and is cut off with other runs
+    Then these run on no other worker as well
--- a/features/steps/starts_in_later_lives_steps.py
+++ b/features/steps/starts_in_later_lives_steps.py
@@ -27,6 +27,11 @@
 INSTANCE_COUNT = 3
 WORKER_COUNT = 3
 RUN_MS = 15_000
+SHORT_MS = 1000
+LONG_MS = 60_000
+OTHER_JOB = "00000000000000f1"
+LATENCY_S = 0.02
+LEASES_S = 12.0
 SOON_S = 0.1
 FIRST_DARK_S = 0.2
 SECOND_DARK_S = 0.25
@@ -320,3 +325,46 @@
         runs = world.dispatch()
     assert [run.worker.facts.worker_id for run in runs] == [other]
     assert least_s <= world.now_s - context.gone_s <= most_s + 0.2
+
+
+@when("a later life gets a start {late_s:g} s late, and is cut off with other runs")
+def step_late_lease(context: Any, late_s: float) -> None:
+    async def main(world: LivesWorld) -> Outcome:
+        return await _cut_off_after_late_start(world, late_s)
+
+    logging.disable(logging.CRITICAL)
+    try:
+        context.outcome = run_in_memory(main, SEED)
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+async def _cut_off_after_late_start(world: LivesWorld, late_s: float) -> Outcome:
+    late_start = LateStart(world, late_s)
+    await world.open(WORKER_COUNT)
+    entry = other_instance(world, await start_instances(world, INSTANCE_COUNT))
+    # The clock of the first life has to be far ahead.
+    await asyncio.sleep(2 * late_s)
+    assert await submit(world, entry, JOB, job(SHORT_MS, count=1)) == 200
+    await late_start.wait_until_sent()
+    worker = next(w for w in world.workers if w.worker_id == late_start.worker_id)
+    await asyncio.sleep(FIRST_DARK_S)
+    worker.restart_dark(FIRST_DARK_S)
+    await asyncio.sleep(2 * FIRST_DARK_S)
+    worker.is_unlisted = False
+    await asyncio.sleep(2.0)
+    body = job(LONG_MS, count=WORKER_COUNT, cpu=3000, **{"anti-affinity": 1})
+    assert await submit(world, entry, OTHER_JOB, body) == 200
+    await world.wait_until(lambda: OTHER_JOB in str([*worker.runs]), 5.0)
+    await world.add_worker("i-9")
+    await asyncio.sleep(late_start.arrives_s - world.loop.time() + LATENCY_S)
+    for name in world.instances:
+        world.network.lost |= {(name, worker.worker_id), (worker.worker_id, name)}
+    await world.wait_until(lambda: world.fleet.worker_starts["i-9"], LEASES_S)
+    count = world.network.later_lives_calls["run-start"]
+    return Outcome(count, world.fleet.violations, "")
+
+
+@then("these run on no other worker as well")
+def step_no_other(context: Any) -> None:
+    assert not context.outcome.violations, context.outcome
