--- a/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
+++ b/packages/cicadatrail-core/src/cicadatrail_core/jobs/job_report.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from cicadatrail_core.jobs.kept_starts import describe_kept_start
+from cicadatrail_core.jobs.late_starts import has_late_start
 from cicadatrail_core.jobs.scheduler import Scheduler
 from cicadatrail_core.jobs.state import Run, StepState, SubtaskPhase
 from cicadatrail_core.jobs.takeover import is_queue_reconciled
@@ -137,6 +138,8 @@
         return "the new pool of the queue is not stored yet"
     if job.inherited and not is_queue_reconciled(scheduler, queue, now_s):
         return "a worker of the pool has not answered since the takeover"
+    if all(has_late_start(scheduler, s, now_s) for s in step.ready.values()):
+        return "a worker may yet carry out a start of it"
     if scheduler.needs_advice(step) and now_s >= step.tickets_expire_s:
         return "no advice yet on the workers that may run it"
     team = scheduler.configuration.teams.get(job.definition.team)
--- a/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
+++ b/packages/cicadatrail-node/src/cicadatraild/scheduling/worker_orders.py
@@ -248,8 +248,8 @@
                 if run.phase is RunPhase.SENT:
                     # An earlier order of it may yet be carried out.
                     run.mark_refused(now_s)
-                if refusal in GIVEN_UP_OUTCOMES:
-                    scheduler.stop(run)
+                    if refusal in GIVEN_UP_OUTCOMES:
+                        scheduler.stop(run)
             case refusal if refusal in REFUSAL_OUTCOMES:
                 is_unhealthy = refusal in (OrderOutcome.BUSY, OrderOutcome.INVALID)
                 if is_unhealthy or not self._is_fenced_for(worker):
