--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,50 +1,71 @@
-"""Cancelled jobs keep their state in memory and exhaust it, on each leader in turn."""
+"""A job never runs, as the service is never asked about the worker that may run it."""
 
 from __future__ import annotations
 
 import asyncio
-import time
 from pathlib import Path
 
-from review.second.deployment import Deployment, has_fault, main, ordinary_job
+from review.second.advice import AdviceService, AdvisedWorker
+from review.second.deployment import (
+    ADVISED_PREFIX,
+    Deployment,
+    is_lost,
+    main,
+    watch_finish,
+)
 
 FOLDER = Path(__file__).resolve().parent
-ORDINARY = "00000000000000b0"
-SUBTASK_COUNT = 30_000
-TRAFFIC_S = 95.0
-PAUSE_S = 0.1
+FIRST = "00000000000000b0"
+LOAD = "00000000000000b1"
+ADVISED = "000000000000c000"
+WORKER_COUNT = 36
 SERVICE_LIMIT_S = 20.0
 
 
-def large_job() -> dict[str, object]:
-    """Return a job of one wide step."""
-    step = {"count": SUBTASK_COUNT, "cpu": 1000, "mem-mb": 100, "est-duration-ms": 800}
-    return {"spec": "ms=800 cpu=1000", "steps": [step]}
+def one_subtask(ms: int, millicores: int) -> dict[str, object]:
+    """Return a job of one subtask."""
+    step = {"count": 1, "cpu": millicores, "mem-mb": 100, "est-duration-ms": ms}
+    return {"spec": f"ms={ms} cpu={millicores}", "steps": [step]}
 
 
 async def run(has_trouble: bool) -> int:
     """Run the case; return 1 if a rule was broken, 0 if not, 2 if it could not run."""
-    async with Deployment(FOLDER / "record.txt") as deployment:
-        if not await deployment.submit(ORDINARY, ordinary_job(), SERVICE_LIMIT_S):
+    service = AdvisedWorker.service = AdviceService()
+    AdvisedWorker.advised_job = ADVISED
+    async with Deployment(
+        FOLDER / "record.txt",
+        worker_count=WORKER_COUNT,
+        worker_class=AdvisedWorker,
+        advice=service,
+    ) as deployment:
+        if not await deployment.submit(FIRST, one_subtask(100, 1000), SERVICE_LIMIT_S):
             return 2
-        until_s = time.monotonic() + TRAFFIC_S
-        number = cancelled_count = 0
-        while time.monotonic() < until_s and not has_fault(deployment):
-            job_id = f"{0xC000 + number:016x}"
-            number += 1
-            body = large_job() if has_trouble else ordinary_job()
-            status, _ = await deployment.call("POST", job_id, body)
-            answer = 0
-            # Without an answer the job may have been accepted.
-            while status in (0, 200, 504) and answer not in (200, 410):
-                answer, _ = await deployment.call("DELETE", job_id)
-                await asyncio.sleep(PAUSE_S)
-            cancelled_count += answer == 200
-            await asyncio.sleep(PAUSE_S)
-        deployment.log(f"client: {number} jobs handed in, {cancelled_count} cancelled")
-        ends = {name: len(m.memory_ends) for name, m in deployment.machines.items()}
-        deployment.log(f"judge: processes ended for their memory: {ends}")
-        return 1 if has_fault(deployment) else 0
+        # The worker that may run the step also runs one subtask of other work.
+        load = one_subtask(100_000, 4000)
+        if not await deployment.submit(LOAD, load, 5.0):
+            return 2
+        await asyncio.sleep(1.0)
+        busy = [w.worker_id for w in deployment.workers if w.runs]
+        free = [w.worker_id for w in deployment.workers if not w.runs]
+        if len(busy) != 1:
+            return 2
+        service.allowed = busy[0] if has_trouble else free[0]
+        deployment.log(f"{service.allowed} may run the job; {busy[0]} runs other work")
+        deployment.prefixes[ADVISED] = ADVISED_PREFIX
+        status, _ = await deployment.call("POST", ADVISED, one_subtask(500, 1000))
+        deployment.log(f"client: POST {ADVISED} -> {status}")
+        if status != 200:
+            return 2
+        finishes = await watch_finish(deployment, {ADVISED: 1}, 1000)
+        named = sum(service.allowed in ids for ids in service.asked)
+        deployment.log(
+            f"advice: {len(service.asked)} calls, {named} of them named "
+            f"{service.allowed}; at most {max(map(len, service.asked), default=0)} "
+            f"workers of {WORKER_COUNT} a call"
+        )
+        lost = [job_id for job_id, finish in finishes.items() if is_lost(finish)]
+        deployment.log(f"judge: LOST: {lost}")
+        return 1 if lost else 0
 
 
 if __name__ == "__main__":
--- a/review/second/deployment.py
+++ b/review/second/deployment.py
@@ -25,6 +25,7 @@
 
 from features.standins.platform_fleet import Fleet, PlatformMachines, PlatformWorker
 from features.standins.platform_store import PlatformStore
+from review.second.advice import AdviceService
 
 ROOT = Path(__file__).resolve().parents[2]
 STORE_HOST = "127.0.0.1"
@@ -45,6 +46,7 @@
 KEY = "key-of-florists"
 QUEUE_HOST = "jobs.example"
 PREFIX = "/q/"
+ADVISED_PREFIX = "/advised/"
 CPU = 32_000
 MEM = 65_536
 
@@ -120,6 +122,7 @@
         memory_mb: int = MEMORY_MB,
         attempts: int = 4,
         worker_class: type[PlatformWorker] = PlatformWorker,
+        advice: AdviceService | None = None,
     ) -> None:
         self.record = record.open("w")
         self.began_s = time.monotonic()
@@ -130,12 +133,15 @@
         self.memory_mb = memory_mb
         self._attempts = attempts
         self._worker_class = worker_class
+        self._advice = advice
         self._machine_count = machine_count
         self._worker_count = worker_count
         self._stack = AsyncExitStack()
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.front_port = 0
         self._done: set[str] = set()
+        # Path prefixes of the jobs that are not of the usual queue.
+        self.prefixes: dict[str, str] = {}
 
     def log(self, text: str) -> None:
         """Write a line to the record."""
@@ -158,6 +164,10 @@
             self.workers.append(worker)
         service = PlatformMachines(self.workers, MAINTENANCE_S)
         service_port = await service.listen(self._stack, STORE_HOST)
+        advice = ""
+        if self._advice is not None:
+            advice_port = await self._advice.listen(self._stack, STORE_HOST)
+            advice = f"{STORE_HOST}:{advice_port}"
         self.store.put_json("keyed.op", "config", self.configuration(1))
         pid = os.getpid()
         net = f"127.{1 + (pid >> 8) % 126}.{pid & 255}"
@@ -177,6 +187,7 @@
                     store_port,
                     service_port,
                     self.memory_mb,
+                    advice,
                 )
             )
             self.machines[name] = Machine(name, host, path)
@@ -212,7 +223,7 @@
         return noting
 
     def configuration(self, version: int) -> dict[str, Any]:
-        """Return a configuration with one queue and one team."""
+        """Return a configuration with one team, one queue, and one that is advised."""
         queue = {
             "name": "q",
             "host": QUEUE_HOST,
@@ -224,10 +235,15 @@
             "stretch": 2.0,
             "priority": 0,
         }
+        queues = [queue]
+        if self._advice is not None:
+            terms = {"decide-ms": 20, "period-ms": 1, "valid-ms": 3000}
+            other = {"name": "advised", "path-prefix": ADVISED_PREFIX, "advice": terms}
+            queues.append(queue | other)
         tenant = {"name": "florists", "api-keys": [KEY], "weight": 1}
         return {
             "version": version,
-            "routes": [queue],
+            "routes": queues,
             "services": [{"name": "pool"}],
             "tenants": [tenant],
         }
@@ -275,7 +291,7 @@
         host = self.machines[names[int(time.monotonic() * 1000) % len(names)]].host
         data = b"" if body is None else json.dumps(body).encode()
         lines = [
-            f"{method} {PREFIX}{job_id} HTTP/1.1",
+            f"{method} {self.prefixes.get(job_id, PREFIX)}{job_id} HTTP/1.1",
             f"Host: {QUEUE_HOST}",
             f"Authorization: Bearer {KEY}",
             f"Deadline-Ms: {int(timeout_s * 1000)}",
@@ -453,6 +469,7 @@
     store_port: int,
     service_port: int,
     memory_mb: int,
+    advice: str,
 ) -> str:
     """Return a settings file like the one in DEPLOY.md, for one machine."""
     front, ready, control, peer, metrics = ports
@@ -470,6 +487,7 @@
 discovery = "platform"
 heartbeat-ms = 500
 commands = "request"
+advice = "{advice}"
 policies = ["base", "drain", "config", "cost", "recover", "sched", "tenants"]
 [zones]
 z1 = "r1"
