--- a/review/9/case.py
+++ b/review/9/case.py
@@ -5,8 +5,8 @@
 import asyncio
 from pathlib import Path
 
-from review.second.advice import AdviceService, AdvisedWorker
-from review.second.deployment import (
+from review.advice_2 import AdviceService, AdvisedWorker
+from review.deployment_2 import (
     ADVISED_PREFIX,
     Deployment,
     is_lost,
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/.." || exit 1
 PYTHONPATH=target/deps:. exec python3 -c "
 import features.standins.platform_fleet, features.standins.platform_store
-import review.second.advice, review.second.deployment, review.second.gang_workers"
+import review.advice_2, review.deployment_2, review.gang_workers_2"
--- a/review/second/deployment.py
+++ b/review/deployment_2.py
@@ -25,9 +25,9 @@
 
 from features.standins.platform_fleet import Fleet, PlatformMachines, PlatformWorker
 from features.standins.platform_store import PlatformStore
-from review.second.advice import AdviceService
+from review.advice_2 import AdviceService
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 STORE_HOST = "127.0.0.1"
 MEMORY_MB = 300
 RECORD_BYTES = 262_144
--- a/review/second/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""What the scripts of the second review share."""
